--- /dev/null
+++ b/cmake/kingcupcart.cmake
@@ -0,0 +1,19 @@
+# kingcupcart_package(NAME SOURCES … LINKS …): one library per package; headers at its root are
+# reached as "NAME/header.h".
+function(kingcupcart_package name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+    add_library(kingcupcart_${name} STATIC ${ARG_SOURCES})
+    add_library(kingcupcart::${name} ALIAS kingcupcart_${name})
+    target_include_directories(kingcupcart_${name} PUBLIC ${PROJECT_SOURCE_DIR}/packages)
+    target_link_libraries(kingcupcart_${name} PUBLIC ${ARG_LINKS} PRIVATE kingcupcart_warnings)
+endfunction()
+
+# kingcupcart_test(NAME SOURCES…): the doctest program of a package.
+function(kingcupcart_test name)
+    cmake_parse_arguments(ARG "" "" "LINKS" ${ARGN})
+    add_executable(${name}_test ${ARG_UNPARSED_ARGUMENTS})
+    target_link_libraries(${name}_test PRIVATE kingcupcart::${name} ${ARG_LINKS} kingcupcart_test_main
+                          kingcupcart_warnings)
+    add_test(NAME ${name} COMMAND ${name}_test)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/packages/admission/queued_request.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+namespace kingcupcart::admission {
+
+/// A request that waits for room.
+struct queued_request {
+    request_id id;
+    caller_id caller;
+    time_point deadline;
+};
+
+} // namespace kingcupcart::admission
--- /dev/null
+++ b/packages/base/ids.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/strong_id.h"
+
+#include <cstdint>
+#include <string>
+
+/// Identifiers shared by all packages.
+namespace kingcupcart {
+
+using instance_id = strong_id<struct instance_tag, std::string>;
+/// Differs for every start of the same instance.
+using incarnation_id = strong_id<struct incarnation_tag, std::uint64_t>;
+using failure_domain_id = strong_id<struct failure_domain_tag, std::string>;
+using region_id = strong_id<struct region_tag, std::string>;
+using caller_id = strong_id<struct caller_tag, std::string>;
+using target_id = strong_id<struct target_tag, std::string>;
+/// Name of what a target serves: a model or a plain service.
+using backend_name = strong_id<struct backend_tag, std::string>;
+using work_class_name = strong_id<struct work_class_tag, std::string>;
+/// Unique within one incarnation of one instance.
+using request_id = strong_id<struct request_tag, std::uint64_t>;
+/// One handing of a request to one target.
+using attempt_id = strong_id<struct attempt_tag, std::uint64_t>;
+using sample_id = strong_id<struct sample_tag, std::uint64_t>;
+using group_id = strong_id<struct group_tag, std::uint64_t>;
+using trainer_id = strong_id<struct trainer_tag, std::string>;
+using weight_version = strong_id<struct weight_version_tag, std::uint64_t>;
+using configuration_version = strong_id<struct configuration_version_tag, std::uint64_t>;
+using fencing_number = strong_id<struct fencing_number_tag, std::uint64_t>;
+using idempotency_key = strong_id<struct idempotency_key_tag, std::string>;
+/// Hash of one block of a prompt, chained with the blocks before it.
+using prefix_hash = strong_id<struct prefix_hash_tag, std::uint64_t>;
+
+} // namespace kingcupcart
--- /dev/null
+++ b/packages/base/tests/base_test.cpp
@@ -0,0 +1,38 @@
+#include "base/endpoint.h"
+#include "base/stable_hash.h"
+
+#include <doctest/doctest.h>
+
+using namespace kingcupcart;
+
+SCENARIO("an address is read as people write it") {
+    GIVEN("an IP number and a port") {
+        THEN("both are kept, and printed alike") {
+            const auto parsed = value_or_error([] { return parse_endpoint("127.0.0.1:8080"); });
+            CHECK(std::get<endpoint>(parsed) == endpoint{"127.0.0.1", 8080});
+            CHECK(std::get<endpoint>(parsed).to_string() == "127.0.0.1:8080");
+        }
+        THEN("an IPv6 address keeps its brackets in print") {
+            const auto parsed = value_or_error([] { return parse_endpoint("[::1]:9"); });
+            CHECK(std::get<endpoint>(parsed).to_string() == "[::1]:9");
+        }
+    }
+    GIVEN("something else") {
+        for (const char* text : {"localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000",
+                                 "127.0.0.1:8x", ":80", ""}) {
+            CAPTURE(text);
+            THEN("it is refused as invalid input, and the text is quoted") {
+                const auto parsed = value_or_error([&] { return parse_endpoint(text); });
+                REQUIRE(std::holds_alternative<error>(parsed));
+                CHECK(std::get<error>(parsed).code == error_code::invalid_input);
+                CHECK(std::get<error>(parsed).message.find('\'') != std::string::npos);
+            }
+        }
+    }
+}
+
+SCENARIO("a stable hash never changes between releases") {
+    CHECK(stable_hash("kingcupcart") == stable_hash("kingcupcart"));
+    CHECK(stable_hash("a") != stable_hash("b"));
+    CHECK(stable_hash("a", 1) != stable_hash("a", 2));
+}
--- /dev/null
+++ b/packages/base/units.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/quantity.h"
+
+#include <cstdint>
+
+/// Units shared by all packages. Durations are those of <chrono>.
+namespace kingcupcart {
+
+using tokens = quantity<struct tokens_unit, std::int64_t>;
+using bytes = quantity<struct bytes_unit, std::int64_t>;
+using tokens_per_second = quantity<struct tokens_per_second_unit, double>;
+
+} // namespace kingcupcart
--- /dev/null
+++ b/packages/requests/internal/attempt_state.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/units.h"
+#include "base/urgency.h"
+
+namespace kingcupcart::requests {
+
+/// A request at one target.
+struct attempt_state {
+    request_id request;
+    target_id target;
+    urgency kind = urgency::short_work;
+    time_point sent;
+    time_point last_output;
+    tokens resume_after;
+    bool has_output = false;
+};
+
+} // namespace kingcupcart::requests
--- /dev/null
+++ b/packages/requests/internal/dispatcher_state.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "admission/retry_budget.h"
+#include "requests/dispatcher.h"
+#include "requests/internal/attempt_state.h"
+#include "requests/internal/backend_queues.h"
+#include "requests/internal/request_state.h"
+#include "requests/internal/timer_queue.h"
+#include "routing/router.h"
+
+#include <unordered_map>
+
+namespace kingcupcart::requests {
+
+/// The dispatcher's tables and the steps of its decisions.
+class dispatcher::state {
+public:
+    state(location here, dispatcher_limits limits, std::uint64_t seed);
+
+    void on(const request_arrived& arrived);
+    void on(const attempt_handed& handed);
+    void on(const attempt_progressed& progressed);
+    void on(const attempt_answered& answered);
+    void on(const attempt_failed& failed);
+    void on(const caller_left& left);
+    void on(const time_passed& passed);
+
+    /// Sends what waits and finds room now.
+    void pump(const backend_name& backend);
+
+    dispatcher_limits limits;
+    routing::router router;
+    std::unordered_map<work_class_name, admission::work_class> classes;
+    std::unordered_map<backend_name, backend_queues> queues;
+    std::unordered_map<request_id, request_state> requests;
+    std::unordered_map<attempt_id, attempt_state> attempts;
+    timer_queue timers;
+    bool stopping = false;
+    /// The moment of the message that is being handled, and what it led to.
+    time_point now{};
+    actions output;
+
+private:
+    void enqueue(request_state& request);
+    bool route_and_send(request_state& request, send_cause cause);
+    [[nodiscard]] routing::route_choice route(const request_state& request, bool allows_trial);
+    void send(request_state& request, const routing::route_choice& choice, send_cause cause);
+    void send_again(request_state& request, attempt_failure failure, bool was_adopted);
+    void arm_hedge(const request_state& request);
+    void arm_stall(const request_state& request);
+    void hedge(request_state& request);
+    void check_stall(request_state& request);
+    void expire(request_state& request);
+    [[nodiscard]] duration stall_delay(const request_state& request) const;
+    /// False where the attempt's output is of no use and the attempt was cancelled.
+    bool adopt(request_state& request, attempt_id attempt);
+    void cancel_others(request_state& request, attempt_id kept);
+    void cancel(request_state& request, attempt_id attempt);
+    void end_attempt(request_state& request, attempt_id attempt);
+    void refuse(request_state& request, refusal_reason reason, duration retry_after = {});
+    void forget(request_id request);
+    [[nodiscard]] const admission::work_class& class_of(const request_state& request) const;
+
+    admission::retry_budget budget;
+    attempt_id last_attempt{0};
+};
+
+} // namespace kingcupcart::requests
--- /dev/null
+++ b/packages/requests/internal/request_state.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/units.h"
+#include "base/urgency.h"
+#include "requests/request_profile.h"
+
+#include <optional>
+#include <vector>
+
+namespace kingcupcart::requests {
+
+/// A request that runs or waits.
+struct request_state {
+    request_profile profile;
+    urgency kind = urgency::short_work;
+    time_point deadline;
+    /// Attempts that have not ended.
+    std::vector<attempt_id> live;
+    std::vector<target_id> tried;
+    /// The attempt whose output goes to the caller.
+    std::optional<attempt_id> adopted;
+    /// Tokens that went to the caller.
+    tokens delivered;
+    time_point last_output;
+    std::size_t attempts = 0;
+    bool queued = false;
+    /// Something of the request was handed to a socket.
+    bool handed = false;
+    /// The caller was told `unknown` or left, and the run goes on.
+    bool caller_gone = false;
+
+    [[nodiscard]] bool may_run_again() const { return this->profile.repeatable || !this->handed; }
+};
+
+} // namespace kingcupcart::requests
--- /dev/null
+++ b/packages/requests/internal/timer_queue.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+#include <optional>
+#include <queue>
+#include <vector>
+
+namespace kingcupcart::requests {
+
+/// Moments at which a request has to be looked at again. A timer is never taken back; whoever gets
+/// it checks whether it still matters.
+class timer_queue {
+public:
+    enum class purpose { deadline, hedge, stall };
+
+    struct timer {
+        time_point due;
+        purpose why = purpose::deadline;
+        request_id request;
+
+        friend bool operator>(const timer& a, const timer& b) { return a.due > b.due; }
+    };
+
+    void add(const timer& added) { this->timers.push(added); }
+
+    /// The earliest timer that is due.
+    [[nodiscard]] std::optional<timer> take_due(time_point now) {
+        if (this->timers.empty() || this->timers.top().due > now) {
+            return std::nullopt;
+        }
+        const timer due = this->timers.top();
+        this->timers.pop();
+        return due;
+    }
+
+    [[nodiscard]] std::optional<time_point> next() const {
+        if (this->timers.empty()) {
+            return std::nullopt;
+        }
+        return this->timers.top().due;
+    }
+
+private:
+    std::priority_queue<timer, std::vector<timer>, std::greater<>> timers;
+};
+
+} // namespace kingcupcart::requests
--- /dev/null
+++ b/packages/requests/refusal_reason.h
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace kingcupcart::requests {
+
+/// Why a request got no answer.
+enum class refusal_reason {
+    queue_full,
+    would_be_late,
+    deadline_passed,
+    no_target,
+    unknown_class,
+    target_unreachable,
+    target_failed,
+    stopping
+};
+
+[[nodiscard]] const char* to_string(refusal_reason reason);
+
+} // namespace kingcupcart::requests
--- /dev/null
+++ b/packages/routing/internal/prefix_index.cpp
@@ -0,0 +1,47 @@
+#include "routing/prefix_index.h"
+
+namespace kingcupcart::routing {
+
+prefix_index::prefix_index(std::size_t entries_max, duration age_max)
+    : entries_max(entries_max), age_max(age_max) {}
+
+void prefix_index::remember(const std::vector<prefix_hash>& blocks, const target_id& target,
+                            time_point now) {
+    for (const prefix_hash& block : blocks) {
+        this->entries.insert_or_assign(block, entry{target, now});
+        this->by_age.push_back(age_record{block, now});
+    }
+    while (this->by_age.size() > this->entries_max) {
+        this->drop_oldest();
+    }
+}
+
+void prefix_index::forget(prefix_hash block) { this->entries.erase(block); }
+
+void prefix_index::forget(const target_id& target) {
+    std::erase_if(this->entries, [&](const auto& item) { return item.second.target == target; });
+}
+
+std::optional<prefix_index::match> prefix_index::find(const std::vector<prefix_hash>& blocks,
+                                                      time_point now) const {
+    for (std::size_t length = blocks.size(); length > 0; --length) {
+        const auto found = this->entries.find(blocks[length - 1]);
+        if (found == this->entries.end() || now - found->second.seen > this->age_max) {
+            continue;
+        }
+        const double share = static_cast<double>(length) / static_cast<double>(blocks.size());
+        return match{found->second.target, share};
+    }
+    return std::nullopt;
+}
+
+void prefix_index::drop_oldest() {
+    const age_record oldest = this->by_age.front();
+    this->by_age.pop_front();
+    const auto found = this->entries.find(oldest.block);
+    if (found != this->entries.end() && found->second.seen == oldest.seen) {
+        this->entries.erase(found);
+    }
+}
+
+} // namespace kingcupcart::routing
--- /dev/null
+++ b/packages/routing/internal/target_health.cpp
@@ -0,0 +1,43 @@
+#include "routing/target_health.h"
+
+#include "routing/router_limits.h"
+
+#include <algorithm>
+
+namespace kingcupcart::routing {
+
+void target_health::observe(duration waited, double weight) {
+    if (this->observations == 0) {
+        this->average_wait = waited;
+    } else {
+        const auto change = static_cast<double>((waited - this->average_wait).count()) * weight;
+        this->average_wait += duration(static_cast<duration::rep>(change));
+    }
+    ++this->observations;
+}
+
+void target_health::forget() {
+    this->observations = 0;
+    this->average_wait = duration{};
+}
+
+void target_health::eject(time_point now, const router_limits& limits) {
+    const duration doubled = this->last_ejection * 2;
+    this->last_ejection = std::clamp(doubled, limits.ejection_time, limits.ejection_time_max);
+    this->ejected_until = now + this->last_ejection;
+    this->current = state::ejected;
+}
+
+bool target_health::is_trial_due(time_point now) const {
+    return this->current == state::ejected && now >= this->ejected_until;
+}
+
+void target_health::start_trial() { this->current = state::on_trial; }
+
+void target_health::pass_trial() {
+    this->current = state::in_use;
+    this->last_ejection = duration{};
+    this->forget();
+}
+
+} // namespace kingcupcart::routing
--- /dev/null
+++ b/packages/routing/route_choice.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/ids.h"
+#include "routing/distance.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcupcart::routing {
+
+/// Why a target was chosen, or why none was.
+enum class route_reason {
+    least_loaded,
+    prefix_cached,
+    probation_trial,
+    spilled_over,
+    only_suspects_left,
+    no_room,
+    no_target
+};
+
+[[nodiscard]] const char* to_string(route_reason reason);
+
+/// One target that was looked at; a lower score is better.
+struct considered_target {
+    target_id id;
+    double score = 0;
+};
+
+/// The router's answer, with what a log line needs to explain it.
+struct route_choice {
+    std::optional<target_id> target;
+    route_reason reason = route_reason::no_target;
+    distance where = distance::own_domain;
+    std::vector<considered_target> considered;
+
+    /// `reason=… target=… considered=a:1.2,b:1.4`
+    [[nodiscard]] std::string explain() const;
+};
+
+} // namespace kingcupcart::routing
