Add tasks with typed mailboxes, strict INI settings, logs and metrics

Cause: the path needs event loops, checked settings and something to look at. A mailbox wakes its GLib loop by a source's ready time; ruled out: a pipe per task (a descriptor more, no gain) and g_idle_add per message (an allocation more per message). Settings are checked on top of GKeyFile, which alone merges groups and keys that stand twice without a word; tests show each refusal.

--- /dev/null
+++ b/packages/settings/internal/ini_section.cpp
@@ -0,0 +1,209 @@
+#include "settings/ini_section.h"
+
+#include "settings/ini_document.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace kingcupcart::settings {
+
+namespace {
+
+struct time_unit {
+    const char* name;
+    duration length;
+};
+
+constexpr std::array<time_unit, 6> time_units{{{"us", std::chrono::microseconds(1)},
+                                               {"ms", std::chrono::milliseconds(1)},
+                                               {"s", std::chrono::seconds(1)},
+                                               {"min", std::chrono::minutes(1)},
+                                               {"h", std::chrono::hours(1)},
+                                               {"d", std::chrono::hours(24)}}};
+
+std::optional<std::int64_t> parse_integer(const std::string& text) {
+    std::int64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, status] = std::from_chars(text.data(), end, number);
+    if (status != std::errc{} || stop != end || text.empty()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::optional<duration> parse_duration(const std::string& text) {
+    const auto digits_end = text.find_first_not_of("0123456789");
+    if (digits_end == 0 || digits_end == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto number = parse_integer(text.substr(0, digits_end));
+    const auto unit_begin = text.find_first_not_of(' ', digits_end);
+    const std::string unit = text.substr(unit_begin == std::string::npos ? text.size() : unit_begin);
+    const auto known = std::find_if(time_units.begin(), time_units.end(),
+                                    [&](const time_unit& one) { return unit == one.name; });
+    if (!number || known == time_units.end() ||
+        *number > duration::max().count() / known->length.count()) {
+        return std::nullopt;
+    }
+    return known->length * *number;
+}
+
+std::string print_duration(duration value) {
+    const time_unit* fitting = &time_units.front();
+    for (const time_unit& unit : time_units) {
+        if (value >= unit.length && value % unit.length == duration::zero()) {
+            fitting = &unit;
+        }
+    }
+    return std::to_string(value / fitting->length) + fitting->name;
+}
+
+std::string joined(const std::vector<std::string>& words) {
+    std::string text;
+    for (const std::string& word : words) {
+        text += (text.empty() ? "" : ", ") + word;
+    }
+    return text;
+}
+
+} // namespace
+
+ini_section::ini_section(const ini_document& document, std::string group)
+    : document(&document), group(std::move(group)) {}
+
+bool ini_section::has(const std::string& key) const {
+    return this->document->value(this->group, key).has_value();
+}
+
+std::optional<std::string> ini_section::take(const std::string& key) {
+    this->asked.insert(key);
+    return this->document->value(this->group, key);
+}
+
+boost::leaf::error_id ini_section::refuse(const std::string& key,
+                                          const std::string& message) const {
+    return fail(error_code::invalid_input, this->document->place(this->group, key) + ": " + message);
+}
+
+outcome<std::string> ini_section::text(const std::string& key) {
+    const auto value = this->take(key);
+    if (!value || value->empty()) {
+        return this->refuse(key, "is required and must not be empty");
+    }
+    return *value;
+}
+
+outcome<std::string> ini_section::text_or(const std::string& key, const std::string& fallback) {
+    return this->take(key).value_or(fallback);
+}
+
+outcome<std::string> ini_section::choice_or(const std::string& key, const std::string& fallback,
+                                            const std::vector<std::string>& allowed) {
+    const std::string value = this->take(key).value_or(fallback);
+    if (std::find(allowed.begin(), allowed.end(), value) == allowed.end()) {
+        return this->refuse(key, "'" + value + "' is not one of " + joined(allowed));
+    }
+    return value;
+}
+
+outcome<std::int64_t> ini_section::integer_or(const std::string& key, std::int64_t fallback,
+                                              integer_range range) {
+    const auto value = this->take(key);
+    if (!value) {
+        return fallback;
+    }
+    const auto number = parse_integer(*value);
+    if (!number || *number < range.least || *number > range.most) {
+        return this->refuse(key, "'" + *value + "' is not a whole number from " +
+                                     std::to_string(range.least) + " to " +
+                                     std::to_string(range.most));
+    }
+    return *number;
+}
+
+outcome<bool> ini_section::boolean_or(const std::string& key, bool fallback) {
+    const auto value = this->take(key);
+    if (!value) {
+        return fallback;
+    }
+    if (*value != "true" && *value != "false") {
+        return this->refuse(key, "'" + *value + "' is neither true nor false");
+    }
+    return *value == "true";
+}
+
+outcome<duration> ini_section::duration_or(const std::string& key, duration fallback,
+                                           duration_range range) {
+    const auto value = this->take(key);
+    if (!value) {
+        return fallback;
+    }
+    const auto parsed = parse_duration(*value);
+    if (!parsed) {
+        return this->refuse(key, "'" + *value + "' is not a number with a unit, such as 250ms; "
+                                                "units are us, ms, s, min, h, d");
+    }
+    if (*parsed < range.least || *parsed > range.most) {
+        return this->refuse(key, "'" + *value + "' is not within " + print_duration(range.least) +
+                                     " to " + print_duration(range.most));
+    }
+    return *parsed;
+}
+
+outcome<endpoint> ini_section::address(const std::string& key) {
+    BOOST_LEAF_AUTO(value, this->text(key));
+    const auto parsed = value_or_error([&] { return parse_endpoint(value); });
+    if (const auto* problem = std::get_if<error>(&parsed)) {
+        return this->refuse(key, problem->message + "; expected such as 127.0.0.1:7000");
+    }
+    return std::get<endpoint>(parsed);
+}
+
+outcome<std::optional<endpoint>> ini_section::address_if_any(const std::string& key) {
+    if (!this->has(key)) {
+        this->asked.insert(key);
+        return std::optional<endpoint>{};
+    }
+    BOOST_LEAF_AUTO(parsed, this->address(key));
+    return std::optional<endpoint>{parsed};
+}
+
+outcome<std::vector<std::string>> ini_section::list(const std::string& key) {
+    std::vector<std::string> words;
+    std::istringstream parts(this->take(key).value_or(""));
+    for (std::string part; std::getline(parts, part, ',');) {
+        const auto first = part.find_first_not_of(' ');
+        if (first == std::string::npos) {
+            return this->refuse(key, "holds an empty entry");
+        }
+        words.push_back(part.substr(first, part.find_last_not_of(' ') - first + 1));
+    }
+    return words;
+}
+
+outcome<std::vector<endpoint>> ini_section::addresses(const std::string& key) {
+    BOOST_LEAF_AUTO(words, this->list(key));
+    std::vector<endpoint> parsed;
+    for (const std::string& word : words) {
+        const auto one = value_or_error([&] { return parse_endpoint(word); });
+        if (const auto* problem = std::get_if<error>(&one)) {
+            return this->refuse(key, problem->message + "; expected such as 127.0.0.1:7000");
+        }
+        parsed.push_back(std::get<endpoint>(one));
+    }
+    return parsed;
+}
+
+outcome<void> ini_section::finish() const {
+    for (const std::string& key : this->document->keys(this->group)) {
+        if (!this->asked.contains(key)) {
+            const std::vector<std::string> known(this->asked.begin(), this->asked.end());
+            return this->refuse(key, "unknown key; known here: " + joined(known));
+        }
+    }
+    return {};
+}
+
+} // namespace kingcupcart::settings
--- /dev/null
+++ b/packages/task/internal/event_loop.cpp
@@ -0,0 +1,21 @@
+#include "task/event_loop.h"
+
+namespace kingcupcart::task {
+
+event_loop::event_loop()
+    : main_context(g_main_context_new()), loop(g_main_loop_new(this->main_context, FALSE)) {}
+
+event_loop::~event_loop() {
+    g_main_loop_unref(this->loop);
+    g_main_context_unref(this->main_context);
+}
+
+void event_loop::run() { g_main_loop_run(this->loop); }
+
+void event_loop::quit() { g_main_loop_quit(this->loop); }
+
+void event_loop::enter() { g_main_context_push_thread_default(this->main_context); }
+
+void event_loop::leave() { g_main_context_pop_thread_default(this->main_context); }
+
+} // namespace kingcupcart::task
--- /dev/null
+++ b/packages/task/internal/wakeup.cpp
@@ -0,0 +1,51 @@
+#include "task/wakeup.h"
+
+#include <chrono>
+#include <utility>
+
+namespace kingcupcart::task {
+
+namespace {
+
+constexpr gint64 at_once = 0;
+constexpr gint64 never = -1;
+
+GSourceFuncs make_functions(gboolean (*dispatch)(GSource*, GSourceFunc, gpointer)) {
+    GSourceFuncs functions{};
+    functions.dispatch = dispatch;
+    return functions;
+}
+
+} // namespace
+
+wakeup::wakeup(std::function<void()> callback) : callback(std::move(callback)) {
+    static GSourceFuncs functions = make_functions(&wakeup::dispatch);
+    this->source = g_source_new(&functions, sizeof(GSource));
+    g_source_set_callback(this->source, nullptr, this, nullptr);
+    g_source_set_ready_time(this->source, never);
+    g_source_attach(this->source, g_main_context_get_thread_default());
+}
+
+wakeup::~wakeup() {
+    g_source_destroy(this->source);
+    g_source_unref(this->source);
+}
+
+void wakeup::arm(time_point moment) {
+    // GLib's monotonic time and the steady clock count from the same moment.
+    const auto microseconds =
+        std::chrono::ceil<std::chrono::microseconds>(moment.time_since_epoch());
+    g_source_set_ready_time(this->source, microseconds.count());
+}
+
+void wakeup::arm_now() { g_source_set_ready_time(this->source, at_once); }
+
+void wakeup::disarm() { g_source_set_ready_time(this->source, never); }
+
+gboolean wakeup::dispatch(GSource* source, GSourceFunc /*function*/, gpointer data) {
+    g_source_set_ready_time(source, never);
+    static_cast<wakeup*>(data)->callback();
+    return G_SOURCE_CONTINUE;
+}
+
+} // namespace kingcupcart::task
--- /dev/null
+++ b/packages/task/wakeup.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <glib.h>
+
+#include <functional>
+
+namespace kingcupcart::task {
+
+/// Calls back on the loop of the thread that made it, at a moment that can be changed. One source
+/// that sleeps in the loop's poll; nothing is asked repeatedly.
+class wakeup {
+public:
+    explicit wakeup(std::function<void()> callback);
+    ~wakeup();
+    wakeup(const wakeup&) = delete;
+    wakeup& operator=(const wakeup&) = delete;
+
+    /// Thread-safe; replaces an earlier moment.
+    void arm(time_point moment);
+    void arm_now();
+    void disarm();
+
+private:
+    static gboolean dispatch(GSource* source, GSourceFunc function, gpointer data);
+
+    std::function<void()> callback;
+    GSource* source;
+};
+
+} // namespace kingcupcart::task
--- /dev/null
+++ b/packages/telemetry/internal/metric_set.cpp
@@ -0,0 +1,90 @@
+#include "telemetry/metric_set.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <map>
+#include <sstream>
+
+namespace kingcupcart::telemetry {
+
+namespace acc = boost::accumulators;
+
+namespace {
+
+constexpr std::array<double, 3> quantiles{0.5, 0.9, 0.99};
+constexpr const char* prefix = "kingcupcart_";
+
+using summary = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
+                       acc::tag::extended_p_square_quantile_quadratic>>;
+
+/// `name{a="b"}` with `suffix` put before the labels and `label` put among them.
+std::string series(const std::string& name, const std::string& suffix, const std::string& label) {
+    const auto brace = name.find('{');
+    const std::string plain = name.substr(0, brace);
+    std::string labels =
+        brace == std::string::npos ? "" : name.substr(brace + 1, name.size() - brace - 2);
+    if (!label.empty()) {
+        labels += (labels.empty() ? "" : ",") + label;
+    }
+    return prefix + plain + suffix + (labels.empty() ? "" : "{" + labels + "}");
+}
+
+} // namespace
+
+class metric_set::tables {
+public:
+    std::map<std::string, std::int64_t> counters;
+    std::map<std::string, double> gauges;
+    std::map<std::string, summary> summaries;
+};
+
+metric_set::metric_set() : self(std::make_unique<tables>()) {}
+metric_set::~metric_set() = default;
+metric_set::metric_set(metric_set&&) noexcept = default;
+metric_set& metric_set::operator=(metric_set&&) noexcept = default;
+
+void metric_set::count(const std::string& name, std::int64_t by) {
+    this->self->counters[name] += by;
+}
+
+void metric_set::set(const std::string& name, double value) { this->self->gauges[name] = value; }
+
+void metric_set::observe(const std::string& name, duration value) {
+    auto known = this->self->summaries.find(name);
+    if (known == this->self->summaries.end()) {
+        const summary fresh(acc::extended_p_square_probabilities = quantiles);
+        known = this->self->summaries.emplace(name, fresh).first;
+    }
+    known->second(std::chrono::duration<double>(value).count());
+}
+
+std::string metric_set::exposition() const {
+    std::ostringstream text;
+    for (const auto& [name, value] : this->self->counters) {
+        text << series(name, "", "") << ' ' << value << '\n';
+    }
+    for (const auto& [name, value] : this->self->gauges) {
+        text << series(name, "", "") << ' ' << value << '\n';
+    }
+    for (const auto& [name, value] : this->self->summaries) {
+        for (const double probability : quantiles) {
+            std::ostringstream label;
+            label << "quantile=\"" << probability << '"';
+            text << series(name, "", label.str()) << ' '
+                 << acc::quantile(value, acc::quantile_probability = probability) << '\n';
+        }
+        text << series(name, "_sum", "") << ' ' << acc::sum(value) << '\n';
+        text << series(name, "_count", "") << ' ' << acc::count(value) << '\n';
+        text << series(name, "_max", "") << ' ' << acc::max(value) << '\n';
+    }
+    return text.str();
+}
+
+} // namespace kingcupcart::telemetry
