--- /dev/null
+++ b/packages/admin/admin_sources.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "admin/configuration_order.h"
+#include "admin/report.h"
+#include "task/sender.h"
+
+#include <vector>
+
+namespace kingcupcart::admin {
+
+/// The tasks that the admin server speaks for.
+struct admin_sources {
+    std::vector<task::sender<report_asked>> reports;
+    /// Do not post anywhere on an instance without a keeper.
+    task::sender<configuration_order> orders;
+    task::sender<configuration_asked> configurations;
+};
+
+} // namespace kingcupcart::admin
--- /dev/null
+++ b/packages/completions/internal/completion_chunk.cpp
@@ -0,0 +1,57 @@
+#include "completions/completion_chunk.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kingcupcart::completions {
+
+namespace {
+
+using nlohmann::json;
+
+boost::leaf::error_id refuse(const std::string& message) {
+    return fail(error_code::invalid_input, "engine's event: " + message);
+}
+
+} // namespace
+
+outcome<completion_chunk> parse_chunk(std::string_view data, completion_form form) {
+    const json event = json::parse(data, nullptr, false);
+    if (!event.is_object()) {
+        return refuse("is no JSON object");
+    }
+    const auto choices = event.find("choices");
+    if (choices == event.end() || !choices->is_array() || choices->size() != 1 ||
+        !choices->front().is_object()) {
+        return refuse("'choices' must hold one object");
+    }
+    const json& choice = choices->front();
+    completion_chunk chunk;
+    if (form == completion_form::text) {
+        const auto text = choice.find("text");
+        if (text == choice.end() || !text->is_string()) {
+            return refuse("'text' must be a string");
+        }
+        chunk.text = text->get<std::string>();
+    } else {
+        const auto delta = choice.find("delta");
+        if (delta == choice.end() || !delta->is_object()) {
+            return refuse("'delta' must be an object");
+        }
+        const auto content = delta->find("content");
+        if (content != delta->end() && content->is_string()) {
+            chunk.text = content->get<std::string>();
+        }
+    }
+    const auto reason = choice.find("finish_reason");
+    if (reason != choice.end() && reason->is_string()) {
+        chunk.finish_reason = reason->get<std::string>();
+    }
+    const auto version = event.find("weight_version");
+    if (version == event.end() || !version->is_number_unsigned()) {
+        return refuse("'weight_version' must be a whole number");
+    }
+    chunk.version = weight_version(version->get<std::uint64_t>());
+    return chunk;
+}
+
+} // namespace kingcupcart::completions
--- /dev/null
+++ b/packages/daemon/internal/daemon.cpp
@@ -0,0 +1,108 @@
+#include "daemon/daemon.h"
+
+#include "admin/admin_server.h"
+#include "entry/entry_module.h"
+#include "keeper/keeper_module.h"
+#include "task/task.h"
+
+#include <utility>
+
+namespace kingcupcart::daemon {
+
+class daemon::state {
+public:
+    std::unique_ptr<keeper::keeper_module> keeper;
+    std::unique_ptr<entry::entry_module> entry;
+    task::task<admin::admin_server> admin_task;
+    endpoint admin_address;
+
+    outcome<void> start_admin(const endpoint& address) {
+        admin::admin_sources sources;
+        if (this->entry) {
+            sources.reports.push_back(this->entry->front_reports());
+            sources.reports.push_back(this->entry->peers_reports());
+        }
+        if (this->keeper) {
+            sources.reports.push_back(this->keeper->reports());
+            sources.orders = this->keeper->orders();
+            sources.configurations = this->keeper->configurations();
+        }
+        error problem;
+        const bool is_running = this->admin_task.start([&] {
+            auto opened = value_or_error([&] {
+                return admin::admin_server::open(address, sources, this->admin_task.address());
+            });
+            if (auto* failure = std::get_if<error>(&opened)) {
+                problem = *failure;
+                return std::unique_ptr<admin::admin_server>();
+            }
+            auto server = std::move(std::get<std::unique_ptr<admin::admin_server>>(opened));
+            this->admin_address = server->address();
+            return server;
+        });
+        if (!is_running) {
+            return fail(problem.code, problem.message);
+        }
+        return {};
+    }
+};
+
+outcome<std::unique_ptr<daemon>> daemon::start(const settings::process_settings& settings) {
+    auto made = std::make_unique<state>();
+    if (settings.keeper) {
+        BOOST_LEAF_ASSIGN(made->keeper, keeper::keeper_module::start(settings));
+    }
+    if (settings.entry) {
+        settings::process_settings with_keeper = settings;
+        if (made->keeper && with_keeper.entry->keepers.empty()) {
+            with_keeper.entry->keepers.push_back(made->keeper->link_address());
+        }
+        BOOST_LEAF_ASSIGN(made->entry, entry::entry_module::start(with_keeper));
+    }
+    BOOST_LEAF_CHECK(made->start_admin(settings.admin));
+    return std::unique_ptr<daemon>(new daemon(std::move(made)));
+}
+
+daemon::daemon(std::unique_ptr<state> made) : self(std::move(made)) {}
+
+daemon::~daemon() { this->self->admin_task.stop(); }
+
+void daemon::announce_stop() { this->self->admin_task.post(admin::admin_server::stop_began{}); }
+
+void daemon::begin_stop(std::function<void()> drained) {
+    if (this->self->entry) {
+        this->self->entry->begin_stop(std::move(drained));
+    } else {
+        drained();
+    }
+}
+
+endpoint daemon::admin_address() const { return this->self->admin_address; }
+
+std::optional<endpoint> daemon::callers_address() const {
+    return this->self->entry ? std::optional(this->self->entry->callers_address()) : std::nullopt;
+}
+
+std::optional<endpoint> daemon::entry_link_address() const {
+    return this->self->entry ? std::optional(this->self->entry->link_address()) : std::nullopt;
+}
+
+std::optional<endpoint> daemon::keeper_link_address() const {
+    return this->self->keeper ? std::optional(this->self->keeper->link_address()) : std::nullopt;
+}
+
+std::string daemon::ready_line() const {
+    std::string line = "ready";
+    if (const auto callers = this->callers_address()) {
+        line += " callers=" + callers->to_string();
+    }
+    if (const auto links = this->entry_link_address()) {
+        line += " entry=" + links->to_string();
+    }
+    if (const auto links = this->keeper_link_address()) {
+        line += " keeper=" + links->to_string();
+    }
+    return line + " admin=" + this->admin_address().to_string();
+}
+
+} // namespace kingcupcart::daemon
--- /dev/null
+++ b/packages/entry/internal/front.cpp
@@ -0,0 +1,570 @@
+#include "entry/internal/front.h"
+
+#include "base/clock.h"
+#include "entry/internal/announcement.h"
+#include "entry/internal/call.h"
+#include "entry/internal/exchange_sink.h"
+#include "entry/internal/peer_sink.h"
+#include "http/exchange.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupcart::entry {
+
+static_assert(call<engine_call>);
+static_assert(call<service_call>);
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_unprocessable = 422;
+constexpr int status_too_many = 429;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr const char* services_prefix = "/services/";
+/// Soft state is renewed this many times per target lease.
+constexpr int renewals_per_lease = 3;
+
+int status_of(const requests::refuse_request& refused) {
+    switch (refused.reason) {
+    case requests::refusal_reason::queue_full:
+    case requests::refusal_reason::would_be_late:
+        return status_too_many;
+    case requests::refusal_reason::deadline_passed:
+        return status_gateway_timeout;
+    case requests::refusal_reason::no_target:
+    case requests::refusal_reason::stopping:
+        return status_unavailable;
+    case requests::refusal_reason::unknown_class:
+        return status_bad_request;
+    case requests::refusal_reason::target_unreachable:
+    case requests::refusal_reason::target_failed:
+        return status_bad_gateway;
+    }
+    return status_bad_gateway;
+}
+
+void refuse_request(http::exchange& exchange, int status, const std::string& reason,
+                    const std::string& detail) {
+    problem refusal;
+    refusal.status = status;
+    refusal.reason = reason;
+    refusal.detail = detail;
+    exchange.add_header(outcome_header, requests::to_string(refusal.outcome));
+    exchange.respond(status, problem_type, refusal.print());
+}
+
+/// `/services/NAME/rest` cut into name and rest.
+struct service_path {
+    std::string name;
+    std::string rest;
+};
+
+service_path cut_service_path(const std::string& path) {
+    const std::string after = path.substr(std::string(services_prefix).size());
+    const auto end = after.find_first_of("/?");
+    if (end == std::string::npos) {
+        return {after, "/"};
+    }
+    const std::string rest = after.substr(end);
+    return {after.substr(0, end), rest.front() == '?' ? "/" + rest : rest};
+}
+
+} // namespace
+
+outcome<std::unique_ptr<front>> front::open(parts made_of) {
+    const settings::entry_settings entry = *made_of.settings.entry;
+    std::unique_ptr<front> made(new front(std::move(made_of)));
+    BOOST_LEAF_ASSIGN(made->server,
+                      http::server::open(entry.callers, entry.body_limit,
+                                         [self = made.get()](std::unique_ptr<http::exchange> one) {
+                                             self->request_arrived(std::move(one));
+                                         }));
+    BOOST_LEAF_ASSIGN(made->deployment,
+                      configuration::deployment::parse(configuration::deployment::default_text(),
+                                                       "default configuration"));
+    made->dispatcher.set_classes(made->deployment.class_list());
+    made->renew_soft_state();
+    return made;
+}
+
+front::front(parts made_of)
+    : own(std::move(made_of)), directory(own.settings.place),
+      dispatcher(own.settings.place, {}, own.seed),
+      keys(own.settings.instance, own.incarnation, own.settings.entry->key_time, own.peers,
+           [this](service_request request, time_point born, std::unique_ptr<answer_sink> sink) {
+               this->run_service(std::move(request), born, std::move(sink));
+           }),
+      context{client, [this](const requests::message& incoming) { this->tell(incoming); }},
+      timers([this] { this->tell(requests::time_passed{}); }),
+      soft_state([this] { this->renew_soft_state(); }), cleaner([this] { this->retired.clear(); }) {
+}
+
+front::~front() = default;
+
+void front::handle(front_message incoming) {
+    std::visit([this](auto& alternative) { this->on(alternative); }, incoming);
+}
+
+void front::request_arrived(std::unique_ptr<http::exchange> exchange) {
+    const std::string path = exchange->plain_path();
+    const std::string method = exchange->method();
+    if (path.starts_with(services_prefix)) {
+        this->service_arrived(std::move(exchange));
+    } else if (method == "POST" && path == "/v1/completions") {
+        this->completion_arrived(std::move(exchange), completions::completion_form::text);
+    } else if (method == "POST" && path == "/v1/chat/completions") {
+        this->completion_arrived(std::move(exchange), completions::completion_form::chat);
+    } else if (method == "POST" && path == "/v1/idempotency-keys") {
+        this->issue_key(*exchange);
+    } else if (method == "POST" && path == "/targets/announce") {
+        this->announced(*exchange);
+    } else {
+        refuse_request(*exchange, status_not_found, "no-such-path", method + " " + path);
+    }
+}
+
+void front::announced(http::exchange& exchange) {
+    const auto parsed = value_or_error(
+        [&] { return parse_announcement(exchange.body(), this->own.settings.place); });
+    if (const auto* problem = std::get_if<error>(&parsed)) {
+        spdlog::warn("announcement refused from={} error=\"{}\"", exchange.remote_address(),
+                     problem->message);
+        refuse_request(exchange, status_bad_request, "bad-announcement", problem->message);
+        return;
+    }
+    const auto& said = std::get<announcement>(parsed);
+    const time_point now = this->own.time->now();
+    const duration lease = this->own.settings.entry->target_lease;
+    const auto change = this->directory.announce(said.record, lease, now);
+    this->loads.insert_or_assign(said.record.id, said.load);
+    this->apply(change);
+    this->dispatcher.record_load(said.load);
+    if (!said.cached.empty()) {
+        this->dispatcher.record_cached(said.record.id, said.cached, now);
+    }
+    if (change.is_news()) {
+        static_cast<void>(this->own.peers.post(share_target{change.record}));
+    }
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(lease);
+    exchange.respond(status_ok, json_type,
+                     nlohmann::json{{"lease_ms", milliseconds.count()}}.dump());
+}
+
+void front::issue_key(http::exchange& exchange) {
+    const auto key = this->keys.registry().issue(this->own.time->now());
+    const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(
+        this->own.settings.entry->key_time);
+    exchange.respond(status_ok, json_type,
+                     nlohmann::json{{"key", key.print().value()},
+                                    {"lifetime_seconds", lifetime.count()}}
+                         .dump());
+}
+
+void front::completion_arrived(std::unique_ptr<http::exchange> exchange,
+                               completions::completion_form form) {
+    auto parsed = value_or_error(
+        [&] { return completions::parse_request(exchange->body(), form); });
+    if (const auto* problem = std::get_if<error>(&parsed)) {
+        refuse_request(*exchange, status_bad_request, "bad-request", problem->message);
+        return;
+    }
+    auto& request = std::get<completions::completion_request>(parsed);
+    const auto* model = this->deployment.find_model(request.model);
+    if (model == nullptr) {
+        refuse_request(*exchange, status_not_found, "no-such-model",
+                       "'" + request.model.value() + "' is not in the configuration");
+        return;
+    }
+    requests::request_profile profile;
+    profile.id = this->next_request();
+    profile.caller = caller_id(exchange->header(caller_header));
+    if (profile.caller.value().empty()) {
+        profile.caller = caller_id(exchange->remote_address());
+    }
+    profile.backend = request.model;
+    profile.work_class = this->class_of(*exchange, model->default_class);
+    profile.repeatable = true;
+    profile.resumable = true;
+    profile.prefix = request.prefix;
+    this->calls.emplace(profile.id,
+                        std::make_unique<engine_call>(profile.id, std::move(request),
+                                                      std::move(exchange), this->context));
+    this->started.emplace(profile.id, this->own.time->now());
+    this->tell(requests::request_arrived{profile});
+}
+
+void front::service_arrived(std::unique_ptr<http::exchange> exchange) {
+    const service_path path = cut_service_path(exchange->path());
+    service_request request;
+    request.service = backend_name(path.name);
+    const auto* service = this->deployment.find_service(request.service);
+    if (service == nullptr) {
+        refuse_request(*exchange, status_not_found, "no-such-service",
+                       "'" + path.name + "' is not in the configuration");
+        return;
+    }
+    request.path = path.rest;
+    request.method = exchange->method();
+    request.caller = caller_id(exchange->header(caller_header));
+    if (request.caller.value().empty()) {
+        request.caller = caller_id(exchange->remote_address());
+    }
+    request.work_class = this->class_of(*exchange, service->default_class);
+    request.headers = end_to_end(exchange->headers());
+    request.body = exchange->body();
+    const auto& methods = service->repeatable_methods;
+    request.repeatable =
+        std::find(methods.begin(), methods.end(), request.method) != methods.end();
+    request.key = idempotency_key(exchange->header(key_header));
+    auto sink = std::make_unique<exchange_sink>(std::move(exchange));
+    const time_point now = this->own.time->now();
+    if (request.key.value().empty() || request.repeatable) {
+        request.key = idempotency_key();
+        this->run_service(std::move(request), now, std::move(sink));
+        return;
+    }
+    this->keys.resolve(std::move(request), std::move(sink), now);
+}
+
+void front::run_service(service_request request, time_point born,
+                        std::unique_ptr<answer_sink> sink) {
+    const request_id id = this->next_request();
+    if (request.key.value().empty()) {
+        this->start_service(request, id, std::move(sink));
+        return;
+    }
+    const auto known = this->keys.registry().begin(request.key, request.fingerprint(), id, born,
+                                                   this->own.time->now());
+    problem refusal;
+    switch (known.state) {
+    case requests::key_state::started:
+        this->start_service(request, id, std::move(sink));
+        return;
+    case requests::key_state::running:
+        if (any_call* running = this->find(known.request)) {
+            std::get<std::unique_ptr<service_call>>(*running)->add_sink(std::move(sink));
+            return;
+        }
+        refusal.outcome = requests::outcome_kind::unknown;
+        refusal.reason = "outcome-unknown";
+        refusal.status = status_bad_gateway;
+        break;
+    case requests::key_state::finished:
+        sink->answer(*known.answer);
+        return;
+    case requests::key_state::mismatched:
+        refusal.reason = "key-used-for-another-request";
+        refusal.status = status_unprocessable;
+        break;
+    case requests::key_state::expired:
+        refusal.outcome = requests::outcome_kind::unknown;
+        refusal.reason = "key-expired";
+        refusal.status = status_bad_gateway;
+        break;
+    case requests::key_state::full:
+        refusal.reason = "key-table-full";
+        refusal.status = status_unavailable;
+        break;
+    }
+    sink->refuse(refusal);
+}
+
+void front::start_service(const service_request& request, request_id id,
+                          std::unique_ptr<answer_sink> sink) {
+    requests::request_profile profile;
+    profile.id = id;
+    profile.caller = request.caller;
+    profile.backend = request.service;
+    profile.work_class = request.work_class;
+    profile.repeatable = request.repeatable;
+    profile.outlives_caller = !request.repeatable;
+    const idempotency_key key = request.key;
+    auto made = std::make_unique<service_call>(
+        id, request, this->context, [this, key](const requests::recorded_answer& answer) {
+            if (key.value().empty()) {
+                return;
+            }
+            if (answer.outcome == requests::outcome_kind::not_run) {
+                this->keys.registry().release(key);
+            } else {
+                this->keys.registry().finish(key, answer);
+            }
+        });
+    made->add_sink(std::move(sink));
+    this->calls.emplace(id, std::move(made));
+    this->started.emplace(id, this->own.time->now());
+    this->tell(requests::request_arrived{profile});
+}
+
+void front::tell(const requests::message& incoming) {
+    this->carry_out(this->dispatcher.handle(incoming, this->own.time->now()));
+    if (const auto* left = std::get_if<requests::caller_left>(&incoming)) {
+        this->metrics.count("callers_left_total");
+        if (this->dispatcher.has_request(left->request)) {
+            return;
+        }
+        if (any_call* left_behind = this->find(left->request)) {
+            std::visit([](auto& one) { one->abandon(); }, *left_behind);
+        }
+        this->retire(left->request);
+    }
+    this->arm_wakeup();
+}
+
+void front::carry_out(const requests::actions& wanted) {
+    for (const requests::action& one : wanted) {
+        std::visit([this](const auto& alternative) { this->carry_out(alternative); }, one);
+    }
+}
+
+void front::carry_out(const requests::send_attempt& sent) {
+    spdlog::info("route request={} attempt={} cause={} resume_after={} {}", sent.request.value(),
+                 sent.attempt.value(), requests::to_string(sent.cause),
+                 sent.resume_after.count(), sent.choice.explain());
+    this->metrics.count(std::string("attempts_total{cause=\"") +
+                        requests::to_string(sent.cause) + "\"}");
+    this->attempts.emplace(sent.attempt, sent.request);
+    const membership::target_record* known = this->directory.find(sent.target);
+    if (known == nullptr) {
+        // It was taken out of the directory a moment ago.
+        this->tell(requests::attempt_failed{sent.attempt, requests::attempt_failure::unreachable});
+        return;
+    }
+    const membership::target_record target = *known;
+    std::visit([&](auto& one) { one->start_attempt(sent, target); }, *this->find(sent.request));
+}
+
+void front::carry_out(const requests::adopt_attempt& adopted) {
+    std::visit([&](auto& one) { one->adopt(adopted.attempt); }, *this->find(adopted.request));
+}
+
+void front::carry_out(const requests::cancel_attempt& cancelled) {
+    const auto found = this->attempts.find(cancelled.attempt);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    if (any_call* owner = this->find(found->second)) {
+        std::visit([&](auto& one) { one->cancel(cancelled.attempt); }, *owner);
+    }
+    this->attempts.erase(found);
+}
+
+void front::carry_out(const requests::complete_request& completed) {
+    any_call* owner = this->find(completed.request);
+    this->metrics.count("requests_total{outcome=\"answered\"}");
+    this->metrics.observe("request_seconds",
+                          this->own.time->now() - this->started.at(completed.request));
+    std::visit([](auto& one) { one->complete(); }, *owner);
+    this->retire(completed.request);
+}
+
+void front::carry_out(const requests::refuse_request& refused) {
+    spdlog::warn("refuse request={} outcome={} reason={}", refused.request.value(),
+                 requests::to_string(refused.outcome), requests::to_string(refused.reason));
+    this->metrics.count(std::string("requests_total{outcome=\"") +
+                        requests::to_string(refused.outcome) + "\"}");
+    problem refusal;
+    refusal.status = status_of(refused);
+    refusal.outcome = refused.outcome;
+    refusal.reason = requests::to_string(refused.reason);
+    refusal.retry_after = refused.retry_after;
+    std::visit([&](auto& one) { one->refuse(refusal); }, *this->find(refused.request));
+    if (!this->dispatcher.has_request(refused.request)) {
+        this->retire(refused.request);
+    }
+}
+
+front::any_call* front::find(request_id request) {
+    const auto found = this->calls.find(request);
+    return found == this->calls.end() ? nullptr : &found->second;
+}
+
+void front::retire(request_id request) {
+    const auto found = this->calls.find(request);
+    if (found == this->calls.end()) {
+        return;
+    }
+    this->retired.push_back(std::move(found->second));
+    this->calls.erase(found);
+    this->started.erase(request);
+    std::erase_if(this->attempts, [&](const auto& item) { return item.second == request; });
+    this->cleaner.arm_now();
+    this->check_drained();
+}
+
+void front::apply(const membership::directory_change& change) {
+    if (change.is_news()) {
+        spdlog::info("target {} event={} backend={} address={} leaving={}",
+                     change.record.id.value(), static_cast<int>(change.event),
+                     change.record.backend.value(), change.record.address.to_string(),
+                     change.record.leaving);
+    }
+    this->carry_out(this->dispatcher.update_target(change, this->own.time->now()));
+    this->arm_wakeup();
+}
+
+void front::on(const target_learnt& learnt) {
+    const duration lease = this->own.settings.entry->target_lease;
+    this->apply(this->directory.learn(learnt.record, lease, this->own.time->now()));
+}
+
+void front::on(const targets_heard& heard) {
+    const time_point now = this->own.time->now();
+    for (const membership::target_load& load : heard.targets) {
+        this->directory.renew(load.id, this->own.settings.entry->target_lease, now);
+        this->dispatcher.record_load(load);
+    }
+}
+
+void front::on(const configuration_accepted& accepted) {
+    this->take_configuration(accepted.version, accepted.text);
+}
+
+void front::take_configuration(configuration_version version, const std::string& text) {
+    if (version <= this->in_force) {
+        return;
+    }
+    auto parsed = value_or_error(
+        [&] { return configuration::deployment::parse(text, "accepted configuration"); });
+    if (const auto* problem = std::get_if<error>(&parsed)) {
+        spdlog::error("configuration version={} cannot be taken in force: {}", version.value(),
+                      problem->message);
+        return;
+    }
+    this->deployment = std::move(std::get<configuration::deployment>(parsed));
+    this->dispatcher.set_classes(this->deployment.class_list());
+    this->in_force = version;
+    spdlog::info("configuration in force version={}", version.value());
+    static_cast<void>(this->own.peers.post(tell_in_force{version, text}));
+}
+
+void front::on(const domain_size_changed& changed) {
+    this->dispatcher.set_instances(changed.instances);
+}
+
+void front::on(const peer_joined& /*joined*/) {
+    for (const membership::target_record& record : this->directory.records()) {
+        if (record.place == this->own.settings.place) {
+            static_cast<void>(this->own.peers.post(share_target{record}));
+        }
+    }
+}
+
+void front::on(peer_call_arrived& arrived) {
+    wire::call_forwarded& call = arrived.call;
+    auto sink = std::make_unique<peer_sink>(arrived.origin, call.call, this->own.peers);
+    if (call.incarnation != this->own.incarnation) {
+        sink->refuse(home_lost());
+        return;
+    }
+    service_request request;
+    request.key = call.key;
+    request.caller = call.caller;
+    request.work_class = call.work_class;
+    request.service = call.service;
+    request.method = call.method;
+    request.path = call.path;
+    request.headers = std::move(call.headers);
+    request.body = std::move(call.body);
+    const auto issued = requests::issued_key::parse(request.key.value());
+    const time_point now = this->own.time->now();
+    this->run_service(std::move(request), issued ? issued->issued : now, std::move(sink));
+}
+
+void front::on(peer_call_ended& ended) { this->keys.call_ended(std::move(ended.answer)); }
+
+void front::on(const claim_ended& ended) { this->keys.claim_ended(ended, this->own.time->now()); }
+
+void front::on(stop_asked& asked) {
+    this->drained = std::move(asked.drained);
+    this->dispatcher.begin_stop();
+    this->server->begin_stop([this] { this->check_drained(); });
+}
+
+void front::on(const admin::report_asked& asked) {
+    this->metrics.set("open_requests", static_cast<double>(this->dispatcher.open_requests()));
+    this->metrics.set("queued_requests", static_cast<double>(this->dispatcher.queued_requests()));
+    this->metrics.set("targets", static_cast<double>(this->directory.size()));
+    this->metrics.set("configuration_version", static_cast<double>(this->in_force.value()));
+    admin::report said;
+    said.part = "entry";
+    said.status = this->print_status();
+    said.metrics = this->metrics.exposition();
+    said.is_ready = !this->drained;
+    static_cast<void>(asked.reply.post(std::move(said)));
+}
+
+void front::renew_soft_state() {
+    const time_point now = this->own.time->now();
+    for (const auto& change : this->directory.expire(now)) {
+        this->apply(change);
+        this->loads.erase(change.record.id);
+        static_cast<void>(this->own.peers.post(share_target{change.record}));
+    }
+    vouch_targets vouched;
+    for (const target_id& target : this->directory.vouched_for()) {
+        vouched.targets.push_back(this->loads[target]);
+    }
+    static_cast<void>(this->own.peers.post(std::move(vouched)));
+    this->soft_state.arm(now + this->own.settings.entry->target_lease / renewals_per_lease);
+}
+
+void front::arm_wakeup() {
+    if (const auto next = this->dispatcher.next_wakeup()) {
+        this->timers.arm(*next);
+    }
+}
+
+void front::check_drained() {
+    if (this->drained && this->calls.empty() && this->server->is_idle()) {
+        this->drained();
+    }
+}
+
+work_class_name front::class_of(const http::exchange& exchange,
+                                const work_class_name& fallback) const {
+    const std::string asked = exchange.header(class_header);
+    return asked.empty() ? fallback : work_class_name(asked);
+}
+
+request_id front::next_request() {
+    this->last_request = request_id(this->last_request.value() + 1);
+    return this->last_request;
+}
+
+std::string front::print_status() const {
+    nlohmann::ordered_json status;
+    status["instance"] = this->own.settings.instance.value();
+    status["failure_domain"] = this->own.settings.place.domain.value();
+    status["region"] = this->own.settings.place.region.value();
+    status["configuration_version"] = this->in_force.value();
+    status["stopping"] = static_cast<bool>(this->drained);
+    status["open_requests"] = this->dispatcher.open_requests();
+    status["queued_requests"] = this->dispatcher.queued_requests();
+    status["targets"] = nlohmann::ordered_json::array();
+    for (const membership::target_record& record : this->directory.records()) {
+        nlohmann::ordered_json target;
+        target["id"] = record.id.value();
+        target["kind"] = record.kind == membership::target_kind::engine ? "engine" : "service";
+        target["backend"] = record.backend.value();
+        target["address"] = record.address.to_string();
+        target["failure_domain"] = record.place.domain.value();
+        target["region"] = record.place.region.value();
+        target["slots"] = record.slots;
+        target["leaving"] = record.leaving;
+        target["weight_version"] = record.version.value();
+        target["running_here"] = this->dispatcher.running_on(record.id);
+        status["targets"].push_back(std::move(target));
+    }
+    return status.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+} // namespace kingcupcart::entry
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -76,8 +76,12 @@
         }
         if (!wanted.body.empty() || !wanted.content_type.empty()) {
             GBytes* body = g_bytes_new(wanted.body.data(), wanted.body.size());
-            const char* type = wanted.content_type.empty() ? nullptr : wanted.content_type.c_str();
-            soup_message_set_request_body_from_bytes(this->message.get(), type, body);
+            // A body without a type would lose the type among the headers.
+            const char* listed = soup_message_headers_get_one(headers, "Content-Type");
+            const std::string type =
+                wanted.content_type.empty() && listed != nullptr ? listed : wanted.content_type;
+            soup_message_set_request_body_from_bytes(
+                this->message.get(), type.empty() ? nullptr : type.c_str(), body);
             g_bytes_unref(body);
         }
         g_signal_connect(this->message.get(), "starting", G_CALLBACK(&state::starting), this);
--- a/packages/http/internal/server.cpp
+++ b/packages/http/internal/server.cpp
@@ -41,9 +41,13 @@
       requested(std::move(requested)) {
     soup_server_add_early_handler(this->soup, nullptr, &server::arriving, this, nullptr);
     soup_server_add_handler(this->soup, nullptr, &server::arrived, this, nullptr);
+    g_signal_connect(this->soup, "request-started", G_CALLBACK(&server::request_started), this);
+    g_signal_connect(this->soup, "request-finished", G_CALLBACK(&server::request_ended), this);
+    g_signal_connect(this->soup, "request-aborted", G_CALLBACK(&server::request_ended), this);
 }
 
 server::~server() {
+    g_signal_handlers_disconnect_by_data(this->soup, this);
     soup_server_disconnect(this->soup);
     g_object_unref(this->soup);
 }
@@ -67,6 +71,32 @@
     }
 }
 
+void server::begin_stop(std::function<void()> callback) {
+    this->idle = std::move(callback);
+    this->check_idle();
+}
+
+void server::check_idle() {
+    if (this->idle && this->open_requests == 0) {
+        this->idle();
+    }
+}
+
+void server::request_started(SoupServer* /*soup*/, SoupServerMessage* message, gpointer data) {
+    auto* self = static_cast<server*>(data);
+    ++self->open_requests;
+    if (self->idle) {
+        soup_message_headers_replace(soup_server_message_get_response_headers(message),
+                                     "Connection", "close");
+    }
+}
+
+void server::request_ended(SoupServer* /*soup*/, SoupServerMessage* /*message*/, gpointer data) {
+    auto* self = static_cast<server*>(data);
+    --self->open_requests;
+    self->check_idle();
+}
+
 void server::got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data) {
     const auto* self = static_cast<server*>(data);
     const auto received = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(message), received_key)) +
--- /dev/null
+++ b/packages/keeper/internal/keeper.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/endpoint.h"
+#include "base/ids.h"
+#include "base/outcome.h"
+#include "keeper/internal/keeper_message.h"
+#include "replicated/replicated_state.h"
+#include "settings/process_settings.h"
+#include "task/wakeup.h"
+#include "telemetry/metric_set.h"
+#include "wire/listener.h"
+#include "wire/messages.h"
+#include "wire/peer_link.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcupcart::keeper {
+
+/// Handler of the keeper task: owns the links of entry instances to this keeper, and the state.
+class keeper {
+public:
+    using message = keeper_message;
+
+    struct parts {
+        settings::process_settings settings;
+        incarnation_id incarnation;
+        const clock* time = nullptr;
+    };
+
+    static outcome<std::unique_ptr<keeper>> open(parts made_of);
+    ~keeper();
+    keeper(const keeper&) = delete;
+    keeper& operator=(const keeper&) = delete;
+
+    void handle(keeper_message incoming);
+    [[nodiscard]] const endpoint& address() const { return this->listener->address(); }
+
+private:
+    struct member {
+        std::unique_ptr<wire::peer_link> link;
+        wire::hello hello;
+        /// What it says is in force there.
+        configuration_version in_force;
+    };
+
+    explicit keeper(parts made_of);
+
+    void on(const admin::configuration_order& order);
+    void on(const admin::configuration_asked& asked);
+    void on(const admin::report_asked& asked);
+
+    void accept(GSocketConnection* connection);
+    void receive(std::uint64_t number, wire::message said);
+    void greet(member& joined);
+    void relay(std::uint64_t from, const membership::target_record& record);
+    void publish();
+    outcome<void> load_initial_configuration();
+    [[nodiscard]] wire::hello make_hello() const;
+
+    parts own;
+    telemetry::metric_set metrics;
+    replicated::replicated_state state;
+    std::unordered_map<std::uint64_t, member> members;
+    std::uint64_t last_member = 0;
+    /// Newest record of each target, for instances that come later.
+    std::map<target_id, membership::target_record> targets;
+    std::vector<std::unique_ptr<wire::peer_link>> retired;
+    task::wakeup cleaner;
+    std::unique_ptr<wire::listener> listener;
+};
+
+} // namespace kingcupcart::keeper
--- /dev/null
+++ b/packages/keeper/internal/keeper_message.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "admin/configuration_order.h"
+#include "admin/report.h"
+
+#include <variant>
+
+namespace kingcupcart::keeper {
+
+/// What the keeper task is told by other tasks.
+using keeper_message =
+    std::variant<admin::configuration_order, admin::configuration_asked, admin::report_asked>;
+
+} // namespace kingcupcart::keeper
--- /dev/null
+++ b/packages/keeper/internal/keeper_module.cpp
@@ -0,0 +1,55 @@
+#include "keeper/keeper_module.h"
+
+#include "base/incarnation.h"
+#include "base/system_clock.h"
+#include "keeper/internal/keeper.h"
+#include "task/start_task.h"
+#include "task/task.h"
+
+#include <utility>
+
+namespace kingcupcart::keeper {
+
+class keeper_module::state {
+public:
+    /// A sending end for one of the messages that the task understands.
+    template <typename Message>
+    [[nodiscard]] task::sender<Message> sender_of() const {
+        return task::sender<Message>([to = this->keeper_task.address()](Message said) {
+            return to.post(std::move(said));
+        });
+    }
+
+    system_clock time;
+    task::task<keeper> keeper_task;
+    endpoint links;
+};
+
+outcome<std::unique_ptr<keeper_module>>
+keeper_module::start(const settings::process_settings& settings) {
+    auto made = std::make_unique<state>();
+    BOOST_LEAF_AUTO(running, task::start_task(made->keeper_task,
+                                              {settings, new_incarnation(), &made->time}));
+    made->links = running->address();
+    return std::unique_ptr<keeper_module>(new keeper_module(std::move(made)));
+}
+
+keeper_module::keeper_module(std::unique_ptr<state> made) : self(std::move(made)) {}
+
+keeper_module::~keeper_module() { this->self->keeper_task.stop(); }
+
+endpoint keeper_module::link_address() const { return this->self->links; }
+
+task::sender<admin::report_asked> keeper_module::reports() const {
+    return this->self->sender_of<admin::report_asked>();
+}
+
+task::sender<admin::configuration_order> keeper_module::orders() const {
+    return this->self->sender_of<admin::configuration_order>();
+}
+
+task::sender<admin::configuration_asked> keeper_module::configurations() const {
+    return this->self->sender_of<admin::configuration_asked>();
+}
+
+} // namespace kingcupcart::keeper
--- /dev/null
+++ b/packages/replicated/internal/replicated_state.cpp
@@ -0,0 +1,73 @@
+#include "replicated/replicated_state.h"
+
+namespace kingcupcart::replicated {
+
+result replicated_state::apply(const command& agreed) {
+    return std::visit([this](const auto& alternative) { return this->on(alternative); }, agreed);
+}
+
+result replicated_state::on(const accept_configuration& order) {
+    this->forget_before(order.at - memory);
+    const auto known = this->orders.find(order.order_id);
+    if (known != this->orders.end()) {
+        return known->second;
+    }
+    configuration_result outcome;
+    outcome.is_accepted = order.base == this->accepted;
+    if (outcome.is_accepted) {
+        this->accepted = configuration_version(this->accepted.value() + 1);
+        this->accepted_text = order.text;
+    }
+    outcome.version = this->accepted;
+    this->orders.emplace(order.order_id, outcome);
+    this->orders_by_age.push_back({order.order_id, outcome, order.at});
+    return outcome;
+}
+
+result replicated_state::on(const claim_key& claim) {
+    this->forget_before(claim.at - memory);
+    const auto known = this->claims.find(claim.key);
+    if (known != this->claims.end()) {
+        return known->second;
+    }
+    const claim_result home{claim.home, claim.incarnation};
+    this->claims.emplace(claim.key, home);
+    this->claims_by_age.push_back({claim.key, home, claim.at});
+    return home;
+}
+
+void replicated_state::forget_before(wall_seconds oldest) {
+    while (!this->orders_by_age.empty() && this->orders_by_age.front().at < oldest) {
+        this->orders.erase(this->orders_by_age.front().order_id);
+        this->orders_by_age.pop_front();
+    }
+    while (!this->claims_by_age.empty() && this->claims_by_age.front().at < oldest) {
+        this->claims.erase(this->claims_by_age.front().key);
+        this->claims_by_age.pop_front();
+    }
+}
+
+replicated_state::content replicated_state::save() const {
+    content saved;
+    saved.version = this->accepted;
+    saved.text = this->accepted_text;
+    saved.orders.assign(this->orders_by_age.begin(), this->orders_by_age.end());
+    saved.claims.assign(this->claims_by_age.begin(), this->claims_by_age.end());
+    return saved;
+}
+
+void replicated_state::load(const content& saved) {
+    *this = replicated_state();
+    this->accepted = saved.version;
+    this->accepted_text = saved.text;
+    for (const order_record& record : saved.orders) {
+        this->orders.emplace(record.order_id, record.outcome);
+        this->orders_by_age.push_back(record);
+    }
+    for (const claim_record& record : saved.claims) {
+        this->claims.emplace(record.key, record.home);
+        this->claims_by_age.push_back(record);
+    }
+}
+
+} // namespace kingcupcart::replicated
--- a/packages/requests/dispatcher.h
+++ b/packages/requests/dispatcher.h
@@ -47,6 +47,10 @@
 
     /// When `time_passed` is due next; empty while nothing is pending.
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
+    /// Whether the request runs or waits.
+    [[nodiscard]] bool has_request(request_id request) const;
+    /// Requests of this instance that run on the target.
+    [[nodiscard]] int running_on(const target_id& target) const;
     /// Requests that run or wait.
     [[nodiscard]] std::size_t open_requests() const;
     [[nodiscard]] std::size_t queued_requests() const;
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -78,6 +78,14 @@
 
 std::optional<time_point> dispatcher::next_wakeup() const { return this->self->timers.next(); }
 
+bool dispatcher::has_request(request_id request) const {
+    return this->self->requests.contains(request);
+}
+
+int dispatcher::running_on(const target_id& target) const {
+    return this->self->router.running_on(target);
+}
+
 std::size_t dispatcher::open_requests() const { return this->self->requests.size(); }
 
 std::size_t dispatcher::queued_requests() const {
--- /dev/null
+++ b/packages/requests/internal/key_registry.cpp
@@ -0,0 +1,95 @@
+#include "requests/key_registry.h"
+
+#include <utility>
+
+namespace kingcupcart::requests {
+
+namespace {
+
+std::size_t size_of(const recorded_answer& answer) {
+    std::size_t size = sizeof(answer) + answer.body.size();
+    for (const header_field& header : answer.headers) {
+        size += sizeof(header) + header.name.size() + header.value.size();
+    }
+    return size;
+}
+
+} // namespace
+
+key_registry::key_registry(instance_id home, incarnation_id incarnation, duration key_time,
+                           std::size_t bytes_limit)
+    : home(std::move(home)), incarnation(incarnation), key_time(key_time),
+      bytes_limit(bytes_limit) {}
+
+issued_key key_registry::issue(time_point now) {
+    issued_key key;
+    key.home = this->home;
+    key.incarnation = this->incarnation;
+    key.number = ++this->last_number;
+    key.issued = now;
+    return key;
+}
+
+key_lookup key_registry::begin(const idempotency_key& key, std::uint64_t fingerprint,
+                               request_id request, time_point born, time_point now) {
+    this->expire(now);
+    const auto known = this->entries.find(key);
+    if (known != this->entries.end()) {
+        const entry& current = known->second;
+        if (current.fingerprint != fingerprint) {
+            return {key_state::mismatched, current.request, nullptr};
+        }
+        if (!current.answer) {
+            return {key_state::running, current.request, nullptr};
+        }
+        return {key_state::finished, current.request, &*current.answer};
+    }
+    if (now - born >= this->key_time) {
+        return {key_state::expired, {}, nullptr};
+    }
+    if (this->bytes >= this->bytes_limit) {
+        return {key_state::full, {}, nullptr};
+    }
+    this->entries.emplace(key, entry{fingerprint, request, std::nullopt});
+    this->by_age.push_back({now + this->key_time, key});
+    return {key_state::started, request, nullptr};
+}
+
+void key_registry::finish(const idempotency_key& key, recorded_answer answer) {
+    const auto known = this->entries.find(key);
+    if (known == this->entries.end()) {
+        return;
+    }
+    if (known->second.answer) {
+        this->bytes -= size_of(*known->second.answer);
+    }
+    this->bytes += size_of(answer);
+    known->second.answer = std::move(answer);
+}
+
+void key_registry::release(const idempotency_key& key) { this->entries.erase(key); }
+
+bool key_registry::is_home_of(const issued_key& key) const {
+    return key.home == this->home && key.incarnation == this->incarnation;
+}
+
+void key_registry::expire(time_point now) {
+    std::size_t looked_at = this->by_age.size();
+    while (looked_at-- > 0 && this->by_age.front().expires <= now) {
+        const age_record oldest = std::move(this->by_age.front());
+        this->by_age.pop_front();
+        const auto known = this->entries.find(oldest.key);
+        if (known == this->entries.end()) {
+            continue;
+        }
+        if (!known->second.answer) {
+            // It still runs: a resend must find it.
+            this->by_age.push_back({now + this->key_time, oldest.key});
+            continue;
+        }
+        this->bytes -= size_of(*known->second.answer);
+        this->entries.erase(known);
+    }
+}
+
+} // namespace kingcupcart::requests
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -15,6 +15,7 @@
     ini_section section(document, "entry");
     entry_settings read;
     BOOST_LEAF_ASSIGN(read.callers, section.address("callers"));
+    BOOST_LEAF_ASSIGN(read.address, section.address("address"));
     BOOST_LEAF_ASSIGN(read.peers, section.addresses("peers"));
     BOOST_LEAF_ASSIGN(read.keepers, section.addresses("keepers"));
     BOOST_LEAF_ASSIGN(read.target_lease,
@@ -32,6 +33,7 @@
 outcome<keeper_settings> read_keeper(const ini_document& document) {
     ini_section section(document, "keeper");
     keeper_settings read;
+    BOOST_LEAF_ASSIGN(read.address, section.address("address"));
     BOOST_LEAF_ASSIGN(read.data, section.text("data"));
     BOOST_LEAF_ASSIGN(read.members, section.list("members"));
     for (const std::string& member : read.members) {
@@ -70,11 +72,13 @@
     BOOST_LEAF_AUTO(region, instance.text("region"));
     read.instance = instance_id(id);
     read.place = location{failure_domain_id(domain), region_id(region)};
-    BOOST_LEAF_ASSIGN(read.peers, instance.address("peers"));
     BOOST_LEAF_ASSIGN(read.admin, instance.address("admin"));
     BOOST_LEAF_ASSIGN(read.stop_limit,
                       instance.duration_or("stop-limit", read.stop_limit,
                                            {std::chrono::seconds(1), std::chrono::hours(24)}));
+    BOOST_LEAF_ASSIGN(read.stop_grace,
+                      instance.duration_or("stop-grace", read.stop_grace,
+                                           {duration::zero(), std::chrono::minutes(10)}));
     BOOST_LEAF_AUTO(roles, instance.list("roles"));
     for (const std::string& role : roles) {
         if (role == "entry") {
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -20,6 +20,8 @@
 struct entry_settings {
     /// Where callers and announcing targets connect.
     endpoint callers;
+    /// Where other instances connect.
+    endpoint address;
     /// Entry instances of this failure domain to begin with; the others are learnt from them.
     std::vector<endpoint> peers;
     std::vector<endpoint> keepers;
@@ -28,11 +30,13 @@
     /// Largest request body taken from a caller, in bytes.
     std::int64_t body_limit = std::int64_t{8} * 1024 * 1024;
     /// How long an outcome is kept for a resend with the same idempotency key.
-    duration key_time = std::chrono::hours(1);
+    duration key_time = std::chrono::minutes(10);
 };
 
 /// Settings of the keeper role.
 struct keeper_settings {
+    /// Where other instances connect.
+    endpoint address;
     /// Folder of the keeper's state; one keeper owns it.
     std::string data;
     /// The other keepers, by identifier and address, as `id@address:port`.
@@ -45,14 +49,14 @@
 struct process_settings {
     instance_id instance;
     location place;
-    /// Where other instances connect.
-    endpoint peers;
     /// Where operators and scrapers connect.
     endpoint admin;
     std::optional<entry_settings> entry;
     std::optional<keeper_settings> keeper;
     telemetry::log_format format = telemetry::log_format::text;
     std::string log_level = "info";
+    /// How long a planned stop goes on serving after readiness has gone, for balancers to notice.
+    duration stop_grace = std::chrono::seconds(2);
     /// How long a planned stop waits for running work.
     duration stop_limit = std::chrono::minutes(10);
 
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -13,11 +13,11 @@
 failure-domain = got-a1
 region = got-a
 roles = entry
-peers = 127.0.0.1:7001
 admin = 127.0.0.1:7002
 
 [entry]
 callers = 127.0.0.1:7000
+address = 127.0.0.1:7001
 keepers = 127.0.0.1:7101, 127.0.0.1:7102
 target-lease = 6s
 )";
@@ -57,7 +57,7 @@
 SCENARIO("settings that are wrong are refused with file, line, group, key and what would be right") {
     GIVEN("an unknown key") {
         CHECK(message_for(replaced("target-lease", "target-lese")).starts_with(
-            "daemon.ini:12: [entry] target-lese: unknown key; known here: body-limit, callers"));
+            "daemon.ini:12: [entry] target-lese: unknown key; known here: address, body-limit"));
     }
     GIVEN("a bad unit") {
         CHECK(message_for(replaced("6s", "6 parsecs")).starts_with(
--- /dev/null
+++ b/packages/task/start_task.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/outcome.h"
+#include "task/task.h"
+
+#include <memory>
+#include <utility>
+#include <variant>
+
+namespace kingcupcart::task {
+
+/// Makes a handler by its `open(parts)` on its task's own thread, and brings a failure back to the
+/// starting thread. The handler lives as long as the task runs.
+template <handler Handler>
+outcome<Handler*> start_task(task<Handler>& runner, typename Handler::parts made_of) {
+    Handler* made = nullptr;
+    error problem;
+    const bool is_running = runner.start([&] {
+        auto opened = value_or_error([&] { return Handler::open(std::move(made_of)); });
+        if (auto* failure = std::get_if<error>(&opened)) {
+            problem = *failure;
+            return std::unique_ptr<Handler>();
+        }
+        auto handler = std::move(std::get<std::unique_ptr<Handler>>(opened));
+        made = handler.get();
+        return handler;
+    });
+    if (!is_running) {
+        return fail(problem.code, problem.message);
+    }
+    return made;
+}
+
+} // namespace kingcupcart::task
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -23,7 +23,8 @@
     call_forwarded = 6,
     call_answered = 7,
     claim_asked = 8,
-    claim_told = 9
+    claim_told = 9,
+    instance_news = 10
 };
 
 json number(message_number value) { return static_cast<std::uint8_t>(value); }
@@ -94,7 +95,7 @@
 
 json write(const call_forwarded& said) {
     return json::array({number(message_number::call_forwarded), said.call, binary(said.key.value()),
-                        binary(said.caller.value()), binary(said.work_class.value()),
+                        said.incarnation.value(), binary(said.caller.value()), binary(said.work_class.value()),
                         said.service.value(), said.method, binary(said.path),
                         write_headers(said.headers), binary(said.body)});
 }
@@ -111,8 +112,13 @@
 }
 
 json write(const claim_told& said) {
-    return json::array({number(message_number::claim_told), said.claim, said.home.value(),
-                        said.incarnation.value(), said.address.address, said.address.port});
+    return json::array({number(message_number::claim_told), said.claim, said.is_decided,
+                        said.home.value(), said.incarnation.value()});
+}
+
+json write(const instance_news& said) {
+    return json::array({number(message_number::instance_news), said.instance.id.value(),
+                        said.instance.address.address, said.instance.address.port});
 }
 
 message read_hello(field_reader& fields) {
@@ -180,6 +186,7 @@
     call_forwarded said;
     said.call = fields.number();
     said.key = idempotency_key(fields.binary());
+    said.incarnation = incarnation_id(fields.number());
     said.caller = caller_id(fields.binary());
     said.work_class = work_class_name(fields.binary());
     said.service = backend_name(fields.text());
@@ -213,9 +220,16 @@
 message read_claim_told(field_reader& fields) {
     claim_told said;
     said.claim = fields.number();
+    said.is_decided = fields.boolean();
     said.home = instance_id(fields.text());
     said.incarnation = incarnation_id(fields.number());
-    said.address = fields.address();
+    return said;
+}
+
+message read_instance_news(field_reader& fields) {
+    instance_news said;
+    said.instance.id = instance_id(fields.text());
+    said.instance.address = fields.address();
     return said;
 }
 
@@ -235,6 +249,7 @@
     {message_number::call_answered, "call_answered", read_call_answered},
     {message_number::claim_asked, "claim_asked", read_claim_asked},
     {message_number::claim_told, "claim_told", read_claim_told},
+    {message_number::instance_news, "instance_news", read_instance_news},
 };
 
 } // namespace
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -65,6 +65,8 @@
 struct call_forwarded {
     std::uint64_t call = 0;
     idempotency_key key;
+    /// The incarnation of the receiver that knows the key.
+    incarnation_id incarnation;
     caller_id caller;
     work_class_name work_class;
     backend_name service;
@@ -95,13 +97,19 @@
 /// The home of the key; the asking instance itself where the claim was granted.
 struct claim_told {
     std::uint64_t claim = 0;
+    /// False where no majority could say.
+    bool is_decided = false;
     instance_id home;
     incarnation_id incarnation;
-    endpoint address;
+};
+
+/// Where an entry instance of another failure domain can be reached.
+struct instance_news {
+    instance_address instance;
 };
 
 using message = std::variant<hello, target_news, targets_vouched, configuration_news,
                              configuration_in_force, call_forwarded, call_answered, claim_asked,
-                             claim_told>;
+                             claim_told, instance_news>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -54,7 +54,8 @@
             sample_call(),
             call_answered{3, 200, "answered", "", {{"Content-Type", "text/plain"}}, "yes"},
             claim_asked{1, idempotency_key("k"), instance_id("x"), incarnation_id(2)},
-            claim_told{1, instance_id("x"), incarnation_id(2), endpoint{"127.0.0.1", 1}}};
+            claim_told{1, true, instance_id("x"), incarnation_id(2)},
+            instance_news{{instance_id("x"), endpoint{"127.0.0.1", 1}}}};
 }
 
 bool is_refused(const std::string& bytes) {
--- /dev/null
+++ b/tests/process/deployment.cpp
@@ -0,0 +1,158 @@
+#include "process/deployment.h"
+
+#include "task/wakeup.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace kingcupcart::process_tests {
+
+namespace {
+
+constexpr duration patience = std::chrono::seconds(30);
+constexpr duration look_again = std::chrono::milliseconds(10);
+
+} // namespace
+
+std::string caller::header(const std::string& name) const {
+    for (const header_field& field : this->head.headers) {
+        if (field.name == name) {
+            return field.value;
+        }
+    }
+    return "";
+}
+
+deployment::deployment() {
+    this->loop.enter();
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "kingcupcart-XXXXXX").string();
+    this->folder = mkdtemp(pattern.data());
+    this->client = std::make_unique<http::client>();
+}
+
+deployment::~deployment() {
+    this->processes.clear();
+    this->client.reset();
+    this->loop.leave();
+    std::filesystem::remove_all(this->folder);
+}
+
+std::string deployment::write_settings(const std::string& name, const std::string& text) {
+    const std::string path = this->folder + "/" + name + ".ini";
+    std::ofstream(path) << text;
+    return path;
+}
+
+child_process& deployment::add_keeper() {
+    const std::string id = "k" + std::to_string(++this->keepers);
+    const std::string path = this->write_settings(
+        id, "[instance]\nid = " + id +
+                "\nfailure-domain = local\nregion = local\nroles = keeper\nadmin = 127.0.0.1:0\n"
+                "[keeper]\naddress = 127.0.0.1:0\ndata = " +
+                this->folder + "/" + id + "\n[log]\nlevel = warn\n");
+    this->processes.push_back(std::make_unique<child_process>(
+        std::vector<std::string>{KINGCUPCARTD, "--settings", path}));
+    this->keeper_addresses.push_back(this->processes.back()->value("keeper"));
+    return *this->processes.back();
+}
+
+child_process& deployment::add_entry(const std::string& domain) {
+    const std::string id = "e" + std::to_string(++this->entries);
+    std::string keepers;
+    for (const std::string& address : this->keeper_addresses) {
+        keepers += (keepers.empty() ? "" : ", ") + address;
+    }
+    std::string text = "[instance]\nid = " + id + "\nfailure-domain = " + domain +
+                       "\nregion = local\nroles = entry\nadmin = 127.0.0.1:0\nstop-grace = 0s\n"
+                       "[entry]\ncallers = 127.0.0.1:0\naddress = 127.0.0.1:0\n";
+    text += keepers.empty() ? "" : "keepers = " + keepers + "\n";
+    text += this->entry_address.empty() ? "" : "peers = " + this->entry_address + "\n";
+    text += "target-lease = 1500ms\n[log]\nlevel = error\n";
+    this->processes.push_back(std::make_unique<child_process>(
+        std::vector<std::string>{KINGCUPCARTD, "--settings", this->write_settings(id, text)}));
+    if (this->entry_address.empty()) {
+        this->entry_address = this->processes.back()->value("entry");
+    }
+    return *this->processes.back();
+}
+
+child_process& deployment::add_engine(const std::string& id, child_process& entry,
+                                      const std::vector<std::string>& more) {
+    std::vector<std::string> command{STAND_IN_ENGINE, "--id", id, "--entry",
+                                     entry.value("callers")};
+    command.insert(command.end(), more.begin(), more.end());
+    this->processes.push_back(std::make_unique<child_process>(command));
+    return *this->processes.back();
+}
+
+child_process& deployment::add_service(const std::string& id, child_process& entry,
+                                       const std::vector<std::string>& more) {
+    std::vector<std::string> command{STAND_IN_SERVICE, "--id", id, "--backend", "provbok",
+                                     "--entry", entry.value("callers")};
+    command.insert(command.end(), more.begin(), more.end());
+    this->processes.push_back(std::make_unique<child_process>(command));
+    return *this->processes.back();
+}
+
+std::unique_ptr<caller> deployment::begin(const http::request& wanted) {
+    auto made = std::make_unique<caller>();
+    caller* one = made.get();
+    made->call = this->client->start(
+        wanted, {[] {}, [one](const http::answer_head& head) { one->head = head; },
+                 [one](std::string_view data) { one->body += data; },
+                 [one](http::call_end how, const std::string&) {
+                     one->is_over = true;
+                     one->end = how;
+                 }});
+    return made;
+}
+
+std::unique_ptr<caller> deployment::call(const http::request& wanted) {
+    auto one = this->begin(wanted);
+    this->run_until([&] { return one->is_over; });
+    return one;
+}
+
+bool deployment::run_until(const std::function<bool()>& condition) {
+    const auto limit = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > limit) {
+            return false;
+        }
+        task::wakeup again([] {});
+        again.arm(std::chrono::steady_clock::now() + look_again);
+        g_main_context_iteration(this->loop.context(), TRUE);
+    }
+    return true;
+}
+
+std::string deployment::status(child_process& instance) {
+    http::request wanted;
+    wanted.url = "http://" + instance.value("admin") + "/status";
+    return this->call(wanted)->body;
+}
+
+bool deployment::has_targets(child_process& instance, std::size_t count) {
+    return this->run_until([&] {
+        const auto said = nlohmann::json::parse(this->status(instance), nullptr, false);
+        return said.is_object() && said["entry"]["targets"].size() == count;
+    });
+}
+
+http::request post(child_process& instance, const std::string& path, const std::string& body,
+                   const std::vector<header_field>& headers) {
+    http::request wanted;
+    wanted.method = "POST";
+    wanted.url = "http://" + instance.value("callers") + path;
+    wanted.content_type = "application/json";
+    wanted.headers = headers;
+    wanted.body = body;
+    return wanted;
+}
+
+} // namespace kingcupcart::process_tests
--- /dev/null
+++ b/tests/process/deployment.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "http/answer_head.h"
+#include "http/client.h"
+#include "http/request.h"
+#include "process/child_process.h"
+#include "task/event_loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kingcupcart::process_tests {
+
+/// A call made by a test, and what came of it so far.
+struct caller {
+    std::unique_ptr<http::client::call> call;
+    http::answer_head head;
+    std::string body;
+    bool is_over = false;
+    http::call_end end = http::call_end::broken;
+
+    [[nodiscard]] std::string header(const std::string& name) const;
+};
+
+/// Processes of a small deployment on loopback with ports chosen by the kernel, and callers.
+class deployment {
+public:
+    deployment();
+    ~deployment();
+    deployment(const deployment&) = delete;
+    deployment& operator=(const deployment&) = delete;
+
+    /// Starts a keeper; its identifier is `k1`, `k2`, …
+    child_process& add_keeper();
+    /// Starts an entry instance that knows the keepers and the first entry instance.
+    child_process& add_entry(const std::string& domain = "local");
+    child_process& add_engine(const std::string& id, child_process& entry,
+                              const std::vector<std::string>& more = {});
+    child_process& add_service(const std::string& id, child_process& entry,
+                               const std::vector<std::string>& more = {});
+
+    std::unique_ptr<caller> begin(const http::request& wanted);
+    /// Makes a call and waits for its end.
+    std::unique_ptr<caller> call(const http::request& wanted);
+    /// Runs the loop until the condition holds; false after the patience of a test.
+    bool run_until(const std::function<bool()>& condition);
+    /// The status object of an instance, as text.
+    std::string status(child_process& instance);
+    /// Waits until the instance knows so many targets.
+    bool has_targets(child_process& instance, std::size_t count);
+
+private:
+    std::string write_settings(const std::string& name, const std::string& text);
+
+    task::event_loop loop;
+    std::string folder;
+    std::unique_ptr<http::client> client;
+    std::vector<std::string> keeper_addresses;
+    std::string entry_address;
+    int keepers = 0;
+    int entries = 0;
+    std::vector<std::unique_ptr<child_process>> processes;
+};
+
+/// `POST` of JSON to an instance's callers' address.
+[[nodiscard]] http::request post(child_process& instance, const std::string& path,
+                                 const std::string& body,
+                                 const std::vector<header_field>& headers = {});
+
+} // namespace kingcupcart::process_tests
