--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -84,8 +84,12 @@
 class stop_sequence {
 public:
     stop_sequence(daemon::daemon& instance, duration grace, duration limit, task::event_loop& loop)
-        : instance(instance), grace(grace), limit(limit), loop(loop),
-          grace_over([this] { this->drain(); }), limit_reached([this] { this->give_up(); }) {}
+        : instance(instance),
+          grace(grace),
+          limit(limit),
+          loop(loop),
+          grace_over([this] { this->drain(); }),
+          limit_reached([this] { this->give_up(); }) {}
 
     void watch(int signal, GMainContext* context) {
         GSource* source = g_unix_signal_source_new(signal);
--- a/packages/admin/admin_server.h
+++ b/packages/admin/admin_server.h
@@ -31,9 +31,8 @@
     using message = std::variant<report_came, order_result_came, stop_began>;
 
     /// `self` gives the sending end of the task that runs this handler.
-    static outcome<std::unique_ptr<admin_server>> open(const endpoint& address,
-                                                       admin_sources sources,
-                                                       task::sender<message> self);
+    static outcome<std::unique_ptr<admin_server>>
+    open(const endpoint& address, admin_sources sources, task::sender<message> self);
     ~admin_server();
     admin_server(const admin_server&) = delete;
     admin_server& operator=(const admin_server&) = delete;
--- a/packages/admin/internal/admin_server.cpp
+++ b/packages/admin/internal/admin_server.cpp
@@ -164,8 +164,8 @@
             return;
         }
         if (asked.path == "/readyz") {
-            bool is_ready = !this->is_stopping &&
-                            asked.reports.size() == this->sources.reports.size();
+            bool is_ready =
+                !this->is_stopping && asked.reports.size() == this->sources.reports.size();
             for (const report& one : asked.reports) {
                 is_ready = is_ready && one.is_ready;
             }
@@ -218,9 +218,8 @@
     task::wakeup limit;
 };
 
-outcome<std::unique_ptr<admin_server>> admin_server::open(const endpoint& address,
-                                                          admin_sources sources,
-                                                          task::sender<message> self) {
+outcome<std::unique_ptr<admin_server>>
+admin_server::open(const endpoint& address, admin_sources sources, task::sender<message> self) {
     auto made = std::make_unique<state>(std::move(sources), std::move(self));
     BOOST_LEAF_ASSIGN(made->server,
                       http::server::open(address, body_limit,
@@ -238,6 +237,8 @@
     std::visit([this](auto& alternative) { this->self->on(std::move(alternative)); }, incoming);
 }
 
-const endpoint& admin_server::address() const { return this->self->server->address(); }
+const endpoint& admin_server::address() const {
+    return this->self->server->address();
+}
 
 } // namespace kingcupcart::admin
--- a/packages/admission/internal/fair_queue.cpp
+++ b/packages/admission/internal/fair_queue.cpp
@@ -40,8 +40,8 @@
 
 bool fair_queue::remove(request_id id) {
     for (auto current = this->turns.begin(); current != this->turns.end(); ++current) {
-        const auto removed = std::erase_if(current->requests,
-                                           [&](const auto& waiting) { return waiting.id == id; });
+        const auto removed =
+            std::erase_if(current->requests, [&](const auto& waiting) { return waiting.id == id; });
         if (removed == 0) {
             continue;
         }
--- a/packages/admission/tests/admission_test.cpp
+++ b/packages/admission/tests/admission_test.cpp
@@ -51,7 +51,9 @@
     GIVEN("a full queue") {
         fair_queue queue(1);
         REQUIRE(queue.push(request(1, "a")));
-        THEN("one more is refused") { CHECK_FALSE(queue.push(request(2, "b"))); }
+        THEN("one more is refused") {
+            CHECK_FALSE(queue.push(request(2, "b")));
+        }
     }
     GIVEN("requests with deadlines") {
         fair_queue queue(10);
--- a/packages/base/outcome.h
+++ b/packages/base/outcome.h
@@ -53,7 +53,9 @@
             }
         },
         [](const error& failure) { return either{failure}; },
-        [] { return either{error{error_code::internal, "unspecified failure"}}; });
+        [] {
+            return either{error{error_code::internal, "unspecified failure"}};
+        });
 }
 
 } // namespace kingcupcart
--- a/packages/command/internal/command_line.cpp
+++ b/packages/command/internal/command_line.cpp
@@ -21,16 +21,17 @@
     for (const subcommand& one : subcommands()) {
         std::fprintf(stream, "  %-28s %s\n", one.usage, one.summary);
     }
-    std::fputs("\noptions:\n"
-               "  -a, --admin ADDRESS:PORT   admin address of an instance; default is the variable\n"
-               "                             KINGCUPCART_ADMIN, else 127.0.0.1:7002\n"
-               "  -o, --order ID             name of a change, the same for each resend of it\n"
-               "  -b, --base VERSION         version that a change builds on; default: accepted one\n"
-               "  -h, --help                 print this and exit\n"
-               "  -V, --version              print the version and exit\n"
-               "\nExit codes: 0 done; 1 refused, or the instance can't be reached; 2 wrong usage or\n"
-               "input.\n",
-               stream);
+    std::fputs(
+        "\noptions:\n"
+        "  -a, --admin ADDRESS:PORT   admin address of an instance; default is the variable\n"
+        "                             KINGCUPCART_ADMIN, else 127.0.0.1:7002\n"
+        "  -o, --order ID             name of a change, the same for each resend of it\n"
+        "  -b, --base VERSION         version that a change builds on; default: accepted one\n"
+        "  -h, --help                 print this and exit\n"
+        "  -V, --version              print the version and exit\n"
+        "\nExit codes: 0 done; 1 refused, or the instance can't be reached; 2 wrong usage or\n"
+        "input.\n",
+        stream);
 }
 
 } // namespace
--- a/packages/command/internal/subcommands.cpp
+++ b/packages/command/internal/subcommands.cpp
@@ -72,19 +72,17 @@
     const json& status = std::get<json>(asked);
     if (status.contains("entry")) {
         const json& entry = status["entry"];
-        std::printf("instance %s  domain %s  region %s  configuration %s  open %s  queued %s%s\n",
-                    text_of(entry["instance"]).c_str(), text_of(entry["failure_domain"]).c_str(),
-                    text_of(entry["region"]).c_str(),
-                    text_of(entry["configuration_version"]).c_str(),
-                    text_of(entry["open_requests"]).c_str(),
-                    text_of(entry["queued_requests"]).c_str(),
-                    entry["stopping"].get<bool>() ? "  stopping" : "");
+        std::printf(
+            "instance %s  domain %s  region %s  configuration %s  open %s  queued %s%s\n",
+            text_of(entry["instance"]).c_str(), text_of(entry["failure_domain"]).c_str(),
+            text_of(entry["region"]).c_str(), text_of(entry["configuration_version"]).c_str(),
+            text_of(entry["open_requests"]).c_str(), text_of(entry["queued_requests"]).c_str(),
+            entry["stopping"].get<bool>() ? "  stopping" : "");
         for (const json& target : entry["targets"]) {
             std::printf("  target %-20s %-8s %-16s %-21s %-12s slots %-4s version %-4s here %s%s\n",
                         text_of(target["id"]).c_str(), text_of(target["kind"]).c_str(),
                         text_of(target["backend"]).c_str(), text_of(target["address"]).c_str(),
-                        text_of(target["failure_domain"]).c_str(),
-                        text_of(target["slots"]).c_str(),
+                        text_of(target["failure_domain"]).c_str(), text_of(target["slots"]).c_str(),
                         text_of(target["weight_version"]).c_str(),
                         text_of(target["running_here"]).c_str(),
                         target["leaving"].get<bool>() ? "  leaving" : "");
@@ -102,10 +100,9 @@
         std::printf("keeper %s  configuration %s\n", text_of(keeper["instance"]).c_str(),
                     text_of(keeper["configuration_version"]).c_str());
         for (const json& instance : keeper["instances"]) {
-            std::printf("  instance %-20s domain %-12s in force %s\n",
-                        text_of(instance["id"]).c_str(),
-                        text_of(instance["failure_domain"]).c_str(),
-                        text_of(instance["in_force"]).c_str());
+            std::printf(
+                "  instance %-20s domain %-12s in force %s\n", text_of(instance["id"]).c_str(),
+                text_of(instance["failure_domain"]).c_str(), text_of(instance["in_force"]).c_str());
         }
     }
     return exit_ok;
--- a/packages/completions/internal/completion_request.cpp
+++ b/packages/completions/internal/completion_request.cpp
@@ -75,9 +75,8 @@
     }
     request.model = backend_name(model->get<std::string>());
     const auto limit = body.find("max_tokens");
-    if (limit != body.end() &&
-        (!limit->is_number_integer() || limit->get<std::int64_t>() < 1 ||
-         limit->get<std::int64_t>() > max_tokens_most)) {
+    if (limit != body.end() && (!limit->is_number_integer() || limit->get<std::int64_t>() < 1 ||
+                                limit->get<std::int64_t>() > max_tokens_most)) {
         return refuse("max_tokens", "must be a whole number from 1 to 1000000");
     }
     const auto stream = body.find("stream");
--- a/packages/completions/tests/completions_test.cpp
+++ b/packages/completions/tests/completions_test.cpp
@@ -90,9 +90,10 @@
     completion_request request;
     CHECK(print_answer(request, answer).find(R"("weight_versions":[7,8])") != std::string::npos);
     GIVEN("an event that does not name its version") {
-        const auto parsed = value_or_error([] {
-            return parse_chunk(R"({"choices":[{"text":"x"}]})", completion_form::text);
-        });
-        THEN("it is no chunk") { CHECK(std::holds_alternative<error>(parsed)); }
+        const auto parsed = value_or_error(
+            [] { return parse_chunk(R"({"choices":[{"text":"x"}]})", completion_form::text); });
+        THEN("it is no chunk") {
+            CHECK(std::holds_alternative<error>(parsed));
+        }
     }
 }
--- a/packages/configuration/internal/deployment.cpp
+++ b/packages/configuration/internal/deployment.cpp
@@ -33,9 +33,9 @@
     BOOST_LEAF_ASSIGN(read.deadline,
                       section.duration_or("deadline", read.deadline,
                                           {std::chrono::milliseconds(10), std::chrono::hours(24)}));
-    BOOST_LEAF_AUTO(limit, section.integer_or("queue-limit",
-                                              static_cast<std::int64_t>(read.queue_limit),
-                                              {0, queue_limit_max}));
+    BOOST_LEAF_AUTO(limit,
+                    section.integer_or("queue-limit", static_cast<std::int64_t>(read.queue_limit),
+                                       {0, queue_limit_max}));
     read.queue_limit = static_cast<std::size_t>(limit);
     BOOST_LEAF_CHECK(section.finish());
     return read;
@@ -43,7 +43,7 @@
 
 outcome<work_class_name> read_class_name(ini_section& section, const deployment& known) {
     BOOST_LEAF_AUTO(text, section.text("class"));
-    const work_class_name name(text);
+    work_class_name name(text);
     if (!known.classes.contains(name)) {
         return section.refuse("class", "'" + text + "' has no group [class " + text + "]");
     }
--- a/packages/daemon/internal/daemon.cpp
+++ b/packages/daemon/internal/daemon.cpp
@@ -65,9 +65,13 @@
 
 daemon::daemon(std::unique_ptr<state> made) : self(std::move(made)) {}
 
-daemon::~daemon() { this->self->admin_task.stop(); }
+daemon::~daemon() {
+    this->self->admin_task.stop();
+}
 
-void daemon::announce_stop() { this->self->admin_task.post(admin::admin_server::stop_began{}); }
+void daemon::announce_stop() {
+    this->self->admin_task.post(admin::admin_server::stop_began{});
+}
 
 void daemon::begin_stop(std::function<void()> drained) {
     if (this->self->entry) {
@@ -77,7 +81,9 @@
     }
 }
 
-endpoint daemon::admin_address() const { return this->self->admin_address; }
+endpoint daemon::admin_address() const {
+    return this->self->admin_address;
+}
 
 std::optional<endpoint> daemon::callers_address() const {
     return this->self->entry ? std::optional(this->self->entry->callers_address()) : std::nullopt;
--- a/packages/entry/internal/call.h
+++ b/packages/entry/internal/call.h
@@ -9,7 +9,8 @@
 
 namespace kingcupcart::entry {
 
-/// One caller's request on its way: it carries out the dispatcher's actions for one kind of back end.
+/// One caller's request on its way: it carries out the dispatcher's actions for one kind of back
+/// end.
 template <typename Candidate>
 concept call = requires(Candidate subject, const requests::send_attempt& sent,
                         const membership::target_record& target, attempt_id attempt,
--- a/packages/entry/internal/engine_call.cpp
+++ b/packages/entry/internal/engine_call.cpp
@@ -18,7 +18,9 @@
 constexpr std::size_t error_body_limit = 65536;
 constexpr const char* event_stream_type = "text/event-stream";
 
-bool is_declined(int status) { return status == status_too_many || status == status_unavailable; }
+bool is_declined(int status) {
+    return status == status_too_many || status == status_unavailable;
+}
 
 /// The engine found fault with the request itself; another engine would too.
 bool is_callers_fault(int status) {
@@ -41,29 +43,28 @@
     const attempt_id attempt = sent.attempt;
     http::request wanted;
     wanted.method = "POST";
-    wanted.url = "http://" + target.address.to_string() +
-                 (this->request.form == completions::completion_form::text
-                      ? "/v1/completions"
-                      : "/v1/chat/completions");
+    wanted.url =
+        "http://" + target.address.to_string() +
+        (this->request.form == completions::completion_form::text ? "/v1/completions"
+                                                                  : "/v1/chat/completions");
     wanted.content_type = json_type;
     wanted.body = completions::engine_body(this->request, sent.resume_after, this->answer.text);
     auto stream = std::make_unique<attempt_stream>();
     attempt_stream& kept = *stream;
     this->attempts.emplace(attempt, std::move(stream));
     kept.call = this->context.client.start(
-        wanted,
-        {[this, attempt] { this->context.tell(requests::attempt_handed{attempt}); },
-         [this, attempt](const http::answer_head& head) {
-             this->attempts.at(attempt)->status = head.status;
-         },
-         [this, attempt](std::string_view data) { this->take_data(attempt, data); },
-         [this, attempt](http::call_end how, const std::string& reason) {
-             if (how != http::call_end::complete) {
-                 spdlog::warn("attempt failed request={} attempt={} error=\"{}\"",
-                              this->id.value(), attempt.value(), reason);
-             }
-             this->end(attempt, how);
-         }});
+        wanted, {[this, attempt] { this->context.tell(requests::attempt_handed{attempt}); },
+                 [this, attempt](const http::answer_head& head) {
+                     this->attempts.at(attempt)->status = head.status;
+                 },
+                 [this, attempt](std::string_view data) { this->take_data(attempt, data); },
+                 [this, attempt](http::call_end how, const std::string& reason) {
+                     if (how != http::call_end::complete) {
+                         spdlog::warn("attempt failed request={} attempt={} error=\"{}\"",
+                                      this->id.value(), attempt.value(), reason);
+                     }
+                     this->end(attempt, how);
+                 }});
 }
 
 void engine_call::take_data(attempt_id attempt, std::string_view data) {
@@ -83,8 +84,7 @@
     }
 }
 
-void engine_call::take_event(attempt_id attempt, attempt_stream& stream,
-                             const std::string& event) {
+void engine_call::take_event(attempt_id attempt, attempt_stream& stream, const std::string& event) {
     if (event == completions::done_data) {
         if (stream.is_finished) {
             this->context.tell(requests::attempt_answered{attempt});
@@ -93,8 +93,8 @@
         }
         return;
     }
-    auto parsed = value_or_error(
-        [&] { return completions::parse_chunk(event, this->request.form); });
+    auto parsed =
+        value_or_error([&] { return completions::parse_chunk(event, this->request.form); });
     if (const auto* problem = std::get_if<error>(&parsed)) {
         spdlog::warn("attempt failed request={} attempt={} error=\"{}\"", this->id.value(),
                      attempt.value(), problem->message);
@@ -151,7 +151,9 @@
     this->context.tell(requests::attempt_failed{attempt, failure});
 }
 
-void engine_call::adopt(attempt_id attempt) { this->adopted = attempt; }
+void engine_call::adopt(attempt_id attempt) {
+    this->adopted = attempt;
+}
 
 void engine_call::cancel(attempt_id attempt) {
     const auto found = this->attempts.find(attempt);
--- a/packages/entry/internal/engine_call.h
+++ b/packages/entry/internal/engine_call.h
@@ -29,11 +29,10 @@
     engine_call(request_id id, completions::completion_request request,
                 std::unique_ptr<http::exchange> exchange, call_context& context);
     ~engine_call();
-    engine_call(engine_call&&) = delete;
-    engine_call& operator=(engine_call&&) = delete;
+    engine_call(const engine_call&) = delete;
+    engine_call& operator=(const engine_call&) = delete;
 
-    void start_attempt(const requests::send_attempt& sent,
-                       const membership::target_record& target);
+    void start_attempt(const requests::send_attempt& sent, const membership::target_record& target);
     void adopt(attempt_id attempt);
     void cancel(attempt_id attempt);
     void complete();
--- a/packages/entry/internal/entry_module.cpp
+++ b/packages/entry/internal/entry_module.cpp
@@ -28,13 +28,12 @@
     std::random_device entropy;
     // The front comes first, so that nothing from peers meets a task that is not there.
     BOOST_LEAF_AUTO(front_made,
-                    task::start_task(made->front_task,
-                               {settings, incarnation, &made->time, made->peers_task.address(),
-                                entropy()}));
+                    task::start_task(made->front_task, {settings, incarnation, &made->time,
+                                                        made->peers_task.address(), entropy()}));
     made->callers = front_made->address();
     BOOST_LEAF_AUTO(peers_made,
-                    task::start_task(made->peers_task,
-                               {settings, incarnation, &made->time, made->front_task.address()}));
+                    task::start_task(made->peers_task, {settings, incarnation, &made->time,
+                                                        made->front_task.address()}));
     made->links = peers_made->address();
     return std::unique_ptr<entry_module>(new entry_module(std::move(made)));
 }
@@ -46,9 +45,13 @@
     this->self->peers_task.stop();
 }
 
-endpoint entry_module::callers_address() const { return this->self->callers; }
+endpoint entry_module::callers_address() const {
+    return this->self->callers;
+}
 
-endpoint entry_module::link_address() const { return this->self->links; }
+endpoint entry_module::link_address() const {
+    return this->self->links;
+}
 
 task::sender<admin::report_asked> entry_module::front_reports() const {
     return task::sender<admin::report_asked>(
--- a/packages/entry/internal/exchange_sink.h
+++ b/packages/entry/internal/exchange_sink.h
@@ -15,6 +15,8 @@
 public:
     explicit exchange_sink(std::unique_ptr<http::exchange> exchange);
     ~exchange_sink() override;
+    exchange_sink(const exchange_sink&) = delete;
+    exchange_sink& operator=(const exchange_sink&) = delete;
 
     void answer(const requests::recorded_answer& answer) override;
     void refuse(const problem& refusal) override;
--- a/packages/entry/internal/front.cpp
+++ b/packages/entry/internal/front.cpp
@@ -96,16 +96,18 @@
 }
 
 front::front(parts made_of)
-    : own(std::move(made_of)), directory(own.settings.place),
+    : own(std::move(made_of)),
+      directory(own.settings.place),
       dispatcher(own.settings.place, {}, own.seed),
       keys(own.settings.instance, own.incarnation, own.settings.entry->key_time, own.peers,
-           [this](service_request request, time_point born, std::unique_ptr<answer_sink> sink) {
-               this->run_service(std::move(request), born, std::move(sink));
+           [this](const service_request& request, time_point born,
+                  std::unique_ptr<answer_sink> sink) {
+               this->run_service(request, born, std::move(sink));
            }),
       context{client, [this](const requests::message& incoming) { this->tell(incoming); }},
       timers([this] { this->tell(requests::time_passed{}); }),
-      soft_state([this] { this->renew_soft_state(); }), cleaner([this] { this->retired.clear(); }) {
-}
+      soft_state([this] { this->renew_soft_state(); }),
+      cleaner([this] { this->retired.clear(); }) {}
 
 front::~front() = default;
 
@@ -160,18 +162,18 @@
 
 void front::issue_key(http::exchange& exchange) {
     const auto key = this->keys.registry().issue(this->own.time->now());
-    const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(
-        this->own.settings.entry->key_time);
-    exchange.respond(status_ok, json_type,
-                     nlohmann::json{{"key", key.print().value()},
-                                    {"lifetime_seconds", lifetime.count()}}
-                         .dump());
+    const auto lifetime =
+        std::chrono::duration_cast<std::chrono::seconds>(this->own.settings.entry->key_time);
+    exchange.respond(
+        status_ok, json_type,
+        nlohmann::json{{"key", key.print().value()}, {"lifetime_seconds", lifetime.count()}}
+            .dump());
 }
 
 void front::completion_arrived(std::unique_ptr<http::exchange> exchange,
                                completions::completion_form form) {
-    auto parsed = value_or_error(
-        [&] { return completions::parse_request(exchange->body(), form); });
+    auto parsed =
+        value_or_error([&] { return completions::parse_request(exchange->body(), form); });
     if (const auto* problem = std::get_if<error>(&parsed)) {
         refuse_request(*exchange, status_bad_request, "bad-request", problem->message);
         return;
@@ -221,20 +223,19 @@
     request.headers = end_to_end(exchange->headers());
     request.body = exchange->body();
     const auto& methods = service->repeatable_methods;
-    request.repeatable =
-        std::find(methods.begin(), methods.end(), request.method) != methods.end();
+    request.repeatable = std::find(methods.begin(), methods.end(), request.method) != methods.end();
     request.key = idempotency_key(exchange->header(key_header));
     auto sink = std::make_unique<exchange_sink>(std::move(exchange));
     const time_point now = this->own.time->now();
     if (request.key.value().empty() || request.repeatable) {
         request.key = idempotency_key();
-        this->run_service(std::move(request), now, std::move(sink));
+        this->run_service(request, now, std::move(sink));
         return;
     }
     this->keys.resolve(std::move(request), std::move(sink), now);
 }
 
-void front::run_service(service_request request, time_point born,
+void front::run_service(const service_request& request, time_point born,
                         std::unique_ptr<answer_sink> sink) {
     const request_id id = this->next_request();
     if (request.key.value().empty()) {
@@ -327,10 +328,10 @@
 
 void front::carry_out(const requests::send_attempt& sent) {
     spdlog::info("route request={} attempt={} cause={} resume_after={} {}", sent.request.value(),
-                 sent.attempt.value(), requests::to_string(sent.cause),
-                 sent.resume_after.count(), sent.choice.explain());
-    this->metrics.count(std::string("attempts_total{cause=\"") +
-                        requests::to_string(sent.cause) + "\"}");
+                 sent.attempt.value(), requests::to_string(sent.cause), sent.resume_after.count(),
+                 sent.choice.explain());
+    this->metrics.count(std::string("attempts_total{cause=\"") + requests::to_string(sent.cause) +
+                        "\"}");
     this->attempts.emplace(sent.attempt, sent.request);
     const membership::target_record* known = this->directory.find(sent.target);
     if (known == nullptr) {
@@ -476,12 +477,16 @@
     request.body = std::move(call.body);
     const auto issued = requests::issued_key::parse(request.key.value());
     const time_point now = this->own.time->now();
-    this->run_service(std::move(request), issued ? issued->issued : now, std::move(sink));
+    this->run_service(request, issued ? issued->issued : now, std::move(sink));
 }
 
-void front::on(peer_call_ended& ended) { this->keys.call_ended(std::move(ended.answer)); }
+void front::on(peer_call_ended& ended) {
+    this->keys.call_ended(std::move(ended.answer));
+}
 
-void front::on(const claim_ended& ended) { this->keys.claim_ended(ended, this->own.time->now()); }
+void front::on(const claim_ended& ended) {
+    this->keys.claim_ended(ended, this->own.time->now());
+}
 
 void front::on(stop_asked& asked) {
     this->drained = std::move(asked.drained);
--- a/packages/entry/internal/front.h
+++ b/packages/entry/internal/front.h
@@ -74,7 +74,8 @@
     void issue_key(http::exchange& exchange);
 
     /// Runs a service request, keyed or not, and gives its answer to the sink.
-    void run_service(service_request request, time_point born, std::unique_ptr<answer_sink> sink);
+    void run_service(const service_request& request, time_point born,
+                     std::unique_ptr<answer_sink> sink);
     void start_service(const service_request& request, request_id id,
                        std::unique_ptr<answer_sink> sink);
     void tell(const requests::message& incoming);
--- a/packages/entry/internal/front_message.h
+++ b/packages/entry/internal/front_message.h
@@ -60,9 +60,8 @@
     std::function<void()> drained;
 };
 
-using front_message =
-    std::variant<target_learnt, targets_heard, configuration_accepted, domain_size_changed,
-                 peer_joined, peer_call_arrived, peer_call_ended, claim_ended, stop_asked,
-                 admin::report_asked>;
+using front_message = std::variant<target_learnt, targets_heard, configuration_accepted,
+                                   domain_size_changed, peer_joined, peer_call_arrived,
+                                   peer_call_ended, claim_ended, stop_asked, admin::report_asked>;
 
 } // namespace kingcupcart::entry
--- a/packages/entry/internal/key_home.cpp
+++ b/packages/entry/internal/key_home.cpp
@@ -29,11 +29,13 @@
 
 key_home::key_home(instance_id here, incarnation_id incarnation, duration key_time,
                    task::sender<peers_message> peers, runner run)
-    : here(here), incarnation(incarnation), peers(std::move(peers)), run(std::move(run)),
+    : here(here),
+      incarnation(incarnation),
+      peers(std::move(peers)),
+      run(std::move(run)),
       keys(std::move(here), incarnation, key_time, outcome_bytes_max) {}
 
-void key_home::resolve(service_request request, std::unique_ptr<answer_sink> sink,
-                       time_point now) {
+void key_home::resolve(service_request request, std::unique_ptr<answer_sink> sink, time_point now) {
     const auto issued = requests::issued_key::parse(request.key.value());
     if (!issued) {
         const std::uint64_t claim = ++this->last_number;
@@ -45,7 +47,7 @@
         return;
     }
     if (this->keys.is_home_of(*issued)) {
-        this->run(std::move(request), issued->issued, std::move(sink));
+        this->run(request, issued->issued, std::move(sink));
         return;
     }
     if (issued->home == this->here) {
@@ -69,7 +71,7 @@
         return;
     }
     if (ended.home == this->here && ended.incarnation == this->incarnation) {
-        this->run(std::move(claim.request), now, std::move(claim.sink));
+        this->run(claim.request, now, std::move(claim.sink));
         return;
     }
     if (ended.home == this->here) {
--- a/packages/entry/internal/key_home.h
+++ b/packages/entry/internal/key_home.h
@@ -23,7 +23,8 @@
 class key_home {
 public:
     /// Runs a request whose home is here.
-    using runner = std::function<void(service_request, time_point, std::unique_ptr<answer_sink>)>;
+    using runner = std::function<void(const service_request& request, time_point born,
+                                      std::unique_ptr<answer_sink> sink)>;
 
     key_home(instance_id here, incarnation_id incarnation, duration key_time,
              task::sender<peers_message> peers, runner run);
--- a/packages/entry/internal/peers.cpp
+++ b/packages/entry/internal/peers.cpp
@@ -33,11 +33,11 @@
 outcome<std::unique_ptr<peers>> peers::open(parts made_of) {
     std::unique_ptr<peers> made(new peers(std::move(made_of)));
     const settings::entry_settings& entry = *made->own.settings.entry;
-    BOOST_LEAF_ASSIGN(made->listener,
-                      wire::listener::open(entry.address,
-                                           [self = made.get()](GSocketConnection* connection) {
-                                               self->accept(connection);
-                                           }));
+    BOOST_LEAF_ASSIGN(
+        made->listener,
+        wire::listener::open(entry.address, [self = made.get()](GSocketConnection* connection) {
+            self->accept(connection);
+        }));
     for (const endpoint& address : entry.keepers) {
         made->add_peer(address, wire::instance_role::keeper, false);
     }
@@ -48,8 +48,7 @@
     return made;
 }
 
-peers::peers(parts made_of)
-    : own(std::move(made_of)), tending([this] { this->tend_links(); }) {}
+peers::peers(parts made_of) : own(std::move(made_of)), tending([this] { this->tend_links(); }) {}
 
 peers::~peers() = default;
 
@@ -73,11 +72,10 @@
 void peers::dial(outbound& peer) {
     const endpoint address = peer.address;
     peer.link = wire::peer_link::dial(
-        address, {[this, address] { this->opened(address); },
-                  [this, address](wire::message said) {
-                      this->receive_outbound(address, std::move(said));
-                  },
-                  [this, address](const std::string& reason) { this->lost(address, reason); }});
+        address,
+        {[this, address] { this->opened(address); },
+         [this, address](wire::message said) { this->receive_outbound(address, std::move(said)); },
+         [this, address](const std::string& reason) { this->lost(address, reason); }});
 }
 
 void peers::opened(const endpoint& address) {
@@ -119,9 +117,8 @@
 void peers::tend_links() {
     const time_point now = this->own.time->now();
     this->retired.clear();
-    std::erase_if(this->dialled, [](const auto& item) {
-        return item.second.is_on_demand && !item.second.link;
-    });
+    std::erase_if(this->dialled,
+                  [](const auto& item) { return item.second.is_on_demand && !item.second.link; });
     for (auto& [address, peer] : this->dialled) {
         if (!peer.link && peer.retry_at <= now) {
             this->dial(peer);
@@ -143,14 +140,13 @@
     inbound& peer = this->accepted[number];
     peer.last_heard = this->own.time->now();
     peer.link = wire::peer_link::accept(
-        connection, {[this, number] { this->accepted.at(number).link->send(this->make_hello()); },
-                     [this, number](wire::message said) {
-                         this->receive_inbound(number, std::move(said));
-                     },
-                     [this, number](const std::string& reason) {
-                         spdlog::debug("inbound link ended reason=\"{}\"", reason);
-                         this->retired.push_back(std::move(this->accepted.at(number).link));
-                     }});
+        connection,
+        {[this, number] { this->accepted.at(number).link->send(this->make_hello()); },
+         [this, number](wire::message said) { this->receive_inbound(number, std::move(said)); },
+         [this, number](const std::string& reason) {
+             spdlog::debug("inbound link ended reason=\"{}\"", reason);
+             this->retired.push_back(std::move(this->accepted.at(number).link));
+         }});
 }
 
 void peers::receive_inbound(std::uint64_t number, wire::message said) {
@@ -257,7 +253,8 @@
     this->in_force_text = told.text;
     for (auto& [address, peer] : this->dialled) {
         if (peer.role == wire::instance_role::keeper && peer.is_open) {
-            peer.link->send(wire::configuration_in_force{this->own.settings.instance, told.version});
+            peer.link->send(
+                wire::configuration_in_force{this->own.settings.instance, told.version});
         }
     }
 }
--- a/packages/entry/internal/service_call.cpp
+++ b/packages/entry/internal/service_call.cpp
@@ -46,23 +46,24 @@
     attempt_answer& kept = *made;
     this->attempts.emplace(attempt, std::move(made));
     kept.call = this->context.client.start(
-        wanted,
-        {[this, attempt] { this->context.tell(requests::attempt_handed{attempt}); },
-         [this, attempt](const http::answer_head& head) { this->attempts.at(attempt)->head = head; },
-         [this, attempt](std::string_view data) {
-             attempt_answer& answer = *this->attempts.at(attempt);
-             answer.body += data;
-             if (answer.body.size() > answer_limit) {
-                 this->end(attempt, http::call_end::broken);
-             }
-         },
-         [this, attempt](http::call_end how, const std::string& reason) {
-             if (how != http::call_end::complete) {
-                 spdlog::warn("attempt failed request={} attempt={} error=\"{}\"",
-                              this->id.value(), attempt.value(), reason);
-             }
-             this->end(attempt, how);
-         }});
+        wanted, {[this, attempt] { this->context.tell(requests::attempt_handed{attempt}); },
+                 [this, attempt](const http::answer_head& head) {
+                     this->attempts.at(attempt)->head = head;
+                 },
+                 [this, attempt](std::string_view data) {
+                     attempt_answer& answer = *this->attempts.at(attempt);
+                     answer.body += data;
+                     if (answer.body.size() > answer_limit) {
+                         this->end(attempt, http::call_end::broken);
+                     }
+                 },
+                 [this, attempt](http::call_end how, const std::string& reason) {
+                     if (how != http::call_end::complete) {
+                         spdlog::warn("attempt failed request={} attempt={} error=\"{}\"",
+                                      this->id.value(), attempt.value(), reason);
+                     }
+                     this->end(attempt, how);
+                 }});
 }
 
 void service_call::end(attempt_id attempt, http::call_end how) {
@@ -79,7 +80,9 @@
     this->context.tell(requests::attempt_failed{attempt, failure});
 }
 
-void service_call::adopt(attempt_id attempt) { this->adopted = attempt; }
+void service_call::adopt(attempt_id attempt) {
+    this->adopted = attempt;
+}
 
 void service_call::cancel(attempt_id attempt) {
     const auto found = this->attempts.find(attempt);
--- a/packages/entry/internal/service_call.h
+++ b/packages/entry/internal/service_call.h
@@ -26,14 +26,13 @@
     service_call(request_id id, service_request request, call_context& context,
                  std::function<void(const requests::recorded_answer&)> ended);
     ~service_call();
-    service_call(service_call&&) = delete;
-    service_call& operator=(service_call&&) = delete;
+    service_call(const service_call&) = delete;
+    service_call& operator=(const service_call&) = delete;
 
     /// One more waits for the answer.
     void add_sink(std::unique_ptr<answer_sink> sink);
 
-    void start_attempt(const requests::send_attempt& sent,
-                       const membership::target_record& target);
+    void start_attempt(const requests::send_attempt& sent, const membership::target_record& target);
     void adopt(attempt_id attempt);
     void cancel(attempt_id attempt);
     void complete();
--- a/packages/entry/internal/service_request.cpp
+++ b/packages/entry/internal/service_request.cpp
@@ -10,11 +10,20 @@
 
 namespace {
 
-constexpr std::array hop_by_hop{"connection",       "keep-alive",          "proxy-authenticate",
-                                "te",               "proxy-authorization", "trailer",
-                                "transfer-encoding", "upgrade",            "host",
-                                "content-length",   "expect",              "idempotency-key",
-                                "date",             "server"};
+constexpr std::array hop_by_hop{"connection",
+                                "keep-alive",
+                                "proxy-authenticate",
+                                "te",
+                                "proxy-authorization",
+                                "trailer",
+                                "transfer-encoding",
+                                "upgrade",
+                                "host",
+                                "content-length",
+                                "expect",
+                                "idempotency-key",
+                                "date",
+                                "server"};
 constexpr const char* own_prefix = "kingcupcart-";
 
 std::string lowered(std::string text) {
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -60,7 +60,8 @@
     state(const request& wanted, callbacks tell, std::shared_ptr<connection_table> connections)
         : connections(std::move(connections)),
           message(soup_message_new(wanted.method.c_str(), wanted.url.c_str())),
-          cancellable(g_cancellable_new()), tell(std::move(tell)) {
+          cancellable(g_cancellable_new()),
+          tell(std::move(tell)) {
         if (!this->message) {
             return;
         }
@@ -80,8 +81,8 @@
             const char* listed = soup_message_headers_get_one(headers, "Content-Type");
             const std::string type =
                 wanted.content_type.empty() && listed != nullptr ? listed : wanted.content_type;
-            soup_message_set_request_body_from_bytes(
-                this->message.get(), type.empty() ? nullptr : type.c_str(), body);
+            soup_message_set_request_body_from_bytes(this->message.get(),
+                                                     type.empty() ? nullptr : type.c_str(), body);
             g_bytes_unref(body);
         }
         g_signal_connect(this->message.get(), "starting", G_CALLBACK(&state::starting), this);
@@ -129,8 +130,8 @@
         return kept;
     }
 
-    static void network_event(SoupMessage* /*message*/, GSocketClientEvent event,
-                              GIOStream* stream, gpointer data) {
+    static void network_event(SoupMessage* /*message*/, GSocketClientEvent event, GIOStream* stream,
+                              gpointer data) {
         if (event == G_SOCKET_CLIENT_COMPLETE && G_IS_SOCKET_CONNECTION(stream)) {
             GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
             static_cast<state*>(data)->new_socket = task::g_pointer<GSocket>::share(socket);
@@ -172,8 +173,8 @@
             return;
         }
         g_input_stream_read_async(this->input.get(), this->buffer.data(), this->buffer.size(),
-                                  G_PRIORITY_DEFAULT, this->cancellable.get(), &state::data_received,
-                                  this->hold());
+                                  G_PRIORITY_DEFAULT, this->cancellable.get(),
+                                  &state::data_received, this->hold());
     }
 
     void end_of_answer() {
@@ -222,15 +223,18 @@
 
 client::call::call(std::shared_ptr<state> made) : self(std::move(made)) {}
 
-client::call::~call() { this->self->cancel(); }
+client::call::~call() {
+    this->self->cancel();
+}
 
 client::client() : self(std::make_unique<sessions>()) {}
 
-client::~client() { soup_session_abort(this->self->session.get()); }
+client::~client() {
+    soup_session_abort(this->self->session.get());
+}
 
 std::unique_ptr<client::call> client::start(const request& wanted, callbacks tell) {
-    auto made = std::make_shared<call::state>(wanted, std::move(tell),
-                                              this->self->connections);
+    auto made = std::make_shared<call::state>(wanted, std::move(tell), this->self->connections);
     if (made->is_valid()) {
         made->start(this->self->session.get());
     } else {
--- a/packages/http/internal/exchange.cpp
+++ b/packages/http/internal/exchange.cpp
@@ -153,11 +153,13 @@
     return host == nullptr ? "" : host;
 }
 
-void exchange::on_left(std::function<void()> callback) { this->self->left = std::move(callback); }
+void exchange::on_left(std::function<void()> callback) {
+    this->self->left = std::move(callback);
+}
 
 void exchange::add_header(const char* name, const std::string& value) {
-    soup_message_headers_append(
-        soup_server_message_get_response_headers(this->self->message.get()), name, value.c_str());
+    soup_message_headers_append(soup_server_message_get_response_headers(this->self->message.get()),
+                                name, value.c_str());
 }
 
 void exchange::respond(int status, const std::string& content_type, std::string_view body) {
@@ -200,6 +202,8 @@
     this->self->resume();
 }
 
-bool exchange::is_streaming() const { return this->self->is_streaming; }
+bool exchange::is_streaming() const {
+    return this->self->is_streaming;
+}
 
 } // namespace kingcupcart::http
--- a/packages/http/internal/server.cpp
+++ b/packages/http/internal/server.cpp
@@ -21,8 +21,8 @@
     const task::g_pointer<GSocketAddress> wanted(
         g_inet_socket_address_new_from_string(address.address.c_str(), address.port));
     GError* problem = nullptr;
-    const gboolean is_bound = soup_server_listen(
-        soup.get(), wanted.get(), static_cast<SoupServerListenOptions>(0), &problem);
+    const gboolean is_bound = soup_server_listen(soup.get(), wanted.get(),
+                                                 static_cast<SoupServerListenOptions>(0), &problem);
     if (is_bound == FALSE) {
         const std::string message = problem->message;
         g_error_free(problem);
@@ -37,8 +37,7 @@
 }
 
 server::server(SoupServer* soup, endpoint bound, std::int64_t body_limit, handler requested)
-    : soup(soup), bound(std::move(bound)), body_limit(body_limit),
-      requested(std::move(requested)) {
+    : soup(soup), bound(std::move(bound)), body_limit(body_limit), requested(std::move(requested)) {
     soup_server_add_early_handler(this->soup, nullptr, &server::arriving, this, nullptr);
     soup_server_add_handler(this->soup, nullptr, &server::arrived, this, nullptr);
     g_signal_connect(this->soup, "request-started", G_CALLBACK(&server::request_started), this);
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -18,8 +18,8 @@
 public:
     using handler = std::function<void(std::unique_ptr<exchange>)>;
 
-    /// Fails with `input_output` where the address can't be bound. A body over `body_limit` bytes is
-    /// refused with status 413.
+    /// Fails with `input_output` where the address can't be bound. A body over `body_limit` bytes
+    /// is refused with status 413.
     static outcome<std::unique_ptr<server>> open(const endpoint& address, std::int64_t body_limit,
                                                  handler requested);
 
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -72,20 +72,19 @@
                      (address.empty() ? this->serving->address().to_string() : address) + "/a?b=c";
         wanted.content_type = "text/plain";
         wanted.body = body;
-        this->call = this->calling->start(
-            wanted, {[this] { this->handed = true; },
-                     [this](const answer_head& got) {
-                         this->head = got;
-                         this->loop.quit();
-                     },
-                     [this](std::string_view part) {
-                         this->data += part;
-                         this->loop.quit();
-                     },
-                     [this](call_end how, const std::string&) {
-                         this->end = how;
-                         this->loop.quit();
-                     }});
+        this->call = this->calling->start(wanted, {[this] { this->handed = true; },
+                                                   [this](const answer_head& got) {
+                                                       this->head = got;
+                                                       this->loop.quit();
+                                                   },
+                                                   [this](std::string_view part) {
+                                                       this->data += part;
+                                                       this->loop.quit();
+                                                   },
+                                                   [this](call_end how, const std::string&) {
+                                                       this->end = how;
+                                                       this->loop.quit();
+                                                   }});
         this->loop.run();
     }
 
@@ -144,14 +143,18 @@
             }
             play.pending.reset();
             play.run_to_end();
-            THEN("the call is broken, not complete") { CHECK(play.end == call_end::broken); }
+            THEN("the call is broken, not complete") {
+                CHECK(play.end == call_end::broken);
+            }
         }
         WHEN("the caller goes before the answer") {
             play.call.reset();
             while (!play.left && !play.timed_out) {
                 play.loop.run();
             }
-            THEN("the server is told") { CHECK(play.left); }
+            THEN("the server is told") {
+                CHECK(play.left);
+            }
         }
         WHEN("the caller goes in the middle of a stream") {
             play.pending->begin_stream(200, "text/plain");
@@ -163,7 +166,9 @@
             while (!play.left && !play.timed_out) {
                 play.loop.run();
             }
-            THEN("the server is told") { CHECK(play.left); }
+            THEN("the server is told") {
+                CHECK(play.left);
+            }
         }
     }
     GIVEN("a body over the limit") {
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -75,8 +75,7 @@
     const std::uint64_t number = ++this->last_member;
     this->members[number].link = wire::peer_link::accept(
         connection,
-        {[] {},
-         [this, number](wire::message said) { this->receive(number, std::move(said)); },
+        {[] {}, [this, number](wire::message said) { this->receive(number, std::move(said)); },
          [this, number](const std::string& reason) {
              member& gone = this->members.at(number);
              spdlog::info("link lost instance={} reason=\"{}\"", gone.hello.instance.value(),
@@ -115,8 +114,7 @@
         const bool is_other = other.link && other.hello.instance != joined.hello.instance;
         if (is_other && !other.hello.instance.value().empty()) {
             other.link->send(news);
-            joined.link->send(
-                wire::instance_news{{other.hello.instance, other.hello.address}});
+            joined.link->send(wire::instance_news{{other.hello.instance, other.hello.address}});
         }
     }
 }
--- a/packages/keeper/internal/keeper_module.cpp
+++ b/packages/keeper/internal/keeper_module.cpp
@@ -15,9 +15,8 @@
     /// A sending end for one of the messages that the task understands.
     template <typename Message>
     [[nodiscard]] task::sender<Message> sender_of() const {
-        return task::sender<Message>([to = this->keeper_task.address()](Message said) {
-            return to.post(std::move(said));
-        });
+        return task::sender<Message>(
+            [to = this->keeper_task.address()](Message said) { return to.post(std::move(said)); });
     }
 
     system_clock time;
@@ -28,17 +27,21 @@
 outcome<std::unique_ptr<keeper_module>>
 keeper_module::start(const settings::process_settings& settings) {
     auto made = std::make_unique<state>();
-    BOOST_LEAF_AUTO(running, task::start_task(made->keeper_task,
-                                              {settings, new_incarnation(), &made->time}));
+    BOOST_LEAF_AUTO(
+        running, task::start_task(made->keeper_task, {settings, new_incarnation(), &made->time}));
     made->links = running->address();
     return std::unique_ptr<keeper_module>(new keeper_module(std::move(made)));
 }
 
 keeper_module::keeper_module(std::unique_ptr<state> made) : self(std::move(made)) {}
 
-keeper_module::~keeper_module() { this->self->keeper_task.stop(); }
+keeper_module::~keeper_module() {
+    this->self->keeper_task.stop();
+}
 
-endpoint keeper_module::link_address() const { return this->self->links; }
+endpoint keeper_module::link_address() const {
+    return this->self->links;
+}
 
 task::sender<admin::report_asked> keeper_module::reports() const {
     return this->self->sender_of<admin::report_asked>();
--- a/packages/replicated/tests/replicated_test.cpp
+++ b/packages/replicated/tests/replicated_test.cpp
@@ -52,10 +52,12 @@
 SCENARIO("a made-up key gets one home") {
     replicated_state state;
     const auto claim = [&](const char* home, wall_seconds at) {
-        return std::get<claim_result>(state.apply(
-            claim_key{idempotency_key("k"), instance_id(home), incarnation_id(1), at}));
+        return std::get<claim_result>(
+            state.apply(claim_key{idempotency_key("k"), instance_id(home), incarnation_id(1), at}));
     };
     CHECK(claim("a", 0s).home == instance_id("a"));
     CHECK(claim("b", 1h).home == instance_id("a"));
-    THEN("until it is forgotten") { CHECK(claim("b", 25h).home == instance_id("b")); }
+    THEN("until it is forgotten") {
+        CHECK(claim("b", 25h).home == instance_id("b"));
+    }
 }
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -72,11 +72,17 @@
     this->self->router.record_cached(target, blocks, now);
 }
 
-void dispatcher::set_instances(int count) { this->self->router.set_instances(count); }
+void dispatcher::set_instances(int count) {
+    this->self->router.set_instances(count);
+}
 
-void dispatcher::begin_stop() { this->self->stopping = true; }
+void dispatcher::begin_stop() {
+    this->self->stopping = true;
+}
 
-std::optional<time_point> dispatcher::next_wakeup() const { return this->self->timers.next(); }
+std::optional<time_point> dispatcher::next_wakeup() const {
+    return this->self->timers.next();
+}
 
 bool dispatcher::has_request(request_id request) const {
     return this->self->requests.contains(request);
@@ -86,7 +92,9 @@
     return this->self->router.running_on(target);
 }
 
-std::size_t dispatcher::open_requests() const { return this->self->requests.size(); }
+std::size_t dispatcher::open_requests() const {
+    return this->self->requests.size();
+}
 
 std::size_t dispatcher::queued_requests() const {
     std::size_t count = 0;
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -16,7 +16,8 @@
 } // namespace
 
 dispatcher::state::state(location here, dispatcher_limits limits, std::uint64_t seed)
-    : limits(limits), router(std::move(here), limits.routing, seed),
+    : limits(limits),
+      router(std::move(here), limits.routing, seed),
       budget(limits.retry_share, limits.retry_burst) {}
 
 void dispatcher::state::on(const request_arrived& arrived) {
@@ -38,8 +39,7 @@
         this->requests.insert_or_assign(arrived.profile.id, std::move(request)).first->second;
     this->timers.add({kept.deadline, timer_queue::purpose::deadline, kept.profile.id});
     // Nobody overtakes those who wait in the same class.
-    const auto& waiting =
-        this->queues[kept.profile.backend].of_class(known_class->second).waiting;
+    const auto& waiting = this->queues[kept.profile.backend].of_class(known_class->second).waiting;
     if (!waiting.empty()) {
         this->enqueue(kept);
         return;
@@ -279,8 +279,8 @@
     if (!request.profile.resumable || request.attempts > 1) {
         return;
     }
-    this->timers.add({this->now + this->stall_delay(request), timer_queue::purpose::stall,
-                      request.profile.id});
+    this->timers.add(
+        {this->now + this->stall_delay(request), timer_queue::purpose::stall, request.profile.id});
 }
 
 duration dispatcher::state::stall_delay(const request_state& request) const {
@@ -340,8 +340,8 @@
     if (request.profile.outlives_caller && request.handed) {
         if (!request.caller_gone) {
             request.caller_gone = true;
-            this->output.push_back(refuse_request{request.profile.id, outcome_kind::unknown,
-                                                  refusal_reason::deadline_passed, {}});
+            this->output.push_back(refuse_request{
+                request.profile.id, outcome_kind::unknown, refusal_reason::deadline_passed, {}});
         }
         return;
     }
--- a/packages/requests/internal/key_registry.cpp
+++ b/packages/requests/internal/key_registry.cpp
@@ -18,7 +18,9 @@
 
 key_registry::key_registry(instance_id home, incarnation_id incarnation, duration key_time,
                            std::size_t bytes_limit)
-    : home(std::move(home)), incarnation(incarnation), key_time(key_time),
+    : home(std::move(home)),
+      incarnation(incarnation),
+      key_time(key_time),
       bytes_limit(bytes_limit) {}
 
 issued_key key_registry::issue(time_point now) {
@@ -67,7 +69,9 @@
     known->second.answer = std::move(answer);
 }
 
-void key_registry::release(const idempotency_key& key) { this->entries.erase(key); }
+void key_registry::release(const idempotency_key& key) {
+    this->entries.erase(key);
+}
 
 bool key_registry::is_home_of(const issued_key& key) const {
     return key.home == this->home && key.incarnation == this->incarnation;
--- a/packages/requests/key_registry.h
+++ b/packages/requests/key_registry.h
@@ -37,9 +37,9 @@
     const recorded_answer* answer = nullptr;
 };
 
-/// Runs each key at most once on its home instance. Outcomes are kept in memory for `key_time` after
-/// the key was issued or claimed; an older key is refused, never run, so that forgetting an outcome
-/// cannot lead to a second run.
+/// Runs each key at most once on its home instance. Outcomes are kept in memory for `key_time`
+/// after the key was issued or claimed; an older key is refused, never run, so that forgetting an
+/// outcome cannot lead to a second run.
 class key_registry {
 public:
     key_registry(instance_id home, incarnation_id incarnation, duration key_time,
--- a/packages/requests/tests/requests_test.cpp
+++ b/packages/requests/tests/requests_test.cpp
@@ -133,7 +133,9 @@
         }
         AND_WHEN("that one can't be reached either") {
             plot.tell(attempt_failed{plot.sent(), attempt_failure::unreachable});
-            THEN("not run is the truth") { CHECK(plot.refused() == outcome_kind::not_run); }
+            THEN("not run is the truth") {
+                CHECK(plot.refused() == outcome_kind::not_run);
+            }
         }
     }
     GIVEN("it was handed over") {
@@ -148,7 +150,9 @@
         WHEN("the answer is long in coming") {
             plot.now += 9s;
             plot.tell(time_passed{});
-            THEN("there is no hedge") { CHECK(plot.latest.empty()); }
+            THEN("there is no hedge") {
+                CHECK(plot.latest.empty());
+            }
         }
         WHEN("its deadline passes") {
             plot.now += 10s;
--- a/packages/routing/internal/prefix_index.cpp
+++ b/packages/routing/internal/prefix_index.cpp
@@ -16,7 +16,9 @@
     }
 }
 
-void prefix_index::forget(prefix_hash block) { this->entries.erase(block); }
+void prefix_index::forget(prefix_hash block) {
+    this->entries.erase(block);
+}
 
 void prefix_index::forget(const target_id& target) {
     std::erase_if(this->entries, [&](const auto& item) { return item.second.target == target; });
--- a/packages/routing/internal/router.cpp
+++ b/packages/routing/internal/router.cpp
@@ -15,9 +15,13 @@
 router::router(router&&) noexcept = default;
 router& router::operator=(router&&) noexcept = default;
 
-void router::update_target(const target_profile& profile) { this->self->update_target(profile); }
+void router::update_target(const target_profile& profile) {
+    this->self->update_target(profile);
+}
 
-void router::remove_target(const target_id& target) { this->self->remove_target(target); }
+void router::remove_target(const target_id& target) {
+    this->self->remove_target(target);
+}
 
 void router::reset_target(const target_id& target) {
     target_state* known = this->self->find(target);
@@ -30,7 +34,9 @@
     known->health = target_health{};
 }
 
-void router::set_instances(int count) { this->self->instances = std::max(1, count); }
+void router::set_instances(int count) {
+    this->self->instances = std::max(1, count);
+}
 
 route_choice router::choose(const route_query& query, time_point now) {
     return this->self->choose(query, now);
--- a/packages/routing/internal/router_state.cpp
+++ b/packages/routing/internal/router_state.cpp
@@ -26,8 +26,10 @@
 } // namespace
 
 router::state::state(location here, router_limits limits, std::uint64_t seed)
-    : here(std::move(here)), limits(limits),
-      prefixes(limits.prefix_entries_max, limits.prefix_age_max), random(seed) {}
+    : here(std::move(here)),
+      limits(limits),
+      prefixes(limits.prefix_entries_max, limits.prefix_age_max),
+      random(seed) {}
 
 void router::state::update_target(const target_profile& profile) {
     target_state* known = this->find(profile.id);
@@ -79,8 +81,8 @@
     if (found == this->pools.end()) {
         return route_choice{};
     }
-    choice_context context{query, found->second, now, this->prefixes.find(query.prefix, now),
-                           {},    {},            false, false};
+    choice_context context{query, found->second, now,  this->prefixes.find(query.prefix, now), {},
+                           {},    false,         false};
     candidate best;
     for (const distance where :
          {distance::own_domain, distance::own_region, distance::other_region}) {
@@ -92,7 +94,8 @@
         here_best.score += cost;
         if (here_best.target != nullptr &&
             (best.target == nullptr || here_best.score < best.score)) {
-            here_best.reason = best.target == nullptr ? here_best.reason : route_reason::spilled_over;
+            here_best.reason =
+                best.target == nullptr ? here_best.reason : route_reason::spilled_over;
             best = here_best;
         }
     }
--- a/packages/routing/internal/target_health.cpp
+++ b/packages/routing/internal/target_health.cpp
@@ -32,7 +32,9 @@
     return this->current == state::ejected && now >= this->ejected_until;
 }
 
-void target_health::start_trial() { this->current = state::on_trial; }
+void target_health::start_trial() {
+    this->current = state::on_trial;
+}
 
 void target_health::pass_trial() {
     this->current = state::in_use;
--- a/packages/routing/tests/routing_test.cpp
+++ b/packages/routing/tests/routing_test.cpp
@@ -84,7 +84,9 @@
         subject.update_target(target("a"));
         subject.update_target(target("b"));
         subject.record_load_report(target_id("a"), {10, 0});
-        THEN("it counts") { CHECK(subject.choose(query(), {}).target == target_id("b")); }
+        THEN("it counts") {
+            CHECK(subject.choose(query(), {}).target == target_id("b"));
+        }
     }
 }
 
--- a/packages/settings/internal/ini_document.cpp
+++ b/packages/settings/internal/ini_document.cpp
@@ -60,8 +60,7 @@
             if (value == nullptr) {
                 const std::string message = problem->message;
                 g_error_free(problem);
-                return fail(error_code::invalid_input,
-                            document.place(group, key) + ": " + message);
+                return fail(error_code::invalid_input, document.place(group, key) + ": " + message);
             }
             entry.value = trimmed(value.get());
         }
@@ -82,9 +81,9 @@
         if (content.front() == '[' && content.back() == ']') {
             group = content.substr(1, content.size() - 2);
             if (this->contents.contains(group)) {
-                return fail(error_code::invalid_input, here + "group [" + group +
-                                                           "] stands twice, first on line " +
-                                                           std::to_string(this->contents[group].line));
+                return fail(error_code::invalid_input,
+                            here + "group [" + group + "] stands twice, first on line " +
+                                std::to_string(this->contents[group].line));
             }
             this->contents[group].line = number;
             this->group_names.push_back(group);
@@ -97,7 +96,8 @@
         }
         const std::string key = trimmed(content.substr(0, equals));
         if (group.empty()) {
-            return fail(error_code::invalid_input, here + "'" + key + "' stands before any [group]");
+            return fail(error_code::invalid_input,
+                        here + "'" + key + "' stands before any [group]");
         }
         auto& entries = this->contents[group].entries;
         if (entries.contains(key)) {
--- a/packages/settings/internal/ini_section.cpp
+++ b/packages/settings/internal/ini_section.cpp
@@ -40,7 +40,8 @@
     }
     const auto number = parse_integer(text.substr(0, digits_end));
     const auto unit_begin = text.find_first_not_of(' ', digits_end);
-    const std::string unit = text.substr(unit_begin == std::string::npos ? text.size() : unit_begin);
+    const std::string unit =
+        text.substr(unit_begin == std::string::npos ? text.size() : unit_begin);
     const auto known = std::find_if(time_units.begin(), time_units.end(),
                                     [&](const time_unit& one) { return unit == one.name; });
     if (!number || known == time_units.end() ||
@@ -84,7 +85,8 @@
 
 boost::leaf::error_id ini_section::refuse(const std::string& key,
                                           const std::string& message) const {
-    return fail(error_code::invalid_input, this->document->place(this->group, key) + ": " + message);
+    return fail(error_code::invalid_input,
+                this->document->place(this->group, key) + ": " + message);
 }
 
 outcome<std::string> ini_section::text(const std::string& key) {
@@ -101,7 +103,7 @@
 
 outcome<std::string> ini_section::choice_or(const std::string& key, const std::string& fallback,
                                             const std::vector<std::string>& allowed) {
-    const std::string value = this->take(key).value_or(fallback);
+    std::string value = this->take(key).value_or(fallback);
     if (std::find(allowed.begin(), allowed.end(), value) == allowed.end()) {
         return this->refuse(key, "'" + value + "' is not one of " + joined(allowed));
     }
@@ -142,8 +144,9 @@
     }
     const auto parsed = parse_duration(*value);
     if (!parsed) {
-        return this->refuse(key, "'" + *value + "' is not a number with a unit, such as 250ms; "
-                                                "units are us, ms, s, min, h, d");
+        return this->refuse(key, "'" + *value +
+                                     "' is not a number with a unit, such as 250ms; "
+                                     "units are us, ms, s, min, h, d");
     }
     if (*parsed < range.least || *parsed > range.most) {
         return this->refuse(key, "'" + *value + "' is not within " + print_duration(range.least) +
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -18,9 +18,9 @@
     BOOST_LEAF_ASSIGN(read.address, section.address("address"));
     BOOST_LEAF_ASSIGN(read.peers, section.addresses("peers"));
     BOOST_LEAF_ASSIGN(read.keepers, section.addresses("keepers"));
-    BOOST_LEAF_ASSIGN(read.target_lease,
-                      section.duration_or("target-lease", read.target_lease,
-                                          {std::chrono::milliseconds(200), std::chrono::minutes(5)}));
+    BOOST_LEAF_ASSIGN(read.target_lease, section.duration_or("target-lease", read.target_lease,
+                                                             {std::chrono::milliseconds(200),
+                                                              std::chrono::minutes(5)}));
     BOOST_LEAF_ASSIGN(read.body_limit,
                       section.integer_or("body-limit", read.body_limit, {1024, body_limit_max}));
     BOOST_LEAF_ASSIGN(read.key_time,
@@ -38,10 +38,9 @@
     BOOST_LEAF_ASSIGN(read.members, section.list("members"));
     for (const std::string& member : read.members) {
         const auto at = member.find('@');
-        const bool has_address =
-            at != std::string::npos && at > 0 &&
-            std::holds_alternative<endpoint>(
-                value_or_error([&] { return parse_endpoint(member.substr(at + 1)); }));
+        const bool has_address = at != std::string::npos && at > 0 &&
+                                 std::holds_alternative<endpoint>(value_or_error(
+                                     [&] { return parse_endpoint(member.substr(at + 1)); }));
         if (!has_address) {
             return section.refuse("members", "'" + member + "' is not such as k1@127.0.0.1:7000");
         }
@@ -55,9 +54,9 @@
     ini_section section(document, "log");
     BOOST_LEAF_AUTO(format, section.choice_or("format", "text", {"text", "json"}));
     read.format = format == "json" ? telemetry::log_format::json : telemetry::log_format::text;
-    BOOST_LEAF_ASSIGN(read.log_level,
-                      section.choice_or("level", "info",
-                                        {"trace", "debug", "info", "warn", "error", "off"}));
+    BOOST_LEAF_ASSIGN(
+        read.log_level,
+        section.choice_or("level", "info", {"trace", "debug", "info", "warn", "error", "off"}));
     return section.finish();
 }
 
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -54,14 +54,17 @@
     CHECK_FALSE(settings.keeper);
 }
 
-SCENARIO("settings that are wrong are refused with file, line, group, key and what would be right") {
+SCENARIO(
+    "settings that are wrong are refused with file, line, group, key and what would be right") {
     GIVEN("an unknown key") {
-        CHECK(message_for(replaced("target-lease", "target-lese")).starts_with(
-            "daemon.ini:12: [entry] target-lese: unknown key; known here: address, body-limit"));
+        CHECK(message_for(replaced("target-lease", "target-lese"))
+                  .starts_with("daemon.ini:12: [entry] target-lese: unknown key; known here: "
+                               "address, body-limit"));
     }
     GIVEN("a bad unit") {
-        CHECK(message_for(replaced("6s", "6 parsecs")).starts_with(
-            "daemon.ini:12: [entry] target-lease: '6 parsecs' is not a number with a unit"));
+        CHECK(message_for(replaced("6s", "6 parsecs"))
+                  .starts_with("daemon.ini:12: [entry] target-lease: '6 parsecs' is not a number "
+                               "with a unit"));
     }
     GIVEN("a missing unit") {
         CHECK(message_for(replaced("6s", "6")).find("[entry] target-lease") != std::string::npos);
@@ -83,8 +86,9 @@
               "daemon.ini:5: [instance] roles: 'cook' is not one of entry, keeper");
     }
     GIVEN("an unknown group") {
-        CHECK(message_for(good + "[entree]\n").starts_with(
-            "daemon.ini:13: [entree]: unknown group; expected one of [instance]"));
+        CHECK(
+            message_for(good + "[entree]\n")
+                .starts_with("daemon.ini:13: [entree]: unknown group; expected one of [instance]"));
     }
     GIVEN("a key that stands twice") {
         CHECK(message_for(good + "target-lease = 7s\n") ==
--- a/packages/task/internal/event_loop.cpp
+++ b/packages/task/internal/event_loop.cpp
@@ -10,12 +10,20 @@
     g_main_context_unref(this->main_context);
 }
 
-void event_loop::run() { g_main_loop_run(this->loop); }
+void event_loop::run() {
+    g_main_loop_run(this->loop);
+}
 
-void event_loop::quit() { g_main_loop_quit(this->loop); }
+void event_loop::quit() {
+    g_main_loop_quit(this->loop);
+}
 
-void event_loop::enter() { g_main_context_push_thread_default(this->main_context); }
+void event_loop::enter() {
+    g_main_context_push_thread_default(this->main_context);
+}
 
-void event_loop::leave() { g_main_context_pop_thread_default(this->main_context); }
+void event_loop::leave() {
+    g_main_context_pop_thread_default(this->main_context);
+}
 
 } // namespace kingcupcart::task
--- a/packages/task/internal/wakeup.cpp
+++ b/packages/task/internal/wakeup.cpp
@@ -38,9 +38,13 @@
     g_source_set_ready_time(this->source, microseconds.count());
 }
 
-void wakeup::arm_now() { g_source_set_ready_time(this->source, at_once); }
+void wakeup::arm_now() {
+    g_source_set_ready_time(this->source, at_once);
+}
 
-void wakeup::disarm() { g_source_set_ready_time(this->source, never); }
+void wakeup::disarm() {
+    g_source_set_ready_time(this->source, never);
+}
 
 gboolean wakeup::dispatch(GSource* source, GSourceFunc /*function*/, gpointer data) {
     g_source_set_ready_time(source, never);
--- a/packages/task/task.h
+++ b/packages/task/task.h
@@ -34,9 +34,8 @@
     bool start(std::function<std::unique_ptr<Handler>()> make) {
         std::promise<bool> started;
         auto has_started = started.get_future();
-        this->thread = std::thread([this, make = std::move(make), &started] {
-            this->run(make, started);
-        });
+        this->thread =
+            std::thread([this, make = std::move(make), &started] { this->run(make, started); });
         const bool is_running = has_started.get();
         if (!is_running) {
             this->thread.join();
@@ -48,9 +47,8 @@
 
     /// A sending end that stays valid, and refuses, after the task has ended.
     [[nodiscard]] sender<message> address() const {
-        return sender<message>([state = this->shared](message incoming) {
-            return state->post(std::move(incoming));
-        });
+        return sender<message>(
+            [state = this->shared](message incoming) { return state->post(std::move(incoming)); });
     }
 
     /// Ends the loop, destroys the handler and joins the thread.
--- a/packages/task/tests/task_test.cpp
+++ b/packages/task/tests/task_test.cpp
@@ -51,7 +51,9 @@
         WHEN("it has ended") {
             const auto address = subject.address();
             subject.stop();
-            THEN("its address refuses") { CHECK_FALSE(address.post(1)); }
+            THEN("its address refuses") {
+                CHECK_FALSE(address.post(1));
+            }
         }
     }
     GIVEN("a handler that can't be made") {
--- a/packages/telemetry/internal/json_line_formatter.cpp
+++ b/packages/telemetry/internal/json_line_formatter.cpp
@@ -10,14 +10,15 @@
 
 namespace {
 
-std::string text_of(spdlog::string_view_t view) { return {view.data(), view.size()}; }
+std::string text_of(spdlog::string_view_t view) {
+    return {view.data(), view.size()};
+}
 
 } // namespace
 
 void json_line_formatter::format(const spdlog::details::log_msg& message,
                                  spdlog::memory_buf_t& line) {
-    const auto milliseconds =
-        std::chrono::time_point_cast<std::chrono::milliseconds>(message.time);
+    const auto milliseconds = std::chrono::time_point_cast<std::chrono::milliseconds>(message.time);
     nlohmann::ordered_json object;
     object["time_ms"] = milliseconds.time_since_epoch().count();
     object["level"] = text_of(spdlog::level::to_string_view(message.level));
--- a/packages/telemetry/internal/metric_set.cpp
+++ b/packages/telemetry/internal/metric_set.cpp
@@ -20,9 +20,9 @@
 constexpr std::array<double, 3> quantiles{0.5, 0.9, 0.99};
 constexpr const char* prefix = "kingcupcart_";
 
-using summary = acc::accumulator_set<
-    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
-                       acc::tag::extended_p_square_quantile_quadratic>>;
+using summary =
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
+                                            acc::tag::extended_p_square_quantile_quadratic>>;
 
 /// `name{a="b"}` with `suffix` put before the labels and `label` put among them.
 std::string series(const std::string& name, const std::string& suffix, const std::string& label) {
@@ -54,7 +54,9 @@
     this->self->counters[name] += by;
 }
 
-void metric_set::set(const std::string& name, double value) { this->self->gauges[name] = value; }
+void metric_set::set(const std::string& name, double value) {
+    this->self->gauges[name] = value;
+}
 
 void metric_set::observe(const std::string& name, duration value) {
     auto known = this->self->summaries.find(name);
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -27,7 +27,9 @@
     instance_news = 10
 };
 
-json number(message_number value) { return static_cast<std::uint8_t>(value); }
+json number(message_number value) {
+    return static_cast<std::uint8_t>(value);
+}
 
 json binary(const std::string& content) {
     return json::binary(std::vector<std::uint8_t>(content.begin(), content.end()));
@@ -57,11 +59,10 @@
     for (const instance_address& one : said.known) {
         known.push_back(json::array({one.id.value(), one.address.address, one.address.port}));
     }
-    return json::array({number(message_number::hello), said.instance.value(),
-                        said.incarnation.value(), said.place.domain.value(),
-                        said.place.region.value(), static_cast<std::uint8_t>(said.role),
-                        said.address.address, said.address.port, std::move(known),
-                        said.in_force.value()});
+    return json::array(
+        {number(message_number::hello), said.instance.value(), said.incarnation.value(),
+         said.place.domain.value(), said.place.region.value(), static_cast<std::uint8_t>(said.role),
+         said.address.address, said.address.port, std::move(known), said.in_force.value()});
 }
 
 json write(const target_news& said) {
@@ -84,8 +85,8 @@
 }
 
 json write(const configuration_news& said) {
-    return json::array({number(message_number::configuration_news), said.version.value(),
-                        binary(said.text)});
+    return json::array(
+        {number(message_number::configuration_news), said.version.value(), binary(said.text)});
 }
 
 json write(const configuration_in_force& said) {
@@ -95,9 +96,9 @@
 
 json write(const call_forwarded& said) {
     return json::array({number(message_number::call_forwarded), said.call, binary(said.key.value()),
-                        said.incarnation.value(), binary(said.caller.value()), binary(said.work_class.value()),
-                        said.service.value(), said.method, binary(said.path),
-                        write_headers(said.headers), binary(said.body)});
+                        said.incarnation.value(), binary(said.caller.value()),
+                        binary(said.work_class.value()), said.service.value(), said.method,
+                        binary(said.path), write_headers(said.headers), binary(said.body)});
 }
 
 json write(const call_answered& said) {
@@ -266,7 +267,8 @@
     shallow_parser parser(fields);
     const bool is_parsed = json::sax_parse(bytes, &parser, json::input_format_t::cbor);
     if (!is_parsed || !fields.is_array() || fields.empty() || !fields[0].is_number_unsigned()) {
-        return fail(error_code::invalid_input, "message is no CBOR array that begins with a number");
+        return fail(error_code::invalid_input,
+                    "message is no CBOR array that begins with a number");
     }
     const auto number = fields[0].get<std::uint64_t>();
     for (const reading& one : readings) {
--- a/packages/wire/internal/link_engine.cpp
+++ b/packages/wire/internal/link_engine.cpp
@@ -159,14 +159,24 @@
 
 link_engine::~link_engine() = default;
 
-void link_engine::start() { this->self->start(); }
+void link_engine::start() {
+    this->self->start();
+}
 
-void link_engine::read(const char* data, std::size_t size) { this->self->read(data, size); }
+void link_engine::read(const char* data, std::size_t size) {
+    this->self->read(data, size);
+}
 
-void link_engine::end_of_input() { this->self->end_of_input(); }
+void link_engine::end_of_input() {
+    this->self->end_of_input();
+}
 
-bool link_engine::send(const std::string& bytes) { return this->self->send(bytes); }
+bool link_engine::send(const std::string& bytes) {
+    return this->self->send(bytes);
+}
 
-void link_engine::close() { this->self->close(); }
+void link_engine::close() {
+    this->self->close();
+}
 
 } // namespace kingcupcart::wire
--- a/packages/wire/internal/peer_link.cpp
+++ b/packages/wire/internal/peer_link.cpp
@@ -29,8 +29,7 @@
 /// Kept alive by each asynchronous operation under way; `is_over` makes their ends harmless.
 class peer_link::state : public std::enable_shared_from_this<peer_link::state> {
 public:
-    explicit state(callbacks tell)
-        : tell(std::move(tell)), cancellable(g_cancellable_new()) {}
+    explicit state(callbacks tell) : tell(std::move(tell)), cancellable(g_cancellable_new()) {}
 
     void dial(const endpoint& remote) {
         this->make_engine(link_engine::side::client, remote.to_string());
@@ -91,7 +90,9 @@
 
     void make_engine(link_engine::side side, const std::string& authority) {
         link_engine::callbacks told;
-        told.write = [this](const char* data, std::size_t size) { this->unsent.append(data, size); };
+        told.write = [this](const char* data, std::size_t size) {
+            this->unsent.append(data, size);
+        };
         told.opened = [this] {
             this->is_open = true;
             this->tell.opened();
@@ -243,16 +244,24 @@
 
 peer_link::peer_link(std::shared_ptr<state> made) : self(std::move(made)) {}
 
-peer_link::~peer_link() { this->self->abandon(); }
+peer_link::~peer_link() {
+    this->self->abandon();
+}
 
 bool peer_link::send(const message& outgoing) {
     return this->self->send(outgoing);
 }
 
-void peer_link::close() { this->self->close(); }
+void peer_link::close() {
+    this->self->close();
+}
 
-std::size_t peer_link::bytes_sent() const { return this->self->sent; }
+std::size_t peer_link::bytes_sent() const {
+    return this->self->sent;
+}
 
-std::size_t peer_link::bytes_received() const { return this->self->received; }
+std::size_t peer_link::bytes_received() const {
+    return this->self->received;
+}
 
 } // namespace kingcupcart::wire
--- a/packages/wire/internal/shallow_parser.h
+++ b/packages/wire/internal/shallow_parser.h
@@ -17,7 +17,9 @@
 
     bool null() { return this->builder.null(); }
     bool boolean(bool value) { return this->builder.boolean(value); }
-    bool number_integer(json::number_integer_t value) { return this->builder.number_integer(value); }
+    bool number_integer(json::number_integer_t value) {
+        return this->builder.number_integer(value);
+    }
     bool number_unsigned(json::number_unsigned_t value) {
         return this->builder.number_unsigned(value);
     }
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -108,8 +108,8 @@
     instance_address instance;
 };
 
-using message = std::variant<hello, target_news, targets_vouched, configuration_news,
-                             configuration_in_force, call_forwarded, call_answered, claim_asked,
-                             claim_told, instance_news>;
+using message =
+    std::variant<hello, target_news, targets_vouched, configuration_news, configuration_in_force,
+                 call_forwarded, call_answered, claim_asked, claim_told, instance_news>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -1,9 +1,9 @@
 #include "task/event_loop.h"
 #include "task/wakeup.h"
 #include "wire/codec.h"
-#include "wire/peer_link.h"
 #include "wire/link_engine.h"
 #include "wire/listener.h"
+#include "wire/peer_link.h"
 
 #include <doctest/doctest.h>
 
@@ -149,14 +149,14 @@
         auto opened = value_or_error([&] {
             return listener::open(endpoint{"127.0.0.1", 0}, [&](GSocketConnection* connection) {
                 accepted = peer_link::accept(connection, {[] {},
-                                                     [&](message said) {
-                                                         at_server.push_back(std::move(said));
-                                                         loop.quit();
-                                                     },
-                                                     [&](const std::string& reason) {
-                                                         server_end = reason;
-                                                         loop.quit();
-                                                     }});
+                                                          [&](message said) {
+                                                              at_server.push_back(std::move(said));
+                                                              loop.quit();
+                                                          },
+                                                          [&](const std::string& reason) {
+                                                              server_end = reason;
+                                                              loop.quit();
+                                                          }});
             });
         });
         REQUIRE(std::holds_alternative<std::unique_ptr<listener>>(opened));
@@ -164,14 +164,16 @@
         CHECK(address.port != 0);
         GIVEN("a peer that speaks the protocol") {
             dialled = peer_link::dial(address, {[&] { dialled->send(sample_hello()); },
-                                           [](message) {}, [](const std::string&) {}});
+                                                [](message) {}, [](const std::string&) {}});
             loop.run();
             REQUIRE(at_server.size() == 1);
             CHECK(std::get<hello>(at_server[0]).instance == instance_id("got-a1-entry-1"));
             WHEN("it goes") {
                 dialled.reset();
                 loop.run();
-                THEN("the other side is told") { CHECK_FALSE(server_end.empty()); }
+                THEN("the other side is told") {
+                    CHECK_FALSE(server_end.empty());
+                }
             }
         }
         GIVEN("a peer that speaks something else") {
@@ -194,10 +196,10 @@
             std::string reason;
             std::get<std::unique_ptr<listener>>(opened).reset();
             dialled = peer_link::dial(address, {[] {}, [](message) {},
-                                           [&](const std::string& why) {
-                                               reason = why;
-                                               loop.quit();
-                                           }});
+                                                [&](const std::string& why) {
+                                                    reason = why;
+                                                    loop.quit();
+                                                }});
             loop.run();
             CHECK(reason.find("refused") != std::string::npos);
         }
--- a/stand_ins/internal/announcer.cpp
+++ b/stand_ins/internal/announcer.cpp
@@ -10,8 +10,11 @@
 
 announcer::announcer(target_options options, std::string kind, std::function<int()> load,
                      std::function<std::uint64_t()> version)
-    : options(std::move(options)), kind(std::move(kind)), load(std::move(load)),
-      version(std::move(version)), incarnation(new_incarnation().value()),
+    : options(std::move(options)),
+      kind(std::move(kind)),
+      load(std::move(load)),
+      version(std::move(version)),
+      incarnation(new_incarnation().value()),
       timer([this] { this->announce(); }) {}
 
 announcer::~announcer() = default;
@@ -54,13 +57,13 @@
     wanted.content_type = "application/json";
     wanted.body = said.dump();
     this->timer.arm(std::chrono::steady_clock::now() + this->options.announce_interval);
-    this->call = this->client.start(wanted, {[] {}, [](const http::answer_head&) {},
-                                             [](std::string_view) {},
-                                             [this](http::call_end how, const std::string&) {
-                                                 if (how != http::call_end::complete) {
-                                                     ++this->next_entry;
-                                                 }
-                                             }});
+    this->call =
+        this->client.start(wanted, {[] {}, [](const http::answer_head&) {}, [](std::string_view) {},
+                                    [this](http::call_end how, const std::string&) {
+                                        if (how != http::call_end::complete) {
+                                            ++this->next_entry;
+                                        }
+                                    }});
 }
 
 } // namespace kingcupcart::stand_ins
--- a/stand_ins/internal/stand_in_engine.cpp
+++ b/stand_ins/internal/stand_in_engine.cpp
@@ -33,12 +33,15 @@
 
 stand_in_engine::stand_in_engine(const engine_options& options)
     : options(options),
-      announcing(options.target, "engine", [this] { return static_cast<int>(this->streams.size()); },
-                 [this] { return this->options.version; }) {}
+      announcing(
+          options.target, "engine", [this] { return static_cast<int>(this->streams.size()); },
+          [this] { return this->options.version; }) {}
 
 stand_in_engine::~stand_in_engine() = default;
 
-void stand_in_engine::handle(message /*incoming*/) { this->announcing.leave(); }
+void stand_in_engine::handle(message /*incoming*/) {
+    this->announcing.leave();
+}
 
 void stand_in_engine::arrived(std::unique_ptr<http::exchange> exchange) {
     const std::string path = exchange->plain_path();
@@ -89,8 +92,7 @@
     } else {
         choice["text"] = text;
     }
-    const json event{{"choices", json::array({choice})},
-                     {"weight_version", this->options.version}};
+    const json event{{"choices", json::array({choice})}, {"weight_version", this->options.version}};
     ++current.position;
     if (!is_last) {
         current.timer->arm(std::chrono::steady_clock::now() + this->options.token_interval);
--- a/stand_ins/internal/stand_in_service.cpp
+++ b/stand_ins/internal/stand_in_service.cpp
@@ -26,14 +26,16 @@
 }
 
 stand_in_service::stand_in_service(const service_options& options)
-    : options(options), announcing(
-                            options.target, "service",
-                            [this] { return static_cast<int>(this->open_calls.size()); },
-                            [] { return std::uint64_t{0}; }) {}
+    : options(options),
+      announcing(
+          options.target, "service", [this] { return static_cast<int>(this->open_calls.size()); },
+          [] { return std::uint64_t{0}; }) {}
 
 stand_in_service::~stand_in_service() = default;
 
-void stand_in_service::handle(message /*incoming*/) { this->announcing.leave(); }
+void stand_in_service::handle(message /*incoming*/) {
+    this->announcing.leave();
+}
 
 void stand_in_service::arrived(std::unique_ptr<http::exchange> exchange) {
     this->retired.clear();
@@ -53,9 +55,8 @@
                               {"method", asked.exchange->method()},
                               {"path", asked.exchange->path()},
                               {"body", asked.exchange->body()}};
-    asked.exchange->respond(
-        status_ok, "application/json",
-        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    asked.exchange->respond(status_ok, "application/json",
+                            body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
     this->retired.push_back(std::move(asked.timer));
     this->open_calls.erase(number);
     if (this->open_calls.empty() && this->idle) {
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -34,8 +34,7 @@
         words.push_back(const_cast<char*>(word.c_str()));
     }
     words.push_back(nullptr);
-    const int failure =
-        posix_spawn(&this->pid, words[0], &actions, nullptr, words.data(), environ);
+    const int failure = posix_spawn(&this->pid, words[0], &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     close(ends[1]);
     this->output = ends[0];
@@ -79,7 +78,9 @@
     return found;
 }
 
-void child_process::signal(int number) const { kill(this->pid, number); }
+void child_process::signal(int number) const {
+    kill(this->pid, number);
+}
 
 int child_process::wait() {
     int status = 0;
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -29,8 +29,7 @@
 
 deployment::deployment() {
     this->loop.enter();
-    std::string pattern =
-        (std::filesystem::temp_directory_path() / "kingcupcart-XXXXXX").string();
+    std::string pattern = (std::filesystem::temp_directory_path() / "kingcupcart-XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
     this->client = std::make_unique<http::client>();
 }
@@ -92,8 +91,8 @@
 
 child_process& deployment::add_service(const std::string& id, child_process& entry,
                                        const std::vector<std::string>& more) {
-    std::vector<std::string> command{STAND_IN_SERVICE, "--id", id, "--backend", "provbok",
-                                     "--entry", entry.value("callers")};
+    std::vector<std::string> command{
+        STAND_IN_SERVICE, "--id", id, "--backend", "provbok", "--entry", entry.value("callers")};
     command.insert(command.end(), more.begin(), more.end());
     this->processes.push_back(std::make_unique<child_process>(command));
     return *this->processes.back();
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 std::string completion(const std::string& prompt, int tokens, bool stream) {
-    return json{{"model", "stylist-lm"}, {"prompt", prompt}, {"max_tokens", tokens},
-                {"stream", stream}}
+    return json{
+        {"model", "stylist-lm"}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", stream}}
         .dump();
 }
 
@@ -59,26 +59,28 @@
         auto& engine = salon.add_engine("g1", first);
         auto& service = salon.add_service("s1", first);
         REQUIRE(salon.has_targets(first, 2));
-        THEN("the second instance knows them too") { CHECK(salon.has_targets(second, 2)); }
+        THEN("the second instance knows them too") {
+            CHECK(salon.has_targets(second, 2));
+        }
         REQUIRE(salon.has_targets(second, 2));
         WHEN("callers post to either instance") {
             for (child_process* entry : {&first, &second}) {
-                const auto plain = salon.call(post(*entry, "/v1/completions",
-                                                   completion("veil", 5, false)));
+                const auto plain =
+                    salon.call(post(*entry, "/v1/completions", completion("veil", 5, false)));
                 CHECK(plain->head.status == 200);
                 CHECK(plain->header("Kingcupcart-Outcome") == "answered");
                 CHECK(whole_text(plain->body) == expected("veil", 5));
                 CHECK(json::parse(plain->body)["weight_versions"] == json::array({1}));
-                const auto stream = salon.call(post(*entry, "/v1/completions",
-                                                    completion("hem", 7, true)));
+                const auto stream =
+                    salon.call(post(*entry, "/v1/completions", completion("hem", 7, true)));
                 CHECK(streamed_text(stream->body) == expected("hem", 7));
                 const auto chat = salon.call(post(
                     *entry, "/v1/chat/completions",
                     R"({"model":"stylist-lm","messages":[{"role":"user","content":"lace"}],"max_tokens":2})"));
                 CHECK(json::parse(chat->body)["choices"][0]["message"]["content"] ==
                       expected("lace", 2));
-                const auto booked = salon.call(post(*entry, "/services/provbok/fittings?day=5",
-                                                    R"({"bride":7})"));
+                const auto booked =
+                    salon.call(post(*entry, "/services/provbok/fittings?day=5", R"({"bride":7})"));
                 CHECK(booked->head.status == 200);
                 CHECK(json::parse(booked->body)["path"] == "/fittings?day=5");
                 CHECK(json::parse(booked->body)["body"] == R"({"bride":7})");
@@ -104,9 +106,9 @@
                 http::request noise;
                 noise.url = "http://" + first.value("entry") + "/not-a-link";
                 CHECK(salon.call(noise)->head.status != 200);
-                CHECK(whole_text(salon.call(post(first, "/v1/completions",
-                                                 completion("veil", 5, false)))
-                                     ->body) == expected("veil", 5));
+                CHECK(whole_text(
+                          salon.call(post(first, "/v1/completions", completion("veil", 5, false)))
+                              ->body) == expected("veil", 5));
             }
         }
         WHEN("an operator looks") {
@@ -118,7 +120,8 @@
             CHECK(kept["keeper"]["instances"].size() == 2);
         }
         WHEN("a caller leaves in the middle of its stream") {
-            auto leaving = salon.begin(post(first, "/v1/completions", completion("veil", 9000, true)));
+            auto leaving =
+                salon.begin(post(first, "/v1/completions", completion("veil", 9000, true)));
             REQUIRE(salon.run_until([&] { return leaving->body.size() > 100; }));
             leaving->call.reset();
             THEN("its work is cancelled at the engine") {
@@ -144,9 +147,9 @@
             REQUIRE(salon.has_targets(first, 3));
             std::vector<std::unique_ptr<caller>> callers;
             for (int i = 0; i < 8; ++i) {
-                callers.push_back(salon.begin(
-                    post(first, "/v1/completions",
-                         completion("prompt " + std::to_string(i), 400, i % 2 == 0))));
+                callers.push_back(
+                    salon.begin(post(first, "/v1/completions",
+                                     completion("prompt " + std::to_string(i), 400, i % 2 == 0))));
             }
             REQUIRE(salon.run_until([&] { return callers[0]->body.size() > 1000; }));
             engine.signal(SIGKILL);
@@ -199,19 +202,23 @@
     REQUIRE(salon.has_targets(entry, 1));
     std::vector<std::unique_ptr<caller>> callers;
     for (int i = 0; i < 20; ++i) {
-        callers.push_back(salon.begin(post(
-            entry, "/v1/completions", completion("p" + std::to_string(i), 300, i % 2 == 0))));
+        callers.push_back(salon.begin(
+            post(entry, "/v1/completions", completion("p" + std::to_string(i), 300, i % 2 == 0))));
     }
     REQUIRE(salon.run_until([&] { return callers[0]->body.size() > 1000; }));
-    GIVEN("SIGTERM to the entry instance under load") { entry.signal(SIGTERM); }
-    GIVEN("SIGTERM to the engine under load") { engine.signal(SIGTERM); }
+    GIVEN("SIGTERM to the entry instance under load") {
+        entry.signal(SIGTERM);
+    }
+    GIVEN("SIGTERM to the engine under load") {
+        engine.signal(SIGTERM);
+    }
     REQUIRE(salon.run_until([&] {
         return std::all_of(callers.begin(), callers.end(),
                            [](const auto& one) { return one->is_over; });
     }));
     for (std::size_t i = 0; i < callers.size(); ++i) {
-        const std::string text = i % 2 == 0 ? streamed_text(callers[i]->body)
-                                            : whole_text(callers[i]->body);
+        const std::string text =
+            i % 2 == 0 ? streamed_text(callers[i]->body) : whole_text(callers[i]->body);
         CHECK(text == expected("p" + std::to_string(i), 300));
     }
 }
