--- a/packages/entry/internal/engine_call.cpp
+++ b/packages/entry/internal/engine_call.cpp
@@ -87,6 +87,7 @@
 void engine_call::take_event(attempt_id attempt, attempt_stream& stream, const std::string& event) {
     if (event == completions::done_data) {
         if (stream.is_finished) {
+            stream.call->drain();
             this->context.tell(requests::attempt_answered{attempt});
         } else {
             this->fail(attempt, requests::attempt_failure::broken);
--- a/packages/entry/internal/front.cpp
+++ b/packages/entry/internal/front.cpp
@@ -105,7 +105,10 @@
                this->run_service(request, born, std::move(sink));
            }),
       context{client, [this](const requests::message& incoming) { this->tell(incoming); }},
-      timers([this] { this->tell(requests::time_passed{}); }),
+      timers([this] {
+          this->armed_for = time_point::max();
+          this->tell(requests::time_passed{});
+      }),
       soft_state([this] { this->renew_soft_state(); }),
       cleaner([this] { this->retired.clear(); }) {}
 
@@ -523,7 +526,10 @@
 }
 
 void front::arm_wakeup() {
-    if (const auto next = this->dispatcher.next_wakeup()) {
+    const auto next = this->dispatcher.next_wakeup();
+    // Arming wakes the loop once more, so it is done for earlier moments only.
+    if (next && *next < this->armed_for) {
+        this->armed_for = *next;
         this->timers.arm(*next);
     }
 }
--- a/packages/entry/internal/front.h
+++ b/packages/entry/internal/front.h
@@ -115,6 +115,8 @@
     std::vector<any_call> retired;
     request_id last_request{0};
     std::function<void()> drained;
+    /// The moment that `timers` waits for.
+    time_point armed_for = time_point::max();
     task::wakeup timers;
     task::wakeup soft_state;
     task::wakeup cleaner;
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -40,6 +40,10 @@
         call(const call&) = delete;
         call& operator=(const call&) = delete;
 
+        /// Reads what is left of the answer without telling, also after this object is gone, so
+        /// that the connection can be used again. A long rest is cut off.
+        void drain();
+
     private:
         friend class client;
         class state;
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -15,6 +15,8 @@
 constexpr int connections_max = 4096;
 constexpr guint idle_limit_seconds = 30;
 constexpr std::size_t read_size = 16384;
+/// Rest of an answer that is worth reading for the sake of its connection, in bytes.
+constexpr std::size_t drain_limit = 65536;
 
 std::string take_message(GError* problem) {
     std::string message = problem->message;
@@ -104,10 +106,18 @@
     }
 
     void cancel() {
+        if (this->is_draining) {
+            return;
+        }
         this->is_over = true;
         g_cancellable_cancel(this->cancellable.get());
     }
 
+    void drain() {
+        this->is_draining = !this->is_over;
+        this->is_over = true;
+    }
+
     [[nodiscard]] bool is_valid() const { return static_cast<bool>(this->message); }
 
     void end(call_end how, const std::string& reason) {
@@ -169,7 +179,7 @@
     }
 
     void read_more() {
-        if (this->is_over) {
+        if (this->is_over && !this->is_draining) {
             return;
         }
         g_input_stream_read_async(this->input.get(), this->buffer.data(), this->buffer.size(),
@@ -177,6 +187,16 @@
                                   &state::data_received, this->hold());
     }
 
+    void drain_part(std::size_t size) {
+        this->drained += size;
+        if (this->drained > drain_limit) {
+            this->is_draining = false;
+            this->cancel();
+            return;
+        }
+        this->read_more();
+    }
+
     void end_of_answer() {
         SoupMessageHeaders* headers = soup_message_get_response_headers(this->message.get());
         const bool is_chunked = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED;
@@ -204,6 +224,10 @@
             self->end_of_answer();
             return;
         }
+        if (self->is_draining) {
+            self->drain_part(static_cast<std::size_t>(size));
+            return;
+        }
         if (!self->is_over) {
             self->tell.data({self->buffer.data(), static_cast<std::size_t>(size)});
             self->read_more();
@@ -219,6 +243,8 @@
     std::array<char, read_size> buffer{};
     bool is_handed = false;
     bool is_over = false;
+    bool is_draining = false;
+    std::size_t drained = 0;
 };
 
 client::call::call(std::shared_ptr<state> made) : self(std::move(made)) {}
@@ -227,6 +253,10 @@
     this->self->cancel();
 }
 
+void client::call::drain() {
+    this->self->drain();
+}
+
 client::client() : self(std::make_unique<sessions>()) {}
 
 client::~client() {
--- a/stand_ins/internal/stand_in_engine.cpp
+++ b/stand_ins/internal/stand_in_engine.cpp
@@ -106,6 +106,7 @@
 
 void stand_in_engine::remove(std::uint64_t number) {
     // The timer may be the one that is calling.
+    this->streams.at(number).timer->disarm();
     this->retired.push_back(std::move(this->streams.at(number).timer));
     this->streams.erase(number);
     if (this->streams.empty() && this->idle) {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -20,6 +20,7 @@
     [[nodiscard]] std::string value(const std::string& key) const;
     /// Lines of output after the ready line, so far.
     [[nodiscard]] std::vector<std::string> lines();
+    [[nodiscard]] int id() const { return this->pid; }
     void signal(int number) const;
     /// Waits for the end; the exit code, or minus the signal.
     int wait();
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -106,6 +106,7 @@
                  [one](std::string_view data) { one->body += data; },
                  [one](http::call_end how, const std::string&) {
                      one->is_over = true;
+                     one->ended = std::chrono::steady_clock::now();
                      one->end = how;
                  }});
     return made;
@@ -117,6 +118,10 @@
     return one;
 }
 
+void deployment::run_once() {
+    g_main_context_iteration(this->loop.context(), TRUE);
+}
+
 bool deployment::run_until(const std::function<bool()>& condition) {
     const auto limit = std::chrono::steady_clock::now() + patience;
     while (!condition()) {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -6,6 +6,7 @@
 #include "process/child_process.h"
 #include "task/event_loop.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,6 +20,7 @@
     http::answer_head head;
     std::string body;
     bool is_over = false;
+    std::chrono::steady_clock::time_point ended;
     http::call_end end = http::call_end::broken;
 
     [[nodiscard]] std::string header(const std::string& name) const;
@@ -44,6 +46,8 @@
     std::unique_ptr<caller> begin(const http::request& wanted);
     /// Makes a call and waits for its end.
     std::unique_ptr<caller> call(const http::request& wanted);
+    /// Lets the loop handle what comes next.
+    void run_once();
     /// Runs the loop until the condition holds; false after the patience of a test.
     bool run_until(const std::function<bool()>& condition);
     /// The status object of an instance, as text.
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -205,7 +205,9 @@
         callers.push_back(salon.begin(
             post(entry, "/v1/completions", completion("p" + std::to_string(i), 300, i % 2 == 0))));
     }
-    REQUIRE(salon.run_until([&] { return callers[0]->body.size() > 1000; }));
+    REQUIRE(salon.run_until([&] {
+        return json::parse(salon.status(entry))["entry"]["open_requests"] == callers.size();
+    }));
     GIVEN("SIGTERM to the entry instance under load") {
         entry.signal(SIGTERM);
     }
