--- a/packages/requests/dispatcher_limits.h
+++ b/packages/requests/dispatcher_limits.h
@@ -19,6 +19,8 @@
     /// A hedge starts after this multiple of the pool's typical time to first output.
     double hedge_ratio = 2.5;
     duration hedge_floor = std::chrono::milliseconds(10);
+    /// How long a run that may not be repeated is waited for after its callers were told `unknown`.
+    duration orphan_time = std::chrono::minutes(2);
     /// A stream that is silent for this long is resumed elsewhere.
     duration stall_floor = std::chrono::milliseconds(60);
     /// Multiple of the typical time between two tokens that counts as a stall.
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -138,7 +138,6 @@
     }
     request_state& request = found->second;
     if (request.profile.outlives_caller && request.handed) {
-        request.caller_gone = true;
         return;
     }
     const backend_name backend = request.profile.backend;
@@ -301,7 +300,7 @@
                                                                 : refusal_reason::target_failed;
     const bool has_attempts = request.attempts < this->limits.attempts_max;
     const bool is_free = failure == attempt_failure::unreachable;
-    if (request.caller_gone || !request.may_run_again() || !has_attempts ||
+    if (request.told_unknown || !request.may_run_again() || !has_attempts ||
         !(is_free || this->budget.spend())) {
         this->refuse(request, reason, retry_after_no_target);
         return;
@@ -389,12 +388,15 @@
 }
 
 void dispatcher::state::expire(request_state& request) {
-    if (request.profile.outlives_caller && request.handed) {
-        if (!request.caller_gone) {
-            request.caller_gone = true;
+    const bool is_orphan = this->now >= request.deadline + this->limits.orphan_time;
+    if (request.profile.outlives_caller && request.handed && !is_orphan) {
+        if (!request.told_unknown) {
+            request.told_unknown = true;
             this->output.push_back(refuse_request{
                 request.profile.id, outcome_kind::unknown, refusal_reason::deadline_passed, {}});
         }
+        this->timers.add({request.deadline + this->limits.orphan_time,
+                          timer_queue::purpose::deadline, request.profile.id});
         return;
     }
     const backend_name backend = request.profile.backend;
--- a/packages/requests/internal/request_state.h
+++ b/packages/requests/internal/request_state.h
@@ -30,8 +30,8 @@
     bool moved = false;
     /// Something of the request was handed to a socket.
     bool handed = false;
-    /// The caller was told `unknown` or left, and the run goes on.
-    bool caller_gone = false;
+    /// The callers were told `unknown`, and the run goes on.
+    bool told_unknown = false;
 
     [[nodiscard]] bool may_run_again() const { return this->profile.repeatable || !this->handed; }
 };
