Add the replicated log of the keepers as a plain decision part

Found by the tests: joins of a first second keeper never committed while the joiner's word was left out for additions too; an emptied keeper that heard heartbeats never asked to join. Not caught by these tests: the leader's shield against the cut off, commit of the current term only, the joiner's excluded word, new disk identifiers (an empty log already keeps such a keeper from voting).

--- /dev/null
+++ b/packages/quorum/internal/replica.cpp
@@ -0,0 +1,561 @@
+#include "quorum/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupcart::quorum {
+
+namespace {
+
+log_index after(log_index index, std::uint64_t by = 1) {
+    return log_index(index.value() + by);
+}
+
+log_index before(log_index index) {
+    return log_index(index.value() - 1);
+}
+
+} // namespace
+
+replica::replica(member self, std::vector<instance_id> others, const stored_state& stored,
+                 replica_limits limits, std::uint64_t seed, time_point now)
+    : self(std::move(self)),
+      others(std::move(others)),
+      limits(limits),
+      random(seed),
+      current_term(stored.term),
+      voted_for(stored.voted_for),
+      snapshot_index(stored.snapshot_index),
+      snapshot_term(stored.snapshot_term),
+      snapshot_voters(stored.snapshot_voters),
+      snapshot_data(stored.snapshot_data),
+      log(stored.entries),
+      commit_index(stored.snapshot_index),
+      applied_index(stored.snapshot_index),
+      now(now) {
+    this->refresh_membership();
+    this->arm_election();
+}
+
+log_index replica::last_index() const {
+    return after(this->snapshot_index, this->log.size());
+}
+
+bool replica::is_voter() const {
+    return this->is_known_voter(this->self);
+}
+
+bool replica::is_known_voter(const member& one) const {
+    const auto& voters = this->latest_membership.voters;
+    return std::find(voters.begin(), voters.end(), one) != voters.end();
+}
+
+const log_entry& replica::entry_at(log_index index) const {
+    return this->log.at(index.value() - this->snapshot_index.value() - 1);
+}
+
+term_number replica::term_at(log_index index) const {
+    if (index == this->snapshot_index) {
+        return this->snapshot_term;
+    }
+    return this->entry_at(index).term;
+}
+
+void replica::refresh_membership() {
+    this->latest_membership = this->snapshot_voters;
+    for (const log_entry& entry : this->log) {
+        if (entry.change) {
+            this->latest_membership = *entry.change;
+        }
+    }
+}
+
+actions replica::found(time_point moment) {
+    this->now = moment;
+    if (this->last_index() > log_index(0)) {
+        return {};
+    }
+    this->current_term = term_number(1);
+    this->voted_for = this->self.id;
+    this->keep_vote_now();
+    log_entry first;
+    first.term = this->current_term;
+    first.change = membership{{this->self}, instance_id()};
+    this->append(first);
+    this->become_leader();
+    this->advance_commit();
+    return std::exchange(this->output, {});
+}
+
+actions replica::handle(const message& incoming, time_point moment) {
+    this->now = moment;
+    std::visit([this](const auto& alternative) { this->on(alternative); }, incoming);
+    return std::exchange(this->output, {});
+}
+
+actions replica::pass_time(time_point moment) {
+    this->now = moment;
+    if (moment < this->wakeup) {
+        return {};
+    }
+    if (this->role == role_kind::leader) {
+        this->check_majority_heard();
+    }
+    if (this->role == role_kind::leader) {
+        this->lead();
+    } else if (this->is_voter()) {
+        this->begin_trial();
+    } else {
+        for (const instance_id& other : this->others) {
+            this->send(other, join_asked{this->self});
+        }
+        this->wakeup = this->now + this->limits.join_interval;
+    }
+    return std::exchange(this->output, {});
+}
+
+replica::proposal replica::propose(const std::string& command, time_point moment) {
+    this->now = moment;
+    if (!this->is_leader()) {
+        return {};
+    }
+    log_entry entry;
+    entry.term = this->current_term;
+    entry.command = command;
+    this->append(entry);
+    const log_index index = this->last_index();
+    for (const auto& [id, state] : this->followers) {
+        this->replicate_to(id);
+    }
+    this->advance_commit();
+    return {index, std::exchange(this->output, {})};
+}
+
+actions replica::compact(log_index index, const std::string& data) {
+    if (index <= this->snapshot_index || index > this->applied_index) {
+        return {};
+    }
+    const auto dropped = static_cast<std::ptrdiff_t>(index.value() - this->snapshot_index.value());
+    for (std::ptrdiff_t i = 0; i < dropped; ++i) {
+        const log_entry& entry = this->log[static_cast<std::size_t>(i)];
+        if (entry.change) {
+            this->snapshot_voters = *entry.change;
+        }
+    }
+    this->snapshot_term = this->term_at(index);
+    this->log.erase(this->log.begin(), this->log.begin() + dropped);
+    this->snapshot_index = index;
+    this->snapshot_data = data;
+    this->output.push_back(keep_snapshot{index, this->snapshot_term, this->snapshot_voters, data});
+    this->output.push_back(keep_entries{after(index), this->log});
+    return std::exchange(this->output, {});
+}
+
+void replica::on(const vote_asked& asked) {
+    const bool hears_leader =
+        !this->known_leader.value().empty() &&
+        (this->is_leader() || this->now - this->leader_heard < this->limits.election_least);
+    vote_told answer;
+    answer.voter = this->self;
+    answer.is_trial = asked.is_trial;
+    if (asked.is_trial) {
+        answer.term = asked.term;
+        answer.is_granted = this->is_voter() && !hears_leader && asked.term > this->current_term &&
+                            this->is_up_to_date(asked);
+        this->send(asked.candidate.id, answer);
+        return;
+    }
+    if (hears_leader) {
+        // One that was cut off must not unseat a leader that others hear.
+        return;
+    }
+    if (asked.term > this->current_term) {
+        this->become_follower(asked.term);
+    }
+    const bool is_free = this->voted_for.value().empty() || this->voted_for == asked.candidate.id;
+    answer.term = this->current_term;
+    answer.is_granted = asked.term == this->current_term && is_free && this->is_voter() &&
+                        this->is_known_voter(asked.candidate) && this->is_up_to_date(asked);
+    if (answer.is_granted) {
+        this->voted_for = asked.candidate.id;
+        this->keep_vote_now();
+        this->arm_election();
+    }
+    this->send(asked.candidate.id, answer);
+}
+
+bool replica::is_up_to_date(const vote_asked& asked) const {
+    const term_number own = this->term_at(this->last_index());
+    return asked.last_term > own ||
+           (asked.last_term == own && asked.last_index >= this->last_index());
+}
+
+void replica::on(const vote_told& told) {
+    if (!told.is_trial && told.term > this->current_term) {
+        this->become_follower(told.term);
+        return;
+    }
+    if (!told.is_granted || !this->is_known_voter(told.voter)) {
+        return;
+    }
+    const bool is_for_trial = this->role == role_kind::trial_candidate && told.is_trial &&
+                              told.term.value() == this->current_term.value() + 1;
+    const bool is_for_election =
+        this->role == role_kind::candidate && !told.is_trial && told.term == this->current_term;
+    if (is_for_trial || is_for_election) {
+        this->votes.insert(told.voter.id);
+        this->count_votes();
+    }
+}
+
+void replica::on(const entries_sent& sent) {
+    if (sent.term < this->current_term) {
+        this->send(sent.leader.id, entries_told{this->current_term, this->self, false, {}});
+        return;
+    }
+    if (sent.term > this->current_term || this->role != role_kind::follower) {
+        this->become_follower(sent.term);
+    }
+    this->known_leader = sent.leader.id;
+    this->leader_heard = this->now;
+    this->arm_election();
+    entries_told answer{this->current_term, this->self, false, this->last_index()};
+    const bool has_previous = sent.previous_index <= this->last_index();
+    if (sent.previous_index < this->snapshot_index) {
+        answer.match = this->snapshot_index;
+    } else if (has_previous && this->term_at(sent.previous_index) == sent.previous_term) {
+        this->take_entries(sent);
+        answer.is_taken = true;
+        answer.match = after(sent.previous_index, sent.entries.size());
+        if (sent.committed > this->commit_index) {
+            this->commit_index = std::min(sent.committed, answer.match);
+            this->apply_committed();
+        }
+    } else if (has_previous) {
+        answer.match = before(sent.previous_index);
+    }
+    this->send(sent.leader.id, answer);
+}
+
+void replica::take_entries(const entries_sent& sent) {
+    std::size_t known = 0;
+    log_index index = after(sent.previous_index);
+    while (known < sent.entries.size() && index <= this->last_index() &&
+           this->term_at(index) == sent.entries[known].term) {
+        ++known;
+        index = after(index);
+    }
+    if (known == sent.entries.size()) {
+        return;
+    }
+    this->log.resize(index.value() - this->snapshot_index.value() - 1);
+    const std::vector<log_entry> fresh(sent.entries.begin() + static_cast<std::ptrdiff_t>(known),
+                                       sent.entries.end());
+    this->log.insert(this->log.end(), fresh.begin(), fresh.end());
+    this->refresh_membership();
+    this->output.push_back(keep_entries{index, fresh});
+}
+
+void replica::on(const entries_told& told) {
+    if (told.term > this->current_term) {
+        this->become_follower(told.term);
+        return;
+    }
+    const auto found = this->followers.find(told.follower.id);
+    if (!this->is_leader() || told.term < this->current_term || found == this->followers.end()) {
+        return;
+    }
+    const auto learner = this->learners.find(told.follower.id);
+    const bool is_right_disk =
+        this->is_known_voter(told.follower) ||
+        (learner != this->learners.end() && learner->second == told.follower);
+    if (!is_right_disk) {
+        return;
+    }
+    progress& state = found->second;
+    state.last_heard = this->now;
+    if (!told.is_taken) {
+        state.next = after(std::min(told.match, before(state.next)));
+        state.next = std::max(state.next, log_index(1));
+        this->replicate_to(told.follower.id);
+        return;
+    }
+    state.match = std::max(state.match, told.match);
+    state.next = std::max(state.next, after(state.match));
+    this->advance_commit();
+    this->admit_learners();
+    if (state.match < this->last_index()) {
+        this->replicate_to(told.follower.id);
+    }
+}
+
+void replica::on(const snapshot_sent& sent) {
+    if (sent.term < this->current_term) {
+        return;
+    }
+    if (sent.term > this->current_term || this->role != role_kind::follower) {
+        this->become_follower(sent.term);
+    }
+    this->known_leader = sent.leader.id;
+    this->leader_heard = this->now;
+    this->arm_election();
+    if (sent.index > this->commit_index) {
+        this->snapshot_index = sent.index;
+        this->snapshot_term = sent.index_term;
+        this->snapshot_voters = sent.voters;
+        this->snapshot_data = sent.data;
+        this->log.clear();
+        this->commit_index = sent.index;
+        this->applied_index = sent.index;
+        this->refresh_membership();
+        this->output.push_back(keep_snapshot{sent.index, sent.index_term, sent.voters, sent.data});
+        this->output.push_back(keep_entries{after(sent.index), {}});
+        this->output.push_back(restore_state{sent.data});
+    }
+    this->send(sent.leader.id,
+               entries_told{this->current_term, this->self, true, this->commit_index});
+}
+
+void replica::on(const join_asked& asked) {
+    if (!this->is_leader() || this->is_known_voter(asked.joining)) {
+        return;
+    }
+    const auto known = this->learners.find(asked.joining.id);
+    if (known != this->learners.end() && known->second == asked.joining) {
+        return;
+    }
+    this->learners.insert_or_assign(asked.joining.id, asked.joining);
+    this->followers.insert_or_assign(asked.joining.id,
+                                     progress{after(this->last_index()), log_index(0), this->now});
+    this->replicate_to(asked.joining.id);
+}
+
+void replica::become_follower(term_number term) {
+    const bool was_leader = this->is_leader();
+    if (term > this->current_term) {
+        this->current_term = term;
+        this->voted_for = instance_id();
+        this->keep_vote_now();
+    }
+    this->role = role_kind::follower;
+    this->known_leader = instance_id();
+    this->followers.clear();
+    this->learners.clear();
+    this->arm_election();
+    if (was_leader) {
+        this->output.push_back(leadership_changed{false});
+    }
+}
+
+void replica::begin_trial() {
+    this->role = role_kind::trial_candidate;
+    this->known_leader = instance_id();
+    this->votes = {this->self.id};
+    this->arm_election();
+    for (const member& voter : this->latest_membership.voters) {
+        if (voter.id != this->self.id) {
+            this->send(voter.id,
+                       vote_asked{term_number(this->current_term.value() + 1), this->self,
+                                  this->last_index(), this->term_at(this->last_index()), true});
+        }
+    }
+    this->count_votes();
+}
+
+void replica::begin_election() {
+    this->role = role_kind::candidate;
+    this->current_term = term_number(this->current_term.value() + 1);
+    this->voted_for = this->self.id;
+    this->keep_vote_now();
+    this->votes = {this->self.id};
+    this->arm_election();
+    for (const member& voter : this->latest_membership.voters) {
+        if (voter.id != this->self.id) {
+            this->send(voter.id, vote_asked{this->current_term, this->self, this->last_index(),
+                                            this->term_at(this->last_index()), false});
+        }
+    }
+    this->count_votes();
+}
+
+void replica::count_votes() {
+    if (!this->has_majority(this->votes, this->latest_membership)) {
+        return;
+    }
+    if (this->role == role_kind::trial_candidate) {
+        this->begin_election();
+    } else if (this->role == role_kind::candidate) {
+        this->become_leader();
+    }
+}
+
+void replica::become_leader() {
+    this->role = role_kind::leader;
+    this->known_leader = this->self.id;
+    this->followers.clear();
+    this->learners.clear();
+    for (const member& voter : this->latest_membership.voters) {
+        if (voter.id != this->self.id) {
+            this->followers[voter.id] = progress{after(this->last_index()), {}, this->now};
+        }
+    }
+    this->output.push_back(leadership_changed{true});
+    // Entries of earlier terms are committed only along with one of this term.
+    log_entry marker;
+    marker.term = this->current_term;
+    this->append(marker);
+    this->advance_commit();
+    this->lead();
+}
+
+void replica::lead() {
+    for (const auto& [id, state] : this->followers) {
+        this->replicate_to(id);
+    }
+    this->wakeup = this->now + this->limits.heartbeat;
+}
+
+void replica::replicate_to(const instance_id& to) {
+    progress& state = this->followers.at(to);
+    const log_index previous = before(state.next);
+    if (previous < this->snapshot_index) {
+        this->send(to,
+                   snapshot_sent{this->current_term, this->self, this->snapshot_index,
+                                 this->snapshot_term, this->snapshot_voters, this->snapshot_data});
+        state.next = after(this->snapshot_index);
+        return;
+    }
+    entries_sent sent;
+    sent.term = this->current_term;
+    sent.leader = this->self;
+    sent.previous_index = previous;
+    sent.previous_term = this->term_at(previous);
+    sent.committed = this->commit_index;
+    for (log_index index = state.next;
+         index <= this->last_index() && sent.entries.size() < this->limits.entries_per_message;
+         index = after(index)) {
+        sent.entries.push_back(this->entry_at(index));
+    }
+    this->send(to, std::move(sent));
+}
+
+void replica::append(const log_entry& entry) {
+    this->log.push_back(entry);
+    if (entry.change) {
+        this->latest_membership = *entry.change;
+    }
+    this->output.push_back(keep_entries{this->last_index(), {entry}});
+}
+
+void replica::advance_commit() {
+    log_index reached = this->commit_index;
+    for (log_index index = after(this->commit_index); index <= this->last_index();
+         index = after(index)) {
+        const log_entry& entry = this->entry_at(index);
+        std::set<instance_id> agreeing{this->self.id};
+        for (const auto& [id, state] : this->followers) {
+            if (state.match >= index) {
+                agreeing.insert(id);
+            }
+        }
+        membership among = this->latest_membership;
+        if (entry.change) {
+            among = *entry.change;
+            agreeing.erase(among.joining);
+        }
+        if (!this->has_majority(agreeing, among)) {
+            break;
+        }
+        if (entry.term == this->current_term) {
+            reached = index;
+        }
+    }
+    if (reached > this->commit_index) {
+        this->commit_index = reached;
+        this->apply_committed();
+    }
+}
+
+void replica::apply_committed() {
+    while (this->applied_index < this->commit_index) {
+        this->applied_index = after(this->applied_index);
+        const log_entry& entry = this->entry_at(this->applied_index);
+        if (!entry.command.empty()) {
+            this->output.push_back(apply_command{this->applied_index, entry.command});
+        }
+    }
+}
+
+std::optional<log_index> replica::pending_change() const {
+    for (log_index index = this->last_index(); index > this->commit_index; index = before(index)) {
+        if (this->entry_at(index).change) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+void replica::admit_learners() {
+    const bool has_own_commit = this->commit_index > this->snapshot_index &&
+                                this->term_at(this->commit_index) == this->current_term;
+    if (!has_own_commit || this->pending_change()) {
+        return;
+    }
+    for (auto item = this->learners.begin(); item != this->learners.end(); ++item) {
+        const auto follower = this->followers.find(item->first);
+        if (follower == this->followers.end() || follower->second.match < this->commit_index) {
+            continue;
+        }
+        log_entry entry;
+        entry.term = this->current_term;
+        membership changed = this->latest_membership;
+        const auto replaced = std::erase_if(
+            changed.voters, [&](const member& voter) { return voter.id == item->first; });
+        changed.voters.push_back(item->second);
+        changed.joining = replaced > 0 ? item->first : instance_id();
+        entry.change = changed;
+        this->learners.erase(item);
+        this->append(entry);
+        this->lead();
+        return;
+    }
+}
+
+void replica::check_majority_heard() {
+    std::set<instance_id> heard{this->self.id};
+    for (const auto& [id, state] : this->followers) {
+        if (this->now - state.last_heard < this->limits.election_most) {
+            heard.insert(id);
+        }
+    }
+    if (!this->has_majority(heard, this->latest_membership)) {
+        this->become_follower(this->current_term);
+    }
+}
+
+bool replica::has_majority(const std::set<instance_id>& agreeing, const membership& among) const {
+    const auto count = std::count_if(among.voters.begin(), among.voters.end(),
+                                     [&](const member& one) { return agreeing.contains(one.id); });
+    return static_cast<std::size_t>(count) * 2 > among.voters.size();
+}
+
+void replica::arm_election() {
+    if (!this->is_voter() && this->wakeup > this->now) {
+        // It goes on asking to join, however often it hears from the leader.
+        return;
+    }
+    const auto spread = (this->limits.election_most - this->limits.election_least).count();
+    const auto extra =
+        static_cast<duration::rep>(this->random() % static_cast<std::uint64_t>(spread));
+    this->wakeup = this->now + this->limits.election_least + duration(extra);
+}
+
+void replica::keep_vote_now() {
+    this->output.push_back(keep_vote{this->current_term, this->voted_for});
+}
+
+void replica::send(const instance_id& to, message content) {
+    this->output.push_back(send_message{to, std::move(content)});
+}
+
+} // namespace kingcupcart::quorum
--- /dev/null
+++ b/packages/quorum/messages.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "quorum/log_entry.h"
+#include "quorum/member.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What keepers say to each other about the log. One family of small structs.
+namespace kingcupcart::quorum {
+
+struct vote_asked {
+    term_number term;
+    member candidate;
+    log_index last_index;
+    term_number last_term;
+    /// Only asks whether an election would succeed; promises nothing.
+    bool is_trial = false;
+};
+
+struct vote_told {
+    term_number term;
+    member voter;
+    bool is_granted = false;
+    bool is_trial = false;
+};
+
+struct entries_sent {
+    term_number term;
+    member leader;
+    log_index previous_index;
+    term_number previous_term;
+    std::vector<log_entry> entries;
+    log_index committed;
+};
+
+struct entries_told {
+    term_number term;
+    member follower;
+    bool is_taken = false;
+    /// Last index that agrees with the leader's log; where not taken, a hint to go back to.
+    log_index match;
+};
+
+struct snapshot_sent {
+    term_number term;
+    member leader;
+    log_index index;
+    term_number index_term;
+    membership voters;
+    std::string data;
+};
+
+/// A keeper that is no voter asks to become one.
+struct join_asked {
+    member joining;
+};
+
+using message =
+    std::variant<vote_asked, vote_told, entries_sent, entries_told, snapshot_sent, join_asked>;
+
+} // namespace kingcupcart::quorum
--- /dev/null
+++ b/packages/quorum/replica.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "base/clock.h"
+#include "quorum/actions.h"
+#include "quorum/member.h"
+#include "quorum/messages.h"
+#include "quorum/replica_limits.h"
+#include "quorum/stored_state.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kingcupcart::quorum {
+
+/// One keeper's part in the replicated log: election with a trial round, replication, commit by
+/// majority, snapshots, one change of membership at a time. A plain state machine. Its design
+/// follows Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014).
+class replica {
+public:
+    replica(member self, std::vector<instance_id> others, const stored_state& stored,
+            replica_limits limits, std::uint64_t seed, time_point now);
+
+    /// A new deployment's first keeper: the only voter until others join.
+    [[nodiscard]] actions found(time_point now);
+    [[nodiscard]] actions handle(const message& incoming, time_point now);
+    [[nodiscard]] actions pass_time(time_point now);
+    /// Puts a command into the log; empty where this replica does not lead.
+    struct proposal {
+        std::optional<log_index> index;
+        actions wanted;
+    };
+    [[nodiscard]] proposal propose(const std::string& command, time_point now);
+    /// The state after `index` is kept as a snapshot; the log before it is no longer needed.
+    [[nodiscard]] actions compact(log_index index, const std::string& data);
+
+    [[nodiscard]] time_point next_wakeup() const { return this->wakeup; }
+    [[nodiscard]] bool is_leader() const { return this->role == role_kind::leader; }
+    [[nodiscard]] const instance_id& leader() const { return this->known_leader; }
+    [[nodiscard]] term_number term() const { return this->current_term; }
+    [[nodiscard]] log_index committed() const { return this->commit_index; }
+    [[nodiscard]] log_index last_index() const;
+    [[nodiscard]] std::size_t log_size() const { return this->log.size(); }
+    [[nodiscard]] const membership& voters() const { return this->latest_membership; }
+    [[nodiscard]] bool is_voter() const;
+    /// Keepers that are to become voters and have not caught up.
+    [[nodiscard]] std::size_t joining_count() const { return this->learners.size(); }
+
+private:
+    enum class role_kind { follower, trial_candidate, candidate, leader };
+    struct progress {
+        log_index next{1};
+        log_index match;
+        time_point last_heard{};
+    };
+
+    void on(const vote_asked& asked);
+    void on(const vote_told& told);
+    void on(const entries_sent& sent);
+    void on(const entries_told& told);
+    void on(const snapshot_sent& sent);
+    void on(const join_asked& asked);
+
+    void become_follower(term_number term);
+    void begin_trial();
+    void begin_election();
+    void count_votes();
+    void become_leader();
+    void lead();
+    void replicate_to(const instance_id& to);
+    void append(const log_entry& entry);
+    void take_entries(const entries_sent& sent);
+    void advance_commit();
+    void apply_committed();
+    void admit_learners();
+    void check_majority_heard();
+    void refresh_membership();
+    void arm_election();
+    void send(const instance_id& to, message content);
+    void keep_vote_now();
+    [[nodiscard]] bool is_up_to_date(const vote_asked& asked) const;
+    [[nodiscard]] bool has_majority(const std::set<instance_id>& agreeing,
+                                    const membership& among) const;
+    [[nodiscard]] bool is_known_voter(const member& one) const;
+    [[nodiscard]] const log_entry& entry_at(log_index index) const;
+    [[nodiscard]] term_number term_at(log_index index) const;
+    [[nodiscard]] std::optional<log_index> pending_change() const;
+
+    member self;
+    std::vector<instance_id> others;
+    replica_limits limits;
+    std::mt19937_64 random;
+    role_kind role = role_kind::follower;
+    term_number current_term;
+    instance_id voted_for;
+    instance_id known_leader;
+    time_point leader_heard{};
+    log_index snapshot_index;
+    term_number snapshot_term;
+    membership snapshot_voters;
+    std::string snapshot_data;
+    std::vector<log_entry> log;
+    membership latest_membership;
+    log_index commit_index;
+    log_index applied_index;
+    std::set<instance_id> votes;
+    std::map<instance_id, progress> followers;
+    /// Members that asked to join, by instance.
+    std::map<instance_id, member> learners;
+    time_point now{};
+    time_point wakeup{};
+    actions output;
+};
+
+} // namespace kingcupcart::quorum
--- /dev/null
+++ b/packages/quorum/stored_state.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "quorum/log_entry.h"
+#include "quorum/member.h"
+
+#include <string>
+#include <vector>
+
+namespace kingcupcart::quorum {
+
+/// What a replica's disk remembers.
+struct stored_state {
+    term_number term;
+    instance_id voted_for;
+    log_index snapshot_index;
+    term_number snapshot_term;
+    membership snapshot_voters;
+    std::string snapshot_data;
+    /// The entries after the snapshot.
+    std::vector<log_entry> entries;
+};
+
+} // namespace kingcupcart::quorum
--- /dev/null
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -0,0 +1,346 @@
+#include "quorum/replica.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+using namespace kingcupcart;
+using namespace kingcupcart::quorum;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Keepers under a manual clock with a network that loses, repeats, delays and cuts, processes that
+/// freeze and restart, and disks that are emptied. What a keeper keeps is synced at once.
+class cluster {
+public:
+    cluster(std::uint64_t seed, int size) : random(seed) {
+        for (int i = 0; i < size; ++i) {
+            this->ids.emplace_back(std::string(1, static_cast<char>('a' + i)));
+        }
+        for (const instance_id& id : this->ids) {
+            this->nodes[id].disk = disk_id(this->random());
+            this->start(id);
+        }
+        this->carry_out(this->ids[0], this->nodes[this->ids[0]].part->found(this->now));
+    }
+
+    void pass(duration time) {
+        const time_point end = this->now + time;
+        while (this->now < end) {
+            this->now += 5ms;
+            while (!this->network.empty() && this->network.top().moment <= this->now) {
+                const letter next = this->network.top();
+                this->network.pop();
+                node& receiver = this->nodes[next.to];
+                if (receiver.part && !receiver.is_frozen && !this->is_cut(next.from, next.to)) {
+                    this->carry_out(next.to, receiver.part->handle(next.content, this->now));
+                }
+            }
+            for (const instance_id& id : this->ids) {
+                node& one = this->nodes[id];
+                if (one.part && !one.is_frozen && one.part->next_wakeup() <= this->now) {
+                    this->carry_out(id, one.part->pass_time(this->now));
+                }
+            }
+        }
+    }
+
+    std::optional<instance_id> leader() {
+        for (const instance_id& id : this->ids) {
+            const node& one = this->nodes[id];
+            if (one.part && !one.is_frozen && one.part->is_leader() &&
+                one.part->voters().voters.size() > 0) {
+                return id;
+            }
+        }
+        return std::nullopt;
+    }
+
+    bool has_voters(std::size_t count) {
+        const auto found = this->leader();
+        return found && this->nodes[*found].part->voters().voters.size() == count;
+    }
+
+    /// Proposes at whoever leads; the command counts as accepted when it is applied anywhere.
+    void propose() {
+        if (const auto at = this->leader()) {
+            const std::string command = "c" + std::to_string(++this->last_command);
+            auto made = this->nodes[*at].part->propose(command, this->now);
+            this->carry_out(*at, made.wanted);
+        }
+    }
+
+    void stop(const instance_id& id) { this->nodes[id].part.reset(); }
+    void start(const instance_id& id) {
+        node& one = this->nodes[id];
+        std::vector<instance_id> others;
+        for (const instance_id& other : this->ids) {
+            if (other != id) {
+                others.push_back(other);
+            }
+        }
+        one.applied = one.stored.snapshot_data;
+        one.part = std::make_unique<replica>(member{id, one.disk}, others, one.stored,
+                                             replica_limits{}, this->random(), this->now);
+    }
+    void empty_disk(const instance_id& id) {
+        node& one = this->nodes[id];
+        one.stored = stored_state{};
+        one.disk = disk_id(this->random());
+    }
+    void freeze(const instance_id& id, bool is_frozen) { this->nodes[id].is_frozen = is_frozen; }
+    void cut_off(const instance_id& id) { this->isolated = id; }
+    void heal() { this->isolated.reset(); }
+    void compact(const instance_id& id) {
+        node& one = this->nodes[id];
+        if (one.part) {
+            this->carry_out(id, one.part->compact(one.applied_index, one.applied));
+        }
+    }
+    [[nodiscard]] const std::string& applied(const instance_id& id) {
+        return this->nodes[id].applied;
+    }
+    [[nodiscard]] bool is_running(const instance_id& id) { return this->nodes[id].part != nullptr; }
+    [[nodiscard]] std::size_t accepted() const { return this->history.size(); }
+
+    std::vector<instance_id> ids;
+    std::mt19937_64 random;
+    double loss = 0;
+
+private:
+    struct node {
+        std::unique_ptr<replica> part;
+        stored_state stored;
+        disk_id disk;
+        bool is_frozen = false;
+        /// The applied commands, one after the other; also the snapshot's data.
+        std::string applied;
+        log_index applied_index;
+    };
+    struct letter {
+        time_point moment;
+        std::uint64_t number = 0;
+        instance_id from;
+        instance_id to;
+        message content;
+
+        friend bool operator>(const letter& a, const letter& b) {
+            return std::tie(a.moment, a.number) > std::tie(b.moment, b.number);
+        }
+    };
+
+    bool is_cut(const instance_id& from, const instance_id& to) const {
+        return this->isolated && (from == *this->isolated) != (to == *this->isolated);
+    }
+
+    void carry_out(const instance_id& id, const actions& wanted) {
+        for (const action& one : wanted) {
+            std::visit([&](const auto& alternative) { this->carry_out(id, alternative); }, one);
+        }
+    }
+    void carry_out(const instance_id& id, const keep_vote& kept) {
+        stored_state& stored = this->nodes[id].stored;
+        CHECK(kept.term >= stored.term);
+        stored.term = kept.term;
+        stored.voted_for = kept.voted_for;
+    }
+    void carry_out(const instance_id& id, const keep_entries& kept) {
+        stored_state& stored = this->nodes[id].stored;
+        stored.entries.resize(kept.first.value() - stored.snapshot_index.value() - 1);
+        stored.entries.insert(stored.entries.end(), kept.entries.begin(), kept.entries.end());
+    }
+    void carry_out(const instance_id& id, const keep_snapshot& kept) {
+        stored_state& stored = this->nodes[id].stored;
+        stored.snapshot_index = kept.index;
+        stored.snapshot_term = kept.index_term;
+        stored.snapshot_voters = kept.voters;
+        stored.snapshot_data = kept.data;
+        stored.entries.clear();
+    }
+    void carry_out(const instance_id& id, const send_message& sent) {
+        std::bernoulli_distribution lost(this->loss);
+        const int copies = lost(this->random) ? 0 : (lost(this->random) ? 2 : 1);
+        for (int i = 0; i < copies; ++i) {
+            const duration delay = duration(2ms) * static_cast<int>(1 + this->random() % 10);
+            this->network.push({this->now + delay, ++this->last_letter, id, sent.to, sent.content});
+        }
+    }
+    void carry_out(const instance_id& id, const apply_command& agreed) {
+        node& one = this->nodes[id];
+        one.applied += agreed.command + ";";
+        one.applied_index = agreed.index;
+        const auto known = this->history.emplace(agreed.index, agreed.command);
+        // Whatever one keeper took for agreed at an index, all others do.
+        CHECK(known.first->second == agreed.command);
+    }
+    void carry_out(const instance_id& id, const restore_state& restored) {
+        this->nodes[id].applied = restored.data;
+    }
+    void carry_out(const instance_id& id, const leadership_changed& changed) {
+        if (changed.is_leader) {
+            const term_number term = this->nodes[id].part->term();
+            const auto known = this->leaders.emplace(term, id);
+            CHECK(known.first->second == id); // at most one leader a term
+        }
+    }
+
+    std::map<instance_id, node> nodes;
+    time_point now{1s};
+    std::priority_queue<letter, std::vector<letter>, std::greater<>> network;
+    std::optional<instance_id> isolated;
+    std::map<log_index, std::string> history;
+    std::map<term_number, instance_id> leaders;
+    std::uint64_t last_letter = 0;
+    std::uint64_t last_command = 0;
+};
+
+} // namespace
+
+SCENARIO("keepers found, join and agree") {
+    cluster keepers(1, 3);
+    keepers.pass(5s);
+    REQUIRE(keepers.has_voters(3));
+    for (int i = 0; i < 10; ++i) {
+        keepers.propose();
+        keepers.pass(50ms);
+    }
+    keepers.pass(1s);
+    CHECK(keepers.accepted() == 10);
+    const instance_id first = *keepers.leader();
+    GIVEN("the leader is lost") {
+        keepers.stop(first);
+        keepers.pass(5s);
+        THEN("another one leads, and nothing is lost") {
+            REQUIRE(keepers.leader());
+            keepers.propose();
+            keepers.pass(1s);
+            CHECK(keepers.accepted() == 11);
+        }
+    }
+    GIVEN("one is cut off for long and comes back") {
+        const instance_id other = keepers.ids[0] == first ? keepers.ids[1] : keepers.ids[0];
+        keepers.cut_off(other);
+        keepers.pass(60s);
+        keepers.heal();
+        keepers.pass(5s);
+        THEN("it did not unseat the leader") {
+            CHECK(keepers.leader() == first);
+        }
+    }
+    GIVEN("a keeper that was away for hundreds of changes and a log that was compacted") {
+        const instance_id other = keepers.ids[0] == first ? keepers.ids[1] : keepers.ids[0];
+        keepers.stop(other);
+        for (int i = 0; i < 300; ++i) {
+            keepers.propose();
+            keepers.pass(20ms);
+        }
+        keepers.pass(1s);
+        keepers.compact(first);
+        keepers.start(other);
+        keepers.pass(3s);
+        THEN("it catches up from the snapshot") {
+            CHECK(keepers.applied(other) == keepers.applied(first));
+        }
+    }
+    GIVEN("an emptied disk, and the loss of a second keeper right after the repair") {
+        const instance_id other = keepers.ids[0] == first ? keepers.ids[1] : keepers.ids[0];
+        keepers.stop(other);
+        keepers.empty_disk(other);
+        keepers.start(other);
+        keepers.pass(5s);
+        REQUIRE(keepers.has_voters(3));
+        keepers.stop(first);
+        keepers.pass(5s);
+        THEN("the repaired keeper and the last one go on with everything that was accepted") {
+            REQUIRE(keepers.leader());
+            keepers.propose();
+            keepers.pass(1s);
+            CHECK(keepers.accepted() == 11);
+        }
+    }
+    GIVEN("an emptied disk while the leader is lost too") {
+        const instance_id other = keepers.ids[0] == first ? keepers.ids[1] : keepers.ids[0];
+        keepers.stop(first);
+        keepers.stop(other);
+        keepers.empty_disk(other);
+        keepers.start(other);
+        keepers.pass(20s);
+        THEN("nobody leads, since the emptied one cannot vote on what it forgot") {
+            CHECK_FALSE(keepers.leader());
+            keepers.start(first);
+            keepers.pass(10s);
+            CHECK(keepers.has_voters(3));
+            CHECK(keepers.applied(other) == keepers.applied(first));
+        }
+    }
+}
+
+SCENARIO("nothing that was accepted is lost under any mixture of failures") {
+    std::size_t accepted = 0;
+    for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+        CAPTURE(seed);
+        cluster keepers(seed, seed % 2 == 0 ? 3 : 5);
+        keepers.pass(8s);
+        keepers.loss = 0.05;
+        std::optional<instance_id> emptied;
+        for (int step = 0; step < 150; ++step) {
+            const instance_id id = keepers.ids[keepers.random() % keepers.ids.size()];
+            switch (keepers.random() % 12) {
+            case 0:
+                keepers.stop(id);
+                break;
+            case 1:
+                if (!keepers.is_running(id)) {
+                    keepers.start(id);
+                }
+                break;
+            case 2:
+                keepers.cut_off(id);
+                break;
+            case 3:
+                keepers.heal();
+                break;
+            case 4:
+                keepers.freeze(id, true);
+                keepers.pass(2s);
+                keepers.freeze(id, false);
+                break;
+            case 5:
+                keepers.compact(id);
+                break;
+            case 6:
+                // One disk at a time: the next is emptied when all vote again.
+                if (keepers.has_voters(keepers.ids.size()) && (!emptied || step % 40 == 0)) {
+                    emptied = id;
+                    keepers.stop(id);
+                    keepers.empty_disk(id);
+                    keepers.start(id);
+                    keepers.pass(3s);
+                }
+                break;
+            default:
+                keepers.propose();
+                break;
+            }
+            keepers.pass(duration(20ms) * static_cast<int>(keepers.random() % 20));
+        }
+        keepers.heal();
+        keepers.loss = 0;
+        for (const instance_id& id : keepers.ids) {
+            if (!keepers.is_running(id)) {
+                keepers.start(id);
+            }
+        }
+        keepers.pass(20s);
+        REQUIRE(keepers.leader());
+        for (const instance_id& id : keepers.ids) {
+            CHECK(keepers.applied(id) == keepers.applied(*keepers.leader()));
+        }
+        accepted += keepers.accepted();
+    }
+    MESSAGE("commands accepted over all seeds: ", accepted);
+}
