--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -22,12 +22,13 @@
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
-constexpr const char* help = R"(usage: kingcupcartd --settings FILE [--check]
+constexpr const char* help = R"(usage: kingcupcartd --settings FILE [--check | --found]
 
 Runs one instance of kingcupcart with the roles that its settings name.
 
   -s, --settings FILE   settings in INI; see docs/OPERATORS.md
   -c, --check           check the settings and exit
+  -f, --found           begin a new deployment: once, on one of its keepers, with an empty data folder
   -h, --help            print this and exit
   -V, --version         print the version and exit
 
@@ -42,18 +43,20 @@
 struct options {
     std::string settings;
     bool is_check = false;
+    bool may_found = false;
 };
 
 /// The options, or the exit code that they ask for.
 std::variant<options, int> read_options(int count, char** words) {
-    static const std::array<option, 5> known{{{"settings", required_argument, nullptr, 's'},
+    static const std::array<option, 6> known{{{"settings", required_argument, nullptr, 's'},
                                               {"check", no_argument, nullptr, 'c'},
+                                              {"found", no_argument, nullptr, 'f'},
                                               {"help", no_argument, nullptr, 'h'},
                                               {"version", no_argument, nullptr, 'V'},
                                               {nullptr, 0, nullptr, 0}}};
     options read;
     while (true) {
-        const int letter = getopt_long(count, words, "s:chV", known.data(), nullptr);
+        const int letter = getopt_long(count, words, "s:cfhV", known.data(), nullptr);
         switch (letter) {
         case -1:
             if (optind < count || read.settings.empty()) {
@@ -67,6 +70,9 @@
         case 'c':
             read.is_check = true;
             break;
+        case 'f':
+            read.may_found = true;
+            break;
         case 'h':
             std::fputs(help, stdout);
             return exit_ok;
@@ -177,5 +183,13 @@
         std::printf("%s: settings are right\n", wanted.settings.c_str());
         return exit_ok;
     }
-    return run(std::get<settings::process_settings>(loaded));
+    auto settings = std::get<settings::process_settings>(loaded);
+    if (wanted.may_found) {
+        if (!settings.keeper) {
+            std::fputs("kingcupcartd: --found: this instance has no keeper\n", stderr);
+            return exit_usage;
+        }
+        settings.keeper->may_found = true;
+    }
+    return run(settings);
 }
--- /dev/null
+++ b/packages/journal/disk_storage.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "journal/storage.h"
+
+#include <memory>
+#include <string>
+
+namespace kingcupcart::journal {
+
+/// A file `journal` in a data folder, which is made where it is missing and locked meanwhile.
+class disk_storage final : public storage {
+public:
+    static outcome<std::unique_ptr<disk_storage>> open(const std::string& folder);
+    ~disk_storage() override;
+    disk_storage(const disk_storage&) = delete;
+    disk_storage& operator=(const disk_storage&) = delete;
+
+    outcome<std::string> read() override;
+    outcome<void> append(std::string_view bytes) override;
+    outcome<void> sync() override;
+    outcome<void> replace(std::string_view bytes) override;
+
+private:
+    disk_storage(std::string folder, int lock);
+    [[nodiscard]] std::string path() const { return this->folder + "/journal"; }
+    outcome<void> open_file();
+    outcome<void> sync_folder() const;
+
+    std::string folder;
+    int lock = -1;
+    int file = -1;
+};
+
+} // namespace kingcupcart::journal
--- /dev/null
+++ b/packages/journal/storage.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/outcome.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace kingcupcart::journal {
+
+/// The one file of a journal, as far as a journal needs it.
+class storage {
+public:
+    virtual ~storage() = default;
+    storage() = default;
+    storage(const storage&) = delete;
+    storage& operator=(const storage&) = delete;
+
+    /// Empty where there is no file yet.
+    [[nodiscard]] virtual outcome<std::string> read() = 0;
+    /// What is appended lasts only once it is synced.
+    [[nodiscard]] virtual outcome<void> append(std::string_view bytes) = 0;
+    [[nodiscard]] virtual outcome<void> sync() = 0;
+    /// Replaces the content as a whole: after a crash the file holds either the old or the new.
+    [[nodiscard]] virtual outcome<void> replace(std::string_view bytes) = 0;
+};
+
+} // namespace kingcupcart::journal
--- /dev/null
+++ b/packages/journal/tests/journal_test.cpp
@@ -0,0 +1,135 @@
+#include "journal/disk_storage.h"
+#include "journal/journal_file.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <functional>
+
+using namespace kingcupcart;
+using namespace kingcupcart::journal;
+
+namespace {
+
+/// A disk that can lose what was not synced, at any byte, and run full.
+struct disk {
+    std::string synced;
+    std::string written;
+    bool is_full = false;
+};
+
+class fake_storage final : public storage {
+public:
+    explicit fake_storage(disk& on) : on(on) {}
+
+    outcome<std::string> read() override { return this->on.written; }
+    outcome<void> append(std::string_view bytes) override {
+        if (this->on.is_full) {
+            return fail(error_code::input_output, "no space left on device");
+        }
+        this->on.written += bytes;
+        return {};
+    }
+    outcome<void> sync() override {
+        this->on.synced = this->on.written;
+        return {};
+    }
+    outcome<void> replace(std::string_view bytes) override {
+        if (this->on.is_full) {
+            return fail(error_code::input_output, "no space left on device");
+        }
+        this->on.written = bytes;
+        this->on.synced = bytes;
+        return {};
+    }
+
+private:
+    disk& on;
+};
+
+std::variant<journal_file::opened, error> open(disk& on) {
+    return value_or_error([&] { return journal_file::open(std::make_unique<fake_storage>(on)); });
+}
+
+journal_file::opened open_well(disk& on) {
+    auto found = open(on);
+    REQUIRE(std::holds_alternative<journal_file::opened>(found));
+    return std::move(std::get<journal_file::opened>(found));
+}
+
+bool is_kept(const std::function<outcome<void>()>& attempt) {
+    return std::holds_alternative<std::monostate>(value_or_error(attempt));
+}
+
+} // namespace
+
+SCENARIO("records last once they are synced") {
+    disk on;
+    auto first = open_well(on);
+    CHECK(first.records.empty());
+    for (const char* record : {"one", "two", "three"}) {
+        CHECK(is_kept([&] { return first.file->append(record); }));
+    }
+    CHECK(is_kept([&] { return first.file->sync(); }));
+    const std::vector<std::string> synced{"one", "two", "three"};
+    CHECK(open_well(on).records == synced);
+    GIVEN("a crash at any byte of what was not synced") {
+        CHECK(is_kept([&] { return first.file->append("four, which is longer"); }));
+        CHECK(is_kept([&] { return first.file->append("five"); }));
+        for (std::size_t kept = on.synced.size(); kept <= on.written.size(); ++kept) {
+            disk crashed{on.synced, on.written.substr(0, kept), false};
+            const auto found = open_well(crashed);
+            REQUIRE(found.records.size() >= 3);
+            CHECK(std::vector<std::string>(found.records.begin(), found.records.begin() + 3) ==
+                  synced);
+            CHECK(found.records.size() <= 5);
+            CHECK(open_well(crashed).torn_bytes == 0);
+        }
+    }
+    GIVEN("a flipped bit in the middle") {
+        for (std::size_t byte = 0; byte < on.written.size() - 21; ++byte) {
+            CAPTURE(byte);
+            disk damaged = on;
+            damaged.written[byte] = static_cast<char>(damaged.written[byte] ^ 0x10);
+            const auto found = open(damaged);
+            THEN("it is refused, never served") {
+                CHECK(std::holds_alternative<error>(found));
+            }
+        }
+    }
+    GIVEN("a full disk") {
+        on.is_full = true;
+        CHECK_FALSE(is_kept([&] { return first.file->append("four"); }));
+        CHECK(open_well(on).records == synced);
+    }
+    GIVEN("a rewrite") {
+        CHECK(is_kept([&] { return first.file->rewrite({"all"}); }));
+        CHECK(is_kept([&] { return first.file->append("more"); }));
+        CHECK(open_well(on).records == std::vector<std::string>{"all", "more"});
+    }
+}
+
+SCENARIO("a data folder belongs to one keeper") {
+    std::string pattern = (std::filesystem::temp_directory_path() / "kingcupcart-XXXXXX").string();
+    const std::string folder = mkdtemp(pattern.data());
+    const auto open_folder = [&] {
+        return value_or_error([&] { return disk_storage::open(folder + "/data"); });
+    };
+    {
+        auto held = open_folder();
+        REQUIRE(std::holds_alternative<std::unique_ptr<disk_storage>>(held));
+        CHECK(std::get<error>(open_folder()).code == error_code::conflict);
+        auto opened = value_or_error([&] {
+            return journal_file::open(std::move(std::get<std::unique_ptr<disk_storage>>(held)));
+        });
+        auto& file = *std::get<journal_file::opened>(opened).file;
+        CHECK(is_kept([&] { return file.append("kept"); }));
+        CHECK(is_kept([&] { return file.sync(); }));
+    }
+    auto again = open_folder();
+    auto opened = value_or_error([&] {
+        return journal_file::open(std::move(std::get<std::unique_ptr<disk_storage>>(again)));
+    });
+    CHECK(std::get<journal_file::opened>(opened).records == std::vector<std::string>{"kept"});
+    std::filesystem::remove_all(folder);
+}
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -1,6 +1,7 @@
 #include "keeper/internal/keeper.h"
 
 #include "configuration/deployment.h"
+#include "wire/keeper_codec.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
@@ -19,6 +20,11 @@
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 constexpr int status_conflict = 409;
+constexpr int status_unavailable = 503;
+/// A command that was not agreed by then may or may not take effect.
+constexpr duration command_limit = std::chrono::seconds(3);
+constexpr duration tend_interval = std::chrono::milliseconds(200);
+constexpr duration retry_interval = std::chrono::milliseconds(300);
 
 replicated::wall_seconds wall_now() {
     return std::chrono::duration_cast<replicated::wall_seconds>(
@@ -29,6 +35,29 @@
     return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace) + "\n";
 }
 
+void answer_order(const admin::configuration_order& order,
+                  const std::optional<replicated::result>& result) {
+    ordered_json body;
+    if (!result) {
+        body["error"] =
+            "no majority of keepers in time: the order may or may not be accepted; send "
+            "it again with the same order_id";
+        order.reply.post({status_unavailable, print(body)});
+        return;
+    }
+    const auto& outcome = std::get<replicated::configuration_result>(*result);
+    spdlog::info("configuration order={} base={} accepted={} version={}", order.order_id,
+                 order.base.value(), outcome.is_accepted, outcome.version.value());
+    body["accepted"] = outcome.is_accepted;
+    body["version"] = outcome.version.value();
+    if (!outcome.is_accepted) {
+        body["error"] = "the order builds on version " + std::to_string(order.base.value()) +
+                        ", but another change made version " +
+                        std::to_string(outcome.version.value());
+    }
+    order.reply.post({outcome.is_accepted ? status_ok : status_conflict, print(body)});
+}
+
 } // namespace
 
 outcome<std::unique_ptr<keeper>> keeper::open(parts made_of) {
@@ -39,14 +68,145 @@
                                            [self = made.get()](GSocketConnection* connection) {
                                                self->accept(connection);
                                            }));
+    BOOST_LEAF_CHECK(made->open_log());
+    made->tend();
     return made;
 }
 
 keeper::keeper(parts made_of)
-    : own(std::move(made_of)), cleaner([this] {
+    : own(std::move(made_of)),
+      cleaner([this] {
           this->retired.clear();
           std::erase_if(this->members, [](const auto& item) { return !item.second.link; });
-      }) {}
+      }),
+      tending([this] { this->tend(); }) {}
+
+outcome<void> keeper::open_log() {
+    const settings::keeper_settings& kept = *this->own.settings.keeper;
+    keeper_log::parts made_of;
+    made_of.self = this->own.settings.instance;
+    made_of.folder = kept.data;
+    // One that has no others cannot be mistaken for a part of them.
+    made_of.may_found = kept.may_found || kept.members.empty();
+    made_of.seed = this->own.incarnation.value();
+    made_of.time = this->own.time;
+    for (const std::string& member : kept.members) {
+        const auto at = member.find('@');
+        const instance_id id(member.substr(0, at));
+        BOOST_LEAF_AUTO(address, parse_endpoint(member.substr(at + 1)));
+        if (id != this->own.settings.instance) {
+            made_of.others.push_back(id);
+            this->colleagues[id].address = address;
+        }
+    }
+    BOOST_LEAF_ASSIGN(
+        this->log,
+        keeper_log::open(
+            made_of, {[this](const instance_id& to, const quorum::message& said) {
+                          this->send_to_keeper(to, wire::quorum_said{said});
+                      },
+                      [this](const std::string& command) { this->apply(command); },
+                      [this](const std::string& saved) {
+                          const auto read =
+                              value_or_error([&] { return wire::decode_state(saved); });
+                          this->state.load(std::get<replicated::replicated_state::content>(read));
+                          this->publish();
+                      },
+                      [this](bool is_leader) {
+                          spdlog::info("leadership leader={} term={}", is_leader,
+                                       this->log->state().term().value());
+                          if (is_leader && this->state.version() == configuration_version(0)) {
+                              this->submit(
+                                  replicated::accept_configuration{
+                                      "initial", {}, this->initial_text, wall_now()},
+                                  [](const auto&) {});
+                          }
+                      },
+                      [this] { return wire::encode_state(this->state.save()); }}));
+    return {};
+}
+
+void keeper::submit(const replicated::command& content, command_end ended) {
+    replicated::logged_command command;
+    command.origin.keeper = this->own.settings.instance;
+    command.origin.incarnation = this->own.incarnation;
+    command.origin.number = ++this->last_command;
+    command.content = content;
+    const std::string bytes = wire::encode_command(command);
+    this->waiting.emplace(command.origin.number,
+                          waiting_command{std::move(ended), this->own.time->now() + command_limit});
+    if (!this->log->propose(bytes)) {
+        this->send_to_keeper(this->log->state().leader(), wire::command_forwarded{bytes});
+    }
+}
+
+void keeper::apply(const std::string& bytes) {
+    const auto decoded = value_or_error([&] { return wire::decode_command(bytes); });
+    if (const auto* problem = std::get_if<error>(&decoded)) {
+        // All keepers pass over it alike.
+        spdlog::error("command left out: {}", problem->message);
+        return;
+    }
+    const auto& command = std::get<replicated::logged_command>(decoded);
+    const configuration_version before = this->state.version();
+    const replicated::result result = this->state.apply(command.content);
+    if (this->state.version() != before) {
+        spdlog::info("configuration accepted version={}", this->state.version().value());
+        this->publish();
+    }
+    const bool is_own = command.origin.keeper == this->own.settings.instance &&
+                        command.origin.incarnation == this->own.incarnation;
+    const auto found = this->waiting.find(command.origin.number);
+    if (is_own && found != this->waiting.end()) {
+        const command_end ended = std::move(found->second.ended);
+        this->waiting.erase(found);
+        ended(result);
+    }
+}
+
+void keeper::send_to_keeper(const instance_id& to, const wire::message& said) {
+    const auto found = this->colleagues.find(to);
+    if (found != this->colleagues.end() && found->second.is_open) {
+        found->second.link->send(said);
+    }
+}
+
+void keeper::dial(const instance_id& id) {
+    colleague& one = this->colleagues.at(id);
+    one.link = wire::peer_link::dial(one.address,
+                                     {[this, id] {
+                                          colleague& opened = this->colleagues.at(id);
+                                          opened.is_open = true;
+                                          opened.link->send(this->make_hello());
+                                      },
+                                      [](const wire::message&) {},
+                                      [this, id](const std::string&) {
+                                          colleague& lost = this->colleagues.at(id);
+                                          lost.is_open = false;
+                                          lost.retry_at = this->own.time->now() + retry_interval;
+                                          this->retired.push_back(std::move(lost.link));
+                                          this->cleaner.arm_now();
+                                      }});
+}
+
+void keeper::tend() {
+    const time_point now = this->own.time->now();
+    for (auto& [id, one] : this->colleagues) {
+        if (!one.link && one.retry_at <= now) {
+            this->dial(id);
+        }
+    }
+    for (auto item = this->waiting.begin(); item != this->waiting.end();) {
+        if (item->second.due > now) {
+            ++item;
+            continue;
+        }
+        const command_end ended = std::move(item->second.ended);
+        item = this->waiting.erase(item);
+        ended(std::nullopt);
+    }
+    this->tending.arm(now + tend_interval);
+}
 
 keeper::~keeper() = default;
 
@@ -67,7 +227,7 @@
         text = content.str();
         BOOST_LEAF_CHECK(configuration::deployment::parse(text, path));
     }
-    this->state.apply(replicated::accept_configuration{"initial", {}, text, wall_now()});
+    this->initial_text = text;
     return {};
 }
 
@@ -95,15 +255,38 @@
     } else if (const auto* told = std::get_if<wire::configuration_in_force>(&said)) {
         from.in_force = told->version;
     } else if (const auto* asked = std::get_if<wire::claim_asked>(&said)) {
-        const auto home = std::get<replicated::claim_result>(this->state.apply(
-            replicated::claim_key{asked->key, asked->home, asked->incarnation, wall_now()}));
-        from.link->send(wire::claim_told{asked->claim, true, home.home, home.incarnation});
+        this->claim(number, *asked);
+    } else if (const auto* agreement = std::get_if<wire::quorum_said>(&said)) {
+        this->log->handle(agreement->content);
+    } else if (const auto* command = std::get_if<wire::command_forwarded>(&said)) {
+        this->log->propose(command->command);
     }
 }
 
+void keeper::claim(std::uint64_t number, const wire::claim_asked& asked) {
+    const replicated::claim_key wanted{asked.key, asked.home, asked.incarnation, wall_now()};
+    this->submit(wanted, [this, number, claim = asked.claim](const auto& result) {
+        const auto from = this->members.find(number);
+        if (from == this->members.end() || !from->second.link) {
+            return;
+        }
+        if (!result) {
+            from->second.link->send(wire::claim_told{claim, false, {}, {}});
+            return;
+        }
+        const auto& home = std::get<replicated::claim_result>(*result);
+        from->second.link->send(wire::claim_told{claim, true, home.home, home.incarnation});
+    });
+}
+
 void keeper::greet(member& joined) {
     joined.link->send(this->make_hello());
-    joined.link->send(wire::configuration_news{this->state.version(), this->state.text()});
+    if (joined.hello.role == wire::instance_role::keeper) {
+        return;
+    }
+    if (this->state.version() > configuration_version(0)) {
+        joined.link->send(wire::configuration_news{this->state.version(), this->state.text()});
+    }
     for (const auto& [id, record] : this->targets) {
         if (record.place != joined.hello.place && !record.gone) {
             joined.link->send(wire::target_news{record});
@@ -111,7 +294,8 @@
     }
     const wire::instance_news news{{joined.hello.instance, joined.hello.address}};
     for (auto& [number, other] : this->members) {
-        const bool is_other = other.link && other.hello.instance != joined.hello.instance;
+        const bool is_other = other.link && other.hello.role == wire::instance_role::entry &&
+                              other.hello.instance != joined.hello.instance;
         if (is_other && !other.hello.instance.value().empty()) {
             other.link->send(news);
             joined.link->send(wire::instance_news{{other.hello.instance, other.hello.address}});
@@ -136,7 +320,8 @@
 void keeper::publish() {
     const wire::configuration_news news{this->state.version(), this->state.text()};
     for (auto& [number, one] : this->members) {
-        if (one.link && !one.hello.instance.value().empty()) {
+        if (one.link && !one.hello.instance.value().empty() &&
+            one.hello.role == wire::instance_role::entry) {
             one.link->send(news);
         }
     }
@@ -160,21 +345,9 @@
         order.reply.post({status_bad_request, print({{"error", problem->message}})});
         return;
     }
-    const auto result = std::get<replicated::configuration_result>(this->state.apply(
-        replicated::accept_configuration{order.order_id, order.base, order.text, wall_now()}));
-    spdlog::info("configuration order={} base={} accepted={} version={}", order.order_id,
-                 order.base.value(), result.is_accepted, result.version.value());
-    ordered_json body;
-    body["accepted"] = result.is_accepted;
-    body["version"] = result.version.value();
-    if (result.is_accepted) {
-        this->publish();
-    } else {
-        body["error"] = "the order builds on version " + std::to_string(order.base.value()) +
-                        ", but another change made version " +
-                        std::to_string(result.version.value());
-    }
-    order.reply.post({result.is_accepted ? status_ok : status_conflict, print(body)});
+    this->submit(
+        replicated::accept_configuration{order.order_id, order.base, order.text, wall_now()},
+        [order](const auto& result) { answer_order(order, result); });
 }
 
 void keeper::on(const admin::configuration_asked& asked) {
@@ -188,8 +361,23 @@
     ordered_json status;
     status["instance"] = this->own.settings.instance.value();
     status["configuration_version"] = this->state.version().value();
+    const quorum::replica& log_state = this->log->state();
+    status["leads"] = log_state.is_leader();
+    status["leader"] = log_state.leader().value();
+    status["term"] = log_state.term().value();
+    status["committed"] = log_state.committed().value();
+    status["voters"] = ordered_json::array();
+    for (const quorum::member& voter : log_state.voters().voters) {
+        status["voters"].push_back(voter.id.value());
+    }
+    status["votes_here"] = log_state.is_settled_voter();
+    status["joining"] = log_state.joining_count();
+    status["journal_bytes"] = this->log->journal_bytes();
     status["instances"] = ordered_json::array();
     for (const auto& [number, one] : this->members) {
+        if (one.hello.role == wire::instance_role::keeper) {
+            continue;
+        }
         ordered_json instance;
         instance["id"] = one.hello.instance.value();
         instance["failure_domain"] = one.hello.place.domain.value();
@@ -198,12 +386,14 @@
     }
     this->metrics.set("keeper_configuration_version",
                       static_cast<double>(this->state.version().value()));
+    this->metrics.set("keeper_syncs", static_cast<double>(this->log->sync_count()));
+    this->metrics.set("keeper_journal_bytes", static_cast<double>(this->log->journal_bytes()));
     this->metrics.set("keeper_instances", static_cast<double>(this->members.size()));
     admin::report said;
     said.part = "keeper";
     said.status = print(status);
     said.metrics = this->metrics.exposition();
-    said.is_ready = true;
+    said.is_ready = !this->log->is_broken() && !log_state.leader().value().empty();
     asked.reply.post(std::move(said));
 }
 
--- a/packages/keeper/internal/keeper.h
+++ b/packages/keeper/internal/keeper.h
@@ -4,6 +4,7 @@
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/outcome.h"
+#include "keeper/internal/keeper_log.h"
 #include "keeper/internal/keeper_message.h"
 #include "replicated/replicated_state.h"
 #include "settings/process_settings.h"
@@ -14,8 +15,10 @@
 #include "wire/peer_link.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -49,6 +52,18 @@
         configuration_version in_force;
     };
 
+    struct colleague {
+        endpoint address;
+        std::unique_ptr<wire::peer_link> link;
+        bool is_open = false;
+        time_point retry_at{};
+    };
+    using command_end = std::function<void(const std::optional<replicated::result>&)>;
+    struct waiting_command {
+        command_end ended;
+        time_point due{};
+    };
+
     explicit keeper(parts made_of);
 
     void on(const admin::configuration_order& order);
@@ -57,21 +72,38 @@
 
     void accept(GSocketConnection* connection);
     void receive(std::uint64_t number, wire::message said);
+    void claim(std::uint64_t number, const wire::claim_asked& asked);
     void greet(member& joined);
     void relay(std::uint64_t from, const membership::target_record& record);
     void publish();
     outcome<void> load_initial_configuration();
+    outcome<void> open_log();
+    /// Has the command agreed; `ended` is told its result, or nothing where no majority was reached
+    /// in time and it may or may not take effect.
+    void submit(const replicated::command& content, command_end ended);
+    void apply(const std::string& bytes);
+    void send_to_keeper(const instance_id& to, const wire::message& said);
+    void dial(const instance_id& id);
+    void tend();
     [[nodiscard]] wire::hello make_hello() const;
 
     parts own;
     telemetry::metric_set metrics;
     replicated::replicated_state state;
+    std::unique_ptr<keeper_log> log;
+    /// Links to the other keepers, dialled from here.
+    std::map<instance_id, colleague> colleagues;
+    /// Commands put forward here whose end is awaited.
+    std::map<std::uint64_t, waiting_command> waiting;
+    std::uint64_t last_command = 0;
+    std::string initial_text;
     std::unordered_map<std::uint64_t, member> members;
     std::uint64_t last_member = 0;
     /// Newest record of each target, for instances that come later.
     std::map<target_id, membership::target_record> targets;
     std::vector<std::unique_ptr<wire::peer_link>> retired;
     task::wakeup cleaner;
+    task::wakeup tending;
     std::unique_ptr<wire::listener> listener;
 };
 
--- /dev/null
+++ b/packages/keeper/internal/keeper_log.cpp
@@ -0,0 +1,197 @@
+#include "keeper/internal/keeper_log.h"
+
+#include "journal/disk_storage.h"
+#include "wire/keeper_codec.h"
+
+#include <spdlog/spdlog.h>
+
+#include <random>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace kingcupcart::keeper {
+
+namespace {
+
+/// Entries in the log above which a snapshot is made.
+constexpr std::size_t log_size_max = 1000;
+
+void take(quorum::stored_state& stored, const wire::journal_record& record) {
+    if (const auto* vote = std::get_if<quorum::keep_vote>(&record)) {
+        stored.term = vote->term;
+        stored.voted_for = vote->voted_for;
+    } else if (const auto* kept = std::get_if<quorum::keep_entries>(&record)) {
+        stored.entries.resize(kept->first.value() - stored.snapshot_index.value() - 1);
+        stored.entries.insert(stored.entries.end(), kept->entries.begin(), kept->entries.end());
+    } else if (const auto* snapshot = std::get_if<quorum::keep_snapshot>(&record)) {
+        stored.snapshot_index = snapshot->index;
+        stored.snapshot_term = snapshot->index_term;
+        stored.snapshot_voters = snapshot->voters;
+        stored.snapshot_data = snapshot->data;
+        stored.entries.clear();
+    }
+}
+
+} // namespace
+
+outcome<std::unique_ptr<keeper_log>> keeper_log::open(const parts& made_of, callbacks tell) {
+    std::unique_ptr<keeper_log> made(new keeper_log(made_of, std::move(tell)));
+    BOOST_LEAF_CHECK(made->load());
+    return made;
+}
+
+keeper_log::keeper_log(const parts& made_of, callbacks tell)
+    : own(made_of),
+      tell(std::move(tell)),
+      timer([this] { this->pass_time(); }),
+      flusher([this] { this->flush(); }) {}
+
+keeper_log::~keeper_log() = default;
+
+outcome<void> keeper_log::load() {
+    BOOST_LEAF_AUTO(storage, journal::disk_storage::open(this->own.folder));
+    BOOST_LEAF_AUTO(opened, journal::journal_file::open(std::move(storage)));
+    this->file = std::move(opened.file);
+    if (opened.torn_bytes > 0) {
+        spdlog::warn("journal: cut off a torn tail of {} bytes", opened.torn_bytes);
+    }
+    for (const std::string& bytes : opened.records) {
+        BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
+        if (const auto* named = std::get_if<wire::disk_named>(&record)) {
+            this->disk = named->disk;
+        }
+        take(this->stored, record);
+    }
+    const bool is_empty = opened.records.empty();
+    if (is_empty) {
+        std::random_device entropy;
+        this->disk = quorum::disk_id((std::uint64_t{entropy()} << 32U) | entropy());
+        BOOST_LEAF_CHECK(this->file->append(wire::encode_record(wire::disk_named{this->disk})));
+        BOOST_LEAF_CHECK(this->file->sync());
+    }
+    this->vote = quorum::keep_vote{this->stored.term, this->stored.voted_for};
+    if (!this->stored.snapshot_data.empty()) {
+        this->tell.restore(this->stored.snapshot_data);
+    }
+    const time_point now = this->own.time->now();
+    this->replica = std::make_unique<quorum::replica>(
+        quorum::member{this->own.self, this->disk}, this->own.others, this->stored,
+        quorum::replica_limits{}, this->own.seed, now);
+    if (is_empty && this->own.may_found) {
+        this->carry_out(this->replica->found(now));
+    }
+    this->arm();
+    return {};
+}
+
+void keeper_log::handle(const quorum::message& said) {
+    if (!this->broken) {
+        this->carry_out(this->replica->handle(said, this->own.time->now()));
+        this->arm();
+    }
+}
+
+bool keeper_log::propose(const std::string& command) {
+    if (this->broken) {
+        return false;
+    }
+    auto made = this->replica->propose(command, this->own.time->now());
+    this->carry_out(made.wanted);
+    this->arm();
+    return made.index.has_value();
+}
+
+void keeper_log::pass_time() {
+    if (!this->broken) {
+        this->carry_out(this->replica->pass_time(this->own.time->now()));
+        this->arm();
+    }
+}
+
+void keeper_log::arm() {
+    this->timer.arm(this->replica->next_wakeup());
+}
+
+void keeper_log::carry_out(const quorum::actions& wanted) {
+    const auto kept = value_or_error([&] { return this->keep(wanted); });
+    if (const auto* problem = std::get_if<error>(&kept)) {
+        this->give_up(problem->message);
+        return;
+    }
+    if (!this->deferred.empty()) {
+        this->flusher.arm_now();
+    }
+}
+
+outcome<void> keeper_log::keep(const quorum::actions& wanted) {
+    for (std::size_t i = 0; i < wanted.size(); ++i) {
+        if (const auto* snapshot = std::get_if<quorum::keep_snapshot>(&wanted[i])) {
+            // The replica says in the next action which entries remain.
+            BOOST_LEAF_CHECK(
+                this->keep_snapshot(*snapshot, std::get<quorum::keep_entries>(wanted.at(i + 1))));
+            ++i;
+        } else if (const auto* changed = std::get_if<quorum::keep_vote>(&wanted[i])) {
+            this->vote = *changed;
+            BOOST_LEAF_CHECK(this->file->append(wire::encode_record(*changed)));
+            this->is_dirty = true;
+        } else if (const auto* entries = std::get_if<quorum::keep_entries>(&wanted[i])) {
+            BOOST_LEAF_CHECK(this->file->append(wire::encode_record(*entries)));
+            this->is_dirty = true;
+        } else {
+            this->deferred.push_back(wanted[i]);
+        }
+    }
+    return {};
+}
+
+outcome<void> keeper_log::keep_snapshot(const quorum::keep_snapshot& snapshot,
+                                        const quorum::keep_entries& entries) {
+    return this->file->rewrite({wire::encode_record(wire::disk_named{this->disk}),
+                                wire::encode_record(this->vote), wire::encode_record(snapshot),
+                                wire::encode_record(entries)});
+}
+
+void keeper_log::flush() {
+    if (this->broken) {
+        return;
+    }
+    if (this->is_dirty) {
+        const auto synced = value_or_error([&] { return this->file->sync(); });
+        if (const auto* problem = std::get_if<error>(&synced)) {
+            this->give_up(problem->message);
+            return;
+        }
+        this->is_dirty = false;
+        ++this->syncs;
+    }
+    const quorum::actions ready = std::exchange(this->deferred, {});
+    for (const quorum::action& one : ready) {
+        if (const auto* sent = std::get_if<quorum::send_message>(&one)) {
+            this->tell.send(sent->to, sent->content);
+        } else if (const auto* agreed = std::get_if<quorum::apply_command>(&one)) {
+            this->tell.apply(agreed->command);
+        } else if (const auto* restored = std::get_if<quorum::restore_state>(&one)) {
+            this->tell.restore(restored->data);
+        } else if (const auto* changed = std::get_if<quorum::leadership_changed>(&one)) {
+            this->tell.leadership_changed(changed->is_leader);
+        }
+    }
+    this->compact_if_long();
+}
+
+void keeper_log::compact_if_long() {
+    // Whatever is committed must have been applied, or the snapshot would miss it.
+    if (this->replica->log_size() > log_size_max && this->deferred.empty()) {
+        this->carry_out(this->replica->compact(this->replica->committed(), this->tell.save()));
+    }
+}
+
+void keeper_log::give_up(const std::string& reason) {
+    this->broken = true;
+    this->deferred.clear();
+    this->timer.disarm();
+    spdlog::critical("keeper gives up until it is restarted: {}", reason);
+}
+
+} // namespace kingcupcart::keeper
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -47,6 +47,10 @@
     [[nodiscard]] std::size_t log_size() const { return this->log.size(); }
     [[nodiscard]] const membership& voters() const { return this->latest_membership; }
     [[nodiscard]] bool is_voter() const;
+    /// A voter by a membership that is agreed; only then a repair is finished.
+    [[nodiscard]] bool is_settled_voter() const {
+        return this->is_voter() && !this->pending_change();
+    }
     /// Keepers that are to become voters and have not caught up.
     [[nodiscard]] std::size_t joining_count() const { return this->learners.size(); }
 
--- a/packages/replicated/commands.h
+++ b/packages/replicated/commands.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -32,4 +33,17 @@
 
 using command = std::variant<accept_configuration, claim_key>;
 
+/// Which keeper put a command forward, so that it can tell who asked when the command is applied.
+struct command_origin {
+    instance_id keeper;
+    incarnation_id incarnation;
+    std::uint64_t number = 0;
+};
+
+/// What stands in the log.
+struct logged_command {
+    command_origin origin;
+    command content;
+};
+
 } // namespace kingcupcart::replicated
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -41,6 +41,9 @@
     std::string data;
     /// The other keepers, by identifier and address, as `id@address:port`.
     std::vector<std::string> members;
+    /// Begin a new deployment where the data folder is empty: from the command line, once, on one
+    /// keeper only.
+    bool may_found = false;
     /// Deployment configuration to begin with, where the state holds none; may be empty.
     std::string initial_configuration;
 };
--- a/packages/task/internal/wakeup.cpp
+++ b/packages/task/internal/wakeup.cpp
@@ -35,20 +35,26 @@
     // GLib's monotonic time and the steady clock count from the same moment.
     const auto microseconds =
         std::chrono::ceil<std::chrono::microseconds>(moment.time_since_epoch());
+    this->armed = true;
     g_source_set_ready_time(this->source, microseconds.count());
 }
 
 void wakeup::arm_now() {
+    this->armed = true;
     g_source_set_ready_time(this->source, at_once);
 }
 
 void wakeup::disarm() {
+    this->armed = false;
     g_source_set_ready_time(this->source, never);
 }
 
 gboolean wakeup::dispatch(GSource* source, GSourceFunc /*function*/, gpointer data) {
     g_source_set_ready_time(source, never);
-    static_cast<wakeup*>(data)->callback();
+    auto* self = static_cast<wakeup*>(data);
+    if (self->armed.exchange(false)) {
+        self->callback();
+    }
     return G_SOURCE_CONTINUE;
 }
 
--- a/packages/task/tests/task_test.cpp
+++ b/packages/task/tests/task_test.cpp
@@ -80,6 +80,29 @@
     loop.leave();
 }
 
+SCENARIO("a wakeup that was disarmed in the same turn of the loop does not come") {
+    task::event_loop loop;
+    loop.enter();
+    {
+        int calls = 0;
+        std::unique_ptr<task::wakeup> other;
+        task::wakeup first([&] {
+            ++calls;
+            other->disarm();
+        });
+        other = std::make_unique<task::wakeup>([&] {
+            ++calls;
+            first.disarm();
+        });
+        // Both are ready before either is dispatched.
+        first.arm_now();
+        other->arm_now();
+        g_main_context_iteration(loop.context(), FALSE);
+        CHECK(calls == 1);
+    }
+    loop.leave();
+}
+
 SCENARIO("a wakeup comes at its moment and not before") {
     const system_clock clock;
     task::event_loop loop;
--- a/packages/task/wakeup.h
+++ b/packages/task/wakeup.h
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include <atomic>
 #include <functional>
 
 namespace kingcupcart::task {
@@ -27,6 +28,8 @@
 
     std::function<void()> callback;
     GSource* source;
+    /// A source that was found ready is dispatched even if it is disarmed meanwhile.
+    std::atomic<bool> armed = false;
 };
 
 } // namespace kingcupcart::task
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -1,6 +1,7 @@
 #include "wire/codec.h"
 
 #include "wire/internal/field_reader.h"
+#include "wire/internal/quorum_fields.h"
 #include "wire/internal/shallow_parser.h"
 
 #include <nlohmann/json.hpp>
@@ -24,7 +25,9 @@
     call_answered = 7,
     claim_asked = 8,
     claim_told = 9,
-    instance_news = 10
+    instance_news = 10,
+    quorum_said = 11,
+    command_forwarded = 12
 };
 
 json number(message_number value) {
@@ -32,7 +35,7 @@
 }
 
 json binary(const std::string& content) {
-    return json::binary(std::vector<std::uint8_t>(content.begin(), content.end()));
+    return write_bytes(content);
 }
 
 json write_headers(const std::vector<header_field>& headers) {
@@ -122,6 +125,24 @@
                         said.instance.address.address, said.instance.address.port});
 }
 
+json write(const quorum_said& said) {
+    json fields = json::array({number(message_number::quorum_said)});
+    write_quorum(fields, said.content);
+    return fields;
+}
+
+json write(const command_forwarded& said) {
+    return json::array({number(message_number::command_forwarded), binary(said.command)});
+}
+
+message read_command_forwarded(field_reader& fields) {
+    return command_forwarded{fields.binary()};
+}
+
+message read_quorum_said(field_reader& fields) {
+    return quorum_said{read_quorum(fields)};
+}
+
 message read_hello(field_reader& fields) {
     hello said;
     said.instance = instance_id(fields.text());
@@ -251,6 +272,8 @@
     {message_number::claim_asked, "claim_asked", read_claim_asked},
     {message_number::claim_told, "claim_told", read_claim_told},
     {message_number::instance_news, "instance_news", read_instance_news},
+    {message_number::quorum_said, "quorum_said", read_quorum_said},
+    {message_number::command_forwarded, "command_forwarded", read_command_forwarded},
 };
 
 } // namespace
--- a/packages/wire/internal/shallow_parser.h
+++ b/packages/wire/internal/shallow_parser.h
@@ -44,7 +44,7 @@
     }
 
 private:
-    static constexpr int depth_limit = 4;
+    static constexpr int depth_limit = 8;
 
     nlohmann::detail::json_sax_dom_parser<json> builder;
     int depth = 0;
--- /dev/null
+++ b/packages/wire/keeper_codec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/outcome.h"
+#include "quorum/actions.h"
+#include "quorum/member.h"
+#include "replicated/commands.h"
+#include "replicated/replicated_state.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace kingcupcart::wire {
+
+/// First record of a keeper's journal: which disk this is.
+struct disk_named {
+    quorum::disk_id disk;
+};
+
+/// One record of a keeper's journal.
+using journal_record =
+    std::variant<disk_named, quorum::keep_vote, quorum::keep_entries, quorum::keep_snapshot>;
+
+/// Encodings of what keepers keep, all in CBOR. Decoding fails with `invalid_input`.
+[[nodiscard]] std::string encode_record(const journal_record& record);
+[[nodiscard]] outcome<journal_record> decode_record(std::string_view bytes);
+[[nodiscard]] std::string encode_command(const replicated::logged_command& command);
+[[nodiscard]] outcome<replicated::logged_command> decode_command(std::string_view bytes);
+[[nodiscard]] std::string encode_state(const replicated::replicated_state::content& content);
+[[nodiscard]] outcome<replicated::replicated_state::content> decode_state(std::string_view bytes);
+
+} // namespace kingcupcart::wire
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -6,6 +6,7 @@
 #include "base/location.h"
 #include "membership/target_load.h"
 #include "membership/target_record.h"
+#include "quorum/messages.h"
 
 #include <cstdint>
 #include <string>
@@ -108,8 +109,18 @@
     instance_address instance;
 };
 
-using message =
-    std::variant<hello, target_news, targets_vouched, configuration_news, configuration_in_force,
-                 call_forwarded, call_answered, claim_asked, claim_told, instance_news>;
+/// What one keeper says to another about the log.
+struct quorum_said {
+    quorum::message content;
+};
+
+/// A command that a keeper passes on to the one that leads.
+struct command_forwarded {
+    std::string command;
+};
+
+using message = std::variant<hello, target_news, targets_vouched, configuration_news,
+                             configuration_in_force, call_forwarded, call_answered, claim_asked,
+                             claim_told, instance_news, quorum_said, command_forwarded>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -1,6 +1,7 @@
 #include "task/event_loop.h"
 #include "task/wakeup.h"
 #include "wire/codec.h"
+#include "wire/keeper_codec.h"
 #include "wire/link_engine.h"
 #include "wire/listener.h"
 #include "wire/peer_link.h"
@@ -41,6 +42,18 @@
     return said;
 }
 
+quorum::entries_sent sample_entries() {
+    quorum::entries_sent said;
+    said.term = quorum::term_number(3);
+    quorum::log_entry command;
+    command.command = "c";
+    quorum::log_entry change;
+    change.change =
+        quorum::membership{{{instance_id("k1"), quorum::disk_id(9)}}, instance_id("k1")};
+    said.entries = {command, change};
+    return said;
+}
+
 std::vector<message> samples() {
     target_news news;
     news.record.id = target_id("e1");
@@ -55,7 +68,14 @@
             call_answered{3, 200, "answered", "", {{"Content-Type", "text/plain"}}, "yes"},
             claim_asked{1, idempotency_key("k"), instance_id("x"), incarnation_id(2)},
             claim_told{1, true, instance_id("x"), incarnation_id(2)},
-            instance_news{{instance_id("x"), endpoint{"127.0.0.1", 1}}}};
+            instance_news{{instance_id("x"), endpoint{"127.0.0.1", 1}}},
+            quorum_said{sample_entries()},
+            quorum_said{quorum::vote_asked{}},
+            quorum_said{quorum::vote_told{}},
+            quorum_said{quorum::entries_told{}},
+            quorum_said{quorum::snapshot_sent{}},
+            quorum_said{quorum::join_asked{}},
+            command_forwarded{"c"}};
 }
 
 bool is_refused(const std::string& bytes) {
@@ -82,6 +102,35 @@
     }
 }
 
+SCENARIO("what keepers keep survives its encoding") {
+    replicated::replicated_state state;
+    state.apply(replicated::accept_configuration{"o", {}, "text", std::chrono::seconds(5)});
+    state.apply(replicated::claim_key{idempotency_key("k"), instance_id("e1"), incarnation_id(7),
+                                      std::chrono::seconds(6)});
+    const std::string saved = encode_state(state.save());
+    const auto restored = value_or_error([&] { return decode_state(saved); });
+    REQUIRE(std::holds_alternative<replicated::replicated_state::content>(restored));
+    CHECK(encode_state(std::get<replicated::replicated_state::content>(restored)) == saved);
+    const std::vector<journal_record> records{
+        disk_named{quorum::disk_id(5)},
+        quorum::keep_vote{quorum::term_number(2), instance_id("k1")},
+        quorum::keep_entries{quorum::log_index(1), sample_entries().entries},
+        quorum::keep_snapshot{quorum::log_index(4), quorum::term_number(2), {}, saved}};
+    for (const journal_record& record : records) {
+        const std::string bytes = encode_record(record);
+        const auto back = value_or_error([&] { return decode_record(bytes); });
+        REQUIRE(std::holds_alternative<journal_record>(back));
+        CHECK(encode_record(std::get<journal_record>(back)) == bytes);
+    }
+    const replicated::logged_command claim{
+        {instance_id("k1"), incarnation_id(3), 4},
+        replicated::claim_key{idempotency_key("k"), instance_id("e1"), incarnation_id(7),
+                              std::chrono::seconds(6)}};
+    const auto command = value_or_error([&] { return decode_command(encode_command(claim)); });
+    REQUIRE(std::holds_alternative<replicated::logged_command>(command));
+    CHECK(encode_command(std::get<replicated::logged_command>(command)) == encode_command(claim));
+}
+
 SCENARIO("bytes that are no message are refused, whatever they are") {
     CHECK(is_refused(""));
     CHECK(is_refused("\xff\xff\xff"));
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -1,6 +1,7 @@
 #include "process/deployment.h"
 
 #include "task/wakeup.h"
+#include "wire/listener.h"
 
 #include <nlohmann/json.hpp>
 
@@ -60,6 +61,58 @@
     return *this->processes.back();
 }
 
+namespace {
+
+/// A port that was free a moment ago; keepers have to know each other's before they start.
+std::string free_address() {
+    const auto opened = value_or_error([] {
+        return wire::listener::open(endpoint{"127.0.0.1", 0}, [](GSocketConnection*) {});
+    });
+    return std::get<std::unique_ptr<wire::listener>>(opened)->address().to_string();
+}
+
+} // namespace
+
+std::vector<child_process*> deployment::add_three_keepers() {
+    constexpr int count = 3;
+    std::string members;
+    for (int i = 1; i <= count; ++i) {
+        this->keeper_addresses.push_back(free_address());
+        members += (i == 1 ? "k" : ", k") + std::to_string(i) + "@" + this->keeper_addresses.back();
+    }
+    std::vector<child_process*> keepers;
+    for (int i = 1; i <= count; ++i) {
+        const std::string id = "k" + std::to_string(i);
+        const std::string path = this->write_settings(
+            id, "[instance]\nid = " + id +
+                    "\nfailure-domain = local\nregion = local\nroles = keeper\n"
+                    "admin = 127.0.0.1:0\nstop-grace = 0s\n[keeper]\naddress = " +
+                    this->keeper_addresses[static_cast<std::size_t>(i) - 1] + "\ndata = " +
+                    this->folder + "/" + id + "\nmembers = " + members + "\n[log]\nlevel = info\n");
+        std::vector<std::string> command{KINGCUPCARTD, "--settings", path};
+        if (i == 1) {
+            command.push_back("--found");
+        }
+        this->processes.push_back(std::make_unique<child_process>(command));
+        keepers.push_back(this->processes.back().get());
+    }
+    return keepers;
+}
+
+child_process& deployment::restart_keeper(const std::string& id, bool is_emptied) {
+    if (is_emptied) {
+        std::filesystem::remove_all(this->folder + "/" + id);
+    }
+    this->processes.push_back(std::make_unique<child_process>(
+        std::vector<std::string>{KINGCUPCARTD, "--settings", this->folder + "/" + id + ".ini"}));
+    return *this->processes.back();
+}
+
+nlohmann::json deployment::keeper_status(child_process& keeper) {
+    const auto said = nlohmann::json::parse(this->status(keeper), nullptr, false);
+    return said.is_object() && said.contains("keeper") ? said["keeper"] : nlohmann::json();
+}
+
 child_process& deployment::add_entry(const std::string& domain) {
     const std::string id = "e" + std::to_string(++this->entries);
     std::string keepers;
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -6,6 +6,8 @@
 #include "process/child_process.h"
 #include "task/event_loop.h"
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -36,6 +38,12 @@
 
     /// Starts a keeper; its identifier is `k1`, `k2`, …
     child_process& add_keeper();
+    /// Starts three keepers that form one deployment.
+    std::vector<child_process*> add_three_keepers();
+    /// Starts a keeper of the three again, with its disk as it is or emptied.
+    child_process& restart_keeper(const std::string& id, bool is_emptied);
+    /// The keeper part of the instance's status; null while it has none.
+    nlohmann::json keeper_status(child_process& keeper);
     /// Starts an entry instance that knows the keepers and the first entry instance.
     child_process& add_entry(const std::string& domain = "local");
     child_process& add_engine(const std::string& id, child_process& entry,
