--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -171,6 +171,11 @@
     return one;
 }
 
+void deployment::wait(duration time) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    this->run_until([&] { return std::chrono::steady_clock::now() >= end; });
+}
+
 void deployment::run_once() {
     g_main_context_iteration(this->loop.context(), TRUE);
 }
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "http/answer_head.h"
 #include "http/client.h"
 #include "http/request.h"
@@ -54,6 +55,8 @@
     std::unique_ptr<caller> begin(const http::request& wanted);
     /// Makes a call and waits for its end.
     std::unique_ptr<caller> call(const http::request& wanted);
+    /// Lets time pass.
+    void wait(duration time);
     /// Lets the loop handle what comes next.
     void run_once();
     /// Runs the loop until the condition holds; false after the patience of a test.
