--- a/bench/requests_bench.cpp
+++ b/bench/requests_bench.cpp
@@ -2,7 +2,11 @@
 // the same seed gives the same figures on every machine.
 #include "model/baseline.h"
 #include "model/dispatcher_policy.h"
+#include "model/first_come_pick.h"
+#include "model/random_pick.h"
 #include "model/request_model.h"
+#include "model/round_robin_pick.h"
+#include "model/two_choices_pick.h"
 
 #include <cstdio>
 #include <cstdlib>
--- a/model/baseline.h
+++ b/model/baseline.h
@@ -5,11 +5,10 @@
 #include "base/location.h"
 #include "membership/directory_change.h"
 #include "membership/target_load.h"
+#include "model/target_picker.h"
 #include "requests/actions.h"
 #include "requests/messages.h"
 
-#include <algorithm>
-#include <concepts>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -20,60 +19,6 @@
 
 namespace kingcupcart::model {
 
-/// A target as a baseline sees it.
-struct baseline_target {
-    target_id id;
-    int slots = 1;
-    /// Requests of this instance on the target.
-    int running = 0;
-};
-
-/// Picks one of the targets; empty where the request has to wait.
-template <typename Candidate>
-concept target_picker = requires(Candidate pick, const std::vector<baseline_target*>& targets,
-                                 std::mt19937_64& random) {
-    { pick(targets, random) } -> std::same_as<baseline_target*>;
-};
-
-/// Any target, by chance.
-struct random_pick {
-    baseline_target* operator()(const std::vector<baseline_target*>& targets,
-                                std::mt19937_64& random) {
-        return targets[random() % targets.size()];
-    }
-};
-
-/// One target after the other.
-struct round_robin_pick {
-    std::size_t next = 0;
-
-    baseline_target* operator()(const std::vector<baseline_target*>& targets,
-                                std::mt19937_64& /*random*/) {
-        return targets[this->next++ % targets.size()];
-    }
-};
-
-/// The one with fewer requests of two by chance.
-struct two_choices_pick {
-    baseline_target* operator()(const std::vector<baseline_target*>& targets,
-                                std::mt19937_64& random) {
-        baseline_target* one = targets[random() % targets.size()];
-        baseline_target* other = targets[random() % targets.size()];
-        return one->running <= other->running ? one : other;
-    }
-};
-
-/// The least loaded target with room; the request waits in one queue where there is none.
-struct first_come_pick {
-    baseline_target* operator()(const std::vector<baseline_target*>& targets,
-                                std::mt19937_64& /*random*/) {
-        baseline_target* best =
-            *std::min_element(targets.begin(), targets.end(),
-                              [](const auto* a, const auto* b) { return a->running < b->running; });
-        return best->running < best->slots ? best : nullptr;
-    }
-};
-
 /// Serves requests in the order of their coming, by one way of picking targets, without hedges,
 /// retries or a look at how the targets fare.
 template <target_picker Picker>
--- /dev/null
+++ b/model/random_pick.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "model/baseline_target.h"
+
+#include <cstddef>
+#include <random>
+#include <vector>
+
+namespace kingcupcart::model {
+
+/// Any target, by chance.
+struct random_pick {
+    baseline_target* operator()(const std::vector<baseline_target*>& targets,
+                                std::mt19937_64& random) {
+        return targets[random() % targets.size()];
+    }
+};
+
+} // namespace kingcupcart::model
--- /dev/null
+++ b/model/round_robin_pick.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "model/baseline_target.h"
+
+#include <cstddef>
+#include <random>
+#include <vector>
+
+namespace kingcupcart::model {
+
+/// One target after the other.
+struct round_robin_pick {
+    std::size_t next = 0;
+
+    baseline_target* operator()(const std::vector<baseline_target*>& targets,
+                                std::mt19937_64& /*random*/) {
+        return targets[this->next++ % targets.size()];
+    }
+};
+
+} // namespace kingcupcart::model
--- /dev/null
+++ b/packages/entry/internal/front_requests.cpp
@@ -0,0 +1,255 @@
+#include "base/clock.h"
+#include "entry/internal/announcement.h"
+#include "entry/internal/exchange_sink.h"
+#include "entry/internal/front.h"
+#include "http/exchange.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+/// The front towards callers and announcing targets.
+namespace kingcupcart::entry {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_unprocessable = 422;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr const char* services_prefix = "/services/";
+
+void refuse_request(http::exchange& exchange, int status, const std::string& reason,
+                    const std::string& detail) {
+    problem refusal;
+    refusal.status = status;
+    refusal.reason = reason;
+    refusal.detail = detail;
+    exchange.add_header(outcome_header, requests::to_string(refusal.outcome));
+    exchange.respond(status, problem_type, refusal.print());
+}
+
+/// `/services/NAME/rest` cut into name and rest.
+struct service_path {
+    std::string name;
+    std::string rest;
+};
+
+service_path cut_service_path(const std::string& path) {
+    const std::string after = path.substr(std::string(services_prefix).size());
+    const auto end = after.find_first_of("/?");
+    if (end == std::string::npos) {
+        return {after, "/"};
+    }
+    const std::string rest = after.substr(end);
+    return {after.substr(0, end), rest.front() == '?' ? "/" + rest : rest};
+}
+
+} // namespace
+
+void front::request_arrived(std::unique_ptr<http::exchange> exchange) {
+    const std::string path = exchange->plain_path();
+    const std::string method = exchange->method();
+    if (path.starts_with(services_prefix)) {
+        this->service_arrived(std::move(exchange));
+    } else if (method == "POST" && path == "/v1/completions") {
+        this->completion_arrived(std::move(exchange), completions::completion_form::text);
+    } else if (method == "POST" && path == "/v1/chat/completions") {
+        this->completion_arrived(std::move(exchange), completions::completion_form::chat);
+    } else if (method == "POST" && path == "/v1/idempotency-keys") {
+        this->issue_key(*exchange);
+    } else if (method == "POST" && path == "/targets/announce") {
+        this->announced(*exchange);
+    } else {
+        refuse_request(*exchange, status_not_found, "no-such-path", method + " " + path);
+    }
+}
+
+void front::announced(http::exchange& exchange) {
+    const auto parsed = value_or_error(
+        [&] { return parse_announcement(exchange.body(), this->own.settings.place); });
+    if (const auto* problem = std::get_if<error>(&parsed)) {
+        spdlog::warn("announcement refused from={} error=\"{}\"", exchange.remote_address(),
+                     problem->message);
+        refuse_request(exchange, status_bad_request, "bad-announcement", problem->message);
+        return;
+    }
+    const auto& said = std::get<announcement>(parsed);
+    const time_point now = this->own.time->now();
+    const duration lease = this->own.settings.entry->target_lease;
+    const auto change = this->directory.announce(said.record, lease, now);
+    this->loads.insert_or_assign(said.record.id, said.load);
+    this->apply(change);
+    this->dispatcher.record_load(said.load);
+    if (!said.cached.empty()) {
+        this->dispatcher.record_cached(said.record.id, said.cached, now);
+    }
+    if (change.is_news()) {
+        static_cast<void>(this->own.peers.post(share_target{change.record}));
+    }
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(lease);
+    exchange.respond(status_ok, json_type,
+                     nlohmann::json{{"lease_ms", milliseconds.count()}}.dump());
+}
+
+void front::issue_key(http::exchange& exchange) {
+    const auto key = this->keys.registry().issue(this->own.time->now());
+    const auto lifetime =
+        std::chrono::duration_cast<std::chrono::seconds>(this->own.settings.entry->key_time);
+    exchange.respond(
+        status_ok, json_type,
+        nlohmann::json{{"key", key.print().value()}, {"lifetime_seconds", lifetime.count()}}
+            .dump());
+}
+
+void front::completion_arrived(std::unique_ptr<http::exchange> exchange,
+                               completions::completion_form form) {
+    auto parsed =
+        value_or_error([&] { return completions::parse_request(exchange->body(), form); });
+    if (const auto* problem = std::get_if<error>(&parsed)) {
+        refuse_request(*exchange, status_bad_request, "bad-request", problem->message);
+        return;
+    }
+    auto& request = std::get<completions::completion_request>(parsed);
+    const auto* model = this->deployment.find_model(request.model);
+    if (model == nullptr) {
+        refuse_request(*exchange, status_not_found, "no-such-model",
+                       "'" + request.model.value() + "' is not in the configuration");
+        return;
+    }
+    requests::request_profile profile;
+    profile.id = this->next_request();
+    profile.caller = caller_id(exchange->header(caller_header));
+    if (profile.caller.value().empty()) {
+        profile.caller = caller_id(exchange->remote_address());
+    }
+    profile.backend = request.model;
+    profile.work_class = this->class_of(*exchange, model->default_class);
+    profile.repeatable = true;
+    profile.resumable = true;
+    profile.prefix = request.prefix;
+    this->calls.emplace(profile.id,
+                        std::make_unique<engine_call>(profile.id, std::move(request),
+                                                      std::move(exchange), this->context));
+    this->started.emplace(profile.id, this->own.time->now());
+    this->tell(requests::request_arrived{profile});
+}
+
+void front::service_arrived(std::unique_ptr<http::exchange> exchange) {
+    const service_path path = cut_service_path(exchange->path());
+    service_request request;
+    request.service = backend_name(path.name);
+    const auto* service = this->deployment.find_service(request.service);
+    if (service == nullptr) {
+        refuse_request(*exchange, status_not_found, "no-such-service",
+                       "'" + path.name + "' is not in the configuration");
+        return;
+    }
+    request.path = path.rest;
+    request.method = exchange->method();
+    request.caller = caller_id(exchange->header(caller_header));
+    if (request.caller.value().empty()) {
+        request.caller = caller_id(exchange->remote_address());
+    }
+    request.work_class = this->class_of(*exchange, service->default_class);
+    request.headers = end_to_end(exchange->headers());
+    request.body = exchange->body();
+    const auto& methods = service->repeatable_methods;
+    request.repeatable = std::find(methods.begin(), methods.end(), request.method) != methods.end();
+    request.key = idempotency_key(exchange->header(key_header));
+    auto sink = std::make_unique<exchange_sink>(std::move(exchange));
+    const time_point now = this->own.time->now();
+    if (request.key.value().empty() || request.repeatable) {
+        request.key = idempotency_key();
+        this->run_service(request, now, std::move(sink));
+        return;
+    }
+    this->keys.resolve(std::move(request), std::move(sink), now);
+}
+
+void front::run_service(const service_request& request, time_point born,
+                        std::unique_ptr<answer_sink> sink) {
+    const request_id id = this->next_request();
+    if (request.key.value().empty()) {
+        this->start_service(request, id, std::move(sink));
+        return;
+    }
+    const auto known = this->keys.registry().begin(request.key, request.fingerprint(), id, born,
+                                                   this->own.time->now());
+    problem refusal;
+    switch (known.state) {
+    case requests::key_state::started:
+        this->start_service(request, id, std::move(sink));
+        return;
+    case requests::key_state::running:
+        if (any_call* running = this->find(known.request)) {
+            std::get<std::unique_ptr<service_call>>(*running)->add_sink(std::move(sink));
+            return;
+        }
+        refusal.outcome = requests::outcome_kind::unknown;
+        refusal.reason = "outcome-unknown";
+        refusal.status = status_bad_gateway;
+        break;
+    case requests::key_state::finished:
+        sink->answer(*known.answer);
+        return;
+    case requests::key_state::mismatched:
+        refusal.reason = "key-used-for-another-request";
+        refusal.status = status_unprocessable;
+        break;
+    case requests::key_state::expired:
+        refusal.outcome = requests::outcome_kind::unknown;
+        refusal.reason = "key-expired";
+        refusal.status = status_bad_gateway;
+        break;
+    case requests::key_state::full:
+        refusal.reason = "key-table-full";
+        refusal.status = status_unavailable;
+        break;
+    }
+    sink->refuse(refusal);
+}
+
+void front::start_service(const service_request& request, request_id id,
+                          std::unique_ptr<answer_sink> sink) {
+    requests::request_profile profile;
+    profile.id = id;
+    profile.caller = request.caller;
+    profile.backend = request.service;
+    profile.work_class = request.work_class;
+    profile.repeatable = request.repeatable;
+    profile.outlives_caller = !request.repeatable;
+    const idempotency_key key = request.key;
+    auto made = std::make_unique<service_call>(
+        id, request, this->context, [this, key](const requests::recorded_answer& answer) {
+            if (key.value().empty()) {
+                return;
+            }
+            if (answer.outcome == requests::outcome_kind::not_run) {
+                this->keys.registry().release(key);
+            } else {
+                this->keys.registry().finish(key, answer);
+            }
+        });
+    made->add_sink(std::move(sink));
+    this->calls.emplace(id, std::move(made));
+    this->started.emplace(id, this->own.time->now());
+    this->tell(requests::request_arrived{profile});
+}
+
+work_class_name front::class_of(const http::exchange& exchange,
+                                const work_class_name& fallback) const {
+    const std::string asked = exchange.header(class_header);
+    return asked.empty() ? fallback : work_class_name(asked);
+}
+
+request_id front::next_request() {
+    this->last_request = request_id(this->last_request.value() + 1);
+    return this->last_request;
+}
+
+} // namespace kingcupcart::entry
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -198,6 +198,26 @@
     std::uint64_t last_command = 0;
 };
 
+/// Stops all, and starts all but one again, for each of them.
+void check_restarts_without_one(cluster& keepers) {
+    for (const instance_id& missing : keepers.ids) {
+        for (const instance_id& id : keepers.ids) {
+            keepers.stop(id);
+        }
+        for (const instance_id& id : keepers.ids) {
+            if (id != missing) {
+                keepers.start(id);
+            }
+        }
+        keepers.pass(5s);
+        CAPTURE(missing.value());
+        REQUIRE(keepers.leader());
+        CHECK(keepers.applied(*keepers.leader()).find("c10;") != std::string::npos);
+        keepers.start(missing);
+        keepers.pass(5s);
+    }
+}
+
 } // namespace
 
 SCENARIO("keepers found, join and agree") {
@@ -263,22 +283,7 @@
         }
     }
     GIVEN("all are stopped, and any one does not come back") {
-        for (const instance_id& missing : keepers.ids) {
-            for (const instance_id& id : keepers.ids) {
-                keepers.stop(id);
-            }
-            for (const instance_id& id : keepers.ids) {
-                if (id != missing) {
-                    keepers.start(id);
-                }
-            }
-            keepers.pass(5s);
-            CAPTURE(missing.value());
-            REQUIRE(keepers.leader());
-            CHECK(keepers.applied(*keepers.leader()).find("c10;") != std::string::npos);
-            keepers.start(missing);
-            keepers.pass(5s);
-        }
+        check_restarts_without_one(keepers);
     }
     GIVEN("a repaired keeper, and all are stopped, and any one does not come back") {
         const instance_id other = keepers.ids[0] == first ? keepers.ids[1] : keepers.ids[0];
@@ -286,22 +291,7 @@
         keepers.empty_disk(other);
         keepers.start(other);
         keepers.pass(5s);
-        for (const instance_id& missing : keepers.ids) {
-            for (const instance_id& id : keepers.ids) {
-                keepers.stop(id);
-            }
-            for (const instance_id& id : keepers.ids) {
-                if (id != missing) {
-                    keepers.start(id);
-                }
-            }
-            keepers.pass(5s);
-            CAPTURE(missing.value());
-            REQUIRE(keepers.leader());
-            CHECK(keepers.applied(*keepers.leader()).find("c10;") != std::string::npos);
-            keepers.start(missing);
-            keepers.pass(5s);
-        }
+        check_restarts_without_one(keepers);
     }
     GIVEN("an emptied disk while the leader is lost too") {
         const instance_id other = keepers.ids[0] == first ? keepers.ids[1] : keepers.ids[0];
--- /dev/null
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -0,0 +1,116 @@
+#include "requests/internal/dispatcher_state.h"
+
+#include <algorithm>
+
+/// What the dispatcher does when time passes: hedges, resumes, deadlines.
+namespace kingcupcart::requests {
+
+namespace {
+
+/// Time to a first hedge while the pool's speed is unknown.
+constexpr duration hedge_delay_unknown = std::chrono::seconds(1);
+/// Silence of long work that counts as a stall.
+constexpr duration long_stall = std::chrono::seconds(5);
+
+} // namespace
+
+void dispatcher::state::arm_hedge(const request_state& request) {
+    const bool may_hedge = request.kind == urgency::short_work && request.profile.repeatable &&
+                           request.attempts < this->limits.attempts_max;
+    if (!may_hedge) {
+        return;
+    }
+    const duration expected =
+        this->router.expected_first_output(request.profile.backend, request.kind);
+    duration delay = hedge_delay_unknown;
+    if (expected > duration::zero()) {
+        const auto multiple = static_cast<duration::rep>(static_cast<double>(expected.count()) *
+                                                         this->limits.hedge_ratio);
+        delay = std::max(this->limits.hedge_floor, duration(multiple));
+    }
+    this->timers.add({this->now + delay * static_cast<duration::rep>(request.live.size()),
+                      timer_queue::purpose::hedge, request.profile.id});
+}
+
+void dispatcher::state::arm_stall(const request_state& request) {
+    if (!request.profile.resumable || request.attempts > 1) {
+        return;
+    }
+    this->timers.add(
+        {this->now + this->stall_delay(request), timer_queue::purpose::stall, request.profile.id});
+}
+
+duration dispatcher::state::stall_delay(const request_state& request) const {
+    if (request.kind == urgency::long_work) {
+        return long_stall;
+    }
+    const duration interval = this->router.expected_interval(request.profile.backend);
+    const auto multiple = static_cast<duration::rep>(static_cast<double>(interval.count()) *
+                                                     this->limits.stall_ratio);
+    return std::max(this->limits.stall_floor, duration(multiple));
+}
+
+void dispatcher::state::hedge(request_state& request) {
+    const bool is_waiting = !request.queued && !request.adopted && !request.live.empty();
+    if (!is_waiting || request.attempts >= this->limits.attempts_max) {
+        return;
+    }
+    const attempt_state& newest = this->attempts.at(request.live.back());
+    if (newest.has_output || !this->budget.spend()) {
+        return;
+    }
+    const auto choice = this->route(request, false);
+    if (choice.target) {
+        this->send(request, choice, send_cause::hedge);
+    } else {
+        this->budget.refund();
+    }
+}
+
+void dispatcher::state::check_stall(request_state& request) {
+    const duration delay = this->stall_delay(request);
+    if (!request.adopted) {
+        // Before its first output a stream is looked after by hedges.
+        this->timers.add({this->now + delay, timer_queue::purpose::stall, request.profile.id});
+        return;
+    }
+    const duration silence = this->now - request.last_output;
+    if (silence < delay) {
+        this->timers.add(
+            {request.last_output + delay, timer_queue::purpose::stall, request.profile.id});
+        return;
+    }
+    this->timers.add({this->now + delay, timer_queue::purpose::stall, request.profile.id});
+    const bool is_alone = request.live.size() == 1;
+    if (!is_alone || request.attempts >= this->limits.attempts_max || !this->budget.spend()) {
+        return;
+    }
+    const auto choice = this->route(request, false);
+    if (choice.target) {
+        this->send(request, choice, send_cause::resume);
+    } else {
+        this->budget.refund();
+    }
+}
+
+void dispatcher::state::expire(request_state& request) {
+    const bool is_orphan = this->now >= request.deadline + this->limits.orphan_time;
+    if (request.profile.outlives_caller && request.handed && !is_orphan) {
+        if (!request.told_unknown) {
+            request.told_unknown = true;
+            this->output.push_back(refuse_request{
+                request.profile.id, outcome_kind::unknown, refusal_reason::deadline_passed, {}});
+        }
+        this->timers.add({request.deadline + this->limits.orphan_time,
+                          timer_queue::purpose::deadline, request.profile.id});
+        return;
+    }
+    const backend_name backend = request.profile.backend;
+    while (!request.live.empty()) {
+        this->cancel(request, request.live.back());
+    }
+    this->refuse(request, refusal_reason::deadline_passed);
+    this->pump(backend);
+}
+
+} // namespace kingcupcart::requests
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -87,8 +87,9 @@
             id, "[instance]\nid = " + id +
                     "\nfailure-domain = local\nregion = local\nroles = keeper\n"
                     "admin = 127.0.0.1:0\nstop-grace = 0s\n[keeper]\naddress = " +
-                    this->keeper_addresses[static_cast<std::size_t>(i) - 1] + "\ndata = " +
-                    this->folder + "/" + id + "\nmembers = " + members + "\n[log]\nlevel = error\n");
+                    this->keeper_addresses[static_cast<std::size_t>(i) - 1] +
+                    "\ndata = " + this->folder + "/" + id + "\nmembers = " + members +
+                    "\n[log]\nlevel = error\n");
         std::vector<std::string> command{KINGCUPCARTD, "--settings", path};
         if (i == 1) {
             command.push_back("--found");
