Be ready only with the accepted configuration in force

Cause: an instance that started while no keeper could be reached was ready under the open default, so a balancer would have sent it callers. Ruled out: refusing requests as well, since a domain that is cut off has to serve what it can; readiness is what a balancer asks. The new story in keepers_test was not run against the version before. Conclusion: an instance with keepers says ready once it knows what is in force.

--- a/packages/entry/internal/front.cpp
+++ b/packages/entry/internal/front.cpp
@@ -284,7 +284,10 @@
     said.part = "entry";
     said.status = this->print_status();
     said.metrics = this->metrics.exposition();
-    said.is_ready = !this->drained;
+    // A balancer sends callers here only once the accepted configuration is in force.
+    const bool has_configuration =
+        this->own.settings.entry->keepers.empty() || this->in_force > configuration_version(0);
+    said.is_ready = !this->drained && has_configuration;
     static_cast<void>(asked.reply.post(std::move(said)));
 }
 
--- a/tests/process/keepers_test.cpp
+++ b/tests/process/keepers_test.cpp
@@ -126,4 +126,16 @@
             CHECK(in_force(1));
         }
     }
+    GIVEN("no keeper that an instance could ask after its start") {
+        for (child_process* keeper : keepers) {
+            keeper->signal(SIGKILL);
+        }
+        entry.signal(SIGKILL);
+        auto& restarted = salon.add_entry();
+        http::request ready;
+        ready.url = "http://" + restarted.value("admin") + "/readyz";
+        THEN("it is not ready, since it does not know what is in force") {
+            CHECK(salon.call(ready)->head.status == 503);
+        }
+    }
 }
