One class a header in the model

Cause: engine.h and scenario.h held several. Left as they are: nested private structs, and families of messages that the design page names.

--- a/model/engine.h
+++ b/model/engine.h
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "model/engine_speed.h"
 #include "model/event_queue.h"
+#include "model/stream_callbacks.h"
 
 #include <cstdint>
 #include <deque>
@@ -11,23 +13,6 @@
 
 namespace kingcupcart::model {
 
-/// Speed of a model engine.
-struct engine_speed {
-    /// One decoding step with one stream in the batch.
-    duration step = std::chrono::milliseconds(12);
-    /// Slow-down of a step per further stream, as a share.
-    double slope = 0.02;
-    /// Prefill of one prompt, which delays the whole batch.
-    duration prefill = std::chrono::milliseconds(8);
-    int batch_max = 32;
-};
-
-/// Sides of one attempt that a model tells its caller: one token, and the end of the answer.
-struct stream_callbacks {
-    std::function<void()> token;
-    std::function<void()> end;
-};
-
 /// A model engine in virtual time: it batches continuously, admits requests as they come, knows no
 /// priorities, slows down as the batch grows and by its neighbours' load.
 class engine {
--- a/model/scenario.h
+++ b/model/scenario.h
@@ -1,23 +1,14 @@
 #pragma once
 
 #include "base/clock.h"
-#include "model/engine.h"
+#include "model/engine_speed.h"
+#include "model/work_stream.h"
 
 #include <cstdint>
 #include <string>
 
 namespace kingcupcart::model {
 
-/// One kind of work that arrives at the entry instances.
-struct work_stream {
-    /// Requests a second over all instances; zero for none.
-    double per_second = 0;
-    std::int64_t tokens_least = 1;
-    std::int64_t tokens_most = 1;
-    /// Requests that arrive together, as the drafts of a trainer's step do.
-    int burst = 1;
-};
-
 /// A deployment under load, as a model runs it.
 struct scenario {
     std::string name;
