Let a replicated group found itself and keep itself at strength

Cause: the users' platform starts all machines at once with the same three seeds and no founder, replaces machines for good, adds empty ones and asks that some be emptied. The log could only grow its membership, and began with one keeper that was told to found alone.

Change: a replica may start from a founding membership that all founders were told. Members beyond the wanted number are kept caught up as standbys; a voter that is absent for 2.5 s, or is to leave, is replaced by one of them, by an addition and then a removal, each a change of its own. Entries on their way are not sent again with each proposal.

Ruled out: swapping two voters in one entry, since old and new majorities of three need not meet.

--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -142,6 +142,11 @@
 }
 
 void replica::on(const vote_asked& asked) {
+    if (this->is_leader() && !this->is_known_voter(asked.candidate)) {
+        // It was taken out while it was away, and does not know yet.
+        this->on(join_asked{asked.candidate});
+        return;
+    }
     const bool hears_leader =
         !this->known_leader.value().empty() &&
         (this->is_leader() || this->now - this->leader_heard < this->limits.election_least);
@@ -273,8 +278,10 @@
     state.match = std::max(state.match, told.match);
     state.next = std::max(state.next, after(state.match));
     this->advance_commit();
-    this->admit_learners();
-    if (state.match < this->last_index()) {
+    this->adjust_membership();
+    // A change of membership may have let this follower go.
+    const auto still = this->followers.find(told.follower.id);
+    if (still != this->followers.end() && still->second.next <= this->last_index()) {
         this->replicate_to(told.follower.id);
     }
 }
--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -2,6 +2,7 @@
 #include "quorum/replica.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 /// The leader's side of a replica: replication, commit, membership.
@@ -54,6 +55,8 @@
          index = after(index)) {
         sent.entries.push_back(this->entry_at(index));
     }
+    // What is on its way is not sent again; a follower that missed it says where to go back to.
+    state.next = after(previous, sent.entries.size() + 1);
     this->send(to, std::move(sent));
 }
 
@@ -98,41 +101,133 @@
     this->lead();
 }
 
-void replica::admit_learners() {
-    const bool has_own_commit = this->commit_index > this->snapshot_index &&
-                                this->term_at(this->commit_index) == this->current_term;
-    if (!has_own_commit || this->pending_change()) {
-        return;
+bool replica::is_caught_up(const instance_id& id) const {
+    const auto follower = this->followers.find(id);
+    return follower != this->followers.end() && follower->second.match >= this->commit_index;
+}
+
+bool replica::is_unfit(const instance_id& id) const {
+    if (this->leaving.contains(id)) {
+        return true;
     }
+    const auto follower = this->followers.find(id);
+    return id != this->self.id && follower != this->followers.end() &&
+           this->now - follower->second.last_heard > this->limits.absence_limit;
+}
+
+std::size_t replica::standby_count() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->learners.begin(), this->learners.end(), [this](const auto& item) {
+            return this->is_caught_up(item.first) && !this->is_unfit(item.first);
+        }));
+}
+
+void replica::change_membership(membership changed) {
+    log_entry entry;
+    entry.term = this->current_term;
+    entry.change = std::move(changed);
+    this->append(entry);
+    this->lead();
+}
+
+bool replica::replace_disk() {
     for (auto item = this->learners.begin(); item != this->learners.end(); ++item) {
-        const auto follower = this->followers.find(item->first);
-        if (follower == this->followers.end() || follower->second.match < this->commit_index) {
+        const instance_id id = item->first;
+        membership changed = this->latest_membership;
+        const auto voter = std::find_if(changed.voters.begin(), changed.voters.end(),
+                                        [&](const member& one) { return one.id == id; });
+        if (voter == changed.voters.end() || !this->is_caught_up(id)) {
+            continue;
+        }
+        *voter = item->second;
+        changed.joining = id;
+        this->learners.erase(item);
+        this->change_membership(std::move(changed));
+        return true;
+    }
+    return false;
+}
+
+bool replica::add_standby() {
+    const auto& voters = this->latest_membership.voters;
+    const bool has_unfit = std::any_of(voters.begin(), voters.end(), [this](const member& voter) {
+        return this->is_unfit(voter.id);
+    });
+    const std::size_t wanted = this->limits.voters_wanted;
+    // One above the wanted number only to take out an unfit voter in the next change.
+    if (wanted != 0 && voters.size() >= wanted && !(has_unfit && voters.size() == wanted)) {
+        return false;
+    }
+    for (auto item = this->learners.begin(); item != this->learners.end(); ++item) {
+        if (!this->is_caught_up(item->first) || this->is_unfit(item->first)) {
             continue;
         }
-        log_entry entry;
-        entry.term = this->current_term;
         membership changed = this->latest_membership;
-        const auto replaced = std::erase_if(
-            changed.voters, [&](const member& voter) { return voter.id == item->first; });
         changed.voters.push_back(item->second);
-        changed.joining = replaced > 0 ? item->first : instance_id();
-        entry.change = changed;
+        changed.joining = instance_id();
         this->learners.erase(item);
-        this->append(entry);
-        this->lead();
+        this->change_membership(std::move(changed));
+        return true;
+    }
+    return false;
+}
+
+bool replica::remove_surplus() {
+    const std::size_t wanted = this->limits.voters_wanted;
+    membership changed = this->latest_membership;
+    if (wanted == 0 || changed.voters.size() <= wanted) {
+        return false;
+    }
+    auto goes = std::find_if(changed.voters.begin(), changed.voters.end(),
+                             [this](const member& voter) { return this->is_unfit(voter.id); });
+    if (goes == changed.voters.end()) {
+        // The absent voter came back: the newest one is a standby again.
+        goes = std::prev(changed.voters.end());
+        if (goes->id == this->self.id) {
+            goes = changed.voters.begin();
+        }
+    }
+    const instance_id gone = goes->id;
+    changed.voters.erase(goes);
+    changed.joining = instance_id();
+    this->change_membership(std::move(changed));
+    this->followers.erase(gone);
+    return true;
+}
+
+void replica::adjust_membership() {
+    const bool has_own_commit = this->commit_index > this->snapshot_index &&
+                                this->term_at(this->commit_index) == this->current_term;
+    if (!has_own_commit || this->pending_change()) {
         return;
     }
+    if (!this->is_voter()) {
+        // It led until the change that takes it out was agreed.
+        this->become_follower(this->current_term);
+        return;
+    }
+    if (this->replace_disk() || this->remove_surplus()) {
+        return;
+    }
+    static_cast<void>(this->add_standby());
 }
 
-void replica::check_majority_heard() {
+bool replica::hears_majority(duration within, time_point moment) const {
     std::set<instance_id> heard{this->self.id};
     for (const auto& [id, state] : this->followers) {
-        const bool is_recent = this->now - state.last_heard < this->limits.election_most;
-        if (is_recent && !this->learners.contains(id)) {
+        if (moment - state.last_heard < within && !this->learners.contains(id)) {
             heard.insert(id);
         }
     }
-    if (!this->has_majority(heard, this->latest_membership)) {
+    return this->has_majority(heard, this->latest_membership);
+}
+
+bool replica::has_fresh_majority(time_point moment) const {
+    return this->is_leader() && this->hears_majority(this->limits.election_least, moment);
+}
+
+void replica::check_majority_heard() {
+    if (!this->hears_majority(this->limits.election_most, this->now)) {
         this->become_follower(this->current_term);
     }
 }
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -38,6 +38,15 @@
     /// The state after `index` is kept as a snapshot; the log before it is no longer needed.
     [[nodiscard]] actions compact(log_index index, const std::string& data);
 
+    /// The members that a replica which is no voter asks to be taken in by.
+    void set_others(std::vector<instance_id> changed) { this->others = std::move(changed); }
+    /// Members that are to be replaced although they are alive. Told to every replica, so that a
+    /// new leader goes on with it.
+    void set_leaving(std::set<instance_id> changed) { this->leaving = std::move(changed); }
+    /// Leads, and heard from a majority within the shortest election time: no other leader can have
+    /// been elected meanwhile.
+    [[nodiscard]] bool has_fresh_majority(time_point now) const;
+
     [[nodiscard]] time_point next_wakeup() const { return this->wakeup; }
     [[nodiscard]] bool is_leader() const { return this->role == role_kind::leader; }
     [[nodiscard]] const instance_id& leader() const { return this->known_leader; }
@@ -54,6 +63,8 @@
     }
     /// Keepers that are to become voters and have not caught up.
     [[nodiscard]] std::size_t joining_count() const { return this->learners.size(); }
+    /// Learners that hold all that is agreed and could replace a voter.
+    [[nodiscard]] std::size_t standby_count() const;
 
 private:
     enum class role_kind { follower, trial_candidate, candidate, leader };
@@ -83,8 +94,17 @@
     void apply_committed();
     /// Once the replacement of a disk is agreed, the newcomer's word counts again.
     void settle_membership();
-    void admit_learners();
+    /// Takes in learners that have caught up, and takes out voters that are absent or leaving: one
+    /// change at a time.
+    void adjust_membership();
+    [[nodiscard]] bool replace_disk();
+    [[nodiscard]] bool add_standby();
+    [[nodiscard]] bool remove_surplus();
+    [[nodiscard]] bool is_caught_up(const instance_id& id) const;
+    [[nodiscard]] bool is_unfit(const instance_id& id) const;
+    void change_membership(membership changed);
     void check_majority_heard();
+    [[nodiscard]] bool hears_majority(duration within, time_point moment) const;
     void refresh_membership();
     void arm_election();
     void send(const instance_id& to, message content);
@@ -118,6 +138,7 @@
     std::map<instance_id, progress> followers;
     /// Members that asked to join, by instance.
     std::map<instance_id, member> learners;
+    std::set<instance_id> leaving;
     time_point now{};
     time_point wakeup{};
     actions output;
--- a/packages/quorum/replica_limits.h
+++ b/packages/quorum/replica_limits.h
@@ -15,6 +15,11 @@
     /// How often a keeper that is no voter asks to join.
     duration join_interval = std::chrono::milliseconds(300);
     std::size_t entries_per_message = 256;
+    /// Voters to keep; further members stay caught up as standbys. 0: whoever asks becomes a voter.
+    std::size_t voters_wanted = 0;
+    /// A voter that is silent for this long may be replaced by a standby. Well above an election,
+    /// so that a restart does not change the membership.
+    duration absence_limit = std::chrono::milliseconds(2500);
 };
 
 } // namespace kingcupcart::quorum
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 using namespace kingcupcart;
 using namespace kingcupcart::quorum;
@@ -28,6 +29,51 @@
         this->carry_out(this->ids[0], this->nodes[this->ids[0]].part->found(this->now));
     }
 
+    /// Keepers that all were told the same founders, the first `founders` of them; the rest are
+    /// standbys. Nobody founds alone.
+    struct founded_by {
+        int founders;
+    };
+    cluster(std::uint64_t seed, int size, founded_by told) : random(seed) {
+        this->limits.voters_wanted = static_cast<std::size_t>(told.founders);
+        membership founding;
+        for (int i = 0; i < size; ++i) {
+            this->ids.emplace_back(std::string(1, static_cast<char>('a' + i)));
+            if (i < told.founders) {
+                founding.voters.push_back({this->ids.back(), disk_id(1)});
+            }
+        }
+        for (const instance_id& id : this->ids) {
+            this->nodes[id].disk = disk_id(1);
+            this->nodes[id].stored.snapshot_voters = founding;
+            this->start(id);
+        }
+    }
+
+    /// Identifiers of the leader's voters, in order.
+    std::string voters() {
+        const auto at = this->leader();
+        std::set<std::string> names;
+        if (at) {
+            for (const member& voter : this->nodes[*at].part->voters().voters) {
+                names.insert(voter.id.value());
+            }
+        }
+        std::string text;
+        for (const std::string& name : names) {
+            text += name;
+        }
+        return text;
+    }
+    void set_leaving(const instance_id& id) {
+        this->leaving = {id};
+        for (auto& [other, one] : this->nodes) {
+            if (one.part) {
+                one.part->set_leaving(this->leaving);
+            }
+        }
+    }
+
     void pass(duration time) {
         const time_point end = this->now + time;
         while (this->now < end) {
@@ -84,8 +130,9 @@
             }
         }
         one.applied = one.stored.snapshot_data;
-        one.part = std::make_unique<replica>(member{id, one.disk}, others, one.stored,
-                                             replica_limits{}, this->random(), this->now);
+        one.part = std::make_unique<replica>(member{id, one.disk}, others, one.stored, this->limits,
+                                             this->random(), this->now);
+        one.part->set_leaving(this->leaving);
     }
     void empty_disk(const instance_id& id) {
         node& one = this->nodes[id];
@@ -110,8 +157,10 @@
     std::vector<instance_id> ids;
     std::mt19937_64 random;
     double loss = 0;
+    replica_limits limits;
 
 private:
+    std::set<instance_id> leaving;
     struct node {
         std::unique_ptr<replica> part;
         stored_state stored;
@@ -310,6 +359,87 @@
     }
 }
 
+SCENARIO("a group founds itself and keeps itself at strength") {
+    GIVEN("three that were told the same founders, and none of them starts alone") {
+        cluster keepers(21, 3, cluster::founded_by{3});
+        keepers.pass(3s);
+        THEN("they elect a leader and agree") {
+            REQUIRE(keepers.leader());
+            keepers.propose();
+            keepers.pass(1s);
+            CHECK(keepers.accepted() == 1);
+        }
+    }
+    GIVEN("one founder that never starts") {
+        cluster keepers(22, 3, cluster::founded_by{3});
+        keepers.stop(keepers.ids[0]);
+        keepers.pass(3s);
+        THEN("the majority does without it") {
+            CHECK(keepers.leader());
+        }
+    }
+    GIVEN("three voters and a standby") {
+        cluster keepers(23, 4, cluster::founded_by{3});
+        keepers.pass(3s);
+        keepers.propose();
+        keepers.pass(2s);
+        REQUIRE(keepers.voters() == "abc");
+        WHEN("a voter is gone for good") {
+            const instance_id gone =
+                *keepers.leader() == keepers.ids[1] ? keepers.ids[2] : keepers.ids[1];
+            keepers.stop(gone);
+            keepers.pass(8s);
+            THEN("the standby takes its place, and another loss is borne") {
+                CHECK(keepers.voters().size() == 3);
+                CHECK(keepers.voters().find('d') != std::string::npos);
+                CHECK(keepers.voters().find(gone.value()) == std::string::npos);
+                keepers.stop(*keepers.leader());
+                keepers.pass(4s);
+                CHECK(keepers.leader());
+            }
+            AND_THEN("the lost one comes back as a standby and does not disturb") {
+                const instance_id leader = *keepers.leader();
+                keepers.start(gone);
+                keepers.pass(5s);
+                CHECK(*keepers.leader() == leader);
+                CHECK(keepers.voters().size() == 3);
+                keepers.propose();
+                keepers.pass(1s);
+                CHECK(keepers.applied(gone) == keepers.applied(leader));
+            }
+        }
+        WHEN("a voter is to leave, the leader too") {
+            for (const std::size_t index : {0U, 1U}) {
+                const instance_id leader = *keepers.leader();
+                const instance_id goes = index == 0                 ? leader
+                                         : keepers.ids[2] == leader ? keepers.ids[1]
+                                                                    : keepers.ids[2];
+                CAPTURE(index);
+                cluster one(24 + index, 4, cluster::founded_by{3});
+                one.pass(3s);
+                one.set_leaving(index == 0 ? *one.leader() : goes);
+                one.pass(8s);
+                THEN("the standby replaces it") {
+                    CHECK(one.voters().size() == 3);
+                    CHECK(one.voters().find('d') != std::string::npos);
+                }
+            }
+        }
+        WHEN("a voter's disk is emptied while a standby waits") {
+            const instance_id emptied =
+                *keepers.leader() == keepers.ids[1] ? keepers.ids[2] : keepers.ids[1];
+            keepers.stop(emptied);
+            keepers.empty_disk(emptied);
+            keepers.start(emptied);
+            keepers.pass(5s);
+            THEN("three voters hold everything, one of them with the new disk") {
+                CHECK(keepers.voters().size() == 3);
+                CHECK(keepers.applied(emptied) == keepers.applied(*keepers.leader()));
+            }
+        }
+    }
+}
+
 SCENARIO("nothing that was accepted is lost under any mixture of failures") {
     std::size_t accepted = 0;
     for (std::uint64_t seed = 1; seed <= 150; ++seed) {
