--- a/packages/base/ids.h
+++ b/packages/base/ids.h
@@ -29,6 +29,14 @@
 using configuration_version = strong_id<struct configuration_version_tag, std::uint64_t>;
 using fencing_number = strong_id<struct fencing_number_tag, std::uint64_t>;
 using idempotency_key = strong_id<struct idempotency_key_tag, std::string>;
+using model_name = strong_id<struct model_tag, std::string>;
+using route_name = strong_id<struct route_tag, std::string>;
+/// A batch job, as its submitter named it.
+using job_id = strong_id<struct job_tag, std::string>;
+/// One request of a batch job, as its submitter named it.
+using item_id = strong_id<struct item_tag, std::string>;
+/// Items that a trainer needs together.
+using item_group_id = strong_id<struct item_group_tag, std::string>;
 /// Hash of one block of a prompt, chained with the blocks before it.
 using prefix_hash = strong_id<struct prefix_hash_tag, std::uint64_t>;
 
--- /dev/null
+++ b/packages/base/wall_clock.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+
+namespace kingcupcart {
+
+/// Time of day in milliseconds; it may jump, and differs between machines.
+using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+/// Source of the time of day, passed to whatever stamps what others read.
+class wall_clock {
+public:
+    virtual ~wall_clock() = default;
+    wall_clock() = default;
+    wall_clock(const wall_clock&) = delete;
+    wall_clock& operator=(const wall_clock&) = delete;
+
+    [[nodiscard]] virtual wall_time now() const = 0;
+};
+
+} // namespace kingcupcart
--- /dev/null
+++ b/packages/batch/internal/engine_pool.cpp
@@ -0,0 +1,134 @@
+#include "batch/internal/engine_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <vector>
+
+namespace kingcupcart::batch {
+
+namespace {
+
+/// Weight of the newest interval in an engine's moving average.
+constexpr double pace_weight = 0.15;
+/// What was seen of an engine's pace loses two thirds of its say in this time.
+constexpr duration pace_memory = std::chrono::seconds(2);
+/// Factors towards a better choice: weights that are older than another engine's, the engine that
+/// the item was just taken from.
+constexpr double old_weights_factor = 1.1;
+constexpr double avoided_factor = 4;
+
+double seconds(duration time) {
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+engine_state* engine_pool::find(const target_id& id) {
+    const auto found = this->engines.find(id);
+    return found == this->engines.end() ? nullptr : &found->second;
+}
+
+engine_state& engine_pool::update(const engine& known) {
+    engine_state& state = this->engines[known.id];
+    state.known = known;
+    return state;
+}
+
+void engine_pool::observe(engine_state& at, duration per_event, time_point now) {
+    if (at.pace == duration::zero()) {
+        at.pace = per_event;
+    } else {
+        const double mixed =
+            seconds(at.pace) * (1 - pace_weight) + seconds(per_event) * pace_weight;
+        at.pace = std::chrono::duration_cast<duration>(std::chrono::duration<double>(mixed));
+    }
+    at.pace_seen = now;
+}
+
+duration engine_pool::median_pace() const {
+    std::vector<duration> paces;
+    for (const auto& [id, state] : this->engines) {
+        if (state.pace > duration::zero()) {
+            paces.push_back(state.pace);
+        }
+    }
+    if (paces.empty()) {
+        return duration::zero();
+    }
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    return *middle;
+}
+
+double engine_pool::slowness(const engine_state& at, time_point now) const {
+    const duration median = this->median_pace();
+    if (at.pace == duration::zero() || median == duration::zero()) {
+        return 1;
+    }
+    const double ratio = seconds(at.pace) / seconds(median);
+    const double age = seconds(now - at.pace_seen) / seconds(pace_memory);
+    return 1 + (ratio - 1) * std::exp(-age);
+}
+
+bool engine_pool::can_take(const engine_state& at, const scheduled_item& item,
+                           const job_opened& job, time_point now) const {
+    const auto& services = job.services;
+    const bool serves =
+        std::find(services.begin(), services.end(), at.known.service) != services.end();
+    if (!serves || !at.has_slot(now)) {
+        return false;
+    }
+    if (!job.model.value().empty()) {
+        const auto version = at.known.versions.find(job.model);
+        if (version == at.known.versions.end() || version->second < job.oldest_version) {
+            return false;
+        }
+        if (job.needs_single_version && item.events > 0 && version->second != item.newest) {
+            return false;
+        }
+    }
+    const double room = static_cast<double>(at.known.memory.count()) * this->limits.memory_share;
+    const auto size = static_cast<double>((item.facts.prompt + item.facts.output).count());
+    return at.runs.empty() || at.known.memory.count() == 0 ||
+           static_cast<double>(at.reserved.count()) + size <= room;
+}
+
+engine_state* engine_pool::choose(const scheduled_item& item, const job_opened& job,
+                                  time_point now) {
+    engine_state* best = nullptr;
+    double best_score = std::numeric_limits<double>::max();
+    weight_version newest;
+    for (const auto& [id, state] : this->engines) {
+        const auto version = state.known.versions.find(job.model);
+        if (version != state.known.versions.end()) {
+            newest = std::max(newest, version->second);
+        }
+    }
+    for (auto& [id, state] : this->engines) {
+        if (!this->can_take(state, item, job, now)) {
+            continue;
+        }
+        const double load = static_cast<double>(state.running()) / state.known.slots;
+        double score = this->slowness(state, now) * (1 + load * this->limits.full_load_cost);
+        const auto version = state.known.versions.find(job.model);
+        if (version != state.known.versions.end() && version->second < newest) {
+            score *= old_weights_factor;
+        }
+        if (id == item.avoided) {
+            score *= avoided_factor;
+        }
+        if (score < best_score) {
+            best_score = score;
+            best = &state;
+        }
+    }
+    return best;
+}
+
+bool engine_pool::has_room(time_point now) const {
+    return std::any_of(this->engines.begin(), this->engines.end(),
+                       [&](const auto& item) { return item.second.has_slot(now); });
+}
+
+} // namespace kingcupcart::batch
--- /dev/null
+++ b/packages/batch/internal/engine_pool.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "batch/internal/engine_state.h"
+#include "batch/internal/scheduled_item.h"
+#include "batch/scheduler_limits.h"
+#include "batch/scheduler_messages.h"
+
+#include <map>
+
+namespace kingcupcart::batch {
+
+/// The engines with what was seen of their pace, and the choice among them.
+class engine_pool {
+public:
+    explicit engine_pool(const scheduler_limits& limits) : limits(limits) {}
+
+    /// Null where it is not known.
+    [[nodiscard]] engine_state* find(const target_id& id);
+    engine_state& update(const engine& known);
+    void remove(const target_id& id) { this->engines.erase(id); }
+
+    /// Weighs in the time that an event took to come after the one before.
+    void observe(engine_state& at, duration per_event, time_point now);
+    /// How many times slower than the median the engine is; 1 where nothing is known.
+    [[nodiscard]] double slowness(const engine_state& at, time_point now) const;
+    /// Median time between two events over the engines; zero where none is known.
+    [[nodiscard]] duration median_pace() const;
+
+    /// The engine on which the item ends soonest; null where none has room for it.
+    [[nodiscard]] engine_state* choose(const scheduled_item& item, const job_opened& job,
+                                       time_point now);
+    [[nodiscard]] bool has_room(time_point now) const;
+
+private:
+    [[nodiscard]] bool can_take(const engine_state& at, const scheduled_item& item,
+                                const job_opened& job, time_point now) const;
+
+    scheduler_limits limits;
+    std::map<target_id, engine_state> engines;
+};
+
+} // namespace kingcupcart::batch
--- /dev/null
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "batch/internal/engine_pool.h"
+#include "batch/internal/scheduled_item.h"
+#include "batch/item_scheduler.h"
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace kingcupcart::batch {
+
+class item_scheduler::state {
+public:
+    explicit state(scheduler_limits limits) : limits(limits), engines(limits) {}
+
+    void on(const job_opened& opened);
+    void on(const job_closed& closed);
+    void on(const job_moved& moved);
+    void on(const engine_changed& changed);
+    void on(const engine_gone& gone);
+    void on(const run_progressed& progressed);
+    void on(const run_completed& completed);
+    void on(const run_failed& failed);
+    void on(const time_passed& passed);
+    /// Starts what waits and has room.
+    void fill();
+
+    struct job_state {
+        job_opened facts;
+        bool is_closed = false;
+    };
+
+    scheduler_limits limits;
+    engine_pool engines;
+    std::map<job_id, job_state> jobs;
+    std::unordered_map<item_id, scheduled_item> items;
+    std::unordered_map<run_id, item_id> runs;
+    /// What waits, the most urgent first.
+    std::vector<item_id> waiting;
+    time_point now{};
+    scheduler_actions output;
+
+private:
+    void wait(scheduled_item& item);
+    void start(scheduled_item& item, engine_state& at);
+    /// The run is over; its slot is free.
+    void release(scheduled_item& item);
+    void cancel(scheduled_item& item);
+    /// Goes on after the kept events, or from the start where they can't be used.
+    void run_again(scheduled_item& item, run_cause cause);
+    void remove(const item_id& id);
+    void give_up(scheduled_item& item, give_up_reason reason);
+    void forget_finished_jobs();
+    void check_run(scheduled_item& item, duration median);
+    void give_up_late_items();
+    [[nodiscard]] bool comes_before(const item_id& a, const item_id& b) const;
+    [[nodiscard]] scheduled_item* item_of(run_id run);
+
+    std::uint64_t last_run = 0;
+};
+
+} // namespace kingcupcart::batch
--- /dev/null
+++ b/packages/batch/job_item.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/header_field.h"
+#include "base/ids.h"
+#include "base/units.h"
+
+#include <string>
+#include <vector>
+
+namespace kingcupcart::batch {
+
+/// One request of a batch job, as it is sent to an engine.
+struct job_item {
+    item_id id;
+    item_group_id group;
+    std::string path;
+    std::vector<header_field> headers;
+    std::string body;
+    /// Prompt and largest output together.
+    tokens size_max;
+    /// The submitter's estimate of the output; zero where it gave none.
+    tokens output_hint;
+};
+
+} // namespace kingcupcart::batch
--- /dev/null
+++ b/packages/batch/job_record.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/wall_clock.h"
+#include "batch/item_result.h"
+#include "batch/job.h"
+
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcupcart::batch {
+
+/// A job with what was listed of it.
+struct job_record {
+    job content;
+    wall_time keep_until{};
+    bool is_ended = false;
+    /// In their positions, which never change.
+    std::vector<item_result> results;
+    std::unordered_map<item_id, std::size_t> positions;
+    std::unordered_map<item_id, std::size_t> item_indices;
+
+    [[nodiscard]] bool is_listed(const item_id& item) const {
+        return this->positions.contains(item);
+    }
+    [[nodiscard]] bool is_complete() const {
+        return this->results.size() == this->content.items.size();
+    }
+    /// Null where the job has no such item.
+    [[nodiscard]] const job_item* find_item(const item_id& item) const {
+        const auto found = this->item_indices.find(item);
+        return found == this->item_indices.end() ? nullptr : &this->content.items[found->second];
+    }
+};
+
+} // namespace kingcupcart::batch
--- /dev/null
+++ b/packages/batch/scheduler_limits.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/clock.h"
+
+namespace kingcupcart::batch {
+
+/// Settings of the item scheduler's policy.
+struct scheduler_limits {
+    /// How often slow and silent runs are looked for.
+    duration check_interval = std::chrono::milliseconds(100);
+    /// A run without an event for this long goes on elsewhere. Above the pause of an engine that
+    /// takes new weights.
+    duration silence_limit = std::chrono::milliseconds(1200);
+    /// The same before the first event, which also waits for the engine's queue.
+    duration first_event_limit = std::chrono::milliseconds(2000);
+    /// A run leaves an engine that is this many times slower than the median, where one under
+    /// `good_slowness` has room and the rest of the run is longer than `move_gain`.
+    double bad_slowness = 1.8;
+    double good_slowness = 1.3;
+    duration move_gain = std::chrono::milliseconds(300);
+    /// An item is moved this often at most.
+    int moves_max = 6;
+    /// An engine that declined or broke gets nothing new for this long.
+    duration pause_declined = std::chrono::milliseconds(150);
+    duration pause_broken = std::chrono::milliseconds(700);
+    /// Share of an engine's memory that expected sizes may fill.
+    double memory_share = 0.9;
+    /// Added to an engine's slowness when all its slots are taken.
+    double full_load_cost = 0.5;
+};
+
+} // namespace kingcupcart::batch
--- /dev/null
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -0,0 +1,226 @@
+#include "batch/item_scheduler.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+using namespace kingcupcart;
+using namespace kingcupcart::batch;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A scheduler with its clock, and what it wants so far.
+class fixture {
+public:
+    void tell(const scheduler_message& said) {
+        for (const scheduler_action& one : this->part.handle(said, this->now)) {
+            if (const auto* started = std::get_if<start_run>(&one)) {
+                this->started.push_back(*started);
+                this->live[started->item.value()] = *started;
+            } else if (const auto* cancelled = std::get_if<cancel_run>(&one)) {
+                this->cancelled.push_back(cancelled->run);
+            } else if (const auto* completed = std::get_if<item_completed>(&one)) {
+                this->completed.push_back(completed->job.value() + "/" + completed->item.value());
+            } else if (const auto* lost = std::get_if<item_given_up>(&one)) {
+                this->given_up.push_back(lost->item.value() + " " + to_string(lost->reason));
+            }
+        }
+    }
+    void add_engine(const std::string& id, int slots, std::uint64_t version = 1) {
+        engine made;
+        made.id = target_id(id);
+        made.service = backend_name("llm");
+        made.slots = slots;
+        made.memory = tokens(1000000);
+        made.versions[model_name("m")] = weight_version(version);
+        this->known[id] = made;
+        this->tell(engine_changed{made, false});
+    }
+    job_opened make_job(const std::string& id, const std::map<std::string, int>& items,
+                        std::uint64_t oldest = 1) {
+        job_opened made;
+        made.job = job_id(id);
+        made.model = model_name("m");
+        made.oldest_version = weight_version(oldest);
+        made.services = {backend_name("llm")};
+        made.failures_max = 2;
+        made.is_resumable = true;
+        made.tokens_per_event = tokens(64);
+        made.give_up_at = this->now + 40s;
+        for (const auto& [name, output] : items) {
+            made.items.push_back({item_id(name), item_group_id("g"), tokens(10), tokens(output)});
+        }
+        return made;
+    }
+    run_id run_of(const std::string& item) { return this->live.at(item).run; }
+    std::string engine_of(const std::string& item) { return this->live.at(item).engine.value(); }
+    void progress(const std::string& item, std::size_t event, std::uint64_t version = 1) {
+        this->tell(run_progressed{this->run_of(item), event, weight_version(version),
+                                  weight_version(version)});
+    }
+
+    item_scheduler part;
+    time_point now = time_point(100s);
+    std::vector<start_run> started;
+    std::map<std::string, start_run> live;
+    std::map<std::string, engine> known;
+    std::vector<run_id> cancelled;
+    std::vector<std::string> completed;
+    std::vector<std::string> given_up;
+};
+
+} // namespace
+
+SCENARIO("items start where they end soonest") {
+    fixture test;
+    GIVEN("one engine with two slots and three items") {
+        test.add_engine("e", 2);
+        test.tell(test.make_job("j", {{"short", 10}, {"long", 900}, {"middle", 100}}));
+        THEN("the longest two start") {
+            REQUIRE(test.started.size() == 2);
+            CHECK(test.started[0].item == item_id("long"));
+            CHECK(test.started[1].item == item_id("middle"));
+        }
+        WHEN("one is done") {
+            test.tell(run_completed{test.run_of("middle")});
+            THEN("the last one takes its slot") {
+                CHECK(test.completed == std::vector<std::string>{"j/middle"});
+                CHECK(test.started.back().item == item_id("short"));
+            }
+        }
+        WHEN("the job is closed") {
+            test.tell(job_closed{job_id("j")});
+            THEN("what runs may finish, and nothing more starts") {
+                test.tell(run_completed{test.run_of("long")});
+                CHECK(test.completed == std::vector<std::string>{"j/long"});
+                CHECK(test.started.size() == 2);
+                CHECK(test.part.waiting_count() == 0);
+            }
+            AND_WHEN("its unfinished item comes again in the next job") {
+                test.progress("long", 5, 2);
+                test.tell(test.make_job("k", {{"long", 900}}, 2));
+                test.tell(run_completed{test.run_of("long")});
+                THEN("the run counts for that job") {
+                    CHECK(test.completed == std::vector<std::string>{"k/long"});
+                    CHECK(test.cancelled.empty());
+                }
+            }
+            AND_WHEN("it comes again in a job that does not allow its weights") {
+                test.progress("long", 5, 1);
+                test.add_engine("fresh", 2, 2);
+                test.tell(test.make_job("k", {{"long", 900}}, 2));
+                THEN("it begins anew on an engine that has them") {
+                    CHECK(test.cancelled.size() == 1);
+                    CHECK(test.engine_of("long") == "fresh");
+                    CHECK(test.live.at("long").resume_after == 0);
+                }
+            }
+        }
+    }
+    GIVEN("engines with old, loading and leaving states") {
+        test.add_engine("old", 4, 1);
+        test.add_engine("fresh", 1, 3);
+        test.tell(test.make_job("j", {{"a", 10}, {"b", 20}}, 2));
+        THEN("only the one with weights that are allowed gets an item") {
+            REQUIRE(test.started.size() == 1);
+            CHECK(test.engine_of("b") == "fresh");
+        }
+        WHEN("the old one has loaded them") {
+            test.known["old"].versions[model_name("m")] = weight_version(2);
+            test.tell(engine_changed{test.known["old"], false});
+            THEN("it takes the other") {
+                CHECK(test.engine_of("a") == "old");
+            }
+        }
+    }
+}
+
+SCENARIO("a run that ends early goes on") {
+    fixture test;
+    test.add_engine("e", 1);
+    test.add_engine("f", 1);
+    test.tell(test.make_job("j", {{"a", 100}}));
+    const std::string first = test.engine_of("a");
+    GIVEN("a run that breaks after its third event") {
+        test.progress("a", 3);
+        test.tell(run_failed{test.run_of("a"), run_failure::broken});
+        THEN("it goes on after that event on the other engine") {
+            CHECK(test.engine_of("a") != first);
+            CHECK(test.live.at("a").resume_after == 3);
+            CHECK(test.live.at("a").cause == run_cause::again);
+        }
+    }
+    GIVEN("an engine that fails it as often as allowed") {
+        test.tell(run_failed{test.run_of("a"), run_failure::failed});
+        test.tell(run_failed{test.run_of("a"), run_failure::failed});
+        THEN("it is given up, and not before") {
+            CHECK(test.started.size() == 2);
+            CHECK(test.given_up == std::vector<std::string>{"a failures"});
+        }
+    }
+    GIVEN("an engine that says that it can never be done") {
+        test.tell(run_failed{test.run_of("a"), run_failure::impossible});
+        THEN("it is given up at once") {
+            CHECK(test.given_up == std::vector<std::string>{"a impossible"});
+        }
+    }
+    GIVEN("an engine that declines") {
+        test.tell(run_failed{test.run_of("a"), run_failure::declined});
+        THEN("that is no failure, and the other engine is tried") {
+            CHECK(test.engine_of("a") != first);
+            test.tell(run_failed{test.run_of("a"), run_failure::declined});
+            CHECK(test.given_up.empty());
+        }
+    }
+    GIVEN("an engine that falls silent") {
+        test.progress("a", 2);
+        test.now += 1300ms;
+        test.tell(time_passed{});
+        THEN("the run is cancelled and goes on elsewhere") {
+            CHECK(test.cancelled.size() == 1);
+            CHECK(test.engine_of("a") != first);
+            CHECK(test.live.at("a").resume_after == 2);
+        }
+    }
+    GIVEN("text from weights that the job does not allow") {
+        test.progress("a", 2, 0);
+        THEN("it is dropped and the item begins anew") {
+            CHECK(test.cancelled.size() == 1);
+            CHECK(test.live.at("a").resume_after == 0);
+        }
+    }
+    GIVEN("a job that is never finished") {
+        test.now += 41s;
+        test.tell(time_passed{});
+        THEN("its items are given up at its limit") {
+            CHECK(test.given_up == std::vector<std::string>{"a too-late"});
+        }
+    }
+}
+
+SCENARIO("long runs leave slow engines") {
+    fixture test;
+    for (const char* id : {"e", "f", "g"}) {
+        test.add_engine(id, 2);
+    }
+    test.tell(test.make_job("j", {{"a", 4000}, {"b", 4000}, {"c", 4000}}));
+    GIVEN("an engine that is five times slower than the others") {
+        for (std::size_t event = 1; event < 20; ++event) {
+            test.now += 40ms;
+            test.progress("a", event);
+            test.progress("b", event);
+            if (event % 5 == 0) {
+                test.progress("c", event / 5);
+            }
+        }
+        const std::string slow = test.engine_of("c");
+        test.tell(time_passed{});
+        THEN("its run goes on elsewhere after its last event") {
+            CHECK(test.engine_of("c") != slow);
+            CHECK(test.live.at("c").resume_after == 3);
+            CHECK(test.live.at("c").cause == run_cause::moved);
+        }
+    }
+}
