Give the inner protocol the words for routes, batch jobs, weights and stores

Cause: what the new decision parts need has to travel between instances and last in the logs.

Change: thirteen messages and five commands, whose fields are named once, by a description that writer and reader share; a target's record names the weights of each model. A heartbeat that only counts on is no news.

--- a/packages/membership/internal/directory.cpp
+++ b/packages/membership/internal/directory.cpp
@@ -33,6 +33,12 @@
         return {directory_event::stale, current.record};
     }
     current.announced_here = true;
+    target_record renewed = record;
+    renewed.revision = current.record.revision;
+    if (current.record.is_repeated_by(renewed)) {
+        current.record = renewed;
+        return this->refresh(current, now + lease);
+    }
     return this->replace(current, record, now + lease);
 }
 
--- a/packages/membership/target_record.h
+++ b/packages/membership/target_record.h
@@ -3,10 +3,12 @@
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/location.h"
+#include "membership/model_weights.h"
 #include "membership/target_kind.h"
 
 #include <cstdint>
 #include <tuple>
+#include <vector>
 
 namespace kingcupcart::membership {
 
@@ -28,6 +30,10 @@
     /// The target is gone; kept for a while so that an older record cannot bring it back.
     bool gone = false;
     weight_version version;
+    /// Weights of each model, where an engine serves several.
+    std::vector<model_weights> weights;
+    /// The engine takes new weights, and refuses meanwhile what has not started there.
+    bool loading = false;
 
     friend bool operator==(const target_record&, const target_record&) = default;
 
@@ -37,6 +43,13 @@
                std::tie(other.incarnation, other.sequence, other.revision);
     }
 
+    /// Whether the target itself announced nothing else in a later announcement of the same
+    /// incarnation.
+    [[nodiscard]] bool is_repeated_by(const target_record& later) const {
+        target_record same = later;
+        same.sequence = this->sequence;
+        return same == *this;
+    }
     /// Whether the target itself announced both at the same moment of its life.
     [[nodiscard]] bool is_same_announcement(const target_record& other) const {
         return std::tie(this->incarnation, this->sequence) ==
--- a/packages/replicated/commands.h
+++ b/packages/replicated/commands.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 /// What keepers agree on, in order. One family of small structs.
 namespace kingcupcart::replicated {
@@ -31,7 +32,42 @@
     wall_seconds at{};
 };
 
-using command = std::variant<accept_configuration, claim_key>;
+/// A complete table of routes and services under its maker's version; the highest one is in force.
+struct accept_routes {
+    configuration_version version;
+    /// As it came, so that it is given back as it came.
+    std::string document;
+};
+
+/// A trainer's newest weights.
+struct name_weights {
+    model_name model;
+    weight_version version;
+};
+
+/// A store with the disk that remembers its votes.
+struct store_member {
+    instance_id store;
+    std::uint64_t disk = 0;
+
+    friend bool operator==(const store_member&, const store_member&) = default;
+};
+
+/// The stores that begin the group of stores; the first such command counts.
+struct found_stores {
+    std::vector<store_member> founders;
+};
+
+/// A store is to be emptied.
+struct retire_store {
+    instance_id store;
+};
+
+/// Changes nothing: whoever proposes it sees all that was agreed before.
+struct confirm_state {};
+
+using command = std::variant<accept_configuration, claim_key, accept_routes, name_weights,
+                             found_stores, retire_store, confirm_state>;
 
 /// Which keeper put a command forward, so that it can tell who asked when the command is applied.
 struct command_origin {
--- a/packages/replicated/internal/replicated_state.cpp
+++ b/packages/replicated/internal/replicated_state.cpp
@@ -1,5 +1,7 @@
 #include "replicated/replicated_state.h"
 
+#include <algorithm>
+
 namespace kingcupcart::replicated {
 
 result replicated_state::apply(const command& agreed) {
@@ -36,6 +38,36 @@
     return home;
 }
 
+result replicated_state::on(const accept_routes& routes) {
+    if (routes.version > this->newest_routes) {
+        this->newest_routes = routes.version;
+        this->newest_document = routes.document;
+    }
+    return routes_result{this->newest_routes};
+}
+
+result replicated_state::on(const name_weights& weights) {
+    weight_version& newest = this->named_weights[weights.model];
+    newest = std::max(newest, weights.version);
+    return done{};
+}
+
+result replicated_state::on(const found_stores& founded) {
+    if (this->founders.empty()) {
+        this->founders = founded.founders;
+    }
+    return done{};
+}
+
+result replicated_state::on(const retire_store& retired) {
+    this->leaving.insert(retired.store);
+    return done{};
+}
+
+result replicated_state::on(const confirm_state& /*asked*/) {
+    return done{};
+}
+
 void replicated_state::forget_before(wall_seconds oldest) {
     while (!this->orders_by_age.empty() && this->orders_by_age.front().at < oldest) {
         this->orders.erase(this->orders_by_age.front().order_id);
@@ -53,6 +85,13 @@
     saved.text = this->accepted_text;
     saved.orders.assign(this->orders_by_age.begin(), this->orders_by_age.end());
     saved.claims.assign(this->claims_by_age.begin(), this->claims_by_age.end());
+    saved.routes_version = this->newest_routes;
+    saved.routes_document = this->newest_document;
+    for (const auto& [model, version] : this->named_weights) {
+        saved.weights.push_back({model, version});
+    }
+    saved.store_founders = this->founders;
+    saved.leaving_stores.assign(this->leaving.begin(), this->leaving.end());
     return saved;
 }
 
@@ -68,6 +107,13 @@
         this->claims.emplace(record.key, record.home);
         this->claims_by_age.push_back(record);
     }
+    this->newest_routes = saved.routes_version;
+    this->newest_document = saved.routes_document;
+    for (const name_weights& one : saved.weights) {
+        this->named_weights.insert_or_assign(one.model, one.version);
+    }
+    this->founders = saved.store_founders;
+    this->leaving.insert(saved.leaving_stores.begin(), saved.leaving_stores.end());
 }
 
 } // namespace kingcupcart::replicated
--- a/packages/replicated/results.h
+++ b/packages/replicated/results.h
@@ -19,6 +19,14 @@
     incarnation_id incarnation;
 };
 
-using result = std::variant<configuration_result, claim_result>;
+/// The highest accepted version of the routes.
+struct routes_result {
+    configuration_version version;
+};
+
+/// It took effect, now or before.
+struct done {};
+
+using result = std::variant<configuration_result, claim_result, routes_result, done>;
 
 } // namespace kingcupcart::replicated
--- a/packages/rollout/tests/rollout_test.cpp
+++ b/packages/rollout/tests/rollout_test.cpp
@@ -113,6 +113,10 @@
             CHECK(test.asked[0] == first.engine.value());
             test.orders = 3;
             test.report_all(1);
+            for (std::size_t i = 1;
+                 i < test.loads.size() && test.loads.back().engine != first.engine; ++i) {
+                test.tell(order_answered{test.loads[i].engine, order_answer::holds});
+            }
             CHECK(test.loads.back().engine == first.engine);
             CHECK(test.loads.back().orders_expected == 3);
         }
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -1,6 +1,9 @@
 #include "wire/codec.h"
 
+#include "wire/internal/descriptions.h"
 #include "wire/internal/field_reader.h"
+#include "wire/internal/field_taker.h"
+#include "wire/internal/field_writer.h"
 #include "wire/internal/quorum_fields.h"
 #include "wire/internal/shallow_parser.h"
 
@@ -27,7 +30,20 @@
     claim_told = 9,
     instance_news = 10,
     quorum_said = 11,
-    command_forwarded = 12
+    command_forwarded = 12,
+    still_here = 13,
+    fleet_news = 14,
+    routes_news = 15,
+    weights_news = 16,
+    store_presented = 17,
+    founders_news = 18,
+    store_report = 19,
+    leader_news = 20,
+    job_submitted = 21,
+    results_asked = 22,
+    item_body_asked = 23,
+    job_end_asked = 24,
+    batch_answered = 25
 };
 
 json number(message_number value) {
@@ -57,6 +73,14 @@
     return headers;
 }
 
+json write_weights(const std::vector<membership::model_weights>& weights) {
+    json written = json::array();
+    for (const membership::model_weights& one : weights) {
+        written.push_back(json::array({binary(one.model.value()), one.version.value()}));
+    }
+    return written;
+}
+
 json write(const hello& said) {
     json known = json::array();
     for (const instance_address& one : said.known) {
@@ -75,7 +99,8 @@
                         record.address.address, record.address.port, record.place.domain.value(),
                         record.place.region.value(), static_cast<std::uint64_t>(record.slots),
                         record.incarnation.value(), record.sequence, record.revision,
-                        record.leaving, record.gone, record.version.value()});
+                        record.leaving, record.gone, record.version.value(),
+                        write_weights(record.weights), record.loading});
 }
 
 json write(const targets_vouched& said) {
@@ -135,6 +160,52 @@
     return json::array({number(message_number::command_forwarded), binary(said.command)});
 }
 
+/// The number of a message whose fields are described.
+template <typename Message>
+constexpr message_number number_of = message_number::hello;
+template <>
+constexpr message_number number_of<still_here> = message_number::still_here;
+template <>
+constexpr message_number number_of<fleet_news> = message_number::fleet_news;
+template <>
+constexpr message_number number_of<routes_news> = message_number::routes_news;
+template <>
+constexpr message_number number_of<weights_news> = message_number::weights_news;
+template <>
+constexpr message_number number_of<store_presented> = message_number::store_presented;
+template <>
+constexpr message_number number_of<founders_news> = message_number::founders_news;
+template <>
+constexpr message_number number_of<store_report> = message_number::store_report;
+template <>
+constexpr message_number number_of<leader_news> = message_number::leader_news;
+template <>
+constexpr message_number number_of<job_submitted> = message_number::job_submitted;
+template <>
+constexpr message_number number_of<results_asked> = message_number::results_asked;
+template <>
+constexpr message_number number_of<item_body_asked> = message_number::item_body_asked;
+template <>
+constexpr message_number number_of<job_end_asked> = message_number::job_end_asked;
+template <>
+constexpr message_number number_of<batch_answered> = message_number::batch_answered;
+
+template <typename Message>
+json write(const Message& said) {
+    json fields = json::array({number(number_of<Message>)});
+    field_writer writer(fields);
+    writer(said);
+    return fields;
+}
+
+template <typename Message>
+message read_described(field_reader& fields) {
+    Message said;
+    field_taker taker(fields);
+    taker(said);
+    return said;
+}
+
 message read_command_forwarded(field_reader& fields) {
     return command_forwarded{fields.binary()};
 }
@@ -149,7 +220,7 @@
     said.incarnation = incarnation_id(fields.number());
     said.place.domain = failure_domain_id(fields.text());
     said.place.region = region_id(fields.text());
-    said.role = static_cast<instance_role>(fields.number_up_to(1));
+    said.role = static_cast<instance_role>(fields.number_up_to(3));
     said.address = fields.address();
     fields.each([&](field_reader& one) {
         const instance_id id(one.text());
@@ -175,6 +246,13 @@
     record.leaving = fields.boolean();
     record.gone = fields.boolean();
     record.version = weight_version(fields.number());
+    fields.each([&](field_reader& one) {
+        membership::model_weights weights;
+        weights.model = model_name(one.binary());
+        weights.version = weight_version(one.number());
+        record.weights.push_back(weights);
+    });
+    record.loading = fields.boolean();
     return said;
 }
 
@@ -274,6 +352,19 @@
     {message_number::instance_news, "instance_news", read_instance_news},
     {message_number::quorum_said, "quorum_said", read_quorum_said},
     {message_number::command_forwarded, "command_forwarded", read_command_forwarded},
+    {message_number::still_here, "still_here", read_described<still_here>},
+    {message_number::fleet_news, "fleet_news", read_described<fleet_news>},
+    {message_number::routes_news, "routes_news", read_described<routes_news>},
+    {message_number::weights_news, "weights_news", read_described<weights_news>},
+    {message_number::store_presented, "store_presented", read_described<store_presented>},
+    {message_number::founders_news, "founders_news", read_described<founders_news>},
+    {message_number::store_report, "store_report", read_described<store_report>},
+    {message_number::leader_news, "leader_news", read_described<leader_news>},
+    {message_number::job_submitted, "job_submitted", read_described<job_submitted>},
+    {message_number::results_asked, "results_asked", read_described<results_asked>},
+    {message_number::item_body_asked, "item_body_asked", read_described<item_body_asked>},
+    {message_number::job_end_asked, "job_end_asked", read_described<job_end_asked>},
+    {message_number::batch_answered, "batch_answered", read_described<batch_answered>},
 };
 
 } // namespace
--- /dev/null
+++ b/packages/wire/internal/descriptions.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "base/header_field.h"
+#include "batch/commands.h"
+#include "batch/job_book.h"
+#include "membership/model_weights.h"
+#include "quorum/member.h"
+#include "replicated/commands.h"
+#include "wire/messages.h"
+
+/// The fields of each described type, in their order on the wire. A description stands in the
+/// namespace of its type, where it is found by its argument.
+namespace kingcupcart {
+
+template <typename Archive>
+void describe(Archive& archive, header_field& value) {
+    archive(value.name, value.value);
+}
+
+} // namespace kingcupcart
+
+namespace kingcupcart::membership {
+
+template <typename Archive>
+void describe(Archive& archive, model_weights& value) {
+    archive(value.model, value.version);
+}
+
+} // namespace kingcupcart::membership
+
+namespace kingcupcart::quorum {
+
+template <typename Archive>
+void describe(Archive& archive, member& value) {
+    archive(value.id, value.disk);
+}
+
+} // namespace kingcupcart::quorum
+
+namespace kingcupcart::batch {
+
+template <typename Archive>
+void describe(Archive& archive, job_item& value) {
+    archive(value.id, value.group, value.path, value.headers, value.body, value.size_max,
+            value.output_hint);
+}
+
+template <typename Archive>
+void describe(Archive& archive, job& value) {
+    archive(value.id, value.host, value.path, value.model, value.oldest_version,
+            value.needs_single_version, value.groups_wanted, value.items, value.submitted);
+}
+
+template <typename Archive>
+void describe(Archive& archive, item_result& value) {
+    archive(value.item, value.is_completed, value.text, value.versions);
+}
+
+template <typename Archive>
+void describe(Archive& archive, submit_job& value) {
+    archive(value.content, value.retention);
+}
+
+template <typename Archive>
+void describe(Archive& archive, list_results& value) {
+    archive(value.job, value.results);
+}
+
+template <typename Archive>
+void describe(Archive& archive, end_job& value) {
+    archive(value.job);
+}
+
+template <typename Archive>
+void describe(Archive& /*archive*/, confirm_state& /*value*/) {}
+
+template <typename Archive>
+void describe(Archive& archive, job_book::saved_job& value) {
+    archive(value.content, value.keep_until, value.is_ended, value.results);
+}
+
+} // namespace kingcupcart::batch
+
+namespace kingcupcart::replicated {
+
+template <typename Archive>
+void describe(Archive& archive, accept_routes& value) {
+    archive(value.version, value.document);
+}
+
+template <typename Archive>
+void describe(Archive& archive, name_weights& value) {
+    archive(value.model, value.version);
+}
+
+template <typename Archive>
+void describe(Archive& archive, store_member& value) {
+    archive(value.store, value.disk);
+}
+
+template <typename Archive>
+void describe(Archive& archive, found_stores& value) {
+    archive(value.founders);
+}
+
+template <typename Archive>
+void describe(Archive& archive, retire_store& value) {
+    archive(value.store);
+}
+
+template <typename Archive>
+void describe(Archive& /*archive*/, confirm_state& /*value*/) {}
+
+template <typename Archive>
+void describe(Archive& archive, command_origin& value) {
+    archive(value.keeper, value.incarnation, value.number);
+}
+
+} // namespace kingcupcart::replicated
+
+namespace kingcupcart::wire {
+
+template <typename Archive>
+void describe(Archive& /*archive*/, still_here& /*value*/) {}
+
+template <typename Archive>
+void describe(Archive& archive, instance_address& value) {
+    archive(value.id, value.address);
+}
+
+template <typename Archive>
+void describe(Archive& archive, store_address& value) {
+    archive(value.name, value.address, value.is_leaving);
+}
+
+template <typename Archive>
+void describe(Archive& archive, fleet_news& value) {
+    archive(value.keepers, value.stores, value.keepers_needed);
+}
+
+template <typename Archive>
+void describe(Archive& archive, routes_news& value) {
+    archive(value.version, value.document);
+}
+
+template <typename Archive>
+void describe(Archive& archive, weights_news& value) {
+    archive(value.weights);
+}
+
+template <typename Archive>
+void describe(Archive& archive, store_presented& value) {
+    archive(value.disk, value.may_found);
+}
+
+template <typename Archive>
+void describe(Archive& archive, founders_news& value) {
+    archive(value.founders);
+}
+
+template <typename Archive>
+void describe(Archive& archive, store_report& value) {
+    archive(value.leads, value.term, value.voters, value.standbys);
+}
+
+template <typename Archive>
+void describe(Archive& archive, leader_news& value) {
+    archive(value.leader);
+}
+
+template <typename Archive>
+void describe(Archive& archive, job_submitted& value) {
+    archive(value.call, value.job);
+}
+
+template <typename Archive>
+void describe(Archive& archive, results_asked& value) {
+    archive(value.call, value.job, value.after, value.patience);
+}
+
+template <typename Archive>
+void describe(Archive& archive, item_body_asked& value) {
+    archive(value.call, value.job, value.item);
+}
+
+template <typename Archive>
+void describe(Archive& archive, job_end_asked& value) {
+    archive(value.call, value.job);
+}
+
+template <typename Archive>
+void describe(Archive& archive, batch_answered& value) {
+    archive(value.call, value.status, value.total, value.results, value.body);
+}
+
+} // namespace kingcupcart::wire
--- a/packages/wire/internal/keeper_codec.cpp
+++ b/packages/wire/internal/keeper_codec.cpp
@@ -1,5 +1,8 @@
 #include "wire/keeper_codec.h"
 
+#include "wire/internal/descriptions.h"
+#include "wire/internal/field_taker.h"
+#include "wire/internal/field_writer.h"
 #include "wire/internal/quorum_fields.h"
 #include "wire/internal/shallow_parser.h"
 
@@ -15,7 +18,10 @@
 using replicated::replicated_state;
 
 constexpr std::uint64_t records_last = 3;
-constexpr std::uint64_t commands_last = 1;
+/// The commands by their numbers in the log, which are their places in the variant. The first two
+/// are written by hand, the others by their descriptions.
+constexpr std::uint64_t commands_last = std::variant_size_v<replicated::command> - 1;
+constexpr std::uint64_t described_first = 2;
 
 std::string print(const json& fields) {
     std::string bytes;
@@ -49,16 +55,40 @@
                         write_membership(record.voters), write_bytes(record.data)});
 }
 
-json write(const replicated::accept_configuration& order, const replicated::command_origin& by) {
-    return json::array({0, by.keeper.value(), by.incarnation.value(), by.number,
-                        write_bytes(order.order_id), order.base.value(), write_bytes(order.text),
-                        static_cast<std::uint64_t>(order.at.count())});
+void write(json& fields, const replicated::accept_configuration& order) {
+    fields.push_back(write_bytes(order.order_id));
+    fields.push_back(order.base.value());
+    fields.push_back(write_bytes(order.text));
+    fields.push_back(static_cast<std::uint64_t>(order.at.count()));
 }
 
-json write(const replicated::claim_key& claim, const replicated::command_origin& by) {
-    return json::array({1, by.keeper.value(), by.incarnation.value(), by.number,
-                        write_bytes(claim.key.value()), claim.home.value(),
-                        claim.incarnation.value(), static_cast<std::uint64_t>(claim.at.count())});
+void write(json& fields, const replicated::claim_key& claim) {
+    fields.push_back(write_bytes(claim.key.value()));
+    fields.push_back(claim.home.value());
+    fields.push_back(claim.incarnation.value());
+    fields.push_back(static_cast<std::uint64_t>(claim.at.count()));
+}
+
+template <typename Described>
+void write(json& fields, const Described& command) {
+    field_writer writer(fields);
+    writer(command);
+}
+
+/// Reads the alternative with this number of a variant whose alternatives are described.
+template <typename Variant, std::size_t Index = 0>
+Variant read_alternative(std::uint64_t number, field_reader& fields) {
+    if constexpr (Index + 1 < std::variant_size_v<Variant>) {
+        if (number != Index) {
+            return read_alternative<Variant, Index + 1>(number, fields);
+        }
+    }
+    std::variant_alternative_t<Index, Variant> read;
+    field_taker taker(fields);
+    if constexpr (requires { describe(taker, read); }) {
+        taker(read);
+    }
+    return Variant(std::in_place_index<Index>, std::move(read));
 }
 
 replicated::wall_seconds read_seconds(field_reader& fields) {
@@ -108,20 +138,25 @@
 }
 
 std::string encode_command(const replicated::logged_command& command) {
-    return print(
-        std::visit([&](const auto& alternative) { return write(alternative, command.origin); },
-                   command.content));
+    json fields = json::array({static_cast<std::uint64_t>(command.content.index())});
+    fields.push_back(command.origin.keeper.value());
+    fields.push_back(command.origin.incarnation.value());
+    fields.push_back(command.origin.number);
+    std::visit([&](const auto& alternative) { write(fields, alternative); }, command.content);
+    return print(fields);
 }
 
 outcome<replicated::logged_command> decode_command(std::string_view bytes) {
     BOOST_LEAF_AUTO(parsed, parse(bytes));
     field_reader fields(parsed, "command");
     replicated::logged_command command;
-    const bool is_order = fields.number_up_to(commands_last) == 0;
+    const std::uint64_t number = fields.number_up_to(commands_last);
     command.origin.keeper = instance_id(fields.text());
     command.origin.incarnation = incarnation_id(fields.number());
     command.origin.number = fields.number();
-    if (is_order) {
+    if (number >= described_first) {
+        command.content = read_alternative<replicated::command>(number, fields);
+    } else if (number == 0) {
         replicated::accept_configuration order;
         order.order_id = fields.binary();
         order.base = configuration_version(fields.number());
@@ -140,6 +175,44 @@
     return command;
 }
 
+std::string encode_command(const batch_command& command) {
+    json fields = json::array({static_cast<std::uint64_t>(command.content.index())});
+    field_writer writer(fields);
+    writer(command.origin);
+    std::visit([&](const auto& alternative) { writer(alternative); }, command.content);
+    return print(fields);
+}
+
+outcome<batch_command> decode_batch_command(std::string_view bytes) {
+    constexpr std::uint64_t last = std::variant_size_v<batch::command> - 1;
+    BOOST_LEAF_AUTO(parsed, parse(bytes));
+    field_reader fields(parsed, "batch command");
+    const std::uint64_t number = fields.number_up_to(last);
+    batch_command command;
+    field_taker taker(fields);
+    taker(command.origin);
+    command.content = read_alternative<batch::command>(number, fields);
+    BOOST_LEAF_CHECK(fields.finish());
+    return command;
+}
+
+std::string encode_state(const batch::job_book::content& content) {
+    json fields = json::array();
+    field_writer writer(fields);
+    writer(content);
+    return print(fields);
+}
+
+outcome<batch::job_book::content> decode_batch_state(std::string_view bytes) {
+    BOOST_LEAF_AUTO(parsed, parse(bytes));
+    field_reader fields(parsed, "batch state");
+    batch::job_book::content content;
+    field_taker taker(fields);
+    taker(content);
+    BOOST_LEAF_CHECK(fields.finish());
+    return content;
+}
+
 std::string encode_state(const replicated_state::content& content) {
     json orders = json::array();
     for (const replicated_state::order_record& order : content.orders) {
@@ -153,8 +226,12 @@
                                       claim.home.incarnation.value(),
                                       static_cast<std::uint64_t>(claim.at.count())}));
     }
-    return print(json::array({content.version.value(), write_bytes(content.text), std::move(orders),
-                              std::move(claims)}));
+    json fields = json::array(
+        {content.version.value(), write_bytes(content.text), std::move(orders), std::move(claims)});
+    field_writer writer(fields);
+    writer(content.routes_version, content.routes_document, content.weights, content.store_founders,
+           content.leaving_stores);
+    return print(fields);
 }
 
 outcome<replicated_state::content> decode_state(std::string_view bytes) {
@@ -179,6 +256,9 @@
         claim.at = read_seconds(one);
         content.claims.push_back(std::move(claim));
     });
+    field_taker taker(fields);
+    taker(content.routes_version, content.routes_document, content.weights, content.store_founders,
+          content.leaving_stores);
     BOOST_LEAF_CHECK(fields.finish());
     return content;
 }
--- a/packages/wire/keeper_codec.h
+++ b/packages/wire/keeper_codec.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/outcome.h"
+#include "batch/commands.h"
+#include "batch/job_book.h"
 #include "quorum/actions.h"
 #include "quorum/member.h"
 #include "replicated/commands.h"
@@ -21,11 +23,21 @@
 using journal_record =
     std::variant<disk_named, quorum::keep_vote, quorum::keep_entries, quorum::keep_snapshot>;
 
-/// Encodings of what keepers keep, all in CBOR. Decoding fails with `invalid_input`.
+/// What stands in the log of the stores.
+struct batch_command {
+    replicated::command_origin origin;
+    batch::command content;
+};
+
+/// Encodings of what keepers and stores keep, all in CBOR. Decoding fails with `invalid_input`.
 [[nodiscard]] std::string encode_record(const journal_record& record);
 [[nodiscard]] outcome<journal_record> decode_record(std::string_view bytes);
 [[nodiscard]] std::string encode_command(const replicated::logged_command& command);
 [[nodiscard]] outcome<replicated::logged_command> decode_command(std::string_view bytes);
+[[nodiscard]] std::string encode_command(const batch_command& command);
+[[nodiscard]] outcome<batch_command> decode_batch_command(std::string_view bytes);
+[[nodiscard]] std::string encode_state(const batch::job_book::content& content);
+[[nodiscard]] outcome<batch::job_book::content> decode_batch_state(std::string_view bytes);
 [[nodiscard]] std::string encode_state(const replicated::replicated_state::content& content);
 [[nodiscard]] outcome<replicated::replicated_state::content> decode_state(std::string_view bytes);
 
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -4,10 +4,14 @@
 #include "base/header_field.h"
 #include "base/ids.h"
 #include "base/location.h"
+#include "batch/item_result.h"
+#include "batch/job.h"
+#include "membership/model_weights.h"
 #include "membership/target_load.h"
 #include "membership/target_record.h"
 #include "quorum/messages.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -16,7 +20,7 @@
 /// What instances say to each other. One family of small structs.
 namespace kingcupcart::wire {
 
-enum class instance_role { entry, keeper };
+enum class instance_role { entry, keeper, gateway, store };
 
 /// An instance as others reach it.
 struct instance_address {
@@ -119,8 +123,112 @@
     std::string command;
 };
 
-using message = std::variant<hello, target_news, targets_vouched, configuration_news,
-                             configuration_in_force, call_forwarded, call_answered, claim_asked,
-                             claim_told, instance_news, quorum_said, command_forwarded>;
+/// Sent where nothing else was for a while; a link that is silent for long is cut.
+struct still_here {};
+
+/// A store and where it accepts links.
+struct store_address {
+    instance_id name;
+    endpoint address;
+    bool is_leaving = false;
+
+    friend bool operator==(const store_address&, const store_address&) = default;
+};
+
+/// The keepers and stores that a keeper knows.
+struct fleet_news {
+    std::vector<instance_address> keepers;
+    std::vector<store_address> stores;
+    /// Votes among the keepers that make a majority.
+    std::uint64_t keepers_needed = 1;
+};
+
+/// Accepted routes and services, as they came; version 0 where none were accepted yet.
+struct routes_news {
+    configuration_version version;
+    std::string document;
+};
+
+/// The newest weights that trainers named.
+struct weights_news {
+    std::vector<membership::model_weights> weights;
+};
+
+/// A store tells keepers of its disk.
+struct store_presented {
+    std::uint64_t disk = 0;
+    /// Its folder was empty at the first start of the whole deployment.
+    bool may_found = false;
+};
+
+/// The members that begin the group of stores.
+struct founders_news {
+    std::vector<quorum::member> founders;
+};
+
+/// The group of stores as one of its members sees it.
+struct store_report {
+    bool leads = false;
+    std::uint64_t term = 0;
+    /// Agreed voters; empty while a change is under way.
+    std::vector<instance_id> voters;
+    std::uint64_t standbys = 0;
+};
+
+/// Where the leader of the stores accepts links; an empty address while there is none.
+struct leader_news {
+    endpoint leader;
+};
+
+struct job_submitted {
+    std::uint64_t call = 0;
+    batch::job job;
+};
+
+struct results_asked {
+    std::uint64_t call = 0;
+    job_id job;
+    std::uint64_t after = 0;
+    /// How long to wait for a first result.
+    std::chrono::milliseconds patience{};
+};
+
+struct item_body_asked {
+    std::uint64_t call = 0;
+    job_id job;
+    item_id item;
+};
+
+struct job_end_asked {
+    std::uint64_t call = 0;
+    job_id job;
+};
+
+enum class batch_status {
+    done,
+    /// No such job, or no such item that is still open.
+    missing,
+    /// The sender does not lead, or can't be sure; nothing was changed by this call.
+    unsure,
+    /// It may have taken effect.
+    unknown
+};
+
+/// The answer to a call about batch jobs.
+struct batch_answered {
+    std::uint64_t call = 0;
+    batch_status status = batch_status::done;
+    /// Items of the job.
+    std::uint64_t total = 0;
+    std::vector<batch::item_result> results;
+    std::string body;
+};
+
+using message =
+    std::variant<hello, target_news, targets_vouched, configuration_news, configuration_in_force,
+                 call_forwarded, call_answered, claim_asked, claim_told, instance_news, quorum_said,
+                 command_forwarded, still_here, fleet_news, routes_news, weights_news,
+                 store_presented, founders_news, store_report, leader_news, job_submitted,
+                 results_asked, item_body_asked, job_end_asked, batch_answered>;
 
 } // namespace kingcupcart::wire
