Take the replicated group out of the keeper, and cut silent links

Cause: stores need the same log, links and waiting commands as keepers; a link whose peer fell silent without a reset was kept until the kernel's default of minutes.

Change: group::group<Codec> (replicated log, links to members, commands that are awaited); the keeper uses it. A link says twice a second that it lives where nothing else is sent, and is cut after four silent intervals; sockets get TCP_USER_TIMEOUT and short probes. No proxy is looked for.

--- /dev/null
+++ b/packages/group/group_codec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "base/outcome.h"
+#include "replicated/commands.h"
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace kingcupcart::group {
+
+/// What a group agrees on, and how its commands and its state are written.
+///
+/// `machine` is the replicated state; `logged` is a command with its `origin`.
+template <typename Candidate>
+concept group_codec = requires(typename Candidate::machine machine,
+                               const typename Candidate::logged& logged, std::string_view bytes) {
+    { machine.apply(logged.content) } -> std::same_as<typename Candidate::machine::result>;
+    { logged.origin } -> std::convertible_to<replicated::command_origin>;
+    { Candidate::encode(logged) } -> std::same_as<std::string>;
+    { Candidate::decode(bytes) } -> std::same_as<outcome<typename Candidate::logged>>;
+    { Candidate::save(machine) } -> std::same_as<std::string>;
+    { Candidate::load(machine, bytes) } -> std::same_as<outcome<void>>;
+};
+
+} // namespace kingcupcart::group
--- a/packages/keeper/internal/keeper_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -1,21 +1,26 @@
-#include "keeper/internal/keeper_log.h"
+#include "group/replicated_log.h"
 
 #include "journal/disk_storage.h"
 #include "wire/keeper_codec.h"
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <random>
 #include <type_traits>
 #include <utility>
 #include <variant>
 
-namespace kingcupcart::keeper {
+namespace kingcupcart::group {
 
 namespace {
 
-/// Entries in the log above which a snapshot is made.
-constexpr std::size_t log_size_max = 1000;
+/// A snapshot is made once the log has this many entries, and its journal has outgrown twice the
+/// last snapshot by so many bytes: rewriting a large state often would stall the group.
+constexpr std::size_t snapshot_entries = 1000;
+constexpr std::size_t snapshot_growth_bytes = 32UL * 1024 * 1024;
+/// The disk of every founder that is told only the founders' names.
+constexpr std::uint64_t founding_disk = 1;
 
 void take(quorum::stored_state& stored, const wire::journal_record& record) {
     if (const auto* vote = std::get_if<quorum::keep_vote>(&record)) {
@@ -35,21 +40,22 @@
 
 } // namespace
 
-outcome<std::unique_ptr<keeper_log>> keeper_log::open(const parts& made_of, callbacks tell) {
-    std::unique_ptr<keeper_log> made(new keeper_log(made_of, std::move(tell)));
+outcome<std::unique_ptr<replicated_log>> replicated_log::open(const parts& made_of,
+                                                              callbacks tell) {
+    std::unique_ptr<replicated_log> made(new replicated_log(made_of, std::move(tell)));
     BOOST_LEAF_CHECK(made->load());
     return made;
 }
 
-keeper_log::keeper_log(const parts& made_of, callbacks tell)
+replicated_log::replicated_log(const parts& made_of, callbacks tell)
     : own(made_of),
       tell(std::move(tell)),
       timer([this] { this->pass_time(); }),
       flusher([this] { this->flush(); }) {}
 
-keeper_log::~keeper_log() = default;
+replicated_log::~replicated_log() = default;
 
-outcome<void> keeper_log::load() {
+outcome<void> replicated_log::load() {
     BOOST_LEAF_AUTO(storage, journal::disk_storage::open(this->own.folder));
     BOOST_LEAF_AUTO(opened, journal::journal_file::open(std::move(storage)));
     this->file = std::move(opened.file);
@@ -63,11 +69,9 @@
         }
         take(this->stored, record);
     }
-    const bool is_empty = opened.records.empty();
-    if (is_empty) {
-        std::random_device entropy;
-        this->disk = quorum::disk_id((std::uint64_t{entropy()} << 32U) | entropy());
-        BOOST_LEAF_CHECK(this->file->append(wire::encode_record(wire::disk_named{this->disk})));
+    this->found_empty = opened.records.empty();
+    if (this->found_empty) {
+        BOOST_LEAF_CHECK(this->name_disk());
         BOOST_LEAF_CHECK(this->file->sync());
     }
     this->vote = quorum::keep_vote{this->stored.term, this->stored.voted_for};
@@ -75,24 +79,61 @@
         this->tell.restore(this->stored.snapshot_data);
     }
     const time_point now = this->own.time->now();
-    this->replica = std::make_unique<quorum::replica>(
-        quorum::member{this->own.self, this->disk}, this->own.others, this->stored,
-        quorum::replica_limits{}, this->own.seed, now);
-    if (is_empty && this->own.may_found) {
+    quorum::replica_limits limits;
+    limits.voters_wanted = this->own.voters_wanted;
+    this->replica = std::make_unique<quorum::replica>(quorum::member{this->own.self, this->disk},
+                                                      this->own.others, this->stored, limits,
+                                                      this->own.seed, now);
+    if (this->found_empty && this->own.may_found) {
         this->carry_out(this->replica->found(now));
     }
     this->arm();
     return {};
 }
 
-void keeper_log::handle(const quorum::message& said) {
+outcome<void> replicated_log::name_disk() {
+    const auto& founders = this->own.founders;
+    if (std::find(founders.begin(), founders.end(), this->own.self) != founders.end()) {
+        this->disk = quorum::disk_id(founding_disk);
+    } else {
+        std::random_device entropy;
+        this->disk = quorum::disk_id((std::uint64_t{entropy()} << 32U) | entropy());
+    }
+    BOOST_LEAF_CHECK(this->file->append(wire::encode_record(wire::disk_named{this->disk})));
+    if (!founders.empty()) {
+        quorum::keep_snapshot founding;
+        for (const instance_id& founder : founders) {
+            founding.voters.voters.push_back({founder, quorum::disk_id(founding_disk)});
+        }
+        this->stored.snapshot_voters = founding.voters;
+        BOOST_LEAF_CHECK(this->file->append(wire::encode_record(founding)));
+    }
+    return {};
+}
+
+void replicated_log::adopt_founders(const std::vector<quorum::member>& founders) {
+    if (!this->broken) {
+        this->carry_out(this->replica->adopt({founders, instance_id()}, this->own.time->now()));
+        this->arm();
+    }
+}
+
+void replicated_log::set_others(std::vector<instance_id> others) {
+    this->replica->set_others(std::move(others));
+}
+
+void replicated_log::set_leaving(std::set<instance_id> leaving) {
+    this->replica->set_leaving(std::move(leaving));
+}
+
+void replicated_log::handle(const quorum::message& said) {
     if (!this->broken) {
         this->carry_out(this->replica->handle(said, this->own.time->now()));
         this->arm();
     }
 }
 
-bool keeper_log::propose(const std::string& command) {
+bool replicated_log::propose(const std::string& command) {
     if (this->broken) {
         return false;
     }
@@ -102,18 +143,18 @@
     return made.index.has_value();
 }
 
-void keeper_log::pass_time() {
+void replicated_log::pass_time() {
     if (!this->broken) {
         this->carry_out(this->replica->pass_time(this->own.time->now()));
         this->arm();
     }
 }
 
-void keeper_log::arm() {
+void replicated_log::arm() {
     this->timer.arm(this->replica->next_wakeup());
 }
 
-void keeper_log::carry_out(const quorum::actions& wanted) {
+void replicated_log::carry_out(const quorum::actions& wanted) {
     const auto kept = value_or_error([&] { return this->keep(wanted); });
     if (const auto* problem = std::get_if<error>(&kept)) {
         this->give_up(problem->message);
@@ -124,7 +165,7 @@
     }
 }
 
-outcome<void> keeper_log::keep(const quorum::actions& wanted) {
+outcome<void> replicated_log::keep(const quorum::actions& wanted) {
     for (std::size_t i = 0; i < wanted.size(); ++i) {
         if (const auto* snapshot = std::get_if<quorum::keep_snapshot>(&wanted[i])) {
             // The replica says in the next action which entries remain.
@@ -145,14 +186,15 @@
     return {};
 }
 
-outcome<void> keeper_log::keep_snapshot(const quorum::keep_snapshot& snapshot,
-                                        const quorum::keep_entries& entries) {
+outcome<void> replicated_log::keep_snapshot(const quorum::keep_snapshot& snapshot,
+                                            const quorum::keep_entries& entries) {
+    this->snapshot_bytes = snapshot.data.size();
     return this->file->rewrite({wire::encode_record(wire::disk_named{this->disk}),
                                 wire::encode_record(this->vote), wire::encode_record(snapshot),
                                 wire::encode_record(entries)});
 }
 
-void keeper_log::flush() {
+void replicated_log::flush() {
     if (this->broken) {
         return;
     }
@@ -180,18 +222,20 @@
     this->compact_if_long();
 }
 
-void keeper_log::compact_if_long() {
+void replicated_log::compact_if_long() {
     // Whatever is committed must have been applied, or the snapshot would miss it.
-    if (this->replica->log_size() > log_size_max && this->deferred.empty()) {
+    const bool is_long = this->replica->log_size() > snapshot_entries;
+    const bool is_large = this->file->size() > 2 * this->snapshot_bytes + snapshot_growth_bytes;
+    if (is_long && is_large && this->deferred.empty()) {
         this->carry_out(this->replica->compact(this->replica->committed(), this->tell.save()));
     }
 }
 
-void keeper_log::give_up(const std::string& reason) {
+void replicated_log::give_up(const std::string& reason) {
     this->broken = true;
     this->deferred.clear();
     this->timer.disarm();
-    spdlog::critical("keeper gives up until it is restarted: {}", reason);
+    spdlog::critical("gives up until it is restarted: {}", reason);
 }
 
-} // namespace kingcupcart::keeper
+} // namespace kingcupcart::group
--- a/packages/keeper/internal/keeper_log.h
+++ b/packages/group/replicated_log.h
@@ -12,21 +12,27 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
-namespace kingcupcart::keeper {
+namespace kingcupcart::group {
 
-/// The replicated log of one keeper with its journal: it keeps what the replica wants kept, syncs
-/// once for all that came within one turn of the loop, and only then sends and applies.
-class keeper_log {
+/// The replicated log of one group member with its journal: it keeps what the replica wants kept,
+/// syncs once for all that came within one turn of the loop, and only then sends and applies.
+class replicated_log {
 public:
     struct parts {
         instance_id self;
         std::vector<instance_id> others;
         std::string folder;
-        /// Begin a new deployment where the data folder is empty.
+        /// Begin a new deployment alone where the data folder is empty.
         bool may_found = false;
+        /// Members that begin the group together, all told the same; they are believed where the
+        /// data folder is empty. Their disks are named alike, since nobody knows them yet.
+        std::vector<instance_id> founders;
+        /// See `quorum::replica_limits::voters_wanted`.
+        std::size_t voters_wanted = 0;
         std::uint64_t seed = 0;
         const clock* time = nullptr;
     };
@@ -40,15 +46,22 @@
     };
 
     /// Fails where the data folder can't be used or its journal is damaged.
-    static outcome<std::unique_ptr<keeper_log>> open(const parts& made_of, callbacks tell);
-    ~keeper_log();
-    keeper_log(const keeper_log&) = delete;
-    keeper_log& operator=(const keeper_log&) = delete;
+    static outcome<std::unique_ptr<replicated_log>> open(const parts& made_of, callbacks tell);
+    ~replicated_log();
+    replicated_log(const replicated_log&) = delete;
+    replicated_log& operator=(const replicated_log&) = delete;
 
     void handle(const quorum::message& said);
+    /// Takes over the founders where the log is empty and no voter is known; they name their disks.
+    void adopt_founders(const std::vector<quorum::member>& founders);
+    void set_others(std::vector<instance_id> others);
+    void set_leaving(std::set<instance_id> leaving);
     /// False where this keeper does not lead, or can't keep anything any more.
     bool propose(const std::string& command);
 
+    [[nodiscard]] quorum::disk_id disk_name() const { return this->disk; }
+    /// The data folder held nothing when it was opened.
+    [[nodiscard]] bool was_empty() const { return this->found_empty; }
     [[nodiscard]] const quorum::replica& state() const { return *this->replica; }
     /// The disk failed; this keeper says nothing more until it is restarted.
     [[nodiscard]] bool is_broken() const { return this->broken; }
@@ -56,8 +69,9 @@
     [[nodiscard]] std::uint64_t sync_count() const { return this->syncs; }
 
 private:
-    keeper_log(const parts& made_of, callbacks tell);
+    replicated_log(const parts& made_of, callbacks tell);
     outcome<void> load();
+    [[nodiscard]] outcome<void> name_disk();
     void carry_out(const quorum::actions& wanted);
     [[nodiscard]] outcome<void> keep(const quorum::actions& wanted);
     [[nodiscard]] outcome<void> keep_snapshot(const quorum::keep_snapshot& snapshot,
@@ -75,6 +89,9 @@
     quorum::disk_id disk;
     quorum::keep_vote vote;
     quorum::stored_state stored;
+    bool found_empty = false;
+    /// Size of the newest snapshot, in bytes.
+    std::size_t snapshot_bytes = 0;
     bool is_dirty = false;
     bool broken = false;
     std::uint64_t syncs = 0;
@@ -84,4 +101,4 @@
     task::wakeup flusher;
 };
 
-} // namespace kingcupcart::keeper
+} // namespace kingcupcart::group
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -21,10 +21,6 @@
 constexpr int status_bad_request = 400;
 constexpr int status_conflict = 409;
 constexpr int status_unavailable = 503;
-/// A command that was not agreed by then may or may not take effect.
-constexpr duration command_limit = std::chrono::seconds(3);
-constexpr duration tend_interval = std::chrono::milliseconds(200);
-constexpr duration retry_interval = std::chrono::milliseconds(300);
 
 replicated::wall_seconds wall_now() {
     return std::chrono::duration_cast<replicated::wall_seconds>(
@@ -68,144 +64,55 @@
                                            [self = made.get()](GSocketConnection* connection) {
                                                self->accept(connection);
                                            }));
-    BOOST_LEAF_CHECK(made->open_log());
-    made->tend();
+    BOOST_LEAF_CHECK(made->open_group());
     return made;
 }
 
 keeper::keeper(parts made_of)
-    : own(std::move(made_of)),
-      cleaner([this] {
+    : own(std::move(made_of)), cleaner([this] {
           this->retired.clear();
           std::erase_if(this->members, [](const auto& item) { return !item.second.link; });
-      }),
-      tending([this] { this->tend(); }) {}
+      }) {}
 
-outcome<void> keeper::open_log() {
+outcome<void> keeper::open_group() {
     const settings::keeper_settings& kept = *this->own.settings.keeper;
-    keeper_log::parts made_of;
-    made_of.self = this->own.settings.instance;
-    made_of.folder = kept.data;
+    keeper_group::parts made_of;
+    made_of.log.self = this->own.settings.instance;
+    made_of.log.folder = kept.data;
     // One that has no others cannot be mistaken for a part of them.
-    made_of.may_found = kept.may_found || kept.members.empty();
-    made_of.seed = this->own.incarnation.value();
-    made_of.time = this->own.time;
+    made_of.log.may_found = kept.may_found || kept.members.empty();
+    made_of.log.seed = this->own.incarnation.value();
+    made_of.log.time = this->own.time;
+    made_of.incarnation = this->own.incarnation;
+    made_of.greeting = [this] { return this->make_hello(); };
+    BOOST_LEAF_ASSIGN(this->colleagues,
+                      keeper_group::open(made_of, {[this](const replicated::command& command,
+                                                          const auto&) { this->applied(command); },
+                                                   [this] { this->publish(); },
+                                                   [this](bool is_leader) {
+                                                       this->leadership_changed(is_leader);
+                                                   }}));
     for (const std::string& member : kept.members) {
         const auto at = member.find('@');
-        const instance_id id(member.substr(0, at));
         BOOST_LEAF_AUTO(address, parse_endpoint(member.substr(at + 1)));
-        if (id != this->own.settings.instance) {
-            made_of.others.push_back(id);
-            this->colleagues[id].address = address;
-        }
+        this->colleagues->add_member(instance_id(member.substr(0, at)), address);
     }
-    BOOST_LEAF_ASSIGN(
-        this->log,
-        keeper_log::open(
-            made_of, {[this](const instance_id& to, const quorum::message& said) {
-                          this->send_to_keeper(to, wire::quorum_said{said});
-                      },
-                      [this](const std::string& command) { this->apply(command); },
-                      [this](const std::string& saved) {
-                          const auto read =
-                              value_or_error([&] { return wire::decode_state(saved); });
-                          this->state.load(std::get<replicated::replicated_state::content>(read));
-                          this->publish();
-                      },
-                      [this](bool is_leader) {
-                          spdlog::info("leadership leader={} term={}", is_leader,
-                                       this->log->state().term().value());
-                          if (is_leader && this->state.version() == configuration_version(0)) {
-                              this->submit(
-                                  replicated::accept_configuration{
-                                      "initial", {}, this->initial_text, wall_now()},
-                                  [](const auto&) {});
-                          }
-                      },
-                      [this] { return wire::encode_state(this->state.save()); }}));
     return {};
 }
 
-void keeper::submit(const replicated::command& content, command_end ended) {
-    replicated::logged_command command;
-    command.origin.keeper = this->own.settings.instance;
-    command.origin.incarnation = this->own.incarnation;
-    command.origin.number = ++this->last_command;
-    command.content = content;
-    const std::string bytes = wire::encode_command(command);
-    this->waiting.emplace(command.origin.number,
-                          waiting_command{std::move(ended), this->own.time->now() + command_limit});
-    if (!this->log->propose(bytes)) {
-        this->send_to_keeper(this->log->state().leader(), wire::command_forwarded{bytes});
+void keeper::leadership_changed(bool is_leader) {
+    if (is_leader && this->state().version() == configuration_version(0)) {
+        this->colleagues->submit(
+            replicated::accept_configuration{"initial", {}, this->initial_text, wall_now()},
+            [](const auto&) {});
     }
 }
 
-void keeper::apply(const std::string& bytes) {
-    const auto decoded = value_or_error([&] { return wire::decode_command(bytes); });
-    if (const auto* problem = std::get_if<error>(&decoded)) {
-        // All keepers pass over it alike.
-        spdlog::error("command left out: {}", problem->message);
-        return;
-    }
-    const auto& command = std::get<replicated::logged_command>(decoded);
-    const configuration_version before = this->state.version();
-    const replicated::result result = this->state.apply(command.content);
-    if (this->state.version() != before) {
-        spdlog::info("configuration accepted version={}", this->state.version().value());
+void keeper::applied(const replicated::command& command) {
+    if (std::holds_alternative<replicated::accept_configuration>(command)) {
+        spdlog::info("configuration accepted version={}", this->state().version().value());
         this->publish();
     }
-    const bool is_own = command.origin.keeper == this->own.settings.instance &&
-                        command.origin.incarnation == this->own.incarnation;
-    const auto found = this->waiting.find(command.origin.number);
-    if (is_own && found != this->waiting.end()) {
-        const command_end ended = std::move(found->second.ended);
-        this->waiting.erase(found);
-        ended(result);
-    }
-}
-
-void keeper::send_to_keeper(const instance_id& to, const wire::message& said) {
-    const auto found = this->colleagues.find(to);
-    if (found != this->colleagues.end() && found->second.is_open) {
-        found->second.link->send(said);
-    }
-}
-
-void keeper::dial(const instance_id& id) {
-    colleague& one = this->colleagues.at(id);
-    one.link = wire::peer_link::dial(one.address,
-                                     {[this, id] {
-                                          colleague& opened = this->colleagues.at(id);
-                                          opened.is_open = true;
-                                          opened.link->send(this->make_hello());
-                                      },
-                                      [](const wire::message&) {},
-                                      [this, id](const std::string&) {
-                                          colleague& lost = this->colleagues.at(id);
-                                          lost.is_open = false;
-                                          lost.retry_at = this->own.time->now() + retry_interval;
-                                          this->retired.push_back(std::move(lost.link));
-                                          this->cleaner.arm_now();
-                                      }});
-}
-
-void keeper::tend() {
-    const time_point now = this->own.time->now();
-    for (auto& [id, one] : this->colleagues) {
-        if (!one.link && one.retry_at <= now) {
-            this->dial(id);
-        }
-    }
-    for (auto item = this->waiting.begin(); item != this->waiting.end();) {
-        if (item->second.due > now) {
-            ++item;
-            continue;
-        }
-        const command_end ended = std::move(item->second.ended);
-        item = this->waiting.erase(item);
-        ended(std::nullopt);
-    }
-    this->tending.arm(now + tend_interval);
 }
 
 keeper::~keeper() = default;
@@ -256,16 +163,14 @@
         from.in_force = told->version;
     } else if (const auto* asked = std::get_if<wire::claim_asked>(&said)) {
         this->claim(number, *asked);
-    } else if (const auto* agreement = std::get_if<wire::quorum_said>(&said)) {
-        this->log->handle(agreement->content);
-    } else if (const auto* command = std::get_if<wire::command_forwarded>(&said)) {
-        this->log->propose(command->command);
+    } else {
+        static_cast<void>(this->colleagues->receive(said));
     }
 }
 
 void keeper::claim(std::uint64_t number, const wire::claim_asked& asked) {
     const replicated::claim_key wanted{asked.key, asked.home, asked.incarnation, wall_now()};
-    this->submit(wanted, [this, number, claim = asked.claim](const auto& result) {
+    this->colleagues->submit(wanted, [this, number, claim = asked.claim](const auto& result) {
         const auto from = this->members.find(number);
         if (from == this->members.end() || !from->second.link) {
             return;
@@ -284,8 +189,8 @@
     if (joined.hello.role == wire::instance_role::keeper) {
         return;
     }
-    if (this->state.version() > configuration_version(0)) {
-        joined.link->send(wire::configuration_news{this->state.version(), this->state.text()});
+    if (this->state().version() > configuration_version(0)) {
+        joined.link->send(wire::configuration_news{this->state().version(), this->state().text()});
     }
     for (const auto& [id, record] : this->targets) {
         if (record.place != joined.hello.place && !record.gone) {
@@ -318,7 +223,11 @@
 }
 
 void keeper::publish() {
-    const wire::configuration_news news{this->state.version(), this->state.text()};
+    if (!this->colleagues) {
+        // The state of the disk is being read; nobody listens yet.
+        return;
+    }
+    const wire::configuration_news news{this->state().version(), this->state().text()};
     for (auto& [number, one] : this->members) {
         if (one.link && !one.hello.instance.value().empty() &&
             one.hello.role == wire::instance_role::entry) {
@@ -334,7 +243,7 @@
     said.place = this->own.settings.place;
     said.role = wire::instance_role::keeper;
     said.address = this->listener->address();
-    said.in_force = this->state.version();
+    said.in_force = this->state().version();
     return said;
 }
 
@@ -345,23 +254,23 @@
         order.reply.post({status_bad_request, print({{"error", problem->message}})});
         return;
     }
-    this->submit(
+    this->colleagues->submit(
         replicated::accept_configuration{order.order_id, order.base, order.text, wall_now()},
         [order](const auto& result) { answer_order(order, result); });
 }
 
 void keeper::on(const admin::configuration_asked& asked) {
     ordered_json body;
-    body["version"] = this->state.version().value();
-    body["text"] = this->state.text();
+    body["version"] = this->state().version().value();
+    body["text"] = this->state().text();
     asked.reply.post({status_ok, print(body)});
 }
 
 void keeper::on(const admin::report_asked& asked) {
     ordered_json status;
     status["instance"] = this->own.settings.instance.value();
-    status["configuration_version"] = this->state.version().value();
-    const quorum::replica& log_state = this->log->state();
+    status["configuration_version"] = this->state().version().value();
+    const quorum::replica& log_state = this->colleagues->agreement().state();
     status["leads"] = log_state.is_leader();
     status["leader"] = log_state.leader().value();
     status["term"] = log_state.term().value();
@@ -372,7 +281,7 @@
     }
     status["votes_here"] = log_state.is_settled_voter();
     status["joining"] = log_state.joining_count();
-    status["journal_bytes"] = this->log->journal_bytes();
+    status["journal_bytes"] = this->colleagues->agreement().journal_bytes();
     status["instances"] = ordered_json::array();
     for (const auto& [number, one] : this->members) {
         if (one.hello.role == wire::instance_role::keeper) {
@@ -385,15 +294,18 @@
         status["instances"].push_back(std::move(instance));
     }
     this->metrics.set("keeper_configuration_version",
-                      static_cast<double>(this->state.version().value()));
-    this->metrics.set("keeper_syncs", static_cast<double>(this->log->sync_count()));
-    this->metrics.set("keeper_journal_bytes", static_cast<double>(this->log->journal_bytes()));
+                      static_cast<double>(this->state().version().value()));
+    this->metrics.set("keeper_syncs",
+                      static_cast<double>(this->colleagues->agreement().sync_count()));
+    this->metrics.set("keeper_journal_bytes",
+                      static_cast<double>(this->colleagues->agreement().journal_bytes()));
     this->metrics.set("keeper_instances", static_cast<double>(this->members.size()));
     admin::report said;
     said.part = "keeper";
     said.status = print(status);
     said.metrics = this->metrics.exposition();
-    said.is_ready = !this->log->is_broken() && !log_state.leader().value().empty();
+    said.is_ready =
+        !this->colleagues->agreement().is_broken() && !log_state.leader().value().empty();
     asked.reply.post(std::move(said));
 }
 
--- a/packages/keeper/internal/keeper.h
+++ b/packages/keeper/internal/keeper.h
@@ -4,7 +4,8 @@
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/outcome.h"
-#include "keeper/internal/keeper_log.h"
+#include "group/group.h"
+#include "keeper/internal/keeper_codec.h"
 #include "keeper/internal/keeper_message.h"
 #include "replicated/replicated_state.h"
 #include "settings/process_settings.h"
@@ -52,17 +53,7 @@
         configuration_version in_force;
     };
 
-    struct colleague {
-        endpoint address;
-        std::unique_ptr<wire::peer_link> link;
-        bool is_open = false;
-        time_point retry_at{};
-    };
-    using command_end = std::function<void(const std::optional<replicated::result>&)>;
-    struct waiting_command {
-        command_end ended;
-        time_point due{};
-    };
+    using keeper_group = group::group<keeper_codec>;
 
     explicit keeper(parts made_of);
 
@@ -77,25 +68,16 @@
     void relay(std::uint64_t from, const membership::target_record& record);
     void publish();
     outcome<void> load_initial_configuration();
-    outcome<void> open_log();
-    /// Has the command agreed; `ended` is told its result, or nothing where no majority was reached
-    /// in time and it may or may not take effect.
-    void submit(const replicated::command& content, command_end ended);
-    void apply(const std::string& bytes);
-    void send_to_keeper(const instance_id& to, const wire::message& said);
-    void dial(const instance_id& id);
-    void tend();
+    outcome<void> open_group();
+    void applied(const replicated::command& command);
+    void leadership_changed(bool is_leader);
+    [[nodiscard]] const replicated::replicated_state& state() const {
+        return this->colleagues->state();
+    }
     [[nodiscard]] wire::hello make_hello() const;
 
     parts own;
     telemetry::metric_set metrics;
-    replicated::replicated_state state;
-    std::unique_ptr<keeper_log> log;
-    /// Links to the other keepers, dialled from here.
-    std::map<instance_id, colleague> colleagues;
-    /// Commands put forward here whose end is awaited.
-    std::map<std::uint64_t, waiting_command> waiting;
-    std::uint64_t last_command = 0;
     std::string initial_text;
     std::unordered_map<std::uint64_t, member> members;
     std::uint64_t last_member = 0;
@@ -103,7 +85,8 @@
     std::map<target_id, membership::target_record> targets;
     std::vector<std::unique_ptr<wire::peer_link>> retired;
     task::wakeup cleaner;
-    task::wakeup tending;
+    /// The other keepers, and what they agreed on with this one.
+    std::unique_ptr<keeper_group> colleagues;
     std::unique_ptr<wire::listener> listener;
 };
 
--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -77,6 +77,20 @@
     return std::exchange(this->output, {});
 }
 
+actions replica::adopt(const membership& founders, time_point moment) {
+    this->now = moment;
+    if (this->last_index() > log_index(0) || !this->latest_membership.voters.empty()) {
+        return {};
+    }
+    this->snapshot_voters = founders;
+    this->refresh_membership();
+    this->arm_election();
+    this->output.push_back(
+        keep_snapshot{this->snapshot_index, this->snapshot_term, this->snapshot_voters, {}});
+    this->output.push_back(keep_entries{after(this->snapshot_index), {}});
+    return std::exchange(this->output, {});
+}
+
 actions replica::handle(const message& incoming, time_point moment) {
     this->now = moment;
     std::visit([this](const auto& alternative) { this->on(alternative); }, incoming);
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -27,6 +27,8 @@
 
     /// A new deployment's first keeper: the only voter until others join.
     [[nodiscard]] actions found(time_point now);
+    /// Takes over the members that begin the group, where nothing is known of any.
+    [[nodiscard]] actions adopt(const membership& founders, time_point now);
     [[nodiscard]] actions handle(const message& incoming, time_point now);
     [[nodiscard]] actions pass_time(time_point now);
     /// Puts a command into the log; empty where this replica does not lead.
--- a/packages/wire/internal/peer_link.cpp
+++ b/packages/wire/internal/peer_link.cpp
@@ -1,6 +1,8 @@
 #include "wire/peer_link.h"
 
 #include "task/g_pointer.h"
+#include "task/socket_options.h"
+#include "task/wakeup.h"
 #include "wire/codec.h"
 #include "wire/link_engine.h"
 
@@ -16,7 +18,13 @@
 
 constexpr std::size_t read_size = 64UL * 1024;
 /// A connection attempt, and a peer's silence during the handshake, end after this long.
-constexpr guint connect_limit_seconds = 3;
+constexpr guint connect_limit_seconds = 2;
+/// How often a link says that it lives, and how many such intervals it may be silent. Together well
+/// above an election, and below the time in which users expect a cut to be noticed.
+constexpr duration pulse_interval = std::chrono::milliseconds(500);
+constexpr int silent_pulses_max = 4;
+/// The kernel's own limit, a little above.
+constexpr unsigned silence_limit_ms = 2500;
 
 std::string take_message(GError* problem) {
     std::string message = problem->message;
@@ -29,11 +37,16 @@
 /// Kept alive by each asynchronous operation under way; `is_over` makes their ends harmless.
 class peer_link::state : public std::enable_shared_from_this<peer_link::state> {
 public:
-    explicit state(callbacks tell) : tell(std::move(tell)), cancellable(g_cancellable_new()) {}
+    explicit state(callbacks tell)
+        : tell(std::move(tell)),
+          cancellable(g_cancellable_new()),
+          pulse([this] { this->beat(); }) {}
 
     void dial(const endpoint& remote) {
         this->make_engine(link_engine::side::client, remote.to_string());
         const task::g_pointer<GSocketClient> client(g_socket_client_new());
+        // Instances reach each other directly; looking for a proxy needs a desktop's settings.
+        g_socket_client_set_enable_proxy(client.get(), FALSE);
         g_socket_client_set_timeout(client.get(), connect_limit_seconds);
         const task::g_pointer<GSocketAddress> address(
             g_inet_socket_address_new_from_string(remote.address.c_str(), remote.port));
@@ -52,6 +65,7 @@
             return false;
         }
         const bool is_taken = this->engine->send(encode(outgoing));
+        this->has_sent = true;
         this->flush();
         return is_taken;
     }
@@ -66,6 +80,7 @@
     /// Ends the link without telling.
     void abandon() {
         this->is_over = true;
+        this->pulse.disarm();
         g_cancellable_cancel(this->cancellable.get());
         if (this->connection && !this->is_writing) {
             g_io_stream_close(G_IO_STREAM(this->connection.get()), nullptr, nullptr);
@@ -106,12 +121,30 @@
         GSocket* socket = g_socket_connection_get_socket(this->connection.get());
         g_socket_set_timeout(socket, 0);
         g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-        g_socket_set_keepalive(socket, TRUE);
+        task::limit_silence(socket, silence_limit_ms);
+        this->pulse.arm(std::chrono::steady_clock::now() + pulse_interval);
         this->engine->start();
         this->flush();
         this->read_more();
     }
 
+    /// Says that this side lives, and notices that the other one does not.
+    void beat() {
+        if (std::exchange(this->has_received, false)) {
+            this->silent_pulses = 0;
+        } else if (++this->silent_pulses > silent_pulses_max) {
+            // The owner may let go of the link when it is told.
+            const holder self = this->shared_from_this();
+            this->end("silent");
+            return;
+        }
+        if (!std::exchange(this->has_sent, false) && this->is_open) {
+            this->engine->send(encode(still_here{}));
+            this->flush();
+        }
+        this->pulse.arm(std::chrono::steady_clock::now() + pulse_interval);
+    }
+
     void deliver(const std::string& bytes) {
         if (this->is_over) {
             return;
@@ -121,7 +154,10 @@
             this->end_reason = "malformed message: " + problem->message;
             return;
         }
-        this->tell.received(std::move(std::get<message>(decoded)));
+        auto& said = std::get<message>(decoded);
+        if (!std::holds_alternative<still_here>(said)) {
+            this->tell.received(std::move(said));
+        }
     }
 
     void end(const std::string& reason) {
@@ -164,6 +200,7 @@
             return;
         }
         self->received += static_cast<std::size_t>(size);
+        self->has_received = true;
         self->engine->read(self->buffer.data(), static_cast<std::size_t>(size));
         self->flush();
         self->end_if_asked();
@@ -225,6 +262,10 @@
     std::string unsent;
     std::string writing;
     std::string end_reason;
+    task::wakeup pulse;
+    int silent_pulses = 0;
+    bool has_received = false;
+    bool has_sent = false;
     bool is_open = false;
     bool is_writing = false;
     bool is_over = false;
