Quit a loop also where quit comes before run

Cause: task_test hung. A task says that it has started before its loop runs, and g_main_loop_quit on a loop that does not run yet is forgotten, so a task that was stopped at once ran for ever.

Ruled out: load; one process alone on the machine hung in the first of 60 runs.

Change: quit is asked for by a source on the loop itself.

Shown by: task_test, which hung before, 200 runs in a row; a scenario with quit before run.

--- a/packages/task/internal/event_loop.cpp
+++ b/packages/task/internal/event_loop.cpp
@@ -15,7 +15,18 @@
 }
 
 void event_loop::quit() {
-    g_main_loop_quit(this->loop);
+    // Asked for from within the loop: one that is told to quit before it runs would run for ever.
+    GSource* source = g_idle_source_new();
+    g_source_set_priority(source, G_PRIORITY_HIGH);
+    g_source_set_callback(
+        source,
+        [](gpointer loop) -> gboolean {
+            g_main_loop_quit(static_cast<GMainLoop*>(loop));
+            return G_SOURCE_REMOVE;
+        },
+        this->loop, nullptr);
+    g_source_attach(source, this->main_context);
+    g_source_unref(source);
 }
 
 void event_loop::enter() {
--- a/packages/task/tests/task_test.cpp
+++ b/packages/task/tests/task_test.cpp
@@ -62,6 +62,21 @@
     }
 }
 
+SCENARIO("a loop that is told to quit before it runs does not run for ever") {
+    GIVEN("a loop") {
+        task::event_loop loop;
+        loop.enter();
+        WHEN("quit comes first") {
+            loop.quit();
+            THEN("run returns") {
+                loop.run();
+                CHECK(true);
+            }
+        }
+        loop.leave();
+    }
+}
+
 SCENARIO("a full mailbox refuses and counts") {
     task::event_loop loop;
     loop.enter();
