Add the fleet roles and the adapter: gateway, control at the keepers, stores, platform/

Cause: the users' platform needs routes, discovery by heartbeats, batch jobs that last, and weights in waves, spoken in its own words.

--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -1,4 +1,5 @@
 #include "daemon/daemon.h"
+#include "platform/platform.h"
 #include "settings/process_settings.h"
 #include "task/event_loop.h"
 #include "task/wakeup.h"
@@ -139,9 +140,23 @@
     int code = exit_ok;
 };
 
+/// Settings are read at the start only; a reload is acknowledged in the log and changes nothing.
+void watch_reload(GMainContext* context) {
+    GSource* source = g_unix_signal_source_new(SIGHUP);
+    const auto reloaded = [](gpointer) -> gboolean {
+        spdlog::info("reload asked for: settings are read at the next start");
+        return G_SOURCE_CONTINUE;
+    };
+    g_source_set_callback(source, reloaded, nullptr, nullptr);
+    g_source_attach(source, context);
+    g_source_unref(source);
+}
+
 int run(const settings::process_settings& settings) {
-    telemetry::set_up_log(settings.format, settings.log_level, settings.instance.value());
-    auto started = value_or_error([&] { return daemon::daemon::start(settings); });
+    telemetry::set_up_log(settings.format, settings.log_stream, settings.log_level,
+                          settings.instance.value());
+    auto started =
+        value_or_error([&] { return daemon::daemon::start(settings, platform::make_ports()); });
     if (const auto* problem = std::get_if<error>(&started)) {
         spdlog::critical("cannot start: {}", problem->message);
         return exit_failed;
@@ -154,6 +169,7 @@
         stop_sequence stop(*instance, settings.stop_grace, settings.stop_limit, loop);
         stop.watch(SIGTERM, loop.context());
         stop.watch(SIGINT, loop.context());
+        watch_reload(loop.context());
         std::puts(instance->ready_line().c_str());
         std::fflush(stdout);
         spdlog::info("{}", instance->ready_line());
--- a/cmake/kingcupcart.cmake
+++ b/cmake/kingcupcart.cmake
@@ -10,6 +10,9 @@
 
 # kingcupcart_test(NAME SOURCES…): the doctest program of a package.
 function(kingcupcart_test name)
+    if(NOT KINGCUPCART_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "LINKS" ${ARGN})
     add_executable(${name}_test ${ARG_UNPARSED_ARGUMENTS})
     target_link_libraries(${name}_test PRIVATE kingcupcart::${name} ${ARG_LINKS} kingcupcart_test_main
--- a/packages/completions/internal/event_parser.cpp
+++ b/packages/completions/internal/event_parser.cpp
@@ -1,19 +1,25 @@
 #include "completions/event_parser.h"
 
-namespace kingcupcart::completions {
-
-namespace {
+#include <utility>
 
-constexpr std::string_view data_field = "data:";
-
-} // namespace
+namespace kingcupcart::completions {
 
 std::vector<std::string> event_parser::feed(std::string_view part) {
-    std::vector<std::string> events;
+    std::vector<std::string> data;
+    for (server_event& event : this->feed_events(part)) {
+        if (!event.data.empty()) {
+            data.push_back(std::move(event.data));
+        }
+    }
+    return data;
+}
+
+std::vector<server_event> event_parser::feed_events(std::string_view part) {
+    std::vector<server_event> events;
     while (!part.empty() && !this->overfull) {
         const auto end = part.find('\n');
         this->line += part.substr(0, end);
-        if (this->line.size() + this->data.size() > event_limit) {
+        if (this->line.size() + this->current.data.size() > event_limit) {
             this->overfull = true;
             break;
         }
@@ -24,22 +30,34 @@
         if (!this->line.empty() && this->line.back() == '\r') {
             this->line.pop_back();
         }
-        if (this->line.empty()) {
-            if (!this->data.empty()) {
-                events.push_back(std::move(this->data));
-                this->data.clear();
-            }
-        } else if (this->line.starts_with(data_field)) {
-            std::string_view value = std::string_view(this->line).substr(data_field.size());
-            if (value.starts_with(' ')) {
-                value.remove_prefix(1);
-            }
-            this->data += (this->data.empty() ? "" : "\n");
-            this->data += value;
-        }
+        this->take_line(events);
         this->line.clear();
     }
     return events;
 }
 
+void event_parser::take_line(std::vector<server_event>& events) {
+    if (this->line.empty()) {
+        if (!this->current.is_empty()) {
+            events.push_back(std::exchange(this->current, {}));
+        }
+        return;
+    }
+    const std::string_view whole = this->line;
+    const auto colon = whole.find(':');
+    const std::string_view name = whole.substr(0, colon);
+    std::string_view value = colon == std::string_view::npos ? "" : whole.substr(colon + 1);
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    if (name == "data") {
+        this->current.data += this->current.data.empty() ? "" : "\n";
+        this->current.data += value;
+    } else if (name == "id") {
+        this->current.id = value;
+    } else if (!name.empty()) {
+        this->current.others.push_back({std::string(name), std::string(value)});
+    }
+}
+
 } // namespace kingcupcart::completions
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "base/outcome.h"
+#include "daemon/outer_ports.h"
 #include "settings/process_settings.h"
 
 #include <functional>
@@ -15,7 +16,9 @@
 /// inside another program; `kingcupcartd` is little more than this class.
 class daemon {
 public:
-    static outcome<std::unique_ptr<daemon>> start(const settings::process_settings& settings);
+    /// `ports` are needed for the roles of a fleet only.
+    static outcome<std::unique_ptr<daemon>> start(const settings::process_settings& settings,
+                                                  const outer_ports& ports = {});
     ~daemon();
     daemon(const daemon&) = delete;
     daemon& operator=(const daemon&) = delete;
--- a/packages/daemon/internal/daemon.cpp
+++ b/packages/daemon/internal/daemon.cpp
@@ -2,7 +2,9 @@
 
 #include "admin/admin_server.h"
 #include "entry/entry_module.h"
+#include "gateway/gateway_module.h"
 #include "keeper/keeper_module.h"
+#include "store/store_module.h"
 #include "task/task.h"
 
 #include <utility>
@@ -12,16 +14,35 @@
 class daemon::state {
 public:
     std::unique_ptr<keeper::keeper_module> keeper;
+    std::unique_ptr<running_part> control;
+    std::unique_ptr<store::store_module> store;
+    std::unique_ptr<gateway::gateway_module> gateway;
     std::unique_ptr<entry::entry_module> entry;
     task::task<admin::admin_server> admin_task;
     endpoint admin_address;
 
+    outcome<void> start_control(const settings::process_settings& settings,
+                                const outer_ports& ports) {
+        const auto& control = settings.keeper->control;
+        if (control) {
+            BOOST_LEAF_ASSIGN(this->control,
+                              ports.start_control(control->address, this->keeper->control()));
+        }
+        return {};
+    }
+
     outcome<void> start_admin(const endpoint& address) {
         admin::admin_sources sources;
         if (this->entry) {
             sources.reports.push_back(this->entry->front_reports());
             sources.reports.push_back(this->entry->peers_reports());
         }
+        if (this->gateway) {
+            sources.reports.push_back(this->gateway->reports());
+        }
+        if (this->store) {
+            sources.reports.push_back(this->store->reports());
+        }
         if (this->keeper) {
             sources.reports.push_back(this->keeper->reports());
             sources.orders = this->keeper->orders();
@@ -47,10 +68,22 @@
     }
 };
 
-outcome<std::unique_ptr<daemon>> daemon::start(const settings::process_settings& settings) {
+outcome<std::unique_ptr<daemon>> daemon::start(const settings::process_settings& settings,
+                                               const outer_ports& ports) {
     auto made = std::make_unique<state>();
     if (settings.keeper) {
-        BOOST_LEAF_ASSIGN(made->keeper, keeper::keeper_module::start(settings));
+        BOOST_LEAF_ASSIGN(made->keeper, keeper::keeper_module::start(
+                                            settings, {ports.read_table, ports.targets}));
+        BOOST_LEAF_CHECK(made->start_control(settings, ports));
+    }
+    if (settings.store) {
+        BOOST_LEAF_ASSIGN(made->store,
+                          store::store_module::start({settings, ports.read_table, ports.targets}));
+    }
+    if (settings.gateway) {
+        BOOST_LEAF_ASSIGN(made->gateway,
+                          gateway::gateway_module::start(
+                              {settings, ports.read_table, ports.callers, ports.targets}));
     }
     if (settings.entry) {
         settings::process_settings with_keeper = settings;
@@ -71,11 +104,16 @@
 
 void daemon::announce_stop() {
     this->self->admin_task.post(admin::admin_server::stop_began{});
+    if (this->self->gateway) {
+        this->self->gateway->announce_stop();
+    }
 }
 
 void daemon::begin_stop(std::function<void()> drained) {
     if (this->self->entry) {
         this->self->entry->begin_stop(std::move(drained));
+    } else if (this->self->gateway) {
+        this->self->gateway->begin_stop(std::move(drained));
     } else {
         drained();
     }
--- /dev/null
+++ b/packages/engines/stream_event.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace kingcupcart::engines {
+
+/// One event of an engine's stream of output.
+struct stream_event {
+    /// Counts from 1 over the whole output, also where a run goes on elsewhere.
+    std::size_t number = 0;
+    std::string data;
+    /// Set where the weights changed before this event.
+    std::optional<weight_version> version;
+};
+
+} // namespace kingcupcart::engines
--- /dev/null
+++ b/packages/engines/target_port.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/outcome.h"
+#include "completions/server_event.h"
+#include "engines/answer_kind.h"
+#include "engines/forwarded_request.h"
+#include "engines/item_request.h"
+#include "engines/load_order.h"
+#include "engines/stream_event.h"
+#include "http/answer_head.h"
+#include "http/request.h"
+#include "membership/target_record.h"
+#include "rollout/planner_messages.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace kingcupcart::engines {
+
+/// How targets are spoken to in one outer protocol. It decides nothing and keeps nothing.
+template <typename Candidate>
+concept target_dialect = requires(const forwarded_request& forwarded, const item_request& item,
+                                  const load_order& order, const membership::target_record& target,
+                                  const http::answer_head& head,
+                                  const completions::server_event& event, std::string_view text) {
+    { Candidate::forward(forwarded, target) } -> std::same_as<http::request>;
+    { Candidate::run_item(item, target) } -> std::same_as<http::request>;
+    { Candidate::order_load(order, target) } -> std::same_as<http::request>;
+    { Candidate::ask_report(target) } -> std::same_as<http::request>;
+    { Candidate::judge(head, text) } -> std::same_as<answer_kind>;
+    { Candidate::version_of(head) } -> std::same_as<std::optional<weight_version>>;
+    { Candidate::read_event(event) } -> std::same_as<std::optional<stream_event>>;
+    { Candidate::read_order_answer(head) } -> std::same_as<rollout::order_answer>;
+    { Candidate::read_report(text) } -> std::same_as<outcome<rollout::engine_reported>>;
+};
+
+/// A dialect as a value, so that tasks need not be templates.
+struct target_port {
+    http::request (*forward)(const forwarded_request&, const membership::target_record&) = nullptr;
+    http::request (*run_item)(const item_request&, const membership::target_record&) = nullptr;
+    http::request (*order_load)(const load_order&, const membership::target_record&) = nullptr;
+    http::request (*ask_report)(const membership::target_record&) = nullptr;
+    /// `request_name` is what the request was sent under.
+    answer_kind (*judge)(const http::answer_head&, std::string_view request_name) = nullptr;
+    /// The weights under which the stream begins.
+    std::optional<weight_version> (*version_of)(const http::answer_head&) = nullptr;
+    /// Empty where the event is malformed.
+    std::optional<stream_event> (*read_event)(const completions::server_event&) = nullptr;
+    rollout::order_answer (*read_order_answer)(const http::answer_head&) = nullptr;
+    /// The engine's name in the report is left empty.
+    outcome<rollout::engine_reported> (*read_report)(std::string_view body) = nullptr;
+};
+
+template <target_dialect Dialect>
+constexpr target_port make_target_port() {
+    return {&Dialect::forward,    &Dialect::run_item,
+            &Dialect::order_load, &Dialect::ask_report,
+            &Dialect::judge,      &Dialect::version_of,
+            &Dialect::read_event, &Dialect::read_order_answer,
+            &Dialect::read_report};
+}
+
+} // namespace kingcupcart::engines
--- /dev/null
+++ b/packages/gateway/caller_port.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/outcome.h"
+#include "batch/job.h"
+#include "gateway/caller_calls.h"
+#include "gateway/refusal.h"
+#include "http/exchange.h"
+#include "routes/route.h"
+#include "wire/messages.h"
+
+#include <string>
+
+namespace kingcupcart::gateway {
+
+/// How callers speak in one outer protocol. It decides nothing and keeps nothing.
+template <typename Candidate>
+concept caller_dialect = requires(http::exchange& exchange, const routed_call& call,
+                                  const routes::route& route, const wire::batch_answered& answer,
+                                  const refusal& refused, bool is_ready) {
+    { Candidate::read_call(exchange) } -> std::same_as<caller_call>;
+    { Candidate::read_job(exchange, call, route) } -> std::same_as<outcome<batch::job>>;
+    { Candidate::answer_readiness(exchange, is_ready) } -> std::same_as<void>;
+    { Candidate::answer_accepted(exchange) } -> std::same_as<void>;
+    { Candidate::answer_results(exchange, std::size_t{}, answer) } -> std::same_as<void>;
+    { Candidate::answer_body(exchange, answer) } -> std::same_as<void>;
+    { Candidate::answer_ended(exchange) } -> std::same_as<void>;
+    { Candidate::refuse(exchange, refused) } -> std::same_as<void>;
+};
+
+/// A dialect as a value, so that tasks need not be templates.
+struct caller_port {
+    caller_call (*read_call)(const http::exchange&) = nullptr;
+    /// Fails with `invalid_input`, naming the field.
+    outcome<batch::job> (*read_job)(const http::exchange&, const routed_call&,
+                                    const routes::route&) = nullptr;
+    void (*answer_readiness)(http::exchange&, bool is_ready) = nullptr;
+    void (*answer_accepted)(http::exchange&) = nullptr;
+    /// `after` is the position from which on the caller asked.
+    void (*answer_results)(http::exchange&, std::size_t after,
+                           const wire::batch_answered&) = nullptr;
+    void (*answer_body)(http::exchange&, const wire::batch_answered&) = nullptr;
+    void (*answer_ended)(http::exchange&) = nullptr;
+    void (*refuse)(http::exchange&, const refusal&) = nullptr;
+};
+
+template <caller_dialect Dialect>
+constexpr caller_port make_caller_port() {
+    return {&Dialect::read_call,       &Dialect::read_job,       &Dialect::answer_readiness,
+            &Dialect::answer_accepted, &Dialect::answer_results, &Dialect::answer_body,
+            &Dialect::answer_ended,    &Dialect::refuse};
+}
+
+} // namespace kingcupcart::gateway
--- /dev/null
+++ b/packages/gateway/gateway_module.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "admin/report.h"
+#include "base/endpoint.h"
+#include "base/outcome.h"
+#include "engines/target_port.h"
+#include "gateway/caller_port.h"
+#include "routes/table_reader.h"
+#include "settings/process_settings.h"
+#include "task/sender.h"
+
+#include <functional>
+#include <memory>
+
+namespace kingcupcart::gateway {
+
+/// The gateway role: takes callers' requests and batch jobs by the routes in force.
+class gateway_module {
+public:
+    struct parts {
+        settings::process_settings settings;
+        routes::table_reader read_table = nullptr;
+        caller_port callers;
+        engines::target_port targets;
+    };
+
+    static outcome<std::unique_ptr<gateway_module>> start(const parts& made_of);
+
+    ~gateway_module();
+    gateway_module(const gateway_module&) = delete;
+    gateway_module& operator=(const gateway_module&) = delete;
+
+    [[nodiscard]] task::sender<admin::report_asked> reports() const;
+    /// Readiness goes; what comes is still served.
+    void announce_stop();
+    /// Calls back once all that was taken is answered.
+    void begin_stop(std::function<void()> drained);
+
+private:
+    class state;
+    explicit gateway_module(std::unique_ptr<state> made);
+    std::unique_ptr<state> self;
+};
+
+} // namespace kingcupcart::gateway
--- /dev/null
+++ b/packages/gateway/internal/gateway.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/outcome.h"
+#include "fleet/keeper_client.h"
+#include "gateway/caller_port.h"
+#include "gateway/internal/batch_calls.h"
+#include "gateway/internal/forwarded_call.h"
+#include "gateway/internal/gateway_message.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "requests/dispatcher.h"
+#include "settings/process_settings.h"
+#include "task/wakeup.h"
+#include "telemetry/metric_set.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcupcart::gateway {
+
+/// Handler of the gateway task: owns the sockets to callers and targets, and the dispatcher.
+class gateway {
+public:
+    using message = gateway_message;
+
+    struct parts {
+        settings::process_settings settings;
+        incarnation_id incarnation;
+        const clock* time = nullptr;
+        std::uint64_t seed = 0;
+        routes::table_reader read_table = nullptr;
+        caller_port callers;
+        engines::target_port targets;
+    };
+
+    static outcome<std::unique_ptr<gateway>> open(parts made_of);
+    ~gateway();
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+
+    void handle(gateway_message incoming);
+
+private:
+    struct open_request {
+        std::unique_ptr<forwarded_call> call;
+        time_point began{};
+    };
+
+    explicit gateway(parts made_of);
+    outcome<void> open_servers();
+    void open_fleet();
+
+    void on(const admin::report_asked& asked);
+    void on(const stop_announced& announced);
+    void on(stop_begun& begun);
+
+    void take(std::unique_ptr<http::exchange> exchange);
+    void take_routed(std::unique_ptr<http::exchange> exchange, const routed_call& call);
+    void submit_job(std::unique_ptr<http::exchange> exchange, const routed_call& call,
+                    const routes::route& route);
+    void forward(std::unique_ptr<http::exchange> exchange, const routed_call& call,
+                 const routes::route& route);
+    void refuse(http::exchange& exchange, const std::string& name, const refusal& why);
+    [[nodiscard]] backend_name draw_service(const routes::route& route);
+
+    void routes_changed();
+    void tell(const requests::message& said);
+    void work_off();
+    void carry_out(const requests::action& wanted);
+    void on(const requests::send_attempt& sent);
+    void on(const requests::adopt_attempt& adopted);
+    void on(const requests::cancel_attempt& cancelled);
+    void on(const requests::complete_request& completed);
+    void on(const requests::refuse_request& refused);
+    void finish(request_id request, const char* outcome);
+    void check_drained();
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] wire::hello make_hello() const;
+
+    parts own;
+    telemetry::metric_set metrics;
+    std::mt19937_64 random;
+    requests::dispatcher dispatcher;
+    http::client client;
+    std::unordered_map<request_id, open_request> requests;
+    std::unordered_map<attempt_id, request_id> attempts;
+    std::uint64_t last_request = 0;
+    std::deque<requests::message> inbox;
+    bool is_working = false;
+    bool is_stopping = false;
+    std::function<void()> drained;
+    std::vector<std::unique_ptr<forwarded_call>> finished;
+    task::wakeup timer;
+    task::wakeup cleaner;
+    std::unique_ptr<batch_calls> batches;
+    std::unique_ptr<fleet::keeper_client> fleet;
+    std::unique_ptr<http::server> callers_server;
+    std::unique_ptr<http::server> ready_server;
+};
+
+} // namespace kingcupcart::gateway
--- /dev/null
+++ b/packages/gateway/internal/gateway_message.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "admin/report.h"
+
+#include <functional>
+#include <variant>
+
+namespace kingcupcart::gateway {
+
+struct stop_announced {};
+
+struct stop_begun {
+    std::function<void()> drained;
+};
+
+/// What the gateway task is told by other tasks.
+using gateway_message = std::variant<admin::report_asked, stop_announced, stop_begun>;
+
+} // namespace kingcupcart::gateway
--- /dev/null
+++ b/packages/gateway/internal/gateway_module.cpp
@@ -0,0 +1,50 @@
+#include "gateway/gateway_module.h"
+
+#include "base/incarnation.h"
+#include "base/system_clock.h"
+#include "gateway/internal/gateway.h"
+#include "task/start_task.h"
+#include "task/task.h"
+
+#include <random>
+#include <utility>
+
+namespace kingcupcart::gateway {
+
+class gateway_module::state {
+public:
+    system_clock time;
+    task::task<gateway> gateway_task;
+};
+
+outcome<std::unique_ptr<gateway_module>> gateway_module::start(const parts& made_of) {
+    auto made = std::make_unique<state>();
+    std::random_device entropy;
+    BOOST_LEAF_CHECK(task::start_task(made->gateway_task,
+                                      {made_of.settings, new_incarnation(), &made->time, entropy(),
+                                       made_of.read_table, made_of.callers, made_of.targets}));
+    return std::unique_ptr<gateway_module>(new gateway_module(std::move(made)));
+}
+
+gateway_module::gateway_module(std::unique_ptr<state> made) : self(std::move(made)) {}
+
+gateway_module::~gateway_module() {
+    this->self->gateway_task.stop();
+}
+
+task::sender<admin::report_asked> gateway_module::reports() const {
+    return task::sender<admin::report_asked>(
+        [to = this->self->gateway_task.address()](admin::report_asked asked) {
+            return to.post(std::move(asked));
+        });
+}
+
+void gateway_module::announce_stop() {
+    this->self->gateway_task.post(stop_announced{});
+}
+
+void gateway_module::begin_stop(std::function<void()> drained) {
+    this->self->gateway_task.post(stop_begun{std::move(drained)});
+}
+
+} // namespace kingcupcart::gateway
--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -46,6 +46,8 @@
         /// The state was replaced as a whole.
         std::function<void()> restored;
         std::function<void(bool is_leader)> leadership_changed;
+        /// Another member said this on the link that was dialled to it.
+        std::function<void(const wire::message&)> heard;
     };
 
     /// Fails where the data folder can't be used or its journal is damaged.
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/internal/connection_table.h"
 #include "task/g_pointer.h"
+#include "task/socket_options.h"
 
 #include <libsoup/soup.h>
 
@@ -15,6 +16,8 @@
 constexpr int connections_max = 4096;
 constexpr guint idle_limit_seconds = 30;
 constexpr std::size_t read_size = 16384;
+/// A connection whose peer acknowledges nothing for so long is given up.
+constexpr unsigned silence_limit_ms = 3000;
 /// Rest of an answer that is worth reading for the sake of its connection, in bytes.
 constexpr std::size_t drain_limit = 65536;
 
@@ -142,6 +145,10 @@
 
     static void network_event(SoupMessage* /*message*/, GSocketClientEvent event, GIOStream* stream,
                               gpointer data) {
+        if (event == G_SOCKET_CLIENT_CONNECTING && G_IS_SOCKET_CONNECTION(stream)) {
+            task::limit_silence(g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream)),
+                                silence_limit_ms);
+        }
         if (event == G_SOCKET_CLIENT_COMPLETE && G_IS_SOCKET_CONNECTION(stream)) {
             GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
             static_cast<state*>(data)->new_socket = task::g_pointer<GSocket>::share(socket);
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -74,33 +74,93 @@
           std::erase_if(this->members, [](const auto& item) { return !item.second.link; });
       }) {}
 
-outcome<void> keeper::open_group() {
+keeper::keeper_group::parts keeper::group_parts() const {
     const settings::keeper_settings& kept = *this->own.settings.keeper;
     keeper_group::parts made_of;
     made_of.log.self = this->own.settings.instance;
     made_of.log.folder = kept.data;
     // One that has no others cannot be mistaken for a part of them.
-    made_of.log.may_found = kept.may_found || kept.members.empty();
+    made_of.log.may_found = kept.may_found || (kept.members.empty() && !kept.control);
     made_of.log.seed = this->own.incarnation.value();
     made_of.log.time = this->own.time;
     made_of.incarnation = this->own.incarnation;
     made_of.greeting = [this] { return this->make_hello(); };
-    BOOST_LEAF_ASSIGN(this->colleagues,
-                      keeper_group::open(made_of, {[this](const replicated::command& command,
-                                                          const auto&) { this->applied(command); },
-                                                   [this] { this->publish(); },
-                                                   [this](bool is_leader) {
-                                                       this->leadership_changed(is_leader);
-                                                   }}));
+    if (kept.control) {
+        // In a fleet nobody is told the others' names: their addresses name them.
+        made_of.log.self = instance_id(kept.address.to_string());
+        made_of.log.voters_wanted = 2 * kept.control->tolerated_losses + 1;
+        if (kept.control->is_first_start) {
+            for (const endpoint& seed : kept.control->fleet.seed_links()) {
+                made_of.log.founders.emplace_back(seed.to_string());
+            }
+        }
+    }
+    return made_of;
+}
+
+outcome<void> keeper::open_group() {
+    const settings::keeper_settings& kept = *this->own.settings.keeper;
+    BOOST_LEAF_ASSIGN(
+        this->colleagues,
+        keeper_group::open(
+            this->group_parts(),
+            {[this](const replicated::command& command, const auto&) { this->applied(command); },
+             [this] { this->publish(); },
+             [this](bool is_leader) { this->leadership_changed(is_leader); },
+                            [this](const wire::message& said) {
+                                if (this->fleet) {
+                                    this->fleet->heard({}, said);
+                                }
+                            }}));
     for (const std::string& member : kept.members) {
         const auto at = member.find('@');
         BOOST_LEAF_AUTO(address, parse_endpoint(member.substr(at + 1)));
         this->colleagues->add_member(instance_id(member.substr(0, at)), address);
     }
+    if (kept.control) {
+        this->open_fleet();
+    }
     return {};
 }
 
+void keeper::open_fleet() {
+    const settings::control_settings& control = *this->own.settings.keeper->control;
+    for (const endpoint& seed : control.fleet.seed_links()) {
+        this->colleagues->add_member(instance_id(seed.to_string()), seed);
+    }
+    fleet_control::parts made_of;
+    made_of.settings = control;
+    made_of.instance = this->own.settings.instance;
+    made_of.time = this->own.time;
+    made_of.colleagues = this->colleagues.get();
+    made_of.read_table = this->own.outer.read_table;
+    made_of.port = this->own.outer.targets;
+    made_of.send_to_members = [this](const wire::message& said) { this->send_to_members(said); };
+    this->fleet = std::make_unique<fleet_control>(std::move(made_of));
+    this->fleet->restored();
+}
+
+void keeper::send_to_members(const wire::message& said) {
+    for (auto& [number, one] : this->members) {
+        const bool is_member = one.hello.role == wire::instance_role::gateway ||
+                               one.hello.role == wire::instance_role::store;
+        if (one.link && is_member) {
+            one.link->send(said);
+        }
+    }
+}
+
+void keeper::on(const control_call& call) {
+    if (this->fleet) {
+        this->fleet->handle(call);
+    }
+}
+
 void keeper::leadership_changed(bool is_leader) {
+    if (this->fleet) {
+        this->fleet->leadership_changed(is_leader);
+        return;
+    }
     if (is_leader && this->state().version() == configuration_version(0)) {
         this->colleagues->submit(
             replicated::accept_configuration{"initial", {}, this->initial_text, wall_now()},
@@ -109,6 +169,9 @@
 }
 
 void keeper::applied(const replicated::command& command) {
+    if (this->fleet) {
+        this->fleet->applied(command);
+    }
     if (std::holds_alternative<replicated::accept_configuration>(command)) {
         spdlog::info("configuration accepted version={}", this->state().version().value());
         this->publish();
@@ -147,6 +210,9 @@
              member& gone = this->members.at(number);
              spdlog::info("link lost instance={} reason=\"{}\"", gone.hello.instance.value(),
                           reason);
+             if (this->fleet) {
+                 this->fleet->member_lost(gone.hello);
+             }
              this->retired.push_back(std::move(gone.link));
              this->cleaner.arm_now();
          }});
@@ -154,6 +220,13 @@
 
 void keeper::receive(std::uint64_t number, wire::message said) {
     member& from = this->members.at(number);
+    if (this->colleagues->receive(said)) {
+        return;
+    }
+    if (this->fleet && !std::holds_alternative<wire::hello>(said)) {
+        this->fleet->heard(from.hello, said);
+        return;
+    }
     if (const auto* greeting = std::get_if<wire::hello>(&said)) {
         from.hello = *greeting;
         this->greet(from);
@@ -163,8 +236,6 @@
         from.in_force = told->version;
     } else if (const auto* asked = std::get_if<wire::claim_asked>(&said)) {
         this->claim(number, *asked);
-    } else {
-        static_cast<void>(this->colleagues->receive(said));
     }
 }
 
@@ -186,6 +257,13 @@
 
 void keeper::greet(member& joined) {
     joined.link->send(this->make_hello());
+    if (this->fleet) {
+        for (const wire::message& one : this->fleet->greetings()) {
+            joined.link->send(one);
+        }
+        this->fleet->member_joined(joined.hello);
+        return;
+    }
     if (joined.hello.role == wire::instance_role::keeper) {
         return;
     }
@@ -227,6 +305,10 @@
         // The state of the disk is being read; nobody listens yet.
         return;
     }
+    if (this->fleet) {
+        this->fleet->restored();
+        return;
+    }
     const wire::configuration_news news{this->state().version(), this->state().text()};
     for (auto& [number, one] : this->members) {
         if (one.link && !one.hello.instance.value().empty() &&
--- a/packages/keeper/internal/keeper.h
+++ b/packages/keeper/internal/keeper.h
@@ -5,8 +5,10 @@
 #include "base/ids.h"
 #include "base/outcome.h"
 #include "group/group.h"
+#include "keeper/internal/fleet_control.h"
 #include "keeper/internal/keeper_codec.h"
 #include "keeper/internal/keeper_message.h"
+#include "keeper/outer_protocol.h"
 #include "replicated/replicated_state.h"
 #include "settings/process_settings.h"
 #include "task/wakeup.h"
@@ -35,6 +37,8 @@
         settings::process_settings settings;
         incarnation_id incarnation;
         const clock* time = nullptr;
+        /// What a keeper of a fleet needs of the outer protocol.
+        outer_protocol outer;
     };
 
     static outcome<std::unique_ptr<keeper>> open(parts made_of);
@@ -60,6 +64,7 @@
     void on(const admin::configuration_order& order);
     void on(const admin::configuration_asked& asked);
     void on(const admin::report_asked& asked);
+    void on(const control_call& call);
 
     void accept(GSocketConnection* connection);
     void receive(std::uint64_t number, wire::message said);
@@ -69,6 +74,9 @@
     void publish();
     outcome<void> load_initial_configuration();
     outcome<void> open_group();
+    [[nodiscard]] keeper_group::parts group_parts() const;
+    void open_fleet();
+    void send_to_members(const wire::message& said);
     void applied(const replicated::command& command);
     void leadership_changed(bool is_leader);
     [[nodiscard]] const replicated::replicated_state& state() const {
@@ -87,6 +95,8 @@
     task::wakeup cleaner;
     /// The other keepers, and what they agreed on with this one.
     std::unique_ptr<keeper_group> colleagues;
+    /// Set where this keeper serves the control of a fleet.
+    std::unique_ptr<fleet_control> fleet;
     std::unique_ptr<wire::listener> listener;
 };
 
--- a/packages/keeper/internal/keeper_message.h
+++ b/packages/keeper/internal/keeper_message.h
@@ -2,13 +2,14 @@
 
 #include "admin/configuration_order.h"
 #include "admin/report.h"
+#include "keeper/control_calls.h"
 
 #include <variant>
 
 namespace kingcupcart::keeper {
 
 /// What the keeper task is told by other tasks.
-using keeper_message =
-    std::variant<admin::configuration_order, admin::configuration_asked, admin::report_asked>;
+using keeper_message = std::variant<admin::configuration_order, admin::configuration_asked,
+                                    admin::report_asked, control_call>;
 
 } // namespace kingcupcart::keeper
--- a/packages/keeper/internal/keeper_module.cpp
+++ b/packages/keeper/internal/keeper_module.cpp
@@ -25,10 +25,10 @@
 };
 
 outcome<std::unique_ptr<keeper_module>>
-keeper_module::start(const settings::process_settings& settings) {
+keeper_module::start(const settings::process_settings& settings, const outer_protocol& outer) {
     auto made = std::make_unique<state>();
-    BOOST_LEAF_AUTO(
-        running, task::start_task(made->keeper_task, {settings, new_incarnation(), &made->time}));
+    BOOST_LEAF_AUTO(running, task::start_task(made->keeper_task,
+                                              {settings, new_incarnation(), &made->time, outer}));
     made->links = running->address();
     return std::unique_ptr<keeper_module>(new keeper_module(std::move(made)));
 }
@@ -51,6 +51,10 @@
     return this->self->sender_of<admin::configuration_order>();
 }
 
+task::sender<control_call> keeper_module::control() const {
+    return this->self->sender_of<control_call>();
+}
+
 task::sender<admin::configuration_asked> keeper_module::configurations() const {
     return this->self->sender_of<admin::configuration_asked>();
 }
--- a/packages/keeper/keeper_module.h
+++ b/packages/keeper/keeper_module.h
@@ -4,6 +4,8 @@
 #include "admin/report.h"
 #include "base/endpoint.h"
 #include "base/outcome.h"
+#include "keeper/control_calls.h"
+#include "keeper/outer_protocol.h"
 #include "settings/process_settings.h"
 #include "task/sender.h"
 
@@ -14,8 +16,8 @@
 /// The keeper role: holds what must survive, and tells entry instances what was accepted.
 class keeper_module {
 public:
-    static outcome<std::unique_ptr<keeper_module>>
-    start(const settings::process_settings& settings);
+    static outcome<std::unique_ptr<keeper_module>> start(const settings::process_settings& settings,
+                                                         const outer_protocol& outer = {});
 
     ~keeper_module();
     keeper_module(const keeper_module&) = delete;
@@ -24,6 +26,7 @@
     [[nodiscard]] endpoint link_address() const;
     [[nodiscard]] task::sender<admin::report_asked> reports() const;
     [[nodiscard]] task::sender<admin::configuration_order> orders() const;
+    [[nodiscard]] task::sender<control_call> control() const;
     [[nodiscard]] task::sender<admin::configuration_asked> configurations() const;
 
 private:
--- a/packages/membership/directory.h
+++ b/packages/membership/directory.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "membership/directory_change.h"
+#include "membership/lease_scope.h"
 #include "membership/target_record.h"
 
 #include <cstddef>
@@ -14,7 +15,8 @@
 /// domain, which vouches for them to the others; between domains only changes travel.
 class directory {
 public:
-    explicit directory(location here) : here(std::move(here)) {}
+    explicit directory(location here, lease_scope scope = lease_scope::own_domain)
+        : here(std::move(here)), scope(scope) {}
 
     /// A target announced itself to this instance; the lease runs from now.
     directory_change announce(const target_record& record, duration lease, time_point now);
@@ -44,6 +46,7 @@
     directory_change refresh(entry& current, time_point expires);
 
     location here;
+    lease_scope scope;
     std::map<target_id, entry> entries;
 };
 
--- a/packages/membership/internal/directory.cpp
+++ b/packages/membership/internal/directory.cpp
@@ -43,8 +43,8 @@
 }
 
 directory_change directory::learn(const target_record& record, duration lease, time_point now) {
-    const bool is_own_domain = record.place == this->here;
-    time_point expires = is_own_domain ? now + lease : time_point::max();
+    const bool has_lease = this->scope == lease_scope::all_domains || record.place == this->here;
+    time_point expires = has_lease ? now + lease : time_point::max();
     if (record.gone) {
         expires = now + tombstone_time;
     }
--- a/packages/membership/model_weights.h
+++ b/packages/membership/model_weights.h
@@ -2,6 +2,9 @@
 
 #include "base/ids.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace kingcupcart::membership {
 
 /// The weights of one model that an engine has.
@@ -12,4 +15,15 @@
     friend bool operator==(const model_weights&, const model_weights&) = default;
 };
 
+/// Takes over the version where it is newer than the one that is listed, or none is.
+inline void raise_weights(std::vector<model_weights>& weights, const model_weights& seen) {
+    for (model_weights& one : weights) {
+        if (one.model == seen.model) {
+            one.version = std::max(one.version, seen.version);
+            return;
+        }
+    }
+    weights.push_back(seen);
+}
+
 } // namespace kingcupcart::membership
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -63,6 +63,8 @@
         return this->is_voter() && !this->pending_change() &&
                this->latest_membership.joining.value().empty();
     }
+    /// Whether the latest membership is agreed.
+    [[nodiscard]] bool is_membership_agreed() const { return !this->pending_change(); }
     /// Keepers that are to become voters and have not caught up.
     [[nodiscard]] std::size_t joining_count() const { return this->learners.size(); }
     /// Learners that hold all that is agreed and could replace a voter.
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -34,7 +34,9 @@
     }
     this->budget.earn();
     request.kind = known_class->second.kind;
-    request.deadline = this->now + known_class->second.deadline;
+    const duration wanted = request.profile.deadline;
+    request.deadline =
+        this->now + (wanted > duration::zero() ? wanted : known_class->second.deadline);
     request_state& kept =
         this->requests.insert_or_assign(arrived.profile.id, std::move(request)).first->second;
     this->timers.add({kept.deadline, timer_queue::purpose::deadline, kept.profile.id});
@@ -294,7 +296,7 @@
                                    bool was_adopted) {
     const auto reason = failure == attempt_failure::unreachable ? refusal_reason::target_unreachable
                                                                 : refusal_reason::target_failed;
-    const bool has_attempts = request.attempts < this->limits.attempts_max;
+    const bool has_attempts = request.attempts < this->attempts_max(request);
     const bool is_free = failure == attempt_failure::unreachable;
     if (request.told_unknown || !request.may_run_again() || !has_attempts ||
         !(is_free || this->budget.spend())) {
@@ -367,6 +369,11 @@
     this->requests.erase(found);
 }
 
+std::size_t dispatcher::state::attempts_max(const request_state& request) const {
+    const std::size_t wanted = request.profile.attempts_max;
+    return wanted == 0 ? this->limits.attempts_max : std::min(wanted, this->limits.attempts_max);
+}
+
 const admission::work_class& dispatcher::state::class_of(const request_state& request) const {
     return this->classes.at(request.profile.work_class);
 }
--- a/packages/requests/internal/dispatcher_timers.cpp
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -16,7 +16,7 @@
 
 void dispatcher::state::arm_hedge(const request_state& request) {
     const bool may_hedge = request.kind == urgency::short_work && request.profile.repeatable &&
-                           request.attempts < this->limits.attempts_max;
+                           request.attempts < this->attempts_max(request);
     if (!may_hedge) {
         return;
     }
@@ -52,7 +52,7 @@
 
 void dispatcher::state::hedge(request_state& request) {
     const bool is_waiting = !request.queued && !request.adopted && !request.live.empty();
-    if (!is_waiting || request.attempts >= this->limits.attempts_max) {
+    if (!is_waiting || request.attempts >= this->attempts_max(request)) {
         return;
     }
     const attempt_state& newest = this->attempts.at(request.live.back());
@@ -82,7 +82,7 @@
     }
     this->timers.add({this->now + delay, timer_queue::purpose::stall, request.profile.id});
     const bool is_alone = request.live.size() == 1;
-    if (!is_alone || request.attempts >= this->limits.attempts_max || !this->budget.spend()) {
+    if (!is_alone || request.attempts >= this->attempts_max(request) || !this->budget.spend()) {
         return;
     }
     const auto choice = this->route(request, false);
--- a/packages/requests/request_profile.h
+++ b/packages/requests/request_profile.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/ids.h"
 #include "base/units.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace kingcupcart::requests {
@@ -20,6 +22,10 @@
     /// The run goes on when the caller leaves, because it cannot be taken back.
     bool outlives_caller = false;
     std::vector<prefix_hash> prefix;
+    /// Time from arrival to the whole answer; zero: that of the class.
+    duration deadline{};
+    /// Targets that it may be sent to, over all causes; 0: as many as the dispatcher allows.
+    std::size_t attempts_max = 0;
 };
 
 } // namespace kingcupcart::requests
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -5,7 +5,11 @@
 #include "base/ids.h"
 #include "base/location.h"
 #include "base/outcome.h"
+#include "settings/control_settings.h"
+#include "settings/gateway_settings.h"
+#include "settings/store_settings.h"
 #include "telemetry/log_format.h"
+#include "telemetry/log_stream.h"
 
 #include <chrono>
 #include <optional>
@@ -46,6 +50,8 @@
     bool may_found = false;
     /// Deployment configuration to begin with, where the state holds none; may be empty.
     std::string initial_configuration;
+    /// Set where the keeper serves the control of a fleet; `members` is empty then.
+    std::optional<control_settings> control;
 };
 
 /// Settings of one `kingcupcartd` process.
@@ -56,7 +62,10 @@
     endpoint admin;
     std::optional<entry_settings> entry;
     std::optional<keeper_settings> keeper;
+    std::optional<gateway_settings> gateway;
+    std::optional<store_settings> store;
     telemetry::log_format format = telemetry::log_format::text;
+    telemetry::log_stream log_stream = telemetry::log_stream::standard_error;
     std::string log_level = "info";
     /// How long a planned stop goes on serving after readiness has gone, for balancers to notice.
     duration stop_grace = std::chrono::seconds(2);
--- /dev/null
+++ b/packages/store/internal/item_run.cpp
@@ -0,0 +1,125 @@
+#include "store/internal/item_run.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace kingcupcart::store {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unprocessable = 422;
+constexpr int status_server_error = 500;
+
+const char* to_string(batch::run_failure failure) {
+    switch (failure) {
+    case batch::run_failure::declined:
+        return "declined";
+    case batch::run_failure::failed:
+        return "failed";
+    case batch::run_failure::impossible:
+        return "impossible";
+    case batch::run_failure::broken:
+        return "broken";
+    case batch::run_failure::stale:
+        return "stale";
+    }
+    return "?";
+}
+
+} // namespace
+
+item_run::item_run(parts made_of, listener tell) : own(std::move(made_of)), tell(std::move(tell)) {}
+
+item_run::~item_run() = default;
+
+void item_run::start(http::client& client, const http::request& wanted) {
+    this->call = client.start(
+        wanted,
+        {[] {}, [this](const http::answer_head& head) { this->take_head(head); },
+         [this](std::string_view data) { this->take_data(data); },
+         [this](http::call_end how, const std::string& reason) { this->end(how, reason); }});
+}
+
+void item_run::stop() {
+    this->is_over = true;
+    this->call.reset();
+}
+
+void item_run::take_head(const http::answer_head& head) {
+    if (this->is_over) {
+        return;
+    }
+    const auto kind = this->own.port.judge(head, this->own.order.item.value());
+    if (kind == engines::answer_kind::not_run) {
+        this->refusal = batch::run_failure::declined;
+    } else if (kind == engines::answer_kind::foreign) {
+        this->fail(batch::run_failure::broken, "answer of another request");
+    } else if (head.status == status_unprocessable) {
+        this->refusal = batch::run_failure::impossible;
+    } else if (head.status == status_server_error) {
+        this->refusal = batch::run_failure::failed;
+    } else if (head.status != status_ok) {
+        this->refusal = batch::run_failure::broken;
+    } else {
+        this->version = this->own.port.version_of(head);
+        if (!this->version && this->own.needs_versions) {
+            this->fail(batch::run_failure::broken, "the stream does not name its weights");
+        } else if (this->version && *this->version < this->own.oldest_version) {
+            this->fail(batch::run_failure::stale,
+                       "weights " + std::to_string(this->version->value()));
+        }
+    }
+}
+
+void item_run::take_data(std::string_view data) {
+    if (this->is_over || this->refusal) {
+        return;
+    }
+    bool has_events = false;
+    for (const completions::server_event& raw : this->parser.feed_events(data)) {
+        const auto event = this->own.port.read_event(raw);
+        if (event && event->version) {
+            this->version = event->version;
+        }
+        if (!event || !this->own.text->append(*event, this->version.value_or(weight_version()))) {
+            this->fail(batch::run_failure::broken, "an event is malformed or out of order");
+            return;
+        }
+        has_events = true;
+    }
+    if (has_events) {
+        const auto& versions = this->own.text->versions;
+        this->tell(batch::run_progressed{this->own.order.run, this->own.text->last_event,
+                                         *versions.begin(), *versions.rbegin()});
+    }
+}
+
+void item_run::end(http::call_end how, const std::string& reason) {
+    if (this->is_over) {
+        return;
+    }
+    if (this->refusal) {
+        this->fail(*this->refusal, "the engine's answer");
+    } else if (how == http::call_end::unreachable) {
+        this->fail(batch::run_failure::broken, reason);
+    } else if (how != http::call_end::complete || !this->parser.is_between_events() ||
+               this->own.text->last_event == 0) {
+        this->fail(batch::run_failure::broken, reason.empty() ? "cut short" : reason);
+    } else {
+        this->is_over = true;
+        this->tell(batch::run_completed{this->own.order.run});
+    }
+}
+
+void item_run::fail(batch::run_failure failure, const std::string& reason) {
+    this->is_over = true;
+    spdlog::info("run ended item={} job={} engine={} outcome={} events={} reason=\"{}\"",
+                 this->own.order.item.value(), this->own.order.job.value(),
+                 this->own.order.engine.value(), to_string(failure), this->own.text->last_event,
+                 reason);
+    this->tell(batch::run_failed{this->own.order.run, failure});
+}
+
+} // namespace kingcupcart::store
--- /dev/null
+++ b/packages/store/internal/store.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "admin/report.h"
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/outcome.h"
+#include "base/wall_clock.h"
+#include "engines/target_port.h"
+#include "fleet/keeper_client.h"
+#include "group/group.h"
+#include "routes/table_reader.h"
+#include "settings/process_settings.h"
+#include "store/internal/item_runner.h"
+#include "store/internal/job_desk.h"
+#include "store/internal/store_codec.h"
+#include "task/wakeup.h"
+#include "telemetry/metric_set.h"
+#include "wire/listener.h"
+#include "wire/messages.h"
+#include "wire/peer_link.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace kingcupcart::store {
+
+/// Handler of the store task: owns the links of gateways and other stores, the batch jobs, and,
+/// while it leads, the runs of their items.
+class store {
+public:
+    using message = std::variant<admin::report_asked>;
+    using store_group = group::group<store_codec>;
+
+    struct parts {
+        settings::process_settings settings;
+        incarnation_id incarnation;
+        const clock* time = nullptr;
+        const wall_clock* wall = nullptr;
+        routes::table_reader read_table = nullptr;
+        engines::target_port port;
+    };
+
+    static outcome<std::unique_ptr<store>> open(parts made_of);
+    ~store();
+    store(const store&) = delete;
+    store& operator=(const store&) = delete;
+
+    void handle(message incoming);
+
+private:
+    struct neighbour {
+        std::unique_ptr<wire::peer_link> link;
+        wire::hello hello;
+    };
+
+    explicit store(parts made_of);
+    outcome<void> open_group();
+    void open_fleet();
+    void accept(GSocketConnection* connection);
+    void receive(std::uint64_t number, const wire::message& said);
+    void applied(const batch::command& command, batch::command_result result);
+    void leadership_changed(bool is_leader);
+    void begin_serving();
+    void stores_changed();
+    void present_to(const instance_id& keeper);
+    /// Tells gateways who leads, where that has changed.
+    void spread_leader();
+    void tend();
+    [[nodiscard]] endpoint leader_address() const;
+    [[nodiscard]] wire::hello make_hello() const;
+
+    parts own;
+    telemetry::metric_set metrics;
+    std::unique_ptr<store_group> colleagues;
+    std::unique_ptr<fleet::keeper_client> fleet;
+    std::unique_ptr<job_desk> desk;
+    /// Set while this store leads and serves.
+    std::unique_ptr<item_runner> runner;
+    std::map<std::uint64_t, neighbour> neighbours;
+    std::uint64_t last_neighbour = 0;
+    std::vector<std::unique_ptr<wire::peer_link>> retired;
+    endpoint told_leader;
+    task::wakeup tending;
+    task::wakeup cleaner;
+    std::unique_ptr<wire::listener> listener;
+};
+
+} // namespace kingcupcart::store
--- /dev/null
+++ b/packages/store/internal/store_module.cpp
@@ -0,0 +1,42 @@
+#include "store/store_module.h"
+
+#include "base/incarnation.h"
+#include "base/system_clock.h"
+#include "base/system_wall_clock.h"
+#include "store/internal/store.h"
+#include "task/start_task.h"
+#include "task/task.h"
+
+#include <utility>
+
+namespace kingcupcart::store {
+
+class store_module::state {
+public:
+    system_clock time;
+    system_wall_clock wall;
+    task::task<store> store_task;
+};
+
+outcome<std::unique_ptr<store_module>> store_module::start(const parts& made_of) {
+    auto made = std::make_unique<state>();
+    BOOST_LEAF_CHECK(
+        task::start_task(made->store_task, {made_of.settings, new_incarnation(), &made->time,
+                                            &made->wall, made_of.read_table, made_of.port}));
+    return std::unique_ptr<store_module>(new store_module(std::move(made)));
+}
+
+store_module::store_module(std::unique_ptr<state> made) : self(std::move(made)) {}
+
+store_module::~store_module() {
+    this->self->store_task.stop();
+}
+
+task::sender<admin::report_asked> store_module::reports() const {
+    return task::sender<admin::report_asked>(
+        [to = this->self->store_task.address()](admin::report_asked asked) {
+            return to.post(std::move(asked));
+        });
+}
+
+} // namespace kingcupcart::store
--- /dev/null
+++ b/packages/store/store_module.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "admin/report.h"
+#include "base/outcome.h"
+#include "engines/target_port.h"
+#include "routes/table_reader.h"
+#include "settings/process_settings.h"
+#include "task/sender.h"
+
+#include <memory>
+
+namespace kingcupcart::store {
+
+/// The store role: keeps batch jobs and their results, and has their items run.
+class store_module {
+public:
+    struct parts {
+        settings::process_settings settings;
+        routes::table_reader read_table = nullptr;
+        engines::target_port port;
+    };
+
+    static outcome<std::unique_ptr<store_module>> start(const parts& made_of);
+
+    ~store_module();
+    store_module(const store_module&) = delete;
+    store_module& operator=(const store_module&) = delete;
+
+    [[nodiscard]] task::sender<admin::report_asked> reports() const;
+
+private:
+    class state;
+    explicit store_module(std::unique_ptr<state> made);
+    std::unique_ptr<state> self;
+};
+
+} // namespace kingcupcart::store
--- a/packages/telemetry/internal/log.cpp
+++ b/packages/telemetry/internal/log.cpp
@@ -8,8 +8,14 @@
 
 namespace kingcupcart::telemetry {
 
-void set_up_log(log_format format, const std::string& level, const std::string& instance) {
-    auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+void set_up_log(log_format format, log_stream stream, const std::string& level,
+                const std::string& instance) {
+    spdlog::sink_ptr sink;
+    if (stream == log_stream::standard_output) {
+        sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    } else {
+        sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    }
     auto logger = std::make_shared<spdlog::logger>(instance, std::move(sink));
     if (format == log_format::json) {
         logger->set_formatter(std::make_unique<json_line_formatter>());
--- a/packages/telemetry/log.h
+++ b/packages/telemetry/log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "telemetry/log_format.h"
+#include "telemetry/log_stream.h"
 
 #include <spdlog/spdlog.h>
 
@@ -10,6 +11,7 @@
 
 /// Sends spdlog's default logger to standard error in the given format. `level` is one of spdlog's
 /// names: trace, debug, info, warn, error, off. `instance` is named in each line.
-void set_up_log(log_format format, const std::string& level, const std::string& instance);
+void set_up_log(log_format format, log_stream stream, const std::string& level,
+                const std::string& instance);
 
 } // namespace kingcupcart::telemetry
--- a/stand_ins/programs/demo_main.cpp
+++ b/stand_ins/programs/demo_main.cpp
@@ -92,7 +92,8 @@
 
 /// One entry instance and keeper in one process, two stand-in targets, one caller.
 int main() {
-    telemetry::set_up_log(telemetry::log_format::text, "info", "demo");
+    telemetry::set_up_log(telemetry::log_format::text, telemetry::log_stream::standard_error,
+                          "info", "demo");
     std::string pattern = (std::filesystem::temp_directory_path() / "kingcupcart-XXXXXX").string();
     const std::string folder = mkdtemp(pattern.data());
     const int code = demonstrate(folder);
