--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -7,6 +7,15 @@
 
 namespace kingcupcart::batch {
 
+namespace {
+
+/// Output of an item before any other has ended: a page of text.
+constexpr tokens output_unknown{1000};
+/// Items over which the average of outputs runs.
+constexpr std::int64_t output_memory = 32;
+
+} // namespace
+
 item_scheduler::item_scheduler(scheduler_limits limits) : self(std::make_unique<state>(limits)) {}
 
 item_scheduler::~item_scheduler() = default;
@@ -42,6 +51,9 @@
         const bool may_go_on = !is_new && item.fits(opened);
         item.job = opened.job;
         item.facts = facts;
+        if (facts.output.count() == 0) {
+            item.facts.output = this->usual_output_of(opened.model);
+        }
         item.failures = 0;
         item.moves = 0;
         if (item.is_running() && may_go_on) {
@@ -137,6 +149,7 @@
         return;
     }
     this->release(*item);
+    this->learn_output(*item);
     this->output.push_back(item_completed{item->job, item->facts.id});
     const item_id id = item->facts.id;
     this->items.erase(id);
@@ -345,6 +358,19 @@
     });
 }
 
+tokens item_scheduler::state::usual_output_of(const model_name& model) const {
+    const auto known = this->usual_output.find(model);
+    return known == this->usual_output.end() ? output_unknown : known->second;
+}
+
+void item_scheduler::state::learn_output(const scheduled_item& item) {
+    const job_opened& job = this->jobs.at(item.job).facts;
+    const auto whole = static_cast<std::int64_t>(item.events) * job.tokens_per_event.count();
+    const auto known = this->usual_output.try_emplace(job.model, tokens(whole)).first;
+    const std::int64_t usual = known->second.count();
+    known->second = tokens(usual + (whole - usual) / output_memory);
+}
+
 scheduled_item* item_scheduler::state::item_of(run_id run) {
     const auto found = this->runs.find(run);
     return found == this->runs.end() ? nullptr : &this->items.at(found->second);
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -58,7 +58,11 @@
     void give_up_late_items();
     [[nodiscard]] bool comes_before(const item_id& a, const item_id& b) const;
     [[nodiscard]] scheduled_item* item_of(run_id run);
+    [[nodiscard]] tokens usual_output_of(const model_name& model) const;
+    void learn_output(const scheduled_item& item);
 
+    /// Moving average of whole outputs, per model; stands in where an item has no estimate.
+    std::map<model_name, tokens> usual_output;
     std::uint64_t last_run = 0;
 };
 
--- a/packages/batch/job_item.h
+++ b/packages/batch/job_item.h
@@ -16,8 +16,8 @@
     std::string path;
     std::vector<header_field> headers;
     std::string body;
-    /// Prompt and largest output together.
-    tokens size_max;
+    tokens prompt;
+    tokens output_max;
     /// The submitter's estimate of the output; zero where it gave none.
     tokens output_hint;
 };
--- a/packages/batch/scheduler_messages.h
+++ b/packages/batch/scheduler_messages.h
@@ -18,7 +18,7 @@
     item_id id;
     item_group_id group;
     tokens prompt;
-    /// Estimated output.
+    /// Estimated output; 0 where there is no estimate.
     tokens output;
 };
 
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -79,9 +79,7 @@
     opened.give_up_at = this->own.time->now() + limit - age;
     for (const batch::job_item& item : job.items) {
         if (!record.is_listed(item.id)) {
-            const tokens output = item.output_hint.count() > 0 ? item.output_hint : item.size_max;
-            const tokens prompt = item.size_max > output ? item.size_max - output : tokens(0);
-            opened.items.push_back({item.id, item.group, prompt, output});
+            opened.items.push_back({item.id, item.group, item.prompt, item.output_hint});
         }
     }
     return opened;
@@ -93,10 +91,12 @@
         this->unrouted.push_back(record.content.id);
     }
     const batch::job_opened opened = this->describe(record, route);
-    spdlog::info("job opened job={} model={} oldest={} items={} open={} route={}",
+    const auto hinted = std::count_if(opened.items.begin(), opened.items.end(),
+                                      [](const auto& item) { return item.output.count() > 0; });
+    spdlog::info("job opened job={} model={} oldest={} items={} open={} hinted={} route={}",
                  record.content.id.value(), record.content.model.value(),
                  record.content.oldest_version.value(), record.content.items.size(),
-                 opened.items.size(), route == nullptr ? "none" : route->name.value());
+                 opened.items.size(), hinted, route == nullptr ? "none" : route->name.value());
     this->tell(opened);
 }
 
@@ -190,9 +190,8 @@
         made_of, [this](const batch::scheduler_message& said) { this->tell(said); });
     item_run& kept = *run;
     this->runs.emplace(started.run, std::move(run));
-    kept.start(this->client,
-               this->own.port.run_item(
-                   {*item, record->content.host, started.resume_after}, *target));
+    kept.start(this->client, this->own.port.run_item(
+                                 {*item, record->content.host, started.resume_after}, *target));
 }
 
 void item_runner::retire(batch::run_id run) {
--- a/packages/wire/internal/descriptions.h
+++ b/packages/wire/internal/descriptions.h
@@ -41,8 +41,8 @@
 
 template <typename Archive>
 void describe(Archive& archive, job_item& value) {
-    archive(value.id, value.group, value.path, value.headers, value.body, value.size_max,
-            value.output_hint);
+    archive(value.id, value.group, value.path, value.headers, value.body, value.prompt,
+            value.output_max, value.output_hint);
 }
 
 template <typename Archive>
