Run first what the submitter needs, and reserve half of an expected output

Cause: steps ended late. An engine's memory was reserved for whole outputs, though they grow from nothing, so that a few long items kept the others waiting; and the longest tenth of the groups, which a trainer does not wait for, ran before all others.

Change: carried groups first, then the wanted ones, the longest first; the spare ones last, and on engines with the newest weights where one is free soon, since they mostly end for the next job.

Tests: two of the scheduler, which the code before does not pass.

--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -89,7 +89,7 @@
         }
     }
     const double room = static_cast<double>(at.known.memory.count()) * this->limits.memory_share;
-    const auto size = static_cast<double>((item.facts.prompt + item.facts.output).count());
+    const auto size = static_cast<double>(this->expected_room(item).count());
     return at.runs.empty() || at.known.memory.count() == 0 ||
            static_cast<double>(at.reserved.count()) + size <= room;
 }
@@ -98,13 +98,7 @@
                                   time_point now) {
     engine_state* best = nullptr;
     double best_score = std::numeric_limits<double>::max();
-    weight_version newest;
-    for (const auto& [id, state] : this->engines) {
-        const auto version = state.known.versions.find(job.model);
-        if (version != state.known.versions.end()) {
-            newest = std::max(newest, version->second);
-        }
-    }
+    const weight_version newest = this->newest_of(job.model);
     for (auto& [id, state] : this->engines) {
         if (!this->can_take(state, item, job, now)) {
             continue;
@@ -126,6 +120,27 @@
     return best;
 }
 
+weight_version engine_pool::newest_of(const model_name& model) const {
+    weight_version newest;
+    for (const auto& [id, state] : this->engines) {
+        const auto version = state.known.versions.find(model);
+        if (version != state.known.versions.end()) {
+            newest = std::max(newest, version->second);
+        }
+    }
+    return newest;
+}
+
+bool engine_pool::has_newest(const engine_state& at, const model_name& model) const {
+    const auto version = at.known.versions.find(model);
+    return version == at.known.versions.end() || version->second >= this->newest_of(model);
+}
+
+tokens engine_pool::expected_room(const scheduled_item& item) const {
+    // The output grows from nothing to its whole length.
+    return item.facts.prompt + tokens(item.facts.output.count() / 2);
+}
+
 bool engine_pool::has_room(time_point now) const {
     return std::any_of(this->engines.begin(), this->engines.end(),
                        [&](const auto& item) { return item.second.has_slot(now); });
--- a/packages/batch/internal/engine_pool.h
+++ b/packages/batch/internal/engine_pool.h
@@ -32,8 +32,13 @@
     [[nodiscard]] engine_state* choose(const scheduled_item& item, const job_opened& job,
                                        time_point now);
     [[nodiscard]] bool has_room(time_point now) const;
+    /// Whether no engine has newer weights of the model.
+    [[nodiscard]] bool has_newest(const engine_state& at, const model_name& model) const;
+    /// Memory that a run takes on average over its life.
+    [[nodiscard]] tokens expected_room(const scheduled_item& item) const;
 
 private:
+    [[nodiscard]] weight_version newest_of(const model_name& model) const;
     [[nodiscard]] bool can_take(const engine_state& at, const scheduled_item& item,
                                 const job_opened& job, time_point now) const;
 
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -1,5 +1,6 @@
 #include "batch/item_scheduler.h"
 
+#include "batch/internal/group_ranks.h"
 #include "batch/internal/item_scheduler_state.h"
 
 #include <algorithm>
@@ -11,6 +12,8 @@
 
 /// Output of an item before any other has ended: a page of text.
 constexpr tokens output_unknown{1000};
+/// Groups that are remembered, to know those that come again; some hundreds stand in a job.
+constexpr std::size_t known_groups_max = 20000;
 /// Items over which the average of outputs runs.
 constexpr std::int64_t output_memory = 32;
 
@@ -43,7 +46,8 @@
 }
 
 void item_scheduler::state::on(const job_opened& opened) {
-    this->jobs.insert_or_assign(opened.job, job_state{opened, false});
+    this->jobs.insert_or_assign(opened.job, job_state{opened, false, this->now});
+    const auto ranks = rank_groups(opened, this->known_groups);
     for (const open_item& facts : opened.items) {
         auto [place, is_new] = this->items.try_emplace(facts.id);
         scheduled_item& item = place->second;
@@ -54,6 +58,7 @@
         if (facts.output.count() == 0) {
             item.facts.output = this->usual_output_of(opened.model);
         }
+        item.rank = ranks.at(facts.group);
         item.failures = 0;
         item.moves = 0;
         if (item.is_running() && may_go_on) {
@@ -68,9 +73,22 @@
         }
         this->wait(item);
     }
+    this->remember_groups(opened);
     this->forget_finished_jobs();
 }
 
+void item_scheduler::state::remember_groups(const job_opened& opened) {
+    for (const open_item& item : opened.items) {
+        if (this->known_groups.insert(item.group).second) {
+            this->known_groups_by_age.push_back(item.group);
+        }
+    }
+    while (this->known_groups_by_age.size() > known_groups_max) {
+        this->known_groups.erase(this->known_groups_by_age.front());
+        this->known_groups_by_age.pop_front();
+    }
+}
+
 void item_scheduler::state::on(const job_closed& closed) {
     const auto job = this->jobs.find(closed.job);
     if (job == this->jobs.end()) {
@@ -264,7 +282,7 @@
     std::vector<item_id> left;
     for (const item_id& id : std::exchange(this->waiting, {})) {
         scheduled_item& item = this->items.at(id);
-        engine_state* at = this->engines.choose(item, this->jobs.at(item.job).facts, this->now);
+        engine_state* at = this->choose(item);
         if (at == nullptr) {
             left.push_back(id);
         } else {
@@ -274,9 +292,24 @@
     this->waiting = std::move(left);
 }
 
+engine_state* item_scheduler::state::choose(const scheduled_item& item) {
+    const job_state& job = this->jobs.at(item.job);
+    engine_state* at = this->engines.choose(item, job.facts, this->now);
+    const bool may_wait =
+        item.rank == item_rank::spare && this->now - job.opened_at < this->limits.spare_patience;
+    if (at != nullptr && may_wait && !this->engines.has_newest(*at, job.facts.model)) {
+        // It will most likely be finished for the next job, which does not take these weights.
+        return nullptr;
+    }
+    return at;
+}
+
 bool item_scheduler::state::comes_before(const item_id& a, const item_id& b) const {
     const scheduled_item& first = this->items.at(a);
     const scheduled_item& second = this->items.at(b);
+    if (first.rank != second.rank) {
+        return first.rank < second.rank;
+    }
     return first.facts.output > second.facts.output;
 }
 
@@ -291,7 +324,7 @@
     const run_id run(++this->last_run);
     item.run = run;
     item.engine = at.known.id;
-    item.reserved = item.facts.prompt + item.facts.output;
+    item.reserved = this->engines.expected_room(item);
     item.run_started = this->now;
     item.last_event_at = this->now;
     item.has_event_in_run = false;
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -5,7 +5,9 @@
 #include "batch/item_scheduler.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -31,6 +33,7 @@
     struct job_state {
         job_opened facts;
         bool is_closed = false;
+        time_point opened_at{};
     };
 
     scheduler_limits limits;
@@ -59,10 +62,15 @@
     [[nodiscard]] bool comes_before(const item_id& a, const item_id& b) const;
     [[nodiscard]] scheduled_item* item_of(run_id run);
     [[nodiscard]] tokens usual_output_of(const model_name& model) const;
+    void remember_groups(const job_opened& opened);
+    [[nodiscard]] engine_state* choose(const scheduled_item& item);
     void learn_output(const scheduled_item& item);
 
     /// Moving average of whole outputs, per model; stands in where an item has no estimate.
     std::map<model_name, tokens> usual_output;
+    /// Groups of earlier jobs, the oldest first.
+    std::set<item_group_id> known_groups;
+    std::deque<item_group_id> known_groups_by_age;
     std::uint64_t last_run = 0;
 };
 
--- a/packages/batch/internal/scheduled_item.h
+++ b/packages/batch/internal/scheduled_item.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/units.h"
+#include "batch/internal/item_rank.h"
 #include "batch/run_id.h"
 #include "batch/scheduler_actions.h"
 #include "batch/scheduler_messages.h"
@@ -16,6 +17,7 @@
 struct scheduled_item {
     job_id job;
     open_item facts;
+    item_rank rank = item_rank::wanted;
     /// Set while it runs.
     std::optional<run_id> run;
     target_id engine;
--- a/packages/batch/scheduler_limits.h
+++ b/packages/batch/scheduler_limits.h
@@ -23,6 +23,9 @@
     /// An engine that declined or broke gets nothing new for this long.
     duration pause_declined = std::chrono::milliseconds(150);
     duration pause_broken = std::chrono::milliseconds(700);
+    /// A spare item waits so long for an engine with the newest weights. Half of the time after
+    /// which users take an item that no engine has for left lying.
+    duration spare_patience = std::chrono::milliseconds(2500);
     /// Share of an engine's memory that expected sizes may fill.
     double memory_share = 0.9;
     /// Added to an engine's slowness when all its slots are taken.
--- a/packages/batch/scheduler_messages.h
+++ b/packages/batch/scheduler_messages.h
@@ -33,6 +33,8 @@
     bool is_resumable = false;
     /// Tokens that one event of a stream carries.
     tokens tokens_per_event{1};
+    /// Complete groups that the submitter waits for; 0: all of them.
+    std::size_t groups_wanted = 0;
     /// What is not done by then is given up.
     time_point give_up_at{};
     std::vector<open_item> items;
--- a/packages/batch/tests/item_scheduler_test.cpp
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -137,6 +137,58 @@
     }
 }
 
+SCENARIO("what the submitter needs most comes first") {
+    fixture test;
+    test.add_engine("e", 1);
+    GIVEN("a job of four groups of which three are wanted, one of them known from an earlier job") {
+        job_opened earlier = test.make_job("i", {{"x", 10}});
+        earlier.items[0].group = item_group_id("old");
+        test.tell(earlier);
+        test.tell(job_closed{job_id("i")});
+        test.tell(run_completed{test.run_of("x")});
+        job_opened job = test.make_job("j", {{"a", 10}, {"b", 20}, {"c", 900}, {"d", 5}});
+        job.groups_wanted = 3;
+        for (open_item& item : job.items) {
+            item.group = item_group_id(item.id.value() == "d" ? "old" : item.id.value());
+        }
+        test.tell(job);
+        std::vector<std::string> order;
+        for (int i = 0; i < 4; ++i) {
+            order.push_back(test.started.back().item.value());
+            test.tell(run_completed{test.started.back().run});
+        }
+        THEN("the carried group starts, then the wanted ones, the longest first, then the spare "
+             "one") {
+            CHECK(order == std::vector<std::string>{"d", "b", "a", "c"});
+        }
+    }
+    GIVEN("a spare item, a free engine with old weights and a busy one with the newest") {
+        test.add_engine("fresh", 1, 2);
+        job_opened job = test.make_job("j", {{"a", 10}, {"b", 20}, {"c", 900}});
+        job.groups_wanted = 2;
+        for (open_item& item : job.items) {
+            item.group = item_group_id(item.id.value());
+        }
+        test.tell(job);
+        REQUIRE(test.started.size() == 2);
+        const std::string on_old = test.engine_of("a") == "e" ? "a" : "b";
+        const std::string on_fresh = on_old == "a" ? "b" : "a";
+        test.tell(run_completed{test.run_of(on_old)});
+        THEN("it waits for the newest weights") {
+            CHECK(test.started.size() == 2);
+            test.tell(run_completed{test.run_of(on_fresh)});
+            CHECK(test.engine_of("c") == "fresh");
+        }
+        THEN("but not for long") {
+            test.now += 1500ms;
+            test.progress(on_fresh, 1, 2);
+            test.now += 1100ms;
+            test.tell(time_passed{});
+            CHECK(test.engine_of("c") == "e");
+        }
+    }
+}
+
 SCENARIO("a run that ends early goes on") {
     fixture test;
     test.add_engine("e", 1);
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -62,6 +62,7 @@
     opened.model = job.model;
     opened.oldest_version = job.oldest_version;
     opened.needs_single_version = job.needs_single_version;
+    opened.groups_wanted = job.groups_wanted;
     duration limit = queue_limit_default;
     if (route != nullptr) {
         for (const routes::service_share& share : route->shares) {
