--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/// Weight of the newest interval in an engine's moving average.
-constexpr double pace_weight = 0.15;
+/// Time over which an engine's pace is averaged: longer than the moments for which unseen
+/// neighbours slow an engine down, shorter than a long run.
+constexpr duration pace_window = std::chrono::milliseconds(800);
+/// Largest weight of one observation.
+constexpr double pace_weight_max = 0.3;
 /// What was seen of an engine's pace loses two thirds of its say in this time.
 constexpr duration pace_memory = std::chrono::seconds(2);
 /// Factors towards a better choice: weights that are older than another engine's, the engine that
@@ -39,8 +42,9 @@
     if (at.pace == duration::zero()) {
         at.pace = per_event;
     } else {
-        const double mixed =
-            seconds(at.pace) * (1 - pace_weight) + seconds(per_event) * pace_weight;
+        const double since = seconds(now - at.pace_seen) / seconds(pace_window);
+        const double weight = std::min(pace_weight_max, 1 - std::exp(-since));
+        const double mixed = seconds(at.pace) * (1 - weight) + seconds(per_event) * weight;
         at.pace = std::chrono::duration_cast<duration>(std::chrono::duration<double>(mixed));
     }
     at.pace_seen = now;
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -335,9 +335,9 @@
     const int running = at.running();
     at.runs.insert(run);
     at.reserved += item.reserved;
-    this->output.push_back(start_run{run, item.job, item.facts.id, at.known.id, item.events,
-                                     item.next_cause, running,
-                                     this->engines.slowness(at, this->now)});
+    this->output.push_back(
+        start_run{run, item.job, item.facts.id, at.known.id, item.events, item.next_cause, running,
+                  this->engines.slowness(at, this->now), item.facts.output.count()});
 }
 
 void item_scheduler::state::release(scheduled_item& item) {
--- a/packages/batch/scheduler_actions.h
+++ b/packages/batch/scheduler_actions.h
@@ -4,6 +4,7 @@
 #include "batch/run_id.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -38,9 +39,10 @@
     target_id engine;
     std::size_t resume_after = 0;
     run_cause cause = run_cause::first;
-    /// For the log: runs at the engine, and its pace against the median.
+    /// For the log: runs at the engine, its pace against the median, what is expected of the item.
     int running = 0;
     double slowness = 1;
+    std::int64_t expected_output = 0;
 };
 
 /// Stop the run; nothing more is reported of it.
--- a/packages/batch/scheduler_limits.h
+++ b/packages/batch/scheduler_limits.h
@@ -15,9 +15,9 @@
     duration first_event_limit = std::chrono::milliseconds(2000);
     /// A run leaves an engine that is this many times slower than the median, where one under
     /// `good_slowness` has room and the rest of the run is longer than `move_gain`.
-    double bad_slowness = 1.8;
-    double good_slowness = 1.3;
-    duration move_gain = std::chrono::milliseconds(300);
+    double bad_slowness = 1.5;
+    double good_slowness = 1.25;
+    duration move_gain = std::chrono::milliseconds(400);
     /// An item is moved this often at most.
     int moves_max = 6;
     /// An engine that declined or broke gets nothing new for this long.
--- a/packages/store/internal/item_run.cpp
+++ b/packages/store/internal/item_run.cpp
@@ -109,6 +109,11 @@
         this->fail(batch::run_failure::broken, reason.empty() ? "cut short" : reason);
     } else {
         this->is_over = true;
+        spdlog::info(
+            "run ended item={} job={} engine={} outcome=completed events={} versions={}..{}",
+            this->own.order.item.value(), this->own.order.job.value(),
+            this->own.order.engine.value(), this->own.text->last_event,
+            this->own.text->versions.begin()->value(), this->own.text->versions.rbegin()->value());
         this->tell(batch::run_completed{this->own.order.run});
     }
 }
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -172,10 +172,11 @@
         this->inbox.push_back(batch::run_failed{started.run, batch::run_failure::declined});
         return;
     }
-    spdlog::info("run item={} job={} engine={} cause={} resume_after={} running={} slowness={:.2f}",
+    spdlog::info("run item={} job={} engine={} cause={} resume_after={} running={} slowness={:.2f} "
+                 "expected={}",
                  started.item.value(), started.job.value(), started.engine.value(),
                  batch::to_string(started.cause), started.resume_after, started.running,
-                 started.slowness);
+                 started.slowness, started.expected_output);
     this->own.metrics->count("runs_started_total");
     partial_text& text = this->texts[started.item];
     if (started.resume_after == 0) {
