Load every other version on each engine; look at runs also under a steady stream of events

Change: of two successive versions an engine loads one, unless an open job needs the newest; stores tell keepers which weights open jobs take. The next look is counted from the last one.

Test: a silent engine beside one that sends events every 5 ms; it failed before.

--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -34,7 +34,7 @@
     if (this->self->items.empty()) {
         return std::nullopt;
     }
-    return this->self->now + this->self->limits.check_interval;
+    return this->self->checked_at + this->self->limits.check_interval;
 }
 
 std::size_t item_scheduler::waiting_count() const {
@@ -212,6 +212,7 @@
 }
 
 void item_scheduler::state::on(const time_passed& /*passed*/) {
+    this->checked_at = this->now;
     const duration median = this->engines.median_pace();
     std::vector<item_id> running;
     running.reserve(this->runs.size());
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -44,6 +44,8 @@
     /// What waits, the most urgent first.
     std::vector<item_id> waiting;
     time_point now{};
+    /// When the runs were last looked at.
+    time_point checked_at{};
     scheduler_actions output;
 
 private:
--- a/packages/batch/tests/item_scheduler_test.cpp
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -236,6 +236,19 @@
             CHECK(test.live.at("a").resume_after == 2);
         }
     }
+    GIVEN("an engine that falls silent while others send events all the time") {
+        test.add_engine("g", 1);
+        test.tell(test.make_job("k", {{"b", 100}}));
+        std::size_t event = 0;
+        while (test.now < time_point(103s)) {
+            test.now += 5ms;
+            test.progress("b", ++event);
+            if (*test.part.next_wakeup() <= test.now) {
+                test.tell(time_passed{});
+            }
+        }
+        THEN("that is noticed all the same") { CHECK(test.engine_of("a") != first); }
+    }
     GIVEN("text from weights that the job does not allow") {
         test.progress("a", 2, 0);
         THEN("it is dropped and the item begins anew") {
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -214,6 +214,9 @@
         this->found_stores();
     } else if (const auto* report = std::get_if<wire::store_report>(&said)) {
         this->stores.reported(from.instance, *report);
+        for (const membership::model_weights& one : report->oldest_needed) {
+            this->orders.tell_planner(rollout::version_needed{one.model, one.version});
+        }
     } else if (const auto* fleet = std::get_if<wire::fleet_news>(&said)) {
         for (const wire::instance_address& keeper : fleet->keepers) {
             this->own.colleagues->add_member(keeper.id, keeper.address);
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -107,11 +107,11 @@
             {[this](const replicated::command& command, const auto&) { this->applied(command); },
              [this] { this->publish(); },
              [this](bool is_leader) { this->leadership_changed(is_leader); },
-                            [this](const wire::message& said) {
-                                if (this->fleet) {
-                                    this->fleet->heard({}, said);
-                                }
-                            }}));
+             [this](const wire::message& said) {
+                 if (this->fleet) {
+                     this->fleet->heard({}, said);
+                 }
+             }}));
     for (const std::string& member : kept.members) {
         const auto at = member.find('@');
         BOOST_LEAF_AUTO(address, parse_endpoint(member.substr(at + 1)));
--- a/packages/rollout/internal/load_planner.cpp
+++ b/packages/rollout/internal/load_planner.cpp
@@ -39,6 +39,11 @@
     newest = std::max(newest, version.version);
 }
 
+void load_planner::on(const version_needed& wanted) {
+    weight_version& oldest = this->needed[wanted.model];
+    oldest = std::max(oldest, wanted.oldest);
+}
+
 void load_planner::on(const engine_seen& seen) {
     auto [place, is_new] = this->engines.try_emplace(seen.state.engine);
     engine_plan& plan = place->second;
@@ -173,16 +178,31 @@
                 [&](const model_name& a, const model_name& b) { return counts[a] < counts[b]; });
             ++counts[one->serves];
         }
+        std::map<model_name, std::size_t> places;
+        for (engine_plan* one : members) {
+            one->loads_even = places[one->serves]++ % 2 == 0;
+        }
     }
 }
 
+weight_version load_planner::version_of(const engine_plan& plan) {
+    const auto found = plan.known.versions.find(plan.serves);
+    return found == plan.known.versions.end() ? weight_version() : found->second;
+}
+
 bool load_planner::is_behind(const engine_plan& plan) const {
     const auto newest = this->named.find(plan.serves);
-    if (newest == this->named.end() || plan.known.is_leaving) {
+    const weight_version has = version_of(plan);
+    if (newest == this->named.end() || plan.known.is_leaving || has >= newest->second) {
         return false;
     }
-    const auto has = plan.known.versions.find(plan.serves);
-    return has == plan.known.versions.end() || has->second < newest->second;
+    const auto oldest = this->needed.find(plan.serves);
+    if (oldest != this->needed.end() && has < oldest->second) {
+        return true;
+    }
+    const std::uint64_t missed = newest->second.value() - has.value();
+    const bool is_its_turn = (newest->second.value() % 2 == 0) == plan.loads_even;
+    return missed > 1 || is_its_turn;
 }
 
 void load_planner::plan() {
@@ -202,13 +222,8 @@
         }
     }
     // The furthest behind first: they can serve least.
-    std::stable_sort(behind.begin(), behind.end(), [](const auto* a, const auto* b) {
-        const auto version_of = [](const engine_plan* one) {
-            const auto found = one->known.versions.find(one->serves);
-            return found == one->known.versions.end() ? weight_version() : found->second;
-        };
-        return version_of(a) < version_of(b);
-    });
+    std::stable_sort(behind.begin(), behind.end(),
+                     [](const auto* a, const auto* b) { return version_of(*a) < version_of(*b); });
     for (engine_plan* one : behind) {
         const service_models* service = this->find_service(one->known.service);
         if (service == nullptr) {
--- a/packages/rollout/planner_messages.h
+++ b/packages/rollout/planner_messages.h
@@ -28,6 +28,12 @@
     weight_version version;
 };
 
+/// Jobs that are open take no older weights than these.
+struct version_needed {
+    model_name model;
+    weight_version oldest;
+};
+
 struct engine_seen {
     engine_weights state;
     /// A new incarnation, of whose orders nothing is known.
@@ -80,7 +86,7 @@
 struct time_passed {};
 
 using planner_message =
-    std::variant<services_changed, version_named, engine_seen, engine_lost, authority_changed,
-                 order_answered, engine_reported, report_failed, time_passed>;
+    std::variant<services_changed, version_named, version_needed, engine_seen, engine_lost,
+                 authority_changed, order_answered, engine_reported, report_failed, time_passed>;
 
 } // namespace kingcupcart::rollout
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -212,6 +212,8 @@
         if (this->runner) {
             this->runner->open(*this->colleagues->state().find(submitted->content.id));
         }
+        // Engines with weights that are too old for it have to load soon.
+        this->report();
     } else if (const auto* listed = std::get_if<batch::list_results>(&command)) {
         this->desk->job_changed(listed->job);
     } else if (const auto* ended = std::get_if<batch::end_job>(&command)) {
@@ -222,21 +224,32 @@
     }
 }
 
-void store::tend() {
-    this->spread_leader();
+void store::report() {
     const quorum::replica& agreed = this->colleagues->agreement().state();
-    if (agreed.is_leader()) {
-        wire::store_report said;
-        said.leads = true;
-        said.term = agreed.term().value();
-        said.standbys = agreed.standby_count();
-        if (agreed.is_membership_agreed()) {
-            for (const quorum::member& voter : agreed.voters().voters) {
-                said.voters.push_back(voter.id);
-            }
+    if (!agreed.is_leader()) {
+        return;
+    }
+    wire::store_report said;
+    said.leads = true;
+    said.term = agreed.term().value();
+    said.standbys = agreed.standby_count();
+    if (agreed.is_membership_agreed()) {
+        for (const quorum::member& voter : agreed.voters().voters) {
+            said.voters.push_back(voter.id);
         }
-        this->fleet->send_to_all(said);
     }
+    for (const auto& [id, record] : this->colleagues->state().jobs()) {
+        if (!record.is_ended && !record.content.model.value().empty()) {
+            membership::raise_weights(said.oldest_needed,
+                                      {record.content.model, record.content.oldest_version});
+        }
+    }
+    this->fleet->send_to_all(said);
+}
+
+void store::tend() {
+    this->spread_leader();
+    this->report();
     this->tending.arm(this->own.time->now() + tend_interval);
 }
 
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -68,6 +68,8 @@
     void present_to(const instance_id& keeper);
     /// Tells gateways who leads, where that has changed.
     void spread_leader();
+    /// Tells keepers who votes among the stores, and which weights open jobs need.
+    void report();
     void tend();
     [[nodiscard]] endpoint leader_address() const;
     [[nodiscard]] wire::hello make_hello() const;
--- a/packages/wire/internal/descriptions.h
+++ b/packages/wire/internal/descriptions.h
@@ -160,7 +160,7 @@
 
 template <typename Archive>
 void describe(Archive& archive, store_report& value) {
-    archive(value.leads, value.term, value.voters, value.standbys);
+    archive(value.leads, value.term, value.voters, value.standbys, value.oldest_needed);
 }
 
 template <typename Archive>
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -173,6 +173,8 @@
     /// Agreed voters; empty while a change is under way.
     std::vector<instance_id> voters;
     std::uint64_t standbys = 0;
+    /// Oldest weights of each model that open jobs take.
+    std::vector<membership::model_weights> oldest_needed;
 };
 
 /// Where the leader of the stores accepts links; an empty address while there is none.
