Tell once that a gateway has drained; test a fleet as processes with stand-in replicas

Cause: a gateway that was asked to stop hung at its end in a whole run of the new test, and not alone: with a caller's connection still open, closing the server told again that all was drained, to a main loop that was gone.

Change: it is told once.

--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -377,12 +377,10 @@
     this->forget_finished_jobs();
 }
 
-void item_scheduler::state::remove(const item_id& id) {
+void item_scheduler::state::remove(item_id id) {
     std::erase(this->waiting, id);
-    this->output.push_back(item_dropped{id});
-    // The argument may be a part of what is erased.
-    const item_id removed = id;
-    this->items.erase(removed);
+    this->items.erase(id);
+    this->output.push_back(item_dropped{std::move(id)});
 }
 
 void item_scheduler::state::forget_finished_jobs() {
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -56,7 +56,8 @@
     void cancel(scheduled_item& item);
     /// Goes on after the kept events, or from the start where they can't be used.
     void run_again(scheduled_item& item, run_cause cause);
-    void remove(const item_id& id);
+    /// By value: the argument is mostly a part of what is removed.
+    void remove(item_id id);
     void give_up(scheduled_item& item, give_up_reason reason);
     void forget_finished_jobs();
     void check_run(scheduled_item& item, duration median);
--- a/packages/batch/internal/scheduled_item.h
+++ b/packages/batch/internal/scheduled_item.h
@@ -39,8 +39,8 @@
     [[nodiscard]] bool is_running() const { return this->run.has_value(); }
     /// Whether the kept events may stand in a result of that job.
     [[nodiscard]] bool fits(const job_opened& job) const;
-    /// Estimated events to come. Lengths have a long tail: what has outlived its estimate is expected
-    /// to go on for half of what it has made.
+    /// Estimated events to come. Lengths have a long tail: what has outlived its estimate is
+    /// expected to go on for half of what it has made.
     [[nodiscard]] std::size_t events_left(tokens per_event) const;
     void forget_events();
 };
--- a/packages/batch/tests/item_scheduler_test.cpp
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -247,7 +247,9 @@
                 test.tell(time_passed{});
             }
         }
-        THEN("that is noticed all the same") { CHECK(test.engine_of("a") != first); }
+        THEN("that is noticed all the same") {
+            CHECK(test.engine_of("a") != first);
+        }
     }
     GIVEN("text from weights that the job does not allow") {
         test.progress("a", 2, 0);
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -112,9 +112,12 @@
 void gateway::check_drained() {
     const bool is_idle = this->requests.empty() && this->batches->open_count() == 0 &&
                          this->callers_server->is_idle();
-    if (this->drained && is_idle) {
-        this->drained();
+    if (!this->drained || !is_idle) {
+        return;
     }
+    // Told once: whoever waited for it may be gone when the servers close.
+    const auto told = std::exchange(this->drained, nullptr);
+    told();
 }
 
 void gateway::routes_changed() {
--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -56,6 +56,7 @@
         BOOST_LEAF_CHECK(made->open_log());
         return made;
     }
+    ~group() = default;
     group(const group&) = delete;
     group& operator=(const group&) = delete;
 
--- /dev/null
+++ b/stand_ins/internal/platform_replica.cpp
@@ -0,0 +1,115 @@
+#include "stand_ins/platform_replica.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <utility>
+
+namespace kingcupcart::stand_ins {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_accepted = 202;
+constexpr int status_conflict = 409;
+constexpr int status_misdirected = 421;
+constexpr std::int64_t body_limit = 1 << 20;
+constexpr std::uint64_t born = 1700000000000;
+
+} // namespace
+
+std::string platform_event(const std::string& item, int number) {
+    return item + "-" + std::to_string(number);
+}
+
+outcome<std::unique_ptr<platform_replica>> platform_replica::open(const parts& made_of) {
+    std::unique_ptr<platform_replica> made(new platform_replica(made_of));
+    BOOST_LEAF_ASSIGN(
+        made->server,
+        http::server::open(made_of.address, body_limit,
+                           [self = made.get()](std::unique_ptr<http::exchange> exchange) {
+                               self->take(std::move(exchange));
+                           }));
+    made->own.address = made->server->address();
+    return made;
+}
+
+void platform_replica::beat(const std::string& state) {
+    json body{{"service", this->own.service},
+              {"address", this->own.address.to_string()},
+              {"zone", "local"},
+              {"version", "v1"},
+              {"slots", 4},
+              {"state", state},
+              {"coldLeftMs", 0},
+              {"born", born},
+              {"seq", ++this->beats}};
+    if (!this->own.model.empty()) {
+        body["models"] = json::array({{{"name", this->own.model}, {"version", this->weights}}});
+    }
+    http::request wanted;
+    wanted.method = "POST";
+    wanted.url = "http://" + this->own.keeper.to_string() + "/kingcupcart/replicas/" +
+                 this->own.id + "/heartbeat";
+    wanted.content_type = "application/json";
+    wanted.body = body.dump();
+    this->calls.push_back(this->client.start(
+        wanted, {[] {}, [](const auto&) {}, [](auto) {}, [](auto, const auto&) {}}));
+}
+
+void platform_replica::take(std::unique_ptr<http::exchange> exchange) {
+    const std::string expected = exchange->header("X-Expect-Instance");
+    if (!expected.empty() && expected != this->own.id) {
+        exchange->respond(status_misdirected, "text/plain", "");
+    } else if (exchange->plain_path() == "/kingcupcart/order") {
+        this->take_order(*exchange);
+    } else if (exchange->plain_path() == "/kingcupcart/report") {
+        this->report(*exchange);
+    } else {
+        this->run(std::move(exchange));
+    }
+}
+
+void platform_replica::take_order(http::exchange& exchange) {
+    const json order = json::parse(exchange.body());
+    if (order.contains("expected") && order["expected"] != this->orders) {
+        exchange.respond(status_conflict, "text/plain", "");
+        return;
+    }
+    ++this->orders;
+    this->weights = order["version"];
+    exchange.respond(status_accepted, "text/plain", "");
+}
+
+void platform_replica::report(http::exchange& exchange) const {
+    const json models = json::array({{{"name", this->own.model}, {"version", this->weights}}});
+    const json said{{"models", models}, {"busy", false}, {"seq", this->orders}};
+    exchange.respond(status_ok, "application/json", said.dump());
+}
+
+void platform_replica::run(std::unique_ptr<http::exchange> exchange) {
+    const std::string name = exchange->header("X-Request-Id");
+    this->requests.push_back(name);
+    exchange->add_header("X-Request-Id", name);
+    exchange->add_header("X-Server-Stamp", "stamp-of-" + this->own.id);
+    if (this->own.model.empty()) {
+        exchange->respond(status_ok, "text/plain", "ran " + exchange->body());
+        return;
+    }
+    exchange->add_header("X-Weight-Versions", std::to_string(this->weights));
+    exchange->begin_stream(status_ok, "text/event-stream");
+    const int after = std::atoi(exchange->header("Last-Event-Id").c_str());
+    const bool is_broken = this->broken_answers > 0 && this->broken_answers-- > 0;
+    const int last = is_broken ? this->broken_events : this->own.events;
+    for (int number = after + 1; number <= last; ++number) {
+        exchange->write("id: " + std::to_string(number) +
+                        "\ndata: " + platform_event(name, number) + "\n\n");
+    }
+    if (!is_broken) {
+        exchange->end_stream();
+    }
+}
+
+} // namespace kingcupcart::stand_ins
--- /dev/null
+++ b/stand_ins/platform_replica.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/outcome.h"
+#include "http/client.h"
+#include "http/exchange.h"
+#include "http/server.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kingcupcart::stand_ins {
+
+/// A replica that speaks the users' platform: answers requests and items, takes weights, and tells
+/// keepers of itself. It runs on the loop of the thread that made it.
+class platform_replica {
+public:
+    struct parts {
+        std::string id;
+        std::string service;
+        /// Empty for a plain service.
+        std::string model;
+        endpoint address;
+        /// Where keepers take heartbeats.
+        endpoint keeper;
+        int events = 5;
+    };
+
+    static outcome<std::unique_ptr<platform_replica>> open(const parts& made_of);
+
+    /// Sends one heartbeat.
+    void beat(const std::string& state = "ready");
+    [[nodiscard]] std::uint64_t version() const { return this->weights; }
+    /// Identifiers of the requests that ran here, in order.
+    [[nodiscard]] const std::vector<std::string>& ran() const { return this->requests; }
+    /// The next answers break off after so many events.
+    void break_after(int events, int answers) {
+        this->broken_events = events;
+        this->broken_answers = answers;
+    }
+
+private:
+    explicit platform_replica(parts made_of) : own(std::move(made_of)) {}
+    void take(std::unique_ptr<http::exchange> exchange);
+    void take_order(http::exchange& exchange);
+    void report(http::exchange& exchange) const;
+    void run(std::unique_ptr<http::exchange> exchange);
+
+    parts own;
+    std::uint64_t weights = 1;
+    std::uint64_t orders = 0;
+    std::uint64_t beats = 0;
+    int broken_events = 0;
+    int broken_answers = 0;
+    std::vector<std::string> requests;
+    http::client client;
+    std::vector<std::unique_ptr<http::client::call>> calls;
+    std::unique_ptr<http::server> server;
+};
+
+/// What the stand-in makes of event `number` of an item.
+[[nodiscard]] std::string platform_event(const std::string& item, int number);
+
+} // namespace kingcupcart::stand_ins
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -61,9 +61,6 @@
     return *this->processes.back();
 }
 
-namespace {
-
-/// A port that was free a moment ago; keepers have to know each other's before they start.
 std::string free_address() {
     const auto opened = value_or_error([] {
         return wire::listener::open(endpoint{"127.0.0.1", 0}, [](GSocketConnection*) {});
@@ -71,7 +68,15 @@
     return std::get<std::unique_ptr<wire::listener>>(opened)->address().to_string();
 }
 
-} // namespace
+child_process& deployment::add_process(const std::string& name, const std::string& settings) {
+    this->processes.push_back(std::make_unique<child_process>(std::vector<std::string>{
+        KINGCUPCARTD, "--settings", this->write_settings(name, settings)}));
+    return *this->processes.back();
+}
+
+std::string deployment::path_of(const std::string& name) const {
+    return this->folder + "/" + name;
+}
 
 std::vector<child_process*> deployment::add_three_keepers() {
     constexpr int count = 3;
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -52,6 +52,11 @@
     child_process& add_service(const std::string& id, child_process& entry,
                                const std::vector<std::string>& more = {});
 
+    /// Starts an instance with these settings.
+    child_process& add_process(const std::string& name, const std::string& settings);
+    /// A path in the deployment's own folder.
+    [[nodiscard]] std::string path_of(const std::string& name) const;
+
     std::unique_ptr<caller> begin(const http::request& wanted);
     /// Makes a call and waits for its end.
     std::unique_ptr<caller> call(const http::request& wanted);
@@ -79,6 +84,9 @@
     std::vector<std::unique_ptr<child_process>> processes;
 };
 
+/// An address on loopback whose port was free a moment ago.
+[[nodiscard]] std::string free_address();
+
 /// `POST` of JSON to an instance's callers' address.
 [[nodiscard]] http::request post(child_process& instance, const std::string& path,
                                  const std::string& body,
--- /dev/null
+++ b/tests/process/fleet.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "http/request.h"
+#include "process/child_process.h"
+#include "process/deployment.h"
+#include "stand_ins/platform_replica.h"
+#include "task/wakeup.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kingcupcart::process_tests {
+
+/// One gateway, keeper and store as processes on loopback addresses, with stand-in replicas that
+/// tell the keeper of themselves, and the calls of the users' platform.
+class fleet {
+public:
+    explicit fleet(deployment& on);
+
+    /// Sends the configuration and waits until the gateway serves it with both replicas.
+    bool is_ready();
+    bool says_ready();
+    [[nodiscard]] std::string callers() const;
+    child_process& gateway() { return *this->gateway_process; }
+    stand_ins::platform_replica& engine() { return *this->model; }
+    void kill_store();
+    void start_store();
+
+    [[nodiscard]] http::request book(const std::string& name, const std::string& body) const;
+    [[nodiscard]] http::request read_configuration() const;
+    [[nodiscard]] http::request
+    submit(const std::string& job, const std::vector<std::string>& items, int oldest_version) const;
+    [[nodiscard]] http::request end(const std::string& job) const;
+    [[nodiscard]] http::request name_weights(int version) const;
+    /// Reads from the start until so many results are there.
+    nlohmann::json results(const std::string& job, std::size_t count);
+    [[nodiscard]] std::string text_of(const std::string& item) const;
+
+private:
+    [[nodiscard]] std::string settings_of(const std::string& id, const std::string& role,
+                                          const std::string& rest) const;
+    [[nodiscard]] std::string fleet_lines() const;
+    void beat();
+
+    deployment& on;
+    std::string link_port;
+    std::string outer_port;
+    std::unique_ptr<stand_ins::platform_replica> app;
+    std::unique_ptr<stand_ins::platform_replica> model;
+    child_process* gateway_process = nullptr;
+    child_process* store_process = nullptr;
+    task::wakeup beating;
+};
+
+} // namespace kingcupcart::process_tests
