--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -240,7 +240,9 @@
         return;
     }
     engine_state* at = this->engines.find(item.engine);
-    if (at == nullptr || !job.is_resumable || item.moves >= this->limits.moves_max ||
+    // Of a closed job nothing is sent any more.
+    const bool may_move = at != nullptr && job.is_resumable && !this->jobs.at(item.job).is_closed;
+    if (!may_move || item.moves >= this->limits.moves_max ||
         this->engines.slowness(*at, this->now) < this->limits.bad_slowness) {
         return;
     }
--- a/packages/batch/tests/item_scheduler_test.cpp
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -283,6 +283,11 @@
             }
         }
         const std::string slow = test.engine_of("c");
+        WHEN("the job is closed first") {
+            test.tell(job_closed{job_id("j")});
+            test.tell(time_passed{});
+            THEN("nothing of it is sent any more") { CHECK(test.started.size() == 3); }
+        }
         test.tell(time_passed{});
         THEN("its run goes on elsewhere after its last event") {
             CHECK(test.engine_of("c") != slow);
