--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -38,6 +38,16 @@
     return state;
 }
 
+void engine_pool::pause(engine_state& at, time_point now) const {
+    if (at.paused_until > now) {
+        // Runs that break together count once.
+        return;
+    }
+    const duration pause = std::max(at.next_pause, this->limits.pause_broken);
+    at.paused_until = now + pause;
+    at.next_pause = std::min(pause * 2, this->limits.pause_broken_max);
+}
+
 void engine_pool::observe(engine_state& at, duration per_event, time_point now) {
     if (at.pace == duration::zero()) {
         at.pace = per_event;
--- a/packages/batch/internal/engine_pool.h
+++ b/packages/batch/internal/engine_pool.h
@@ -21,6 +21,8 @@
     engine_state& update(const engine& known);
     void remove(const target_id& id) { this->engines.erase(id); }
 
+    /// The engine broke a run or was silent: it gets nothing new for a while, longer each time.
+    void pause(engine_state& at, time_point now) const;
     /// Weighs in the time that an event took to come after the one before.
     void observe(engine_state& at, duration per_event, time_point now);
     /// How many times slower than the median the engine is; 1 where nothing is known.
--- a/packages/batch/internal/engine_state.h
+++ b/packages/batch/internal/engine_state.h
@@ -21,6 +21,8 @@
     time_point pace_seen{};
     /// Nothing new before this.
     time_point paused_until{};
+    /// Pause after the next failure; zero once an event came.
+    duration next_pause{};
 
     [[nodiscard]] int running() const { return static_cast<int>(this->runs.size()); }
     [[nodiscard]] bool has_slot(time_point now) const {
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -117,6 +117,7 @@
         return;
     }
     state.pace = duration::zero();
+    state.next_pause = duration::zero();
     state.paused_until = time_point{};
     const std::set<run_id> lost = state.runs;
     for (const run_id run : lost) {
@@ -149,6 +150,9 @@
         const auto events = static_cast<duration::rep>(progressed.last_event - item->events);
         this->engines.observe(*at, (this->now - item->last_event_at) / events, this->now);
     }
+    if (at != nullptr) {
+        at->next_pause = duration::zero();
+    }
     item->has_event_in_run = true;
     item->last_event_at = this->now;
     item->events = progressed.last_event;
@@ -189,7 +193,7 @@
         break;
     case run_failure::broken:
         if (at != nullptr && !item->has_event_in_run) {
-            at->paused_until = this->now + this->limits.pause_broken;
+            this->engines.pause(*at, this->now);
         }
         break;
     case run_failure::failed:
@@ -233,7 +237,7 @@
     if (silence > allowed) {
         engine_state* at = this->engines.find(item.engine);
         if (at != nullptr) {
-            at->paused_until = this->now + this->limits.pause_broken;
+            this->engines.pause(*at, this->now);
         }
         this->cancel(item);
         this->run_again(item, run_cause::moved);
--- a/packages/batch/scheduler_limits.h
+++ b/packages/batch/scheduler_limits.h
@@ -12,7 +12,7 @@
     /// takes new weights.
     duration silence_limit = std::chrono::milliseconds(1200);
     /// The same before the first event, which also waits for the engine's queue.
-    duration first_event_limit = std::chrono::milliseconds(2000);
+    duration first_event_limit = std::chrono::milliseconds(1500);
     /// A run leaves an engine that is this many times slower than the median, where one under
     /// `good_slowness` has room and the rest of the run is longer than `move_gain`.
     double bad_slowness = 1.5;
@@ -23,6 +23,9 @@
     /// An engine that declined or broke gets nothing new for this long.
     duration pause_declined = std::chrono::milliseconds(150);
     duration pause_broken = std::chrono::milliseconds(700);
+    /// The pause doubles each time that an engine breaks or is silent again without an event
+    /// between, up to this: users' engines that crash are mostly back within it.
+    duration pause_broken_max = std::chrono::milliseconds(5600);
     /// A spare item waits so long for an engine with the newest weights. Half of the time after
     /// which users take an item that no engine has for left lying.
     duration spare_patience = std::chrono::milliseconds(2500);
--- a/packages/batch/tests/item_scheduler_test.cpp
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -251,6 +251,25 @@
             CHECK(test.engine_of("a") != first);
         }
     }
+    GIVEN("an engine that breaks every run at once") {
+        fixture dark;
+        dark.add_engine("x", 1);
+        dark.tell(dark.make_job("j", {{"a", 100}}));
+        int starts = 0;
+        for (int i = 0; i < 200; ++i) {
+            if (!dark.started.empty()) {
+                ++starts;
+                dark.started.clear();
+                dark.tell(run_failed{dark.run_of("a"), run_failure::broken});
+            }
+            dark.now += 50ms;
+            dark.tell(time_passed{});
+        }
+        THEN("it is tried less and less often") {
+            CHECK(starts >= 3);
+            CHECK(starts <= 5);
+        }
+    }
     GIVEN("text from weights that the job does not allow") {
         test.progress("a", 2, 0);
         THEN("it is dropped and the item begins anew") {
@@ -286,7 +305,9 @@
         WHEN("the job is closed first") {
             test.tell(job_closed{job_id("j")});
             test.tell(time_passed{});
-            THEN("nothing of it is sent any more") { CHECK(test.started.size() == 3); }
+            THEN("nothing of it is sent any more") {
+                CHECK(test.started.size() == 3);
+            }
         }
         test.tell(time_passed{});
         THEN("its run goes on elsewhere after its last event") {
--- a/packages/gateway/internal/batch_calls.cpp
+++ b/packages/gateway/internal/batch_calls.cpp
@@ -124,13 +124,21 @@
         if (is_news) {
             spdlog::info("leading store store={} told_by={}", named.value(), from.value());
             this->leader = named;
-            this->timer.arm_now();
+            this->send_all_again();
         }
     } else if (const auto* answer = std::get_if<wire::batch_answered>(&said)) {
         this->answered(*answer);
     }
 }
 
+void batch_calls::send_all_again() {
+    // Whoever had them answers no more.
+    for (auto& [number, call] : this->calls) {
+        call.send_at = this->own.time->now();
+    }
+    this->timer.arm_now();
+}
+
 void batch_calls::answered(const wire::batch_answered& said) {
     const auto found = this->calls.find(said.call);
     if (found == this->calls.end()) {
--- a/packages/gateway/internal/batch_calls.h
+++ b/packages/gateway/internal/batch_calls.h
@@ -66,6 +66,8 @@
     void add(std::unique_ptr<http::exchange> exchange, wire::message content, const job_id& job,
              std::size_t after, duration patience);
     void send(std::uint64_t number, open_call& call);
+    /// The leading store changed or was lost.
+    void send_all_again();
     void received(const instance_id& from, const wire::message& said);
     void answered(const wire::batch_answered& said);
     void finish(std::uint64_t number, const wire::batch_answered& said);
