Tell a keeper all targets when the link to it opens

After all machines had lost power the new leader of the keepers knew 2 of 12 engines: heartbeats that came while the links between keepers were not open yet were spread to nobody, and later ones were no news. It ordered loads for two engines, steps waited 9 s for weights.

Ruled out: the planner's limit, lost orders (all accepted), stores (they hear all keepers).

--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -48,6 +48,8 @@
         std::function<void(bool is_leader)> leadership_changed;
         /// Another member said this on the link that was dialled to it.
         std::function<void(const wire::message&)> heard;
+        /// The link that was dialled to another member is open.
+        std::function<void(const instance_id&)> reached;
     };
 
     /// Fails where the data folder can't be used or its journal is damaged.
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -200,6 +200,12 @@
     }
 }
 
+void fleet_control::keeper_reached(const instance_id& keeper) {
+    for (const membership::target_record& record : this->targets.records()) {
+        this->own.colleagues->members().send(keeper, wire::target_news{record});
+    }
+}
+
 void fleet_control::heard(const wire::hello& from, const wire::message& said) {
     const time_point now = this->own.time->now();
     if (const auto* news = std::get_if<wire::target_news>(&said)) {
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -48,6 +48,8 @@
     [[nodiscard]] std::vector<wire::message> greetings() const;
     void member_joined(const wire::hello& hello);
     void member_lost(const wire::hello& hello);
+    /// The link to another keeper is open: it has missed what was spread before.
+    void keeper_reached(const instance_id& keeper);
     void heard(const wire::hello& from, const wire::message& said);
     void applied(const replicated::command& command);
     /// The state was replaced as a whole.
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -111,6 +111,11 @@
                  if (this->fleet) {
                      this->fleet->heard({}, said);
                  }
+             },
+             [this](const instance_id& keeper) {
+                 if (this->fleet) {
+                     this->fleet->keeper_reached(keeper);
+                 }
              }}));
     for (const std::string& member : kept.members) {
         const auto at = member.find('@');
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -52,7 +52,7 @@
                                this->applied(command, result);
                            },
                            [] {}, [this](bool is_leader) { this->leadership_changed(is_leader); },
-                           [](const wire::message&) {}}));
+                           [](const wire::message&) {}, [](const instance_id&) {}}));
     job_desk::parts desk_parts;
     desk_parts.time = this->own.time;
     desk_parts.wall = this->own.wall;
