--- a/packages/rollout/internal/load_planner.cpp
+++ b/packages/rollout/internal/load_planner.cpp
@@ -200,6 +200,10 @@
     if (oldest != this->needed.end() && has < oldest->second) {
         return true;
     }
+    const service_models* service = this->find_service(plan.known.service);
+    if (service == nullptr || service->models.size() < 2) {
+        return true;
+    }
     const std::uint64_t missed = newest->second.value() - has.value();
     const bool is_its_turn = (newest->second.value() % 2 == 0) == plan.loads_even;
     return missed > 1 || is_its_turn;
