Take the empty rest of a stream for the end of an item

Change: a run that goes on needs to name its weights with its first event only; an empty, whole rest completes the item.

--- a/packages/store/internal/item_run.cpp
+++ b/packages/store/internal/item_run.cpp
@@ -64,7 +64,9 @@
         this->refusal = batch::run_failure::broken;
     } else {
         this->version = this->own.port.version_of(head);
-        if (!this->version && this->own.needs_versions) {
+        // One that goes on after the item's last event has no more events to name weights for.
+        const bool may_be_empty = this->own.order.resume_after > 0;
+        if (!this->version && this->own.needs_versions && !may_be_empty) {
             this->fail(batch::run_failure::broken, "the stream does not name its weights");
         } else if (this->version && *this->version < this->own.oldest_version) {
             this->fail(batch::run_failure::stale,
@@ -83,6 +85,10 @@
         if (event && event->version) {
             this->version = event->version;
         }
+        if (!this->version && this->own.needs_versions) {
+            this->fail(batch::run_failure::broken, "the stream does not name its weights");
+            return;
+        }
         if (!event || !this->own.text->append(*event, this->version.value_or(weight_version()))) {
             this->fail(batch::run_failure::broken, "an event is malformed or out of order");
             return;
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -98,9 +98,11 @@
         exchange->respond(status_ok, "text/plain", "ran " + exchange->body());
         return;
     }
-    exchange->add_header("X-Weight-Versions", std::to_string(this->weights));
-    exchange->begin_stream(status_ok, "text/event-stream");
     const int after = std::atoi(exchange->header("Last-Event-Id").c_str());
+    if (after < this->own.events) {
+        exchange->add_header("X-Weight-Versions", std::to_string(this->weights));
+    }
+    exchange->begin_stream(status_ok, "text/event-stream");
     const bool is_broken = this->broken_answers > 0 && this->broken_answers-- > 0;
     const int last = is_broken ? this->broken_events : this->own.events;
     for (int number = after + 1; number <= last; ++number) {
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -69,6 +69,17 @@
         }
     }
 
+    GIVEN("an engine whose stream breaks off right after the last event") {
+        platform.engine().break_after(5, 1);
+        salon.call(platform.submit("j5", {"h"}, 1));
+        THEN("the empty rest of another run completes the item") {
+            const json results = platform.results("j5", 1);
+            REQUIRE(results.size() == 1);
+            CHECK(results[0]["text"] == platform.text_of("h"));
+            CHECK(results[0]["state"] == "completed");
+        }
+    }
+
     GIVEN("a job that allows new weights only") {
         salon.call(platform.submit("j3", {"e"}, 2));
         WHEN("its trainer names them") {
