Read the streams of items in rounds

Cause: GLib looks at all its sources, and polls all descriptors, each time that one of hundreds of streams has an event; and a timer that was armed again at the same moment woke the loop each time.

The client takes an interval at which answers are read; a wakeup armed at the same moment does nothing.

Tests: answers whole, in parts, cut, and left, with an interval.

--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "http/answer_head.h"
 #include "http/request.h"
 
@@ -51,7 +52,9 @@
         std::shared_ptr<state> self;
     };
 
-    client();
+    /// Answers are read as they come or, with an interval, each time that it has passed: cheaper
+    /// where many long answers come in small parts.
+    explicit client(duration read_interval = duration::zero());
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/internal/connection_table.h"
+#include "http/internal/read_round.h"
 #include "task/g_pointer.h"
 #include "task/socket_options.h"
 
@@ -48,22 +49,28 @@
 /// Owns the libsoup session.
 class client::sessions {
 public:
-    sessions()
+    explicit sessions(duration read_interval)
         : session(soup_session_new_with_options(
               "max-conns", connections_max, "max-conns-per-host", connections_max, "idle-timeout",
               idle_limit_seconds, "timeout", 0U, "proxy-resolver", nullptr, nullptr)) {
         soup_session_remove_feature_by_type(this->session.get(), SOUP_TYPE_CONTENT_DECODER);
+        if (read_interval > duration::zero()) {
+            this->round = std::make_shared<read_round>(read_interval);
+        }
     }
 
     task::g_pointer<SoupSession> session;
     std::shared_ptr<connection_table> connections = std::make_shared<connection_table>();
+    /// Null where answers are read as they come.
+    std::shared_ptr<read_round> round;
 };
 
 /// Kept alive by each asynchronous operation under way.
 class client::call::state : public std::enable_shared_from_this<client::call::state> {
 public:
-    state(const request& wanted, callbacks tell, std::shared_ptr<connection_table> connections)
-        : connections(std::move(connections)),
+    state(const request& wanted, callbacks tell, const sessions& part_of)
+        : connections(part_of.connections),
+          round(part_of.round),
           message(soup_message_new(wanted.method.c_str(), wanted.url.c_str())),
           cancellable(g_cancellable_new()),
           tell(std::move(tell)) {
@@ -189,19 +196,59 @@
         if (this->is_over && !this->is_draining) {
             return;
         }
+        if (this->round) {
+            this->round->add([self = this->shared_from_this()] { self->read_what_came(); });
+            return;
+        }
         g_input_stream_read_async(this->input.get(), this->buffer.data(), this->buffer.size(),
                                   G_PRIORITY_DEFAULT, this->cancellable.get(),
                                   &state::data_received, this->hold());
     }
 
-    void drain_part(std::size_t size) {
+    void read_what_came() {
+        GPollableInputStream* pollable = G_POLLABLE_INPUT_STREAM(this->input.get());
+        while (!this->is_over || this->is_draining) {
+            GError* problem = nullptr;
+            const gssize size = g_pollable_input_stream_read_nonblocking(
+                pollable, this->buffer.data(), this->buffer.size(), this->cancellable.get(),
+                &problem);
+            if (size < 0 && g_error_matches(problem, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE) {
+                g_error_free(problem);
+                this->read_more();
+                return;
+            }
+            if (!this->take_part(size, problem)) {
+                return;
+            }
+        }
+    }
+
+    /// False where the answer is over.
+    bool take_part(gssize size, GError* problem) {
+        if (size < 0) {
+            this->end(call_end::broken, take_message(problem));
+            return false;
+        }
+        if (size == 0) {
+            this->end_of_answer();
+            return false;
+        }
+        if (this->is_draining) {
+            return this->drain_part(static_cast<std::size_t>(size));
+        }
+        if (!this->is_over) {
+            this->tell.data({this->buffer.data(), static_cast<std::size_t>(size)});
+        }
+        return !this->is_over || this->is_draining;
+    }
+
+    bool drain_part(std::size_t size) {
         this->drained += size;
         if (this->drained > drain_limit) {
             this->is_draining = false;
             this->cancel();
-            return;
         }
-        this->read_more();
+        return this->is_draining;
     }
 
     void end_of_answer() {
@@ -222,26 +269,13 @@
         const holder self = release(data);
         GError* problem = nullptr;
         const gssize size = g_input_stream_read_finish(G_INPUT_STREAM(source), result, &problem);
-        if (size < 0) {
-            const std::string reason = take_message(problem);
-            self->end(call_end::broken, reason);
-            return;
-        }
-        if (size == 0) {
-            self->end_of_answer();
-            return;
-        }
-        if (self->is_draining) {
-            self->drain_part(static_cast<std::size_t>(size));
-            return;
-        }
-        if (!self->is_over) {
-            self->tell.data({self->buffer.data(), static_cast<std::size_t>(size)});
+        if (self->take_part(size, problem)) {
             self->read_more();
         }
     }
 
     std::shared_ptr<connection_table> connections;
+    std::shared_ptr<read_round> round;
     task::g_pointer<SoupMessage> message;
     task::g_pointer<GSocket> new_socket;
     task::g_pointer<GCancellable> cancellable;
@@ -264,14 +298,14 @@
     this->self->drain();
 }
 
-client::client() : self(std::make_unique<sessions>()) {}
+client::client(duration read_interval) : self(std::make_unique<sessions>(read_interval)) {}
 
 client::~client() {
     soup_session_abort(this->self->session.get());
 }
 
 std::unique_ptr<client::call> client::start(const request& wanted, callbacks tell) {
-    auto made = std::make_shared<call::state>(wanted, std::move(tell), this->self->connections);
+    auto made = std::make_shared<call::state>(wanted, std::move(tell), *this->self);
     if (made->is_valid()) {
         made->start(this->self->session.get());
     } else {
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <vector>
 
 using namespace kingcupcart;
 using namespace kingcupcart::http;
@@ -28,9 +29,11 @@
     bool left = false;
     answer_head head;
     std::string data;
+    /// When each part of the data was told.
+    std::vector<time_point> times;
     std::optional<call_end> end;
 
-    stage() {
+    explicit stage(duration read_interval = duration::zero()) {
         this->loop.enter();
         this->limit = std::make_unique<task::wakeup>([this] {
             this->timed_out = true;
@@ -49,7 +52,7 @@
                                 });
         });
         this->serving = std::move(std::get<std::unique_ptr<server>>(opened));
-        this->calling = std::make_unique<client>();
+        this->calling = std::make_unique<client>(read_interval);
     }
     ~stage() {
         CHECK_FALSE(this->timed_out);
@@ -79,6 +82,8 @@
                                                    },
                                                    [this](std::string_view part) {
                                                        this->data += part;
+                                                       this->times.push_back(
+                                                           std::chrono::steady_clock::now());
                                                        this->loop.quit();
                                                    },
                                                    [this](call_end how, const std::string&) {
@@ -190,3 +195,54 @@
         }
     }
 }
+
+SCENARIO("answers can be read at an interval") {
+    constexpr auto interval = std::chrono::milliseconds(20);
+    GIVEN("a client with an interval, and a stream") {
+        stage play(interval);
+        play.send("hello");
+        play.pending->begin_stream(200, "text/plain");
+        play.pending->write("one ");
+        while (play.data.empty() && !play.timed_out) {
+            play.loop.run();
+        }
+        WHEN("parts come faster than that, and the end") {
+            play.pending->write("two ");
+            play.pending->write("three");
+            play.pending->end_stream();
+            play.run_to_end();
+            THEN("they are read whole, once the interval has passed") {
+                CHECK(play.end == call_end::complete);
+                CHECK(play.data == "one two three");
+                REQUIRE(play.times.size() > 1);
+                CHECK(play.times[1] - play.times[0] >= interval);
+            }
+            AND_WHEN("another request is sent") {
+                play.end.reset();
+                play.data.clear();
+                play.send("again");
+                play.pending->respond(200, "text/plain", "answer");
+                play.run_to_end();
+                THEN("it is answered too") {
+                    CHECK(play.data == "answer");
+                }
+            }
+        }
+        WHEN("the server goes") {
+            play.pending.reset();
+            play.run_to_end();
+            THEN("the call is broken, not complete") {
+                CHECK(play.end == call_end::broken);
+            }
+        }
+        WHEN("the caller goes") {
+            play.call.reset();
+            while (!play.left && !play.timed_out) {
+                play.loop.run();
+            }
+            THEN("the server is told") {
+                CHECK(play.left);
+            }
+        }
+    }
+}
--- a/packages/task/internal/wakeup.cpp
+++ b/packages/task/internal/wakeup.cpp
@@ -35,11 +35,16 @@
     // GLib's monotonic time and the steady clock count from the same moment.
     const auto microseconds =
         std::chrono::ceil<std::chrono::microseconds>(moment.time_since_epoch());
+    if (this->armed && this->ready_time == microseconds.count()) {
+        return;
+    }
+    this->ready_time = microseconds.count();
     this->armed = true;
-    g_source_set_ready_time(this->source, microseconds.count());
+    g_source_set_ready_time(this->source, this->ready_time);
 }
 
 void wakeup::arm_now() {
+    this->ready_time = at_once;
     this->armed = true;
     g_source_set_ready_time(this->source, at_once);
 }
--- a/packages/task/wakeup.h
+++ b/packages/task/wakeup.h
@@ -18,8 +18,10 @@
     wakeup(const wakeup&) = delete;
     wakeup& operator=(const wakeup&) = delete;
 
-    /// Thread-safe; replaces an earlier moment.
+    /// Replaces an earlier moment. On the loop's own thread only; the same moment again costs
+    /// nothing, while a changed one wakes the loop.
     void arm(time_point moment);
+    /// From any thread.
     void arm_now();
     void disarm();
 
@@ -28,6 +30,8 @@
 
     std::function<void()> callback;
     GSource* source;
+    /// What was set last, as GLib counts.
+    std::atomic<gint64> ready_time = -1;
     /// A source that was found ready is dispatched even if it is disarmed meanwhile.
     std::atomic<bool> armed = false;
 };
