Keep a large group's log on two standbys, not on all members

Cause: each store beyond the voters asked to join and was sent every entry and every text: ten copies of all results on the grown fleets.

Members beyond two standbys are told who leads and nothing else; they catch up when a voter or a standby is gone. The test saw 8 holders of 8 with the mechanism out, 5 with it.

--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -283,6 +283,9 @@
     }
     progress& state = found->second;
     state.last_heard = this->now;
+    if (state.is_observer) {
+        return;
+    }
     if (!told.is_taken) {
         if (told.match < state.match) {
             // It was said before the follower took more.
@@ -345,9 +348,16 @@
     if (known != this->learners.end() && known->second == asked.joining) {
         return;
     }
+    const auto& voters = this->latest_membership.voters;
+    const bool replaces_disk = std::any_of(voters.begin(), voters.end(), [&](const member& voter) {
+        return voter.id == asked.joining.id;
+    });
+    const bool is_needed =
+        this->limits.voters_wanted == 0 || replaces_disk || !this->has_standbys();
     this->learners.insert_or_assign(asked.joining.id, asked.joining);
-    this->followers.insert_or_assign(asked.joining.id,
-                                     progress{after(this->last_index()), log_index(0), this->now});
+    progress begun{after(this->last_index()), log_index(0), this->now};
+    begun.is_observer = !is_needed;
+    this->followers.insert_or_assign(asked.joining.id, begun);
     this->replicate_to(asked.joining.id);
 }
 
--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -28,14 +28,22 @@
 }
 
 void replica::lead() {
+    this->recruit_standbys();
     for (const auto& [id, state] : this->followers) {
-        this->replicate_to(id);
+        if (state.is_observer) {
+            this->tell_observer(id);
+        } else {
+            this->replicate_to(id);
+        }
     }
     this->wakeup = this->now + this->limits.heartbeat;
 }
 
 void replica::replicate_to(const instance_id& to) {
     progress& state = this->followers.at(to);
+    if (state.is_observer) {
+        return;
+    }
     log_index previous = before(state.next);
     const bool is_behind_log = previous < this->snapshot_index;
     if (is_behind_log && this->now - state.snapshot_at >= this->limits.snapshot_time) {
@@ -67,6 +75,34 @@
     this->send(to, std::move(sent));
 }
 
+void replica::tell_observer(const instance_id& to) {
+    entries_sent sent;
+    sent.term = this->current_term;
+    sent.leader = this->self;
+    this->send(to, std::move(sent));
+}
+
+bool replica::has_standbys() const {
+    const auto count =
+        std::count_if(this->learners.begin(), this->learners.end(), [this](const auto& item) {
+            const auto follower = this->followers.find(item.first);
+            return follower != this->followers.end() && !follower->second.is_observer &&
+                   !this->is_unfit(item.first);
+        });
+    return static_cast<std::size_t>(count) >= this->limits.standbys_wanted;
+}
+
+void replica::recruit_standbys() {
+    for (auto item = this->followers.begin(); item != this->followers.end(); ++item) {
+        if (this->has_standbys()) {
+            return;
+        }
+        if (item->second.is_observer && !this->is_unfit(item->first)) {
+            item->second = progress{after(this->last_index()), log_index(0), this->now};
+        }
+    }
+}
+
 bool replica::may_send(const progress& state, log_index index, std::size_t count,
                        std::size_t size) const {
     const std::uint64_t under_way = index.value() - std::min(index, after(state.match)).value();
@@ -118,7 +154,8 @@
 
 bool replica::is_caught_up(const instance_id& id) const {
     const auto follower = this->followers.find(id);
-    return follower != this->followers.end() && follower->second.match >= this->commit_index;
+    return follower != this->followers.end() && !follower->second.is_observer &&
+           follower->second.match >= this->commit_index;
 }
 
 bool replica::is_unfit(const instance_id& id) const {
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -80,6 +80,8 @@
         bool is_probed = false;
         /// When a snapshot was sent last.
         time_point snapshot_at{};
+        /// It is told who leads, and gets nothing of the log.
+        bool is_observer = false;
     };
 
     void on(const vote_asked& asked);
@@ -110,6 +112,10 @@
     [[nodiscard]] bool replace_disk();
     [[nodiscard]] bool add_standby();
     [[nodiscard]] bool remove_surplus();
+    /// Has observers catch up where there are too few standbys.
+    void recruit_standbys();
+    [[nodiscard]] bool has_standbys() const;
+    void tell_observer(const instance_id& to);
     [[nodiscard]] bool is_caught_up(const instance_id& id) const;
     [[nodiscard]] bool is_unfit(const instance_id& id) const;
     void change_membership(membership changed);
--- a/packages/quorum/replica_limits.h
+++ b/packages/quorum/replica_limits.h
@@ -21,8 +21,11 @@
     std::size_t message_bytes = 512UL * 1024;
     /// A follower gets so long to take a snapshot before it is sent again.
     duration snapshot_time = std::chrono::seconds(3);
-    /// Voters to keep; further members stay caught up as standbys. 0: whoever asks becomes a voter.
+    /// Voters to keep. 0: whoever asks becomes a voter.
     std::size_t voters_wanted = 0;
+    /// Further members that stay caught up, to replace a voter; the others are only told who leads.
+    /// Two, so that another loss can be mended while a new standby catches up.
+    std::size_t standbys_wanted = 2;
     /// A voter that is silent for this long may be replaced by a standby. Well above an election,
     /// so that a restart does not change the membership.
     duration absence_limit = std::chrono::milliseconds(2500);
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <queue>
@@ -152,6 +153,9 @@
         return this->nodes[id].applied;
     }
     [[nodiscard]] bool is_running(const instance_id& id) { return this->nodes[id].part != nullptr; }
+    [[nodiscard]] instance_id known_leader(const instance_id& id) {
+        return this->nodes[id].part->leader();
+    }
     [[nodiscard]] std::size_t accepted() const { return this->history.size(); }
 
     std::vector<instance_id> ids;
@@ -449,6 +453,58 @@
     }
 }
 
+SCENARIO("a large group keeps its log on few members") {
+    GIVEN("three voters and five more members") {
+        cluster keepers(41, 8, cluster::founded_by{3});
+        keepers.pass(3s);
+        for (int i = 0; i < 10; ++i) {
+            keepers.propose();
+            keepers.pass(100ms);
+        }
+        keepers.pass(1s);
+        REQUIRE(keepers.leader());
+        const auto holders = [&] {
+            return std::count_if(keepers.ids.begin(), keepers.ids.end(), [&](const auto& id) {
+                return keepers.is_running(id) && keepers.applied(id).size() >= 10 &&
+                       keepers.applied(id) == keepers.applied(*keepers.leader());
+            });
+        };
+        THEN("two standbys hold it beside the voters, and all know who leads") {
+            CHECK(holders() == 5);
+            for (const instance_id& id : keepers.ids) {
+                CHECK(keepers.known_leader(id) == *keepers.leader());
+            }
+        }
+        WHEN("two voters are gone for good, one after the other, and a standby") {
+            for (int i = 0; i < 2; ++i) {
+                const std::string voters = keepers.voters();
+                const auto gone = std::find_if(
+                    keepers.ids.begin(), keepers.ids.end(), [&](const instance_id& id) {
+                        return id != *keepers.leader() &&
+                               voters.find(id.value()) != std::string::npos;
+                    });
+                keepers.stop(*gone);
+                keepers.pass(8s);
+            }
+            const auto standby =
+                std::find_if(keepers.ids.begin(), keepers.ids.end(), [&](const instance_id& id) {
+                    return keepers.is_running(id) &&
+                           keepers.voters().find(id.value()) == std::string::npos &&
+                           keepers.applied(id) == keepers.applied(*keepers.leader());
+                });
+            REQUIRE(standby != keepers.ids.end());
+            keepers.stop(*standby);
+            keepers.pass(8s);
+            keepers.propose();
+            keepers.pass(1s);
+            THEN("three voters stand again, with two standbys") {
+                CHECK(keepers.voters().size() == 3);
+                CHECK(holders() == 5);
+            }
+        }
+    }
+}
+
 SCENARIO("a member that catches up is sent each entry about once") {
     GIVEN("three keepers with a long log, and a standby that comes while proposals go on") {
         cluster keepers(31, 4, cluster::founded_by{3});
