--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -2,6 +2,7 @@
 // at several sizes. Wall-clock figures: printed, not judged.
 #include "membership/directory.h"
 #include "process/deployment.h"
+#include "process_usage.h"
 #include "requests/dispatcher.h"
 #include "routing/router.h"
 #include "wire/codec.h"
@@ -133,16 +134,6 @@
                     .size());
 }
 
-double cpu_seconds(int process) {
-    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
-    std::string word;
-    long ticks = 0;
-    for (int field = 1; file >> word && field <= 15; ++field) {
-        ticks += field >= 14 ? std::stol(word) : 0;
-    }
-    return static_cast<double>(ticks) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 double resident_mib(int process) {
     std::ifstream file("/proc/" + std::to_string(process) + "/statm");
     long all = 0;
@@ -177,12 +168,13 @@
         bench.has_targets(*entries[0], static_cast<std::size_t>(count));
         bench.wait(std::chrono::seconds(2));
         const double bytes = link_bytes(bench, *entries[0]);
-        const double cpu = cpu_seconds(entries[0]->id());
+        const double cpu = processor_seconds(entries[0]->id());
         constexpr int length = 8;
         bench.wait(std::chrono::seconds(length));
-        std::printf(
-            "%10d %14.0f %12.2f %10.1f\n", count, (link_bytes(bench, *entries[0]) - bytes) / length,
-            (cpu_seconds(entries[0]->id()) - cpu) / length * 100, resident_mib(entries[0]->id()));
+        std::printf("%10d %14.0f %12.2f %10.1f\n", count,
+                    (link_bytes(bench, *entries[0]) - bytes) / length,
+                    (processor_seconds(entries[0]->id()) - cpu) / length * 100,
+                    resident_mib(entries[0]->id()));
         std::fflush(stdout);
     }
 }
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -28,7 +28,12 @@
 }
 
 store::store(parts made_of)
-    : own(std::move(made_of)), tending([this] { this->tend(); }), cleaner([this] {
+    : own(std::move(made_of)),
+      ended_items([this](const batch::list_results& listed) {
+          this->colleagues->submit(listed, [](const auto&) {});
+      }),
+      tending([this] { this->tend(); }),
+      cleaner([this] {
           this->retired.clear();
           std::erase_if(this->neighbours, [](const auto& item) { return !item.second.link; });
       }) {}
@@ -195,10 +200,7 @@
     made_of.port = this->own.port;
     made_of.metrics = &this->metrics;
     made_of.ended = [this](const job_id& job, batch::item_result result) {
-        batch::list_results command;
-        command.job = job;
-        command.results.push_back(std::move(result));
-        this->colleagues->submit(command, [](const auto&) {});
+        this->ended_items.add(job, std::move(result));
     };
     this->runner = std::make_unique<item_runner>(std::move(made_of));
     this->desk->set_serving(true);
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -12,6 +12,7 @@
 #include "settings/process_settings.h"
 #include "store/internal/item_runner.h"
 #include "store/internal/job_desk.h"
+#include "store/internal/result_list.h"
 #include "store/internal/store_codec.h"
 #include "task/wakeup.h"
 #include "telemetry/metric_set.h"
@@ -79,6 +80,7 @@
     std::unique_ptr<store_group> colleagues;
     std::unique_ptr<fleet::keeper_client> fleet;
     std::unique_ptr<job_desk> desk;
+    result_list ended_items;
     /// Set while this store leads and serves.
     std::unique_ptr<item_runner> runner;
     std::map<std::uint64_t, neighbour> neighbours;
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -24,6 +24,9 @@
     return item + "-" + std::to_string(number);
 }
 
+platform_replica::platform_replica(parts made_of)
+    : own(std::move(made_of)), writing([this] { this->write_events(); }) {}
+
 outcome<std::unique_ptr<platform_replica>> platform_replica::open(const parts& made_of) {
     std::unique_ptr<platform_replica> made(new platform_replica(made_of));
     BOOST_LEAF_ASSIGN(
@@ -41,7 +44,7 @@
               {"address", this->own.address.to_string()},
               {"zone", "local"},
               {"version", "v1"},
-              {"slots", 4},
+              {"slots", this->own.slots},
               {"state", state},
               {"coldLeftMs", 0},
               {"born", born},
@@ -104,14 +107,37 @@
     }
     exchange->begin_stream(status_ok, "text/event-stream");
     const bool is_broken = this->broken_answers > 0 && this->broken_answers-- > 0;
-    const int last = is_broken ? this->broken_events : this->own.events;
-    for (int number = after + 1; number <= last; ++number) {
-        exchange->write("id: " + std::to_string(number) +
-                        "\ndata: " + platform_event(name, number) + "\n\n");
+    open_stream begun{std::move(exchange), name, after,
+                      is_broken ? this->broken_events : this->own.events, is_broken};
+    if (this->own.event_interval == duration::zero()) {
+        while (write_event(begun)) {
+        }
+        return;
+    }
+    this->streams.push_back(std::move(begun));
+    if (this->streams.size() == 1) {
+        this->writing.arm(std::chrono::steady_clock::now() + this->own.event_interval);
+    }
+}
+
+void platform_replica::write_events() {
+    std::erase_if(this->streams, [](open_stream& stream) { return !write_event(stream); });
+    if (!this->streams.empty()) {
+        this->writing.arm(std::chrono::steady_clock::now() + this->own.event_interval);
+    }
+}
+
+bool platform_replica::write_event(open_stream& stream) {
+    if (stream.written < stream.last) {
+        const std::string number = std::to_string(++stream.written);
+        stream.exchange->write("id: " + number +
+                               "\ndata: " + platform_event(stream.name, stream.written) + "\n\n");
+        return true;
     }
-    if (!is_broken) {
-        exchange->end_stream();
+    if (!stream.is_broken) {
+        stream.exchange->end_stream();
     }
+    return false;
 }
 
 } // namespace kingcupcart::stand_ins
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/outcome.h"
 #include "http/client.h"
 #include "http/exchange.h"
 #include "http/server.h"
+#include "task/wakeup.h"
 
 #include <cstdint>
 #include <memory>
@@ -26,6 +28,9 @@
         /// Where keepers take heartbeats.
         endpoint keeper;
         int events = 5;
+        int slots = 4;
+        /// Between two events of a stream; zero where all come at once.
+        duration event_interval{};
     };
 
     static outcome<std::unique_ptr<platform_replica>> open(const parts& made_of);
@@ -42,11 +47,23 @@
     }
 
 private:
-    explicit platform_replica(parts made_of) : own(std::move(made_of)) {}
+    /// A stream that is not at its end yet.
+    struct open_stream {
+        std::unique_ptr<http::exchange> exchange;
+        std::string name;
+        int written = 0;
+        int last = 0;
+        bool is_broken = false;
+    };
+
+    explicit platform_replica(parts made_of);
     void take(std::unique_ptr<http::exchange> exchange);
     void take_order(http::exchange& exchange);
     void report(http::exchange& exchange) const;
     void run(std::unique_ptr<http::exchange> exchange);
+    void write_events();
+    /// False once the stream is at its end.
+    static bool write_event(open_stream& stream);
 
     parts own;
     std::uint64_t weights = 1;
@@ -55,6 +72,8 @@
     int broken_events = 0;
     int broken_answers = 0;
     std::vector<std::string> requests;
+    std::vector<open_stream> streams;
+    task::wakeup writing;
     http::client client;
     std::vector<std::unique_ptr<http::client::call>> calls;
     std::unique_ptr<http::server> server;
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -14,10 +14,9 @@
 constexpr const char* gateway_ip = "127.0.0.4";
 constexpr const char* replica_ip = "127.0.0.5";
 constexpr duration beat_interval = std::chrono::milliseconds(300);
-constexpr int events = 5;
 
-json configuration() {
-    return json::parse(R"({
+json configuration(const fleet_shape& shape) {
+    json made = json::parse(R"({
         "version": 3,
         "routes": [
             {"name": "book", "host": "shop", "pathPrefix": "/b/", "type": "idempotent",
@@ -30,6 +29,9 @@
             {"name": "lm", "maxConns": 10,
              "engine": {"slots": 4, "kvCapacity": 10000, "stride": 1, "models": [{"name": "m"}]}}],
         "limits": {}})");
+    made["services"][1]["engine"]["slots"] = shape.slots;
+    made["services"][1]["maxConns"] = 2 * shape.slots;
+    return made;
 }
 
 std::unique_ptr<stand_ins::platform_replica>
@@ -44,14 +46,19 @@
 
 } // namespace
 
-fleet::fleet(deployment& on)
+fleet::fleet(deployment& on, fleet_shape shape)
     : on(on),
+      shape(shape),
       link_port(port_of(free_address())),
       outer_port(port_of(free_address())),
       beating([this] { this->beat(); }) {
     const endpoint keeper{keeper_ip, static_cast<std::uint16_t>(std::stoi(this->outer_port))};
-    this->app = open_replica({"app", "app", "", endpoint{replica_ip, 0}, keeper, events});
-    this->model = open_replica({"lm", "lm", "m", endpoint{replica_ip, 0}, keeper, events});
+    this->app = open_replica({"app", "app", "", endpoint{replica_ip, 0}, keeper});
+    for (int i = 0; i < shape.engines; ++i) {
+        this->models.push_back(
+            open_replica({"lm" + std::to_string(i), "lm", "m", endpoint{replica_ip, 0}, keeper,
+                          shape.events, shape.slots, shape.event_interval}));
+    }
     this->on.add_process(
         "keeper", this->settings_of("keeper", "keeper",
                                     std::string("address = ") + keeper_ip + ":" + this->link_port +
@@ -96,7 +103,9 @@
 
 void fleet::beat() {
     this->app->beat();
-    this->model->beat();
+    for (const auto& model : this->models) {
+        model->beat();
+    }
     this->beating.arm(std::chrono::steady_clock::now() + beat_interval);
 }
 
@@ -116,7 +125,7 @@
     put.url =
         "http://" + std::string(keeper_ip) + ":" + this->outer_port + "/kingcupcart/config/put";
     put.content_type = "application/json";
-    put.body = configuration().dump();
+    put.body = configuration(this->shape).dump();
     const auto is_put = [&] { return this->on.call(put)->head.status == 200; };
     const auto is_served = [&] {
         return this->on.call(this->book("warm-up", ""))->head.status == 200;
@@ -206,7 +215,7 @@
 
 std::string fleet::text_of(const std::string& item) const {
     std::string text;
-    for (int number = 1; number <= events; ++number) {
+    for (int number = 1; number <= this->shape.events; ++number) {
         text += (number == 1 ? "" : "\n") + stand_ins::platform_event(item, number);
     }
     return text;
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "http/request.h"
 #include "process/child_process.h"
 #include "process/deployment.h"
@@ -14,18 +15,28 @@
 
 namespace kingcupcart::process_tests {
 
+/// Size and pace of a fleet's engines.
+struct fleet_shape {
+    int engines = 1;
+    int slots = 4;
+    /// Of each item's stream.
+    int events = 5;
+    duration event_interval{};
+};
+
 /// One gateway, keeper and store as processes on loopback addresses, with stand-in replicas that
 /// tell the keeper of themselves, and the calls of the users' platform.
 class fleet {
 public:
-    explicit fleet(deployment& on);
+    explicit fleet(deployment& on, fleet_shape shape = {});
 
     /// Sends the configuration and waits until the gateway serves it with both replicas.
     bool is_ready();
     bool says_ready();
     [[nodiscard]] std::string callers() const;
     child_process& gateway() { return *this->gateway_process; }
-    stand_ins::platform_replica& engine() { return *this->model; }
+    child_process& store() { return *this->store_process; }
+    stand_ins::platform_replica& engine() { return *this->models.front(); }
     void kill_store();
     void start_store();
 
@@ -46,10 +57,11 @@
     void beat();
 
     deployment& on;
+    fleet_shape shape;
     std::string link_port;
     std::string outer_port;
     std::unique_ptr<stand_ins::platform_replica> app;
-    std::unique_ptr<stand_ins::platform_replica> model;
+    std::vector<std::unique_ptr<stand_ins::platform_replica>> models;
     child_process* gateway_process = nullptr;
     child_process* store_process = nullptr;
     task::wakeup beating;
