Judge an engine's pace once half a second of it was seen

Ruled out: engines that were slow: the moves went all ways within 50 ms.

Test: a run whose second event was read late is left where it is; it moved with the span at zero.

--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -61,6 +61,7 @@
 void engine_pool::observe(engine_state& at, duration per_event, time_point now) {
     if (at.pace == duration::zero()) {
         at.pace = per_event;
+        at.pace_begun = now;
     } else {
         const double since = seconds(now - at.pace_seen) / seconds(pace_window);
         const double weight = std::min(pace_weight_max, 1 - std::exp(-since));
@@ -95,7 +96,8 @@
 
 double engine_pool::slowness(const engine_state& at, time_point now) const {
     const duration median = this->median_pace();
-    if (at.pace == duration::zero() || median == duration::zero()) {
+    const bool is_fresh = now - at.pace_begun < this->limits.pace_trust;
+    if (at.pace == duration::zero() || median == duration::zero() || is_fresh) {
         return 1;
     }
     const double ratio = seconds(at.pace) / seconds(median);
--- a/packages/batch/internal/engine_state.h
+++ b/packages/batch/internal/engine_state.h
@@ -18,6 +18,7 @@
     tokens reserved;
     /// Moving average of the time between two events; zero while unknown.
     duration pace{};
+    time_point pace_begun{};
     time_point pace_seen{};
     /// Nothing new before this.
     time_point paused_until{};
--- a/packages/batch/scheduler_limits.h
+++ b/packages/batch/scheduler_limits.h
@@ -18,6 +18,9 @@
     double bad_slowness = 1.5;
     double good_slowness = 1.25;
     duration move_gain = std::chrono::milliseconds(400);
+    /// An engine is judged once its events were seen for so long: some of each of its runs, since
+    /// the first ones after a burst of starts come in lumps.
+    duration pace_trust = std::chrono::milliseconds(500);
     /// An item is moved this often at most.
     int moves_max = 6;
     /// An engine that declined or broke gets nothing new for this long.
--- a/packages/batch/tests/item_scheduler_test.cpp
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -414,3 +414,35 @@
         }
     }
 }
+
+SCENARIO("first events in lumps say nothing of an engine's pace") {
+    fixture test;
+    GIVEN("three engines, of which one's first events were read late") {
+        for (const char* id : {"a", "b", "c"}) {
+            test.add_engine(id, 2);
+        }
+        test.tell(test.make_job("j", {{"x", 9000}, {"y", 9000}, {"z", 9000}}));
+        const auto pass = [&](duration time, std::size_t event, bool has_late) {
+            test.now += time;
+            for (const char* item : {"x", "y", "z"}) {
+                if (has_late || *item != 'z') {
+                    test.progress(item, event);
+                }
+            }
+            test.tell(time_passed{});
+        };
+        pass(50ms, 1, true);
+        pass(50ms, 2, false);
+        pass(50ms, 3, false);
+        test.progress("z", 2);
+        pass(50ms, 4, false);
+        WHEN("its pace is the others' then") {
+            for (std::size_t event = 5; event < 30; ++event) {
+                pass(50ms, event, true);
+            }
+            THEN("nothing moves") {
+                CHECK(test.cancelled.empty());
+            }
+        }
+    }
+}
