--- a/packages/admin/internal/admin_server.cpp
+++ b/packages/admin/internal/admin_server.cpp
@@ -3,6 +3,7 @@
 #include "http/exchange.h"
 #include "http/server.h"
 #include "task/wakeup.h"
+#include "telemetry/log.h"
 
 #include <nlohmann/json.hpp>
 
@@ -160,6 +161,8 @@
             for (const report& one : asked.reports) {
                 text += one.metrics;
             }
+            text += "kingcupcart_log_lines_left_out_total " +
+                    std::to_string(telemetry::left_out_lines()) + "\n";
             asked.exchange->respond(status_ok, text_type, text);
             return;
         }
--- a/packages/telemetry/internal/metric_set.cpp
+++ b/packages/telemetry/internal/metric_set.cpp
@@ -7,6 +7,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <sstream>
@@ -19,6 +20,10 @@
 
 constexpr std::array<double, 3> quantiles{0.5, 0.9, 0.99};
 constexpr const char* prefix = "kingcupcart_";
+/// Upper bounds of a histogram's buckets, in seconds: from a forwarded request's share of a
+/// millisecond to the longest step, about doubling.
+constexpr std::array<double, 14> bounds{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+                                        0.25,  0.5,    1,     2.5,  5,     10,   30};
 
 using summary =
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
@@ -38,11 +43,25 @@
 
 } // namespace
 
+/// Quantiles over the whole life, and buckets that a scraper can take differences of.
+struct latency {
+    summary quantiles{acc::extended_p_square_probabilities = telemetry::quantiles};
+    std::array<std::int64_t, bounds.size()> buckets{};
+
+    void add(double seconds) {
+        this->quantiles(seconds);
+        const auto bucket = std::lower_bound(bounds.begin(), bounds.end(), seconds);
+        if (bucket != bounds.end()) {
+            ++this->buckets.at(static_cast<std::size_t>(bucket - bounds.begin()));
+        }
+    }
+};
+
 class metric_set::tables {
 public:
     std::map<std::string, std::int64_t> counters;
     std::map<std::string, double> gauges;
-    std::map<std::string, summary> summaries;
+    std::map<std::string, latency> latencies;
 };
 
 metric_set::metric_set() : self(std::make_unique<tables>()) {}
@@ -59,12 +78,7 @@
 }
 
 void metric_set::observe(const std::string& name, duration value) {
-    auto known = this->self->summaries.find(name);
-    if (known == this->self->summaries.end()) {
-        const summary fresh(acc::extended_p_square_probabilities = quantiles);
-        known = this->self->summaries.emplace(name, fresh).first;
-    }
-    known->second(std::chrono::duration<double>(value).count());
+    this->self->latencies[name].add(std::chrono::duration<double>(value).count());
 }
 
 std::string metric_set::exposition() const {
@@ -75,13 +89,22 @@
     for (const auto& [name, value] : this->self->gauges) {
         text << series(name, "", "") << ' ' << value << '\n';
     }
-    for (const auto& [name, value] : this->self->summaries) {
+    for (const auto& [name, known] : this->self->latencies) {
+        const summary& value = known.quantiles;
         for (const double probability : quantiles) {
             std::ostringstream label;
             label << "quantile=\"" << probability << '"';
             text << series(name, "", label.str()) << ' '
                  << acc::quantile(value, acc::quantile_probability = probability) << '\n';
         }
+        std::int64_t below = 0;
+        for (std::size_t i = 0; i < bounds.size(); ++i) {
+            below += known.buckets.at(i);
+            std::ostringstream label;
+            label << "le=\"" << bounds.at(i) << '"';
+            text << series(name, "_bucket", label.str()) << ' ' << below << '\n';
+        }
+        text << series(name, "_bucket", "le=\"+Inf\"") << ' ' << acc::count(value) << '\n';
         text << series(name, "_sum", "") << ' ' << acc::sum(value) << '\n';
         text << series(name, "_count", "") << ' ' << acc::count(value) << '\n';
         text << series(name, "_max", "") << ' ' << acc::max(value) << '\n';
