Take over seeds that change while a process runs

Cause: SIGHUP and changed settings were only logged, so a process that had been cut off while all keepers it knew were replaced never found the others.

Gateways, stores and keepers add the new seeds to those they know.

--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -1,4 +1,5 @@
 #include "daemon/daemon.h"
+#include "daemon/settings_watch.h"
 #include "platform/platform.h"
 #include "settings/process_settings.h"
 #include "task/event_loop.h"
@@ -140,25 +141,26 @@
     int code = exit_ok;
 };
 
-/// Settings are read at the start only; a reload is acknowledged in the log and changes nothing.
-void watch_reload(GMainContext* context) {
+/// SIGHUP has the settings read at once.
+void watch_reload(daemon::settings_watch& watch, GMainContext* context) {
     GSource* source = g_unix_signal_source_new(SIGHUP);
-    const auto reloaded = [](gpointer) -> gboolean {
-        spdlog::info("reload asked for: settings are read at the next start");
+    const auto reloaded = [](gpointer data) -> gboolean {
+        static_cast<daemon::settings_watch*>(data)->reload();
         return G_SOURCE_CONTINUE;
     };
-    g_source_set_callback(source, reloaded, nullptr, nullptr);
+    g_source_set_callback(source, reloaded, &watch, nullptr);
     g_source_attach(source, context);
     g_source_unref(source);
 }
 
-int run(const settings::process_settings& settings) {
+int run(const settings::process_settings& settings, const std::string& path) {
     telemetry::set_up_log(settings.format, settings.log_stream, settings.log_level,
                           settings.instance.value());
     auto started =
         value_or_error([&] { return daemon::daemon::start(settings, platform::make_ports()); });
     if (const auto* problem = std::get_if<error>(&started)) {
         spdlog::critical("cannot start: {}", problem->message);
+        telemetry::close_log();
         return exit_failed;
     }
     const auto& instance = std::get<std::unique_ptr<daemon::daemon>>(started);
@@ -169,7 +171,10 @@
         stop_sequence stop(*instance, settings.stop_grace, settings.stop_limit, loop);
         stop.watch(SIGTERM, loop.context());
         stop.watch(SIGINT, loop.context());
-        watch_reload(loop.context());
+        daemon::settings_watch watch(path, [&](const settings::process_settings& changed) {
+            instance->apply(changed);
+        });
+        watch_reload(watch, loop.context());
         std::puts(instance->ready_line().c_str());
         std::fflush(stdout);
         spdlog::info("{}", instance->ready_line());
@@ -178,6 +183,7 @@
     }
     loop.leave();
     spdlog::info("stopped");
+    telemetry::close_log();
     return code;
 }
 
@@ -207,5 +213,5 @@
         }
         settings.keeper->may_found = true;
     }
-    return run(settings);
+    return run(settings, wanted.settings);
 }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -23,6 +23,8 @@
     daemon(const daemon&) = delete;
     daemon& operator=(const daemon&) = delete;
 
+    /// Takes over what can change while it runs: the seeds of a fleet.
+    void apply(const settings::process_settings& changed);
     /// Readiness goes; everything is served as before.
     void announce_stop();
     /// No new work is taken; `drained` is called, on a task's thread, when all that runs has ended.
--- a/packages/daemon/internal/daemon.cpp
+++ b/packages/daemon/internal/daemon.cpp
@@ -102,6 +102,18 @@
     this->self->admin_task.stop();
 }
 
+void daemon::apply(const settings::process_settings& changed) {
+    if (this->self->gateway && changed.gateway) {
+        this->self->gateway->change_seeds({changed.gateway->fleet.seed_links()});
+    }
+    if (this->self->store && changed.store) {
+        this->self->store->change_seeds({changed.store->fleet.seed_links()});
+    }
+    if (this->self->keeper && changed.keeper && changed.keeper->control) {
+        this->self->keeper->change_seeds({changed.keeper->control->fleet.seed_links()});
+    }
+}
+
 void daemon::announce_stop() {
     this->self->admin_task.post(admin::admin_server::stop_began{});
     if (this->self->gateway) {
--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -36,6 +36,10 @@
                        spdlog::warn("keeper lost keeper={} reached={}", keeper.value(),
                                     this->links.open_count());
                    }}) {
+    this->add_seeds(seeds);
+}
+
+void keeper_client::add_seeds(const std::vector<endpoint>& seeds) {
     for (const endpoint& seed : seeds) {
         this->links.add(name_of(seed), seed);
     }
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -50,6 +50,8 @@
     }
     [[nodiscard]] std::size_t open_links() const { return this->links.open_count(); }
 
+    /// Further keepers to try.
+    void add_seeds(const std::vector<endpoint>& seeds);
     bool send(const instance_id& keeper, const wire::message& said) {
         return this->links.send(keeper, said);
     }
--- a/packages/gateway/gateway_module.h
+++ b/packages/gateway/gateway_module.h
@@ -7,6 +7,7 @@
 #include "gateway/caller_port.h"
 #include "routes/table_reader.h"
 #include "settings/process_settings.h"
+#include "settings/seeds_changed.h"
 #include "task/sender.h"
 
 #include <functional>
@@ -36,6 +37,9 @@
     /// Calls back once all that was taken is answered.
     void begin_stop(std::function<void()> drained);
 
+    /// Other keepers are named to find the rest by; those that are known stay known.
+    void change_seeds(settings::seeds_changed changed);
+
 private:
     class state;
     explicit gateway_module(std::unique_ptr<state> made);
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -98,6 +98,10 @@
     std::visit([this](auto& alternative) { this->on(alternative); }, incoming);
 }
 
+void gateway::on(const settings::seeds_changed& changed) {
+    this->fleet->add_seeds(changed.links);
+}
+
 void gateway::on(const stop_announced& /*announced*/) {
     this->is_stopping = true;
 }
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -57,6 +57,7 @@
     void open_fleet();
 
     void on(const admin::report_asked& asked);
+    void on(const settings::seeds_changed& changed);
     void on(const stop_announced& announced);
     void on(stop_begun& begun);
 
--- a/packages/gateway/internal/gateway_message.h
+++ b/packages/gateway/internal/gateway_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admin/report.h"
+#include "settings/seeds_changed.h"
 
 #include <functional>
 #include <variant>
@@ -14,6 +15,7 @@
 };
 
 /// What the gateway task is told by other tasks.
-using gateway_message = std::variant<admin::report_asked, stop_announced, stop_begun>;
+using gateway_message =
+    std::variant<admin::report_asked, stop_announced, stop_begun, settings::seeds_changed>;
 
 } // namespace kingcupcart::gateway
--- a/packages/gateway/internal/gateway_module.cpp
+++ b/packages/gateway/internal/gateway_module.cpp
@@ -47,4 +47,8 @@
     this->self->gateway_task.post(stop_begun{std::move(drained)});
 }
 
+void gateway_module::change_seeds(settings::seeds_changed changed) {
+    this->self->gateway_task.post(std::move(changed));
+}
+
 } // namespace kingcupcart::gateway
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -130,9 +130,7 @@
 
 void keeper::open_fleet() {
     const settings::control_settings& control = *this->own.settings.keeper->control;
-    for (const endpoint& seed : control.fleet.seed_links()) {
-        this->colleagues->add_member(instance_id(seed.to_string()), seed);
-    }
+    this->on(settings::seeds_changed{control.fleet.seed_links()});
     fleet_control::parts made_of;
     made_of.settings = control;
     made_of.instance = this->own.settings.instance;
@@ -155,6 +153,12 @@
     }
 }
 
+void keeper::on(const settings::seeds_changed& changed) {
+    for (const endpoint& seed : changed.links) {
+        this->colleagues->add_member(instance_id(seed.to_string()), seed);
+    }
+}
+
 void keeper::on(const control_call& call) {
     if (this->fleet) {
         this->fleet->handle(call);
--- a/packages/keeper/internal/keeper.h
+++ b/packages/keeper/internal/keeper.h
@@ -64,6 +64,7 @@
     void on(const admin::configuration_order& order);
     void on(const admin::configuration_asked& asked);
     void on(const admin::report_asked& asked);
+    void on(const settings::seeds_changed& changed);
     void on(const control_call& call);
 
     void accept(GSocketConnection* connection);
--- a/packages/keeper/internal/keeper_message.h
+++ b/packages/keeper/internal/keeper_message.h
@@ -3,6 +3,7 @@
 #include "admin/configuration_order.h"
 #include "admin/report.h"
 #include "keeper/control_calls.h"
+#include "settings/seeds_changed.h"
 
 #include <variant>
 
@@ -10,6 +11,6 @@
 
 /// What the keeper task is told by other tasks.
 using keeper_message = std::variant<admin::configuration_order, admin::configuration_asked,
-                                    admin::report_asked, control_call>;
+                                    admin::report_asked, control_call, settings::seeds_changed>;
 
 } // namespace kingcupcart::keeper
--- a/packages/keeper/internal/keeper_module.cpp
+++ b/packages/keeper/internal/keeper_module.cpp
@@ -59,4 +59,8 @@
     return this->self->sender_of<admin::configuration_asked>();
 }
 
+void keeper_module::change_seeds(settings::seeds_changed changed) {
+    this->self->keeper_task.post(std::move(changed));
+}
+
 } // namespace kingcupcart::keeper
--- a/packages/keeper/keeper_module.h
+++ b/packages/keeper/keeper_module.h
@@ -7,6 +7,7 @@
 #include "keeper/control_calls.h"
 #include "keeper/outer_protocol.h"
 #include "settings/process_settings.h"
+#include "settings/seeds_changed.h"
 #include "task/sender.h"
 
 #include <memory>
@@ -29,6 +30,9 @@
     [[nodiscard]] task::sender<control_call> control() const;
     [[nodiscard]] task::sender<admin::configuration_asked> configurations() const;
 
+    /// Other keepers are named to find the rest by; those that are known stay known.
+    void change_seeds(settings::seeds_changed changed);
+
 private:
     class state;
     explicit keeper_module(std::unique_ptr<state> made);
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -256,7 +256,14 @@
 }
 
 void store::handle(message incoming) {
-    const auto& asked = std::get<admin::report_asked>(incoming);
+    std::visit([this](const auto& alternative) { this->on(alternative); }, incoming);
+}
+
+void store::on(const settings::seeds_changed& changed) {
+    this->fleet->add_seeds(changed.links);
+}
+
+void store::on(const admin::report_asked& asked) {
     nlohmann::ordered_json status;
     const quorum::replica& agreed = this->colleagues->agreement().state();
     status["instance"] = this->own.settings.instance.value();
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -10,6 +10,7 @@
 #include "group/group.h"
 #include "routes/table_reader.h"
 #include "settings/process_settings.h"
+#include "settings/seeds_changed.h"
 #include "store/internal/item_runner.h"
 #include "store/internal/job_desk.h"
 #include "store/internal/result_list.h"
@@ -32,7 +33,7 @@
 /// while it leads, the runs of their items.
 class store {
 public:
-    using message = std::variant<admin::report_asked>;
+    using message = std::variant<admin::report_asked, settings::seeds_changed>;
     using store_group = group::group<store_codec>;
 
     struct parts {
@@ -58,6 +59,8 @@
     };
 
     explicit store(parts made_of);
+    void on(const admin::report_asked& asked);
+    void on(const settings::seeds_changed& changed);
     outcome<void> open_group();
     void open_fleet();
     void accept(GSocketConnection* connection);
--- a/packages/store/internal/store_module.cpp
+++ b/packages/store/internal/store_module.cpp
@@ -39,4 +39,8 @@
         });
 }
 
+void store_module::change_seeds(settings::seeds_changed changed) {
+    this->self->store_task.post(std::move(changed));
+}
+
 } // namespace kingcupcart::store
--- a/packages/store/store_module.h
+++ b/packages/store/store_module.h
@@ -5,6 +5,7 @@
 #include "engines/target_port.h"
 #include "routes/table_reader.h"
 #include "settings/process_settings.h"
+#include "settings/seeds_changed.h"
 #include "task/sender.h"
 
 #include <memory>
@@ -28,6 +29,9 @@
 
     [[nodiscard]] task::sender<admin::report_asked> reports() const;
 
+    /// Other keepers are named to find the rest by; those that are known stay known.
+    void change_seeds(settings::seeds_changed changed);
+
 private:
     class state;
     explicit store_module(std::unique_ptr<state> made);
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -65,27 +65,34 @@
                                         "\ndata = " + this->on.path_of("keeper-data") +
                                         "\ncontrol = " + keeper.to_string() +
                                         "\nfirst-start = true\ntolerated-losses = 0\n"
-                                        "order-lease = 100ms\n"));
+                                        "order-lease = 100ms\n",
+                                    keeper_ip));
     this->start_store();
-    this->gateway_process = &this->on.add_process(
-        "gateway",
-        this->settings_of("gateway", "gateway",
-                          "callers = " + std::string(gateway_ip) + ":" + this->outer_port +
-                              "\nready = " + gateway_ip + ":" + this->link_port + "\n"));
+    this->gateway_process =
+        &this->on.add_process("gateway", this->gateway_settings("gateway", gateway_ip, keeper_ip));
     this->beat();
 }
 
-std::string fleet::fleet_lines() const {
-    return "seeds = " + std::string(keeper_ip) + ":" + this->outer_port +
-           "\nlink-port = " + this->link_port + "\n";
+std::string fleet::gateway_settings(const std::string& id, const std::string& ip,
+                                    const std::string& seed_ip) const {
+    return this->settings_of(id, "gateway",
+                             "callers = " + ip + ":" + this->outer_port + "\nready = " + ip + ":" +
+                                 this->link_port + "\n",
+                             seed_ip);
+}
+
+std::string fleet::fleet_lines(const std::string& seed_ip) const {
+    return "seeds = " + seed_ip + ":" + this->outer_port + "\nlink-port = " + this->link_port +
+           "\n";
 }
 
 std::string fleet::settings_of(const std::string& id, const std::string& role,
-                               const std::string& rest) const {
+                               const std::string& rest, const std::string& seed_ip) const {
     return "[instance]\nid = " + id +
            "\nfailure-domain = local\nregion = local\nadmin = 127.0.0.1:0\nstop-grace = 1s\n"
            "roles = " +
-           role + "\n[" + role + "]\n" + this->fleet_lines() + rest + "[log]\nlevel = error\n";
+           role + "\n[" + role + "]\n" + this->fleet_lines(seed_ip) + rest +
+           "[log]\nlevel = error\n";
 }
 
 void fleet::start_store() {
@@ -93,7 +100,8 @@
         "store", this->settings_of("store", "store",
                                    "address = " + std::string(store_ip) + ":" + this->link_port +
                                        "\ndata = " + this->on.path_of("store-data") +
-                                       "\nfirst-start = true\ntolerated-losses = 0\n"));
+                                       "\nfirst-start = true\ntolerated-losses = 0\n",
+                                   keeper_ip));
 }
 
 void fleet::kill_store() {
@@ -114,8 +122,12 @@
 }
 
 bool fleet::says_ready() {
+    return this->says_ready(gateway_ip);
+}
+
+bool fleet::says_ready(const std::string& ip) {
     http::request wanted;
-    wanted.url = "http://" + std::string(gateway_ip) + ":" + this->link_port + "/kingcupcart/ready";
+    wanted.url = "http://" + ip + ":" + this->link_port + "/kingcupcart/ready";
     return this->on.call(wanted)->head.status == 200;
 }
 
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -33,6 +33,11 @@
     /// Sends the configuration and waits until the gateway serves it with both replicas.
     bool is_ready();
     bool says_ready();
+    /// The same of another gateway.
+    bool says_ready(const std::string& ip);
+    /// Settings of a gateway at that address that finds the fleet by the keeper at `seed_ip`.
+    [[nodiscard]] std::string gateway_settings(const std::string& id, const std::string& ip,
+                                               const std::string& seed_ip) const;
     [[nodiscard]] std::string callers() const;
     child_process& gateway() { return *this->gateway_process; }
     child_process& store() { return *this->store_process; }
@@ -52,8 +57,9 @@
 
 private:
     [[nodiscard]] std::string settings_of(const std::string& id, const std::string& role,
-                                          const std::string& rest) const;
-    [[nodiscard]] std::string fleet_lines() const;
+                                          const std::string& rest,
+                                          const std::string& seed_ip) const;
+    [[nodiscard]] std::string fleet_lines(const std::string& seed_ip) const;
     void beat();
 
     deployment& on;
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 
 using namespace kingcupcart;
 using namespace kingcupcart::process_tests;
@@ -103,6 +104,23 @@
         }
     }
 
+    GIVEN("a gateway whose settings name a keeper that is gone") {
+        constexpr const char* ip = "127.0.0.6";
+        constexpr const char* nowhere = "127.0.0.7";
+        child_process& other =
+            salon.add_process("other", platform.gateway_settings("other", ip, nowhere));
+        salon.wait(std::chrono::milliseconds(500));
+        CHECK_FALSE(platform.says_ready(ip));
+        WHEN("its file names another and a reload is asked for") {
+            std::ofstream(salon.path_of("other.ini"))
+                << platform.gateway_settings("other", ip, "127.0.0.2");
+            other.signal(SIGHUP);
+            THEN("it finds the fleet") {
+                CHECK(salon.run_until([&] { return platform.says_ready(ip); }));
+            }
+        }
+    }
+
     GIVEN("a gateway that is asked to stop") {
         platform.gateway().signal(SIGTERM);
         THEN("it says that it is not ready, goes on serving for its grace, and exits cleanly") {
