--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 #include <variant>
 
@@ -153,6 +154,14 @@
     g_source_unref(source);
 }
 
+/// Ends the process where nobody reads its log any more.
+int end_with(int code) {
+    if (!telemetry::close_log()) {
+        std::_Exit(code);
+    }
+    return code;
+}
+
 int run(const settings::process_settings& settings, const std::string& path) {
     telemetry::set_up_log(settings.format, settings.log_stream, settings.log_level,
                           settings.instance.value());
@@ -160,8 +169,7 @@
         value_or_error([&] { return daemon::daemon::start(settings, platform::make_ports()); });
     if (const auto* problem = std::get_if<error>(&started)) {
         spdlog::critical("cannot start: {}", problem->message);
-        telemetry::close_log();
-        return exit_failed;
+        return end_with(exit_failed);
     }
     const auto& instance = std::get<std::unique_ptr<daemon::daemon>>(started);
     task::event_loop loop;
@@ -171,9 +179,8 @@
         stop_sequence stop(*instance, settings.stop_grace, settings.stop_limit, loop);
         stop.watch(SIGTERM, loop.context());
         stop.watch(SIGINT, loop.context());
-        daemon::settings_watch watch(path, [&](const settings::process_settings& changed) {
-            instance->apply(changed);
-        });
+        daemon::settings_watch watch(
+            path, [&](const settings::process_settings& changed) { instance->apply(changed); });
         watch_reload(watch, loop.context());
         std::puts(instance->ready_line().c_str());
         std::fflush(stdout);
@@ -183,8 +190,7 @@
     }
     loop.leave();
     spdlog::info("stopped");
-    telemetry::close_log();
-    return code;
+    return end_with(code);
 }
 
 } // namespace
--- a/packages/telemetry/internal/log.cpp
+++ b/packages/telemetry/internal/log.cpp
@@ -7,7 +7,9 @@
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
+#include <thread>
 
 namespace kingcupcart::telemetry {
 
@@ -16,6 +18,10 @@
 /// Lines that wait for a slow reader of the log: seconds of a busy store, under half a megabyte.
 constexpr std::size_t queued_lines = 1024;
 
+/// How long the end of a process waits for the reader of its log, and how often it looks.
+constexpr std::chrono::milliseconds close_limit{500};
+constexpr std::chrono::milliseconds close_look_again{5};
+
 std::atomic<std::uint64_t>& left_out() {
     static std::atomic<std::uint64_t> count = 0;
     return count;
@@ -44,8 +50,17 @@
     spdlog::set_default_logger(std::move(logger));
 }
 
-void close_log() {
+bool close_log() {
+    const auto pool = spdlog::thread_pool();
+    const auto limit = std::chrono::steady_clock::now() + close_limit;
+    while (pool != nullptr && pool->queue_size() > 0) {
+        if (std::chrono::steady_clock::now() > limit) {
+            return false;
+        }
+        std::this_thread::sleep_for(close_look_again);
+    }
     spdlog::shutdown();
+    return true;
 }
 
 std::uint64_t left_out_lines() {
--- a/packages/telemetry/log.h
+++ b/packages/telemetry/log.h
@@ -18,8 +18,9 @@
 void set_up_log(log_format format, log_stream stream, const std::string& level,
                 const std::string& instance);
 
-/// Writes what is queued, and ends the thread. Nothing is logged afterwards.
-void close_log();
+/// Writes what is queued, and ends the thread; nothing is logged afterwards. False where the reader
+/// takes nothing any more: the thread hangs then, and the process has to end without it.
+[[nodiscard]] bool close_log();
 
 /// Lines that were dropped or left out since the start.
 [[nodiscard]] std::uint64_t left_out_lines();
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
+#include <iterator>
 #include <utility>
 
 namespace kingcupcart::stand_ins {
@@ -16,6 +17,8 @@
 constexpr int status_conflict = 409;
 constexpr int status_misdirected = 421;
 constexpr std::int64_t body_limit = 1 << 20;
+/// Heartbeats whose end is waited for; older ones are given up.
+constexpr std::ptrdiff_t beats_kept = 40;
 constexpr std::uint64_t born = 1700000000000;
 
 } // namespace
@@ -58,6 +61,9 @@
                  this->own.id + "/heartbeat";
     wanted.content_type = "application/json";
     wanted.body = body.dump();
+    if (std::ssize(this->calls) > beats_kept) {
+        this->calls.erase(this->calls.begin(), this->calls.begin() + beats_kept / 2);
+    }
     this->calls.push_back(this->client.start(
         wanted, {[] {}, [](const auto&) {}, [](auto) {}, [](auto, const auto&) {}}));
 }
@@ -104,6 +110,7 @@
     const int after = std::atoi(exchange->header("Last-Event-Id").c_str());
     if (after < this->own.events) {
         exchange->add_header("X-Weight-Versions", std::to_string(this->weights));
+        this->item_versions[name].insert(this->weights);
     }
     exchange->begin_stream(status_ok, "text/event-stream");
     const bool is_broken = this->broken_answers > 0 && this->broken_answers-- > 0;
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -9,7 +9,9 @@
 #include "task/wakeup.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,7 +39,19 @@
 
     /// Sends one heartbeat.
     void beat(const std::string& state = "ready");
+    /// The same, at another keeper.
+    void beat_at(const endpoint& keeper) {
+        this->own.keeper = keeper;
+        this->beat();
+    }
+    [[nodiscard]] const endpoint& address() const { return this->server->address(); }
+    /// Heartbeats name this address from now on: a proxy's, say.
+    void advertise(const endpoint& address) { this->own.address = address; }
     [[nodiscard]] std::uint64_t version() const { return this->weights; }
+    /// Weights under which runs of the item began here.
+    [[nodiscard]] const std::set<std::uint64_t>& versions_of(const std::string& item) {
+        return this->item_versions[item];
+    }
     /// Identifiers of the requests that ran here, in order.
     [[nodiscard]] const std::vector<std::string>& ran() const { return this->requests; }
     /// The next answers break off after so many events.
@@ -72,6 +86,7 @@
     int broken_events = 0;
     int broken_answers = 0;
     std::vector<std::string> requests;
+    std::map<std::string, std::set<std::uint64_t>> item_versions;
     std::vector<open_stream> streams;
     task::wakeup writing;
     http::client client;
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-child_process::child_process(const std::vector<std::string>& command) {
+child_process::child_process(const std::vector<std::string>& command, const std::string& log) {
     std::array<int, 2> ends{};
     if (pipe2(ends.data(), O_CLOEXEC) != 0) {
         throw std::runtime_error("no pipe");
@@ -29,6 +29,11 @@
     posix_spawn_file_actions_t actions{};
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (!log.empty()) {
+        constexpr mode_t readable = 0644;
+        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, readable);
+    }
     std::vector<char*> words;
     for (const std::string& word : command) {
         words.push_back(const_cast<char*>(word.c_str()));
@@ -83,10 +88,25 @@
 }
 
 int child_process::wait() {
+    if (!this->ended) {
+        int status = 0;
+        waitpid(this->pid, &status, 0);
+        this->keep_end(status);
+    }
+    return this->exit_code;
+}
+
+bool child_process::has_ended() {
     int status = 0;
-    waitpid(this->pid, &status, 0);
+    if (!this->ended && waitpid(this->pid, &status, WNOHANG) == this->pid) {
+        this->keep_end(status);
+    }
+    return this->ended;
+}
+
+void child_process::keep_end(int status) {
     this->ended = true;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    this->exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
 void child_process::read_available(bool until_line) {
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -39,7 +39,9 @@
     this->processes.clear();
     this->client.reset();
     this->loop.leave();
-    std::filesystem::remove_all(this->folder);
+    if (!this->is_kept) {
+        std::filesystem::remove_all(this->folder);
+    }
 }
 
 std::string deployment::write_settings(const std::string& name, const std::string& text) {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -57,6 +57,9 @@
     /// A path in the deployment's own folder.
     [[nodiscard]] std::string path_of(const std::string& name) const;
 
+    /// The folder stays when this object goes, with the logs in it.
+    void keep_folder() { this->is_kept = true; }
+
     std::unique_ptr<caller> begin(const http::request& wanted);
     /// Makes a call and waits for its end.
     std::unique_ptr<caller> call(const http::request& wanted);
@@ -76,6 +79,7 @@
 
     task::event_loop loop;
     std::string folder;
+    bool is_kept = false;
     std::unique_ptr<http::client> client;
     std::vector<std::string> keeper_addresses;
     std::string entry_address;
