--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -62,9 +62,12 @@
     if (at.pace == duration::zero()) {
         at.pace = per_event;
         at.pace_begun = now;
+        at.paces = 1;
     } else {
         const double since = seconds(now - at.pace_seen) / seconds(pace_window);
-        const double weight = std::min(pace_weight_max, 1 - std::exp(-since));
+        // The plain average at first: a late first event does not outweigh the next ones.
+        const double weight =
+            std::max(1.0 / ++at.paces, std::min(pace_weight_max, 1 - std::exp(-since)));
         const double mixed = seconds(at.pace) * (1 - weight) + seconds(per_event) * weight;
         at.pace = std::chrono::duration_cast<duration>(std::chrono::duration<double>(mixed));
     }
--- a/packages/batch/internal/engine_state.h
+++ b/packages/batch/internal/engine_state.h
@@ -18,6 +18,8 @@
     tokens reserved;
     /// Moving average of the time between two events; zero while unknown.
     duration pace{};
+    /// Observations in it.
+    int paces = 0;
     time_point pace_begun{};
     time_point pace_seen{};
     /// Nothing new before this.
--- a/packages/batch/internal/job_book.cpp
+++ b/packages/batch/internal/job_book.cpp
@@ -42,7 +42,7 @@
         if (earlier != nullptr && fits(*earlier, record.content)) {
             const item_result copy = *earlier;
             list(record, copy);
-            this->completed_in.insert_or_assign(item.id, record.content.id);
+            this->remember_completed(copy, record);
         }
     }
 }
@@ -74,9 +74,7 @@
         }
         list(record, result);
         is_new = true;
-        if (result.is_completed) {
-            this->completed_in.insert_or_assign(result.item, listed.job);
-        }
+        this->remember_completed(result, record);
     }
     return is_new ? command_result::done : command_result::repeated;
 }
@@ -108,41 +106,76 @@
             ++item;
             continue;
         }
-        for (const item_result& result : record.results) {
-            const auto in = this->completed_in.find(result.item);
-            if (in != this->completed_in.end() && in->second == item->first) {
-                this->completed_in.erase(in);
+        const job_record gone = std::move(item->second);
+        item = this->records.erase(item);
+        this->forget(gone);
+    }
+}
+
+void job_book::forget(const job_record& record) {
+    for (const item_result& result : record.results) {
+        const auto in = this->completed_in.find(result.item);
+        if (in == this->completed_in.end() || in->second != record.content.id) {
+            continue;
+        }
+        this->completed_in.erase(in);
+        for (const auto& [id, other] : this->records) {
+            const auto position = other.positions.find(result.item);
+            if (position != other.positions.end()) {
+                this->remember_completed(other.results.at(position->second), other);
             }
         }
-        item = this->records.erase(item);
     }
 }
 
-job_book::content job_book::save() const {
-    content saved;
-    for (const auto& [id, record] : this->records) {
-        saved.push_back({record.content, record.keep_until, record.is_ended, record.results});
+void job_book::remember_completed(const item_result& result, const job_record& record) {
+    if (!result.is_completed) {
+        return;
+    }
+    const auto newest = [](const item_result& one) {
+        return one.versions.empty() ? weight_version() : one.versions.back();
+    };
+    const item_result* known = this->find_completed(result.item);
+    const job_id& id = record.content.id;
+    const bool is_better =
+        known == nullptr || newest(result) > newest(*known) ||
+        (newest(result) == newest(*known) && id > this->completed_in.at(result.item));
+    if (is_better) {
+        this->completed_in.insert_or_assign(result.item, id);
     }
-    return saved;
 }
 
-void job_book::load(const content& saved) {
-    *this = job_book();
-    for (const saved_job& one : saved) {
-        job_record record;
-        record.content = one.content;
-        record.keep_until = one.keep_until;
-        record.is_ended = one.is_ended;
+saved_job job_book::save(const job_record& record, std::size_t first, std::size_t bytes) {
+    saved_job part;
+    part.is_continued = first > 0;
+    if (part.is_continued) {
+        part.content.id = record.content.id;
+    } else {
+        part.content = record.content;
+    }
+    part.keep_until = record.keep_until;
+    part.is_ended = record.is_ended;
+    std::size_t size = 0;
+    for (std::size_t i = first; i < record.results.size() && (i == first || size < bytes); ++i) {
+        size += record.results[i].text.size();
+        part.results.push_back(record.results[i]);
+    }
+    return part;
+}
+
+void job_book::load(const saved_job& saved) {
+    job_record& record = this->records[saved.content.id];
+    if (!saved.is_continued) {
+        record.content = saved.content;
+        record.keep_until = saved.keep_until;
+        record.is_ended = saved.is_ended;
         for (std::size_t i = 0; i < record.content.items.size(); ++i) {
             record.item_indices.emplace(record.content.items[i].id, i);
         }
-        for (const item_result& result : one.results) {
-            list(record, result);
-            if (result.is_completed) {
-                this->completed_in.insert_or_assign(result.item, one.content.id);
-            }
-        }
-        this->records.emplace(one.content.id, std::move(record));
+    }
+    for (const item_result& result : saved.results) {
+        list(record, result);
+        this->remember_completed(result, record);
     }
 }
 
--- a/packages/batch/job_book.h
+++ b/packages/batch/job_book.h
@@ -5,10 +5,11 @@
 #include "batch/command_result.h"
 #include "batch/commands.h"
 #include "batch/job_record.h"
+#include "batch/saved_job.h"
 
+#include <cstddef>
 #include <map>
 #include <unordered_map>
-#include <vector>
 
 namespace kingcupcart::batch {
 
@@ -19,23 +20,17 @@
     using command = batch::command;
     using result = command_result;
 
-    /// A job as a snapshot holds it.
-    struct saved_job {
-        job content;
-        wall_time keep_until{};
-        bool is_ended = false;
-        std::vector<item_result> results;
-    };
-    using content = std::vector<saved_job>;
-
     result apply(const command& agreed);
 
     /// Null where no such job is known.
     [[nodiscard]] const job_record* find(const job_id& job) const;
     [[nodiscard]] const std::map<job_id, job_record>& jobs() const { return this->records; }
 
-    [[nodiscard]] content save() const;
-    void load(const content& saved);
+    /// The job with results from `first` on, as far as `bytes` of text go, but one at least.
+    [[nodiscard]] static saved_job save(const job_record& record, std::size_t first,
+                                        std::size_t bytes);
+    /// Adds what a snapshot holds of one job; its parts come in order.
+    void load(const saved_job& saved);
 
     /// A job that nobody ends is forgotten this long after its retention.
     static constexpr std::chrono::hours abandoned_after{1};
@@ -50,9 +45,13 @@
     void reuse_results(job_record& record);
     [[nodiscard]] const item_result* find_completed(const item_id& item) const;
     void forget_before(wall_time now);
+    void forget(const job_record& record);
+    /// A result that may be listed for later jobs too. Which of several is kept does not depend on
+    /// their order, since a book that was loaded must go on like the one that was saved.
+    void remember_completed(const item_result& result, const job_record& record);
 
     std::map<job_id, job_record> records;
-    /// The jobs that listed an item as completed, the latest one.
+    /// The job that listed an item as completed with the newest weights.
     std::unordered_map<item_id, job_id> completed_in;
 };
 
--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -127,18 +128,21 @@
     outcome<void> open_log() {
         BOOST_LEAF_ASSIGN(
             this->log,
-            replicated_log::open(this->own.log,
-                                 {[this](const instance_id& to, const quorum::message& said) {
-                                      this->links.send(to, wire::quorum_said{said});
-                                  },
-                                  [this](const std::string& bytes) { this->apply(bytes); },
-                                  [this](const std::string& saved) { this->restore(saved); },
-                                  [this](bool is_leader) {
-                                      spdlog::info("leadership leader={} term={}", is_leader,
-                                                   this->log->state().term().value());
-                                      this->tell.leadership_changed(is_leader);
-                                  },
-                                  [this] { return Codec::save(this->content); }}));
+            replicated_log::open(
+                this->own.log,
+                {[this](const instance_id& to, const quorum::message& said) {
+                     this->links.send(to, wire::quorum_said{said});
+                 },
+                 [this](const std::string& bytes) { this->apply(bytes); },
+                 [this] { this->content = machine(); },
+                 [this](std::string_view piece) { return Codec::load(this->content, piece); },
+                 [this] { this->tell.restored(); },
+                 [this](bool is_leader) {
+                     spdlog::info("leadership leader={} term={}", is_leader,
+                                  this->log->state().term().value());
+                     this->tell.leadership_changed(is_leader);
+                 },
+                 [this] { return Codec::save(this->content); }}));
         return {};
     }
 
@@ -162,15 +166,6 @@
         }
     }
 
-    void restore(const std::string& saved) {
-        const auto loaded = value_or_error([&] { return Codec::load(this->content, saved); });
-        if (const auto* problem = std::get_if<error>(&loaded)) {
-            spdlog::critical("snapshot can't be read: {}", problem->message);
-            return;
-        }
-        this->tell.restored();
-    }
-
     void end_overdue() {
         const time_point now = this->own.log.time->now();
         for (auto item = this->waiting.begin();
--- a/packages/group/group_codec.h
+++ b/packages/group/group_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/outcome.h"
+#include "group/state_source.h"
 #include "replicated/commands.h"
 
 #include <concepts>
@@ -11,7 +12,8 @@
 
 /// What a group agrees on, and how its commands and its state are written.
 ///
-/// `machine` is the replicated state; `logged` is a command with its `origin`.
+/// `machine` is the replicated state; `logged` is a command with its `origin`. A state is saved in
+/// pieces, and loaded into a fresh machine piece by piece.
 template <typename Candidate>
 concept group_codec = requires(typename Candidate::machine machine,
                                const typename Candidate::logged& logged, std::string_view bytes) {
@@ -19,7 +21,7 @@
     { logged.origin } -> std::convertible_to<replicated::command_origin>;
     { Candidate::encode(logged) } -> std::same_as<std::string>;
     { Candidate::decode(bytes) } -> std::same_as<outcome<typename Candidate::logged>>;
-    { Candidate::save(machine) } -> std::same_as<std::string>;
+    { Candidate::save(machine) } -> std::same_as<state_source>;
     { Candidate::load(machine, bytes) } -> std::same_as<outcome<void>>;
 };
 
--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -15,27 +15,21 @@
 
 namespace {
 
-/// A snapshot is made once the log has this many entries, and its journal has outgrown twice the
-/// last snapshot by so many bytes: rewriting a large state often would stall the group.
-constexpr std::size_t snapshot_entries = 1000;
-constexpr std::size_t snapshot_growth_bytes = 32UL * 1024 * 1024;
+/// A snapshot is made once the journal has outgrown the last one by so much, or by half of it where
+/// that is more: the log since then is held in memory, and rewriting a large state often would
+/// stall the group.
+constexpr std::size_t snapshot_growth_bytes = 16UL * 1024 * 1024;
 /// The disk of every founder that is told only the founders' names.
 constexpr std::uint64_t founding_disk = 1;
 
-void take(quorum::stored_state& stored, const wire::journal_record& record) {
-    if (const auto* vote = std::get_if<quorum::keep_vote>(&record)) {
-        stored.term = vote->term;
-        stored.voted_for = vote->voted_for;
-    } else if (const auto* kept = std::get_if<quorum::keep_entries>(&record)) {
-        stored.entries.resize(kept->first.value() - stored.snapshot_index.value() - 1);
-        stored.entries.insert(stored.entries.end(), kept->entries.begin(), kept->entries.end());
-    } else if (const auto* snapshot = std::get_if<quorum::keep_snapshot>(&record)) {
-        stored.snapshot_index = snapshot->index;
-        stored.snapshot_term = snapshot->index_term;
-        stored.snapshot_voters = snapshot->voters;
-        stored.snapshot_data = snapshot->data;
-        stored.entries.clear();
-    }
+state_source each_of(quorum::snapshot_pieces pieces) {
+    return [pieces = std::move(pieces), next = std::size_t{0}](std::string& piece) mutable {
+        if (next == pieces->size()) {
+            return false;
+        }
+        piece = pieces->at(next++);
+        return true;
+    };
 }
 
 } // namespace
@@ -57,26 +51,22 @@
 
 outcome<void> replicated_log::load() {
     BOOST_LEAF_AUTO(storage, journal::disk_storage::open(this->own.folder));
-    BOOST_LEAF_AUTO(opened, journal::journal_file::open(std::move(storage)));
+    BOOST_LEAF_AUTO(
+        opened, journal::journal_file::open(std::move(storage), [this](std::string_view record) {
+            return this->take(record);
+        }));
     this->file = std::move(opened.file);
-    if (opened.torn_bytes > 0) {
-        spdlog::warn("journal: cut off a torn tail of {} bytes", opened.torn_bytes);
+    if (opened.has_torn_tail) {
+        spdlog::warn("journal: cut off a torn tail");
     }
-    for (const std::string& bytes : opened.records) {
-        BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
-        if (const auto* named = std::get_if<wire::disk_named>(&record)) {
-            this->disk = named->disk;
-        }
-        take(this->stored, record);
-    }
-    this->found_empty = opened.records.empty();
+    this->found_empty = opened.was_empty;
     if (this->found_empty) {
         BOOST_LEAF_CHECK(this->name_disk());
         BOOST_LEAF_CHECK(this->file->sync());
     }
     this->vote = quorum::keep_vote{this->stored.term, this->stored.voted_for};
-    if (!this->stored.snapshot_data.empty()) {
-        this->tell.restore(this->stored.snapshot_data);
+    if (this->stored.snapshot_index > quorum::log_index(0)) {
+        this->tell.restored();
     }
     const time_point now = this->own.time->now();
     quorum::replica_limits limits;
@@ -91,6 +81,31 @@
     return {};
 }
 
+outcome<void> replicated_log::take(std::string_view bytes) {
+    BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
+    if (const auto* named = std::get_if<wire::disk_named>(&record)) {
+        this->disk = named->disk;
+    } else if (const auto* vote = std::get_if<quorum::keep_vote>(&record)) {
+        this->stored.term = vote->term;
+        this->stored.voted_for = vote->voted_for;
+    } else if (const auto* kept = std::get_if<quorum::keep_entries>(&record)) {
+        auto& entries = this->stored.entries;
+        entries.resize(kept->first.value() - this->stored.snapshot_index.value() - 1);
+        entries.insert(entries.end(), kept->entries.begin(), kept->entries.end());
+    } else if (const auto* snapshot = std::get_if<wire::snapshot_begun>(&record)) {
+        this->stored.snapshot_index = snapshot->index;
+        this->stored.snapshot_term = snapshot->index_term;
+        this->stored.snapshot_voters = snapshot->voters;
+        this->stored.entries.clear();
+        this->tell.clear_state();
+    } else {
+        const auto& piece = std::get<wire::snapshot_piece>(record);
+        this->snapshot_bytes += piece.data.size();
+        BOOST_LEAF_CHECK(this->tell.load_piece(piece.data));
+    }
+    return {};
+}
+
 outcome<void> replicated_log::name_disk() {
     const auto& founders = this->own.founders;
     if (std::find(founders.begin(), founders.end(), this->own.self) != founders.end()) {
@@ -101,7 +116,7 @@
     }
     BOOST_LEAF_CHECK(this->file->append(wire::encode_record(wire::disk_named{this->disk})));
     if (!founders.empty()) {
-        quorum::keep_snapshot founding;
+        wire::snapshot_begun founding;
         for (const instance_id& founder : founders) {
             founding.voters.voters.push_back({founder, quorum::disk_id(founding_disk)});
         }
@@ -188,10 +203,42 @@
 
 outcome<void> replicated_log::keep_snapshot(const quorum::keep_snapshot& snapshot,
                                             const quorum::keep_entries& entries) {
-    this->snapshot_bytes = snapshot.data.size();
-    return this->file->rewrite({wire::encode_record(wire::disk_named{this->disk}),
-                                wire::encode_record(this->vote), wire::encode_record(snapshot),
-                                wire::encode_record(entries)});
+    const state_source state =
+        snapshot.data != nullptr ? each_of(snapshot.data) : this->tell.save();
+    std::size_t head = 0;
+    bool has_entries = false;
+    BOOST_LEAF_CHECK(this->file->rewrite([&](std::string& record) {
+        std::string piece;
+        if (head == 0) {
+            record = wire::encode_record(wire::disk_named{this->disk});
+        } else if (head == 1) {
+            record = wire::encode_record(this->vote);
+        } else if (head == 2) {
+            record = wire::encode_record(
+                wire::snapshot_begun{snapshot.index, snapshot.index_term, snapshot.voters});
+        } else if (state(piece)) {
+            record = wire::encode_record(wire::snapshot_piece{std::move(piece)});
+        } else if (!has_entries) {
+            has_entries = true;
+            record = wire::encode_record(entries);
+        } else {
+            return false;
+        }
+        ++head;
+        return true;
+    }));
+    this->snapshot_bytes = this->file->size();
+    spdlog::info("snapshot kept index={} bytes={}", snapshot.index.value(), this->snapshot_bytes);
+    return {};
+}
+
+outcome<void> replicated_log::restore(const quorum::restore_state& wanted) {
+    this->tell.clear_state();
+    for (const std::string& piece : *wanted.data) {
+        BOOST_LEAF_CHECK(this->tell.load_piece(piece));
+    }
+    this->tell.restored();
+    return {};
 }
 
 void replicated_log::flush() {
@@ -214,21 +261,44 @@
         } else if (const auto* agreed = std::get_if<quorum::apply_command>(&one)) {
             this->tell.apply(agreed->command);
         } else if (const auto* restored = std::get_if<quorum::restore_state>(&one)) {
-            this->tell.restore(restored->data);
+            const auto loaded = value_or_error([&] { return this->restore(*restored); });
+            if (const auto* problem = std::get_if<error>(&loaded)) {
+                this->give_up("snapshot can't be read: " + problem->message);
+                return;
+            }
         } else if (const auto* changed = std::get_if<quorum::leadership_changed>(&one)) {
             this->tell.leadership_changed(changed->is_leader);
+        } else if (std::holds_alternative<quorum::snapshot_wanted>(one)) {
+            this->has_wanted_snapshot = true;
         }
     }
-    this->compact_if_long();
+    this->compact_if_large();
+    this->supply_snapshot();
 }
 
-void replicated_log::compact_if_long() {
+void replicated_log::compact_if_large() {
+    const std::size_t growth = std::max(snapshot_growth_bytes, this->snapshot_bytes / 2);
     // Whatever is committed must have been applied, or the snapshot would miss it.
-    const bool is_long = this->replica->log_size() > snapshot_entries;
-    const bool is_large = this->file->size() > 2 * this->snapshot_bytes + snapshot_growth_bytes;
-    if (is_long && is_large && this->deferred.empty()) {
-        this->carry_out(this->replica->compact(this->replica->committed(), this->tell.save()));
+    if (this->file->size() > this->snapshot_bytes + growth && this->deferred.empty()) {
+        this->carry_out(this->replica->compact(this->replica->committed()));
+    }
+}
+
+void replicated_log::supply_snapshot() {
+    if (!this->has_wanted_snapshot || !this->deferred.empty()) {
+        return;
+    }
+    this->has_wanted_snapshot = false;
+    this->carry_out(this->replica->compact(this->replica->committed()));
+    if (this->broken) {
+        return;
+    }
+    auto pieces = std::make_shared<std::vector<std::string>>();
+    const state_source state = this->tell.save();
+    for (std::string piece; state(piece);) {
+        pieces->push_back(std::move(piece));
     }
+    this->carry_out(this->replica->supply_snapshot(std::move(pieces), this->own.time->now()));
 }
 
 void replicated_log::give_up(const std::string& reason) {
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/outcome.h"
+#include "group/state_source.h"
 #include "journal/journal_file.h"
 #include "quorum/actions.h"
 #include "quorum/messages.h"
@@ -14,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace kingcupcart::group {
@@ -39,10 +41,13 @@
     struct callbacks {
         std::function<void(const instance_id& to, const quorum::message& said)> send;
         std::function<void(const std::string& command)> apply;
-        std::function<void(const std::string& state)> restore;
+        /// A saved state follows, piece by piece; then it is whole.
+        std::function<void()> clear_state;
+        std::function<outcome<void>(std::string_view piece)> load_piece;
+        std::function<void()> restored;
         std::function<void(bool is_leader)> leadership_changed;
-        /// The state to keep as a snapshot.
-        std::function<std::string()> save;
+        /// The state as it is applied.
+        std::function<state_source()> save;
     };
 
     /// Fails where the data folder can't be used or its journal is damaged.
@@ -78,7 +83,10 @@
                                               const quorum::keep_entries& entries);
     void pass_time();
     void flush();
-    void compact_if_long();
+    void compact_if_large();
+    [[nodiscard]] outcome<void> take(std::string_view record);
+    [[nodiscard]] outcome<void> restore(const quorum::restore_state& wanted);
+    void supply_snapshot();
     void arm();
     void give_up(const std::string& reason);
 
@@ -90,8 +98,9 @@
     quorum::keep_vote vote;
     quorum::stored_state stored;
     bool found_empty = false;
-    /// Size of the newest snapshot, in bytes.
+    /// Size of the journal right after the newest snapshot, in bytes.
     std::size_t snapshot_bytes = 0;
+    bool has_wanted_snapshot = false;
     bool is_dirty = false;
     bool broken = false;
     std::uint64_t syncs = 0;
--- a/packages/journal/disk_storage.h
+++ b/packages/journal/disk_storage.h
@@ -15,10 +15,11 @@
     disk_storage(const disk_storage&) = delete;
     disk_storage& operator=(const disk_storage&) = delete;
 
-    outcome<std::string> read() override;
+    outcome<std::string> read(std::size_t position, std::size_t size) override;
     outcome<void> append(std::string_view bytes) override;
     outcome<void> sync() override;
-    outcome<void> replace(std::string_view bytes) override;
+    outcome<void> replace(const source& next) override;
+    outcome<void> truncate(std::size_t size) override;
 
 private:
     disk_storage(std::string folder, int lock);
--- a/packages/journal/internal/disk_storage.cpp
+++ b/packages/journal/internal/disk_storage.cpp
@@ -8,8 +8,6 @@
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <system_error>
 
 namespace kingcupcart::journal {
@@ -67,17 +65,33 @@
     ::close(this->lock);
 }
 
-outcome<std::string> disk_storage::read() {
-    if (!std::filesystem::exists(this->path())) {
+outcome<std::string> disk_storage::read(std::size_t position, std::size_t size) {
+    const int opened = ::open(this->path().c_str(), O_RDONLY | O_CLOEXEC);
+    if (opened < 0 && errno == ENOENT) {
         return std::string();
     }
-    std::ifstream stream(this->path(), std::ios::binary);
-    std::ostringstream content;
-    content << stream.rdbuf();
-    if (!stream) {
+    if (opened < 0) {
+        return refuse(this->path(), "open");
+    }
+    std::string bytes(size, '\0');
+    std::size_t got = 0;
+    ssize_t part = 1;
+    while (got < size && part > 0) {
+        part = pread(opened, bytes.data() + got, size - got, static_cast<off_t>(position + got));
+        if (part < 0 && errno == EINTR) {
+            part = 1;
+            continue;
+        }
+        got += part > 0 ? static_cast<std::size_t>(part) : 0;
+    }
+    const int problem = errno;
+    ::close(opened);
+    if (part < 0) {
+        errno = problem;
         return refuse(this->path(), "read");
     }
-    return content.str();
+    bytes.resize(got);
+    return bytes;
 }
 
 outcome<void> disk_storage::open_file() {
@@ -107,13 +121,17 @@
     return {};
 }
 
-outcome<void> disk_storage::replace(std::string_view bytes) {
+outcome<void> disk_storage::replace(const source& next) {
     const std::string fresh = this->path() + ".new";
     const int made = ::open(fresh.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, file_mode);
     if (made < 0) {
         return refuse(fresh, "open");
     }
-    const bool is_kept = write_whole(made, bytes) && fsync(made) == 0;
+    bool is_kept = true;
+    for (std::string part; is_kept && next(part);) {
+        is_kept = write_whole(made, part);
+    }
+    is_kept = is_kept && fsync(made) == 0;
     ::close(made);
     if (!is_kept) {
         return refuse(fresh, "write");
@@ -128,6 +146,14 @@
     return this->sync_folder();
 }
 
+outcome<void> disk_storage::truncate(std::size_t size) {
+    BOOST_LEAF_CHECK(this->open_file());
+    if (ftruncate(this->file, static_cast<off_t>(size)) != 0) {
+        return refuse(this->path(), "cut");
+    }
+    return this->sync();
+}
+
 outcome<void> disk_storage::sync_folder() const {
     const int opened = ::open(this->folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     const bool is_synced = opened >= 0 && fsync(opened) == 0;
--- a/packages/journal/internal/journal_file.cpp
+++ b/packages/journal/internal/journal_file.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Format version; the first record of each journal.
-const std::string format_record = "kingcupcart journal 1";
+const std::string format_record = "kingcupcart journal 2";
 
 /// Length, checksum of the length, checksum of the content; little-endian on every machine that the
 /// project runs on.
@@ -39,8 +39,8 @@
     return bytes + record;
 }
 
-/// The whole, undamaged record at the position.
-std::optional<std::string> record_at(std::string_view bytes, std::size_t position) {
+/// The whole, undamaged record at the position; it points into `bytes`.
+std::optional<std::string_view> record_at(std::string_view bytes, std::size_t position) {
     if (bytes.size() - position < sizeof(frame_head)) {
         return std::nullopt;
     }
@@ -54,54 +54,96 @@
     if (stable_hash(content) != head.content_check) {
         return std::nullopt;
     }
-    return std::string(content);
+    return content;
 }
 
-/// Whether a whole record begins anywhere after the position: what stands before it was synced.
-bool has_record_after(std::string_view bytes, std::size_t position) {
-    for (std::size_t at = position + 1; at < bytes.size(); ++at) {
-        if (record_at(bytes, at)) {
-            return true;
+/// Reads a file's records in order, a window at a time.
+class record_reader {
+public:
+    explicit record_reader(storage& on) : on(on) {}
+
+    /// The next whole record; nothing at the end, or where no whole record follows.
+    outcome<std::optional<std::string_view>> next() {
+        auto record = record_at(this->window, this->at);
+        while (!record && !this->is_at_end) {
+            BOOST_LEAF_CHECK(this->read_more());
+            record = record_at(this->window, this->at);
         }
+        if (record) {
+            this->at += sizeof(frame_head) + record->size();
+        }
+        return record;
     }
-    return false;
-}
+
+    /// Where the next record begins.
+    [[nodiscard]] std::size_t position() const { return this->begin + this->at; }
+    [[nodiscard]] bool has_rest() const { return this->at < this->window.size(); }
+
+    /// Whether a whole record begins anywhere further on: what stands before it was synced.
+    [[nodiscard]] bool has_record_further_on() const {
+        for (std::size_t further = this->at + 1; further < this->window.size(); ++further) {
+            if (record_at(this->window, further)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    static constexpr std::size_t part_size = 1UL << 20;
+
+    outcome<void> read_more() {
+        this->window.erase(0, this->at);
+        this->begin += this->at;
+        this->at = 0;
+        BOOST_LEAF_AUTO(part, this->on.read(this->begin + this->window.size(), part_size));
+        this->is_at_end = part.size() < part_size;
+        this->window += part;
+        return {};
+    }
+
+    storage& on;
+    std::string window;
+    std::size_t begin = 0;
+    std::size_t at = 0;
+    bool is_at_end = false;
+};
 
 } // namespace
 
-outcome<journal_file::opened> journal_file::open(std::unique_ptr<storage> on) {
-    BOOST_LEAF_AUTO(bytes, on->read());
-    opened found;
-    std::size_t position = 0;
-    while (position < bytes.size()) {
-        auto record = record_at(bytes, position);
+outcome<journal_file::opened> journal_file::open(std::unique_ptr<storage> on,
+                                                 const visitor& found) {
+    opened made;
+    record_reader reader(*on);
+    bool has_format = false;
+    while (true) {
+        BOOST_LEAF_AUTO(record, reader.next());
         if (!record) {
             break;
         }
-        position += sizeof(frame_head) + record->size();
-        found.records.push_back(std::move(*record));
+        if (has_format) {
+            made.was_empty = false;
+            BOOST_LEAF_CHECK(found(*record));
+        } else if (*record != format_record) {
+            return fail(error_code::invalid_input,
+                        "journal is of another format: '" + std::string(*record) + "'");
+        }
+        has_format = true;
     }
-    if (position < bytes.size() && has_record_after(bytes, position)) {
+    if (reader.has_rest() && reader.has_record_further_on()) {
         return fail(error_code::input_output,
-                    "journal is damaged at byte " + std::to_string(position) +
+                    "journal is damaged at byte " + std::to_string(reader.position()) +
                         ", before records that were synced; replace this disk as if it were empty");
     }
-    if (!found.records.empty() && found.records.front() != format_record) {
-        return fail(error_code::invalid_input,
-                    "journal is of another format: '" + found.records.front() + "'");
+    made.has_torn_tail = reader.has_rest();
+    made.file.reset(new journal_file(std::move(on)));
+    made.file->bytes = reader.position();
+    if (!has_format) {
+        BOOST_LEAF_CHECK(made.file->rewrite([](std::string&) { return false; }));
+    } else if (made.has_torn_tail) {
+        BOOST_LEAF_CHECK(made.file->on->truncate(reader.position()));
     }
-    found.torn_bytes = bytes.size() - position;
-    found.file.reset(new journal_file(std::move(on)));
-    if (found.records.empty() || found.torn_bytes > 0) {
-        std::vector<std::string> kept(found.records.begin() + (found.records.empty() ? 0 : 1),
-                                      found.records.end());
-        BOOST_LEAF_CHECK(found.file->rewrite(kept));
-        found.records = std::move(kept);
-    } else {
-        found.records.erase(found.records.begin());
-        found.file->bytes = bytes.size();
-    }
-    return found;
+    return made;
 }
 
 outcome<void> journal_file::append(const std::string& record) {
@@ -114,13 +156,21 @@
     return this->on->sync();
 }
 
-outcome<void> journal_file::rewrite(const std::vector<std::string>& records) {
-    std::string all = frame(format_record);
-    for (const std::string& record : records) {
-        all += frame(record);
-    }
-    this->bytes = all.size();
-    return this->on->replace(all);
+outcome<void> journal_file::rewrite(const storage::source& next) {
+    std::size_t written = 0;
+    bool is_begun = false;
+    BOOST_LEAF_CHECK(this->on->replace([&](std::string& part) {
+        std::string record = format_record;
+        if (is_begun && !next(record)) {
+            return false;
+        }
+        is_begun = true;
+        part = frame(record);
+        written += part.size();
+        return true;
+    }));
+    this->bytes = written;
+    return {};
 }
 
 } // namespace kingcupcart::journal
--- a/packages/journal/journal_file.h
+++ b/packages/journal/journal_file.h
@@ -4,9 +4,10 @@
 #include "journal/storage.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace kingcupcart::journal {
 
@@ -16,16 +17,20 @@
 public:
     /// What was found on opening.
     struct opened;
+    /// Takes a record that was found, in order; the text is borrowed for the call.
+    using visitor = std::function<outcome<void>(std::string_view record)>;
 
     /// A torn tail, that is an unsynced end of the file, is cut off. Anything else that is damaged
     /// is refused with `input_output`: a record in the middle must not be served, nor left out.
-    static outcome<opened> open(std::unique_ptr<storage> on);
+    ///
+    /// The records are read one by one: a journal may be larger than what memory has left.
+    static outcome<opened> open(std::unique_ptr<storage> on, const visitor& found);
 
     /// Written, and lasting after `sync`.
     [[nodiscard]] outcome<void> append(const std::string& record);
     [[nodiscard]] outcome<void> sync();
-    /// Replaces all records by these, at once.
-    [[nodiscard]] outcome<void> rewrite(const std::vector<std::string>& records);
+    /// Replaces all records by these, at once; they are taken one by one.
+    [[nodiscard]] outcome<void> rewrite(const storage::source& next);
     [[nodiscard]] std::size_t size() const { return this->bytes; }
 
 private:
@@ -37,9 +42,10 @@
 
 struct journal_file::opened {
     std::unique_ptr<journal_file> file;
-    std::vector<std::string> records;
-    /// Bytes of the torn tail.
-    std::size_t torn_bytes = 0;
+    /// The journal held no record.
+    bool was_empty = true;
+    /// An unsynced end of the file was cut off.
+    bool has_torn_tail = false;
 };
 
 } // namespace kingcupcart::journal
--- a/packages/journal/tests/journal_test.cpp
+++ b/packages/journal/tests/journal_test.cpp
@@ -22,7 +22,15 @@
 public:
     explicit fake_storage(disk& on) : on(on) {}
 
-    outcome<std::string> read() override { return this->on.written; }
+    outcome<std::string> read(std::size_t position, std::size_t size) override {
+        return position < this->on.written.size() ? this->on.written.substr(position, size)
+                                                  : std::string();
+    }
+    outcome<void> truncate(std::size_t size) override {
+        this->on.written.resize(size);
+        this->on.synced = this->on.written;
+        return {};
+    }
     outcome<void> append(std::string_view bytes) override {
         if (this->on.is_full) {
             return fail(error_code::input_output, "no space left on device");
@@ -34,12 +42,15 @@
         this->on.synced = this->on.written;
         return {};
     }
-    outcome<void> replace(std::string_view bytes) override {
+    outcome<void> replace(const source& next) override {
         if (this->on.is_full) {
             return fail(error_code::input_output, "no space left on device");
         }
-        this->on.written = bytes;
-        this->on.synced = bytes;
+        this->on.written.clear();
+        for (std::string part; next(part);) {
+            this->on.written += part;
+        }
+        this->on.synced = this->on.written;
         return {};
     }
 
@@ -47,14 +58,45 @@
     disk& on;
 };
 
-std::variant<journal_file::opened, error> open(disk& on) {
-    return value_or_error([&] { return journal_file::open(std::make_unique<fake_storage>(on)); });
+/// A journal with the records that were found in it.
+struct found_journal {
+    std::unique_ptr<journal_file> file;
+    std::vector<std::string> records;
+    bool has_torn_tail = false;
+};
+
+std::variant<found_journal, error> open(std::unique_ptr<storage> on) {
+    return value_or_error([&]() -> outcome<found_journal> {
+        found_journal made;
+        BOOST_LEAF_AUTO(opened, journal_file::open(std::move(on), [&](std::string_view record) {
+                            made.records.emplace_back(record);
+                            return outcome<void>();
+                        }));
+        made.file = std::move(opened.file);
+        made.has_torn_tail = opened.has_torn_tail;
+        return made;
+    });
+}
+
+std::variant<found_journal, error> open(disk& on) {
+    return open(std::make_unique<fake_storage>(on));
 }
 
-journal_file::opened open_well(disk& on) {
+found_journal open_well(disk& on) {
     auto found = open(on);
-    REQUIRE(std::holds_alternative<journal_file::opened>(found));
-    return std::move(std::get<journal_file::opened>(found));
+    REQUIRE(std::holds_alternative<found_journal>(found));
+    return std::move(std::get<found_journal>(found));
+}
+
+/// The records of a list, one by one.
+storage::source each_of(std::vector<std::string> records) {
+    return [records = std::move(records), next = std::size_t{0}](std::string& record) mutable {
+        if (next == records.size()) {
+            return false;
+        }
+        record = records[next++];
+        return true;
+    };
 }
 
 bool is_kept(const std::function<outcome<void>()>& attempt) {
@@ -83,7 +125,7 @@
             CHECK(std::vector<std::string>(found.records.begin(), found.records.begin() + 3) ==
                   synced);
             CHECK(found.records.size() <= 5);
-            CHECK(open_well(crashed).torn_bytes == 0);
+            CHECK_FALSE(open_well(crashed).has_torn_tail);
         }
     }
     GIVEN("a flipped bit in the middle") {
@@ -103,10 +145,21 @@
         CHECK(open_well(on).records == synced);
     }
     GIVEN("a rewrite") {
-        CHECK(is_kept([&] { return first.file->rewrite({"all"}); }));
+        CHECK(is_kept([&] { return first.file->rewrite(each_of({"all"})); }));
         CHECK(is_kept([&] { return first.file->append("more"); }));
         CHECK(open_well(on).records == std::vector<std::string>{"all", "more"});
     }
+    GIVEN("records that are larger than what is read at once") {
+        const std::string large(3UL << 20, 'x');
+        CHECK(is_kept([&] { return first.file->append(large); }));
+        CHECK(is_kept([&] { return first.file->append("after"); }));
+        THEN("they are found whole") {
+            const auto found = open_well(on).records;
+            REQUIRE(found.size() == 5);
+            CHECK(found[3] == large);
+            CHECK(found[4] == "after");
+        }
+    }
 }
 
 SCENARIO("a data folder belongs to one keeper") {
@@ -119,17 +172,13 @@
         auto held = open_folder();
         REQUIRE(std::holds_alternative<std::unique_ptr<disk_storage>>(held));
         CHECK(std::get<error>(open_folder()).code == error_code::conflict);
-        auto opened = value_or_error([&] {
-            return journal_file::open(std::move(std::get<std::unique_ptr<disk_storage>>(held)));
-        });
-        auto& file = *std::get<journal_file::opened>(opened).file;
+        auto opened = open(std::move(std::get<std::unique_ptr<disk_storage>>(held)));
+        auto& file = *std::get<found_journal>(opened).file;
         CHECK(is_kept([&] { return file.append("kept"); }));
         CHECK(is_kept([&] { return file.sync(); }));
     }
     auto again = open_folder();
-    auto opened = value_or_error([&] {
-        return journal_file::open(std::move(std::get<std::unique_ptr<disk_storage>>(again)));
-    });
-    CHECK(std::get<journal_file::opened>(opened).records == std::vector<std::string>{"kept"});
+    const auto opened = open(std::move(std::get<std::unique_ptr<disk_storage>>(again)));
+    CHECK(std::get<found_journal>(opened).records == std::vector<std::string>{"kept"});
     std::filesystem::remove_all(folder);
 }
--- a/packages/keeper/internal/keeper_codec.h
+++ b/packages/keeper/internal/keeper_codec.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "base/outcome.h"
+#include "group/state_source.h"
 #include "replicated/replicated_state.h"
 #include "wire/keeper_codec.h"
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace kingcupcart::keeper {
 
@@ -16,7 +18,16 @@
 
     static std::string encode(const logged& command) { return wire::encode_command(command); }
     static outcome<logged> decode(std::string_view bytes) { return wire::decode_command(bytes); }
-    static std::string save(const machine& state) { return wire::encode_state(state.save()); }
+    /// In one piece: the state of keepers is small.
+    static group::state_source save(const machine& state) {
+        return [&state, is_told = false](std::string& piece) mutable {
+            if (std::exchange(is_told, true)) {
+                return false;
+            }
+            piece = wire::encode_state(state.save());
+            return true;
+        };
+    }
     static outcome<void> load(machine& state, std::string_view bytes) {
         BOOST_LEAF_AUTO(content, wire::decode_state(bytes));
         state.load(content);
--- a/packages/quorum/actions.h
+++ b/packages/quorum/actions.h
@@ -4,6 +4,7 @@
 #include "quorum/log_entry.h"
 #include "quorum/member.h"
 #include "quorum/messages.h"
+#include "quorum/snapshot_pieces.h"
 
 #include <string>
 #include <variant>
@@ -29,7 +30,8 @@
     log_index index;
     term_number index_term;
     membership voters;
-    std::string data;
+    /// Null where it is the state as it is applied now.
+    snapshot_pieces data;
 };
 
 struct send_message {
@@ -45,15 +47,18 @@
 
 /// The state is to be replaced by a snapshot's.
 struct restore_state {
-    std::string data;
+    snapshot_pieces data;
 };
 
+/// A follower is behind the log: `supply_snapshot` is wanted.
+struct snapshot_wanted {};
+
 struct leadership_changed {
     bool is_leader = false;
 };
 
 using action = std::variant<keep_vote, keep_entries, keep_snapshot, send_message, apply_command,
-                            restore_state, leadership_changed>;
+                            restore_state, leadership_changed, snapshot_wanted>;
 using actions = std::vector<action>;
 
 } // namespace kingcupcart::quorum
--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -18,7 +18,6 @@
       snapshot_index(stored.snapshot_index),
       snapshot_term(stored.snapshot_term),
       snapshot_voters(stored.snapshot_voters),
-      snapshot_data(stored.snapshot_data),
       log(stored.entries),
       commit_index(stored.snapshot_index),
       applied_index(stored.snapshot_index),
@@ -135,88 +134,6 @@
     return {index, std::exchange(this->output, {})};
 }
 
-actions replica::compact(log_index index, const std::string& data) {
-    if (index <= this->snapshot_index || index > this->applied_index) {
-        return {};
-    }
-    const auto dropped = static_cast<std::ptrdiff_t>(index.value() - this->snapshot_index.value());
-    for (std::ptrdiff_t i = 0; i < dropped; ++i) {
-        const log_entry& entry = this->log[static_cast<std::size_t>(i)];
-        if (entry.change) {
-            this->snapshot_voters = *entry.change;
-        }
-    }
-    this->snapshot_term = this->term_at(index);
-    this->log.erase(this->log.begin(), this->log.begin() + dropped);
-    this->snapshot_index = index;
-    this->snapshot_data = data;
-    this->output.push_back(keep_snapshot{index, this->snapshot_term, this->snapshot_voters, data});
-    this->output.push_back(keep_entries{after(index), this->log});
-    return std::exchange(this->output, {});
-}
-
-void replica::on(const vote_asked& asked) {
-    if (this->is_leader() && !this->is_known_voter(asked.candidate)) {
-        // It was taken out while it was away, and does not know yet.
-        this->on(join_asked{asked.candidate});
-        return;
-    }
-    const bool hears_leader =
-        !this->known_leader.value().empty() &&
-        (this->is_leader() || this->now - this->leader_heard < this->limits.election_least);
-    vote_told answer;
-    answer.voter = this->self;
-    answer.is_trial = asked.is_trial;
-    if (asked.is_trial) {
-        answer.term = asked.term;
-        answer.is_granted = this->is_voter() && !hears_leader && asked.term > this->current_term &&
-                            this->is_up_to_date(asked);
-        this->send(asked.candidate.id, answer);
-        return;
-    }
-    if (hears_leader) {
-        // One that was cut off must not unseat a leader that others hear.
-        return;
-    }
-    if (asked.term > this->current_term) {
-        this->become_follower(asked.term);
-    }
-    const bool is_free = this->voted_for.value().empty() || this->voted_for == asked.candidate.id;
-    answer.term = this->current_term;
-    answer.is_granted = asked.term == this->current_term && is_free && this->is_voter() &&
-                        this->is_known_voter(asked.candidate) && this->is_up_to_date(asked);
-    if (answer.is_granted) {
-        this->voted_for = asked.candidate.id;
-        this->keep_vote_now();
-        this->arm_election();
-    }
-    this->send(asked.candidate.id, answer);
-}
-
-bool replica::is_up_to_date(const vote_asked& asked) const {
-    const term_number own = this->term_at(this->last_index());
-    return asked.last_term > own ||
-           (asked.last_term == own && asked.last_index >= this->last_index());
-}
-
-void replica::on(const vote_told& told) {
-    if (!told.is_trial && told.term > this->current_term) {
-        this->become_follower(told.term);
-        return;
-    }
-    if (!told.is_granted || !this->is_known_voter(told.voter)) {
-        return;
-    }
-    const bool is_for_trial = this->role == role_kind::trial_candidate && told.is_trial &&
-                              told.term.value() == this->current_term.value() + 1;
-    const bool is_for_election =
-        this->role == role_kind::candidate && !told.is_trial && told.term == this->current_term;
-    if (is_for_trial || is_for_election) {
-        this->votes.insert(told.voter.id);
-        this->count_votes();
-    }
-}
-
 void replica::on(const entries_sent& sent) {
     if (sent.term < this->current_term) {
         this->send(sent.leader.id, entries_told{this->current_term, this->self, false, {}});
@@ -265,27 +182,31 @@
     this->output.push_back(keep_entries{index, fresh});
 }
 
-void replica::on(const entries_told& told) {
-    if (told.term > this->current_term) {
-        this->become_follower(told.term);
-        return;
+replica::progress* replica::heard_from(const member& follower, term_number term) {
+    if (term > this->current_term) {
+        this->become_follower(term);
+        return nullptr;
     }
-    const auto found = this->followers.find(told.follower.id);
-    if (!this->is_leader() || told.term < this->current_term || found == this->followers.end()) {
-        return;
+    const auto found = this->followers.find(follower.id);
+    if (!this->is_leader() || term < this->current_term || found == this->followers.end()) {
+        return nullptr;
     }
-    const auto learner = this->learners.find(told.follower.id);
-    const bool is_right_disk =
-        this->is_known_voter(told.follower) ||
-        (learner != this->learners.end() && learner->second == told.follower);
+    const auto learner = this->learners.find(follower.id);
+    const bool is_right_disk = this->is_known_voter(follower) ||
+                               (learner != this->learners.end() && learner->second == follower);
     if (!is_right_disk) {
-        return;
+        return nullptr;
     }
-    progress& state = found->second;
-    state.last_heard = this->now;
-    if (state.is_observer) {
+    found->second.last_heard = this->now;
+    return &found->second;
+}
+
+void replica::on(const entries_told& told) {
+    progress* heard = this->heard_from(told.follower, told.term);
+    if (heard == nullptr || heard->is_observer) {
         return;
     }
+    progress& state = *heard;
     if (!told.is_taken) {
         if (told.match < state.match) {
             // It was said before the follower took more.
@@ -313,33 +234,6 @@
     }
 }
 
-void replica::on(const snapshot_sent& sent) {
-    if (sent.term < this->current_term) {
-        return;
-    }
-    if (sent.term > this->current_term || this->role != role_kind::follower) {
-        this->become_follower(sent.term);
-    }
-    this->known_leader = sent.leader.id;
-    this->leader_heard = this->now;
-    this->arm_election();
-    if (sent.index > this->commit_index) {
-        this->snapshot_index = sent.index;
-        this->snapshot_term = sent.index_term;
-        this->snapshot_voters = sent.voters;
-        this->snapshot_data = sent.data;
-        this->log.clear();
-        this->commit_index = sent.index;
-        this->applied_index = sent.index;
-        this->refresh_membership();
-        this->output.push_back(keep_snapshot{sent.index, sent.index_term, sent.voters, sent.data});
-        this->output.push_back(keep_entries{after(sent.index), {}});
-        this->output.push_back(restore_state{sent.data});
-    }
-    this->send(sent.leader.id,
-               entries_told{this->current_term, this->self, true, this->commit_index});
-}
-
 void replica::on(const join_asked& asked) {
     if (!this->is_leader() || this->is_known_voter(asked.joining)) {
         return;
@@ -378,48 +272,6 @@
     }
 }
 
-void replica::begin_trial() {
-    this->role = role_kind::trial_candidate;
-    this->known_leader = instance_id();
-    this->votes = {this->self.id};
-    this->arm_election();
-    for (const member& voter : this->latest_membership.voters) {
-        if (voter.id != this->self.id) {
-            this->send(voter.id,
-                       vote_asked{term_number(this->current_term.value() + 1), this->self,
-                                  this->last_index(), this->term_at(this->last_index()), true});
-        }
-    }
-    this->count_votes();
-}
-
-void replica::begin_election() {
-    this->role = role_kind::candidate;
-    this->current_term = term_number(this->current_term.value() + 1);
-    this->voted_for = this->self.id;
-    this->keep_vote_now();
-    this->votes = {this->self.id};
-    this->arm_election();
-    for (const member& voter : this->latest_membership.voters) {
-        if (voter.id != this->self.id) {
-            this->send(voter.id, vote_asked{this->current_term, this->self, this->last_index(),
-                                            this->term_at(this->last_index()), false});
-        }
-    }
-    this->count_votes();
-}
-
-void replica::count_votes() {
-    if (!this->has_majority(this->votes, this->latest_membership)) {
-        return;
-    }
-    if (this->role == role_kind::trial_candidate) {
-        this->begin_election();
-    } else if (this->role == role_kind::candidate) {
-        this->become_leader();
-    }
-}
-
 void replica::apply_committed() {
     while (this->applied_index < this->commit_index) {
         this->applied_index = after(this->applied_index);
@@ -445,21 +297,6 @@
     return static_cast<std::size_t>(count) * 2 > among.voters.size();
 }
 
-void replica::arm_election() {
-    if (!this->is_voter() && this->wakeup > this->now) {
-        // It goes on asking to join, however often it hears from the leader.
-        return;
-    }
-    const auto spread = (this->limits.election_most - this->limits.election_least).count();
-    const auto extra =
-        static_cast<duration::rep>(this->random() % static_cast<std::uint64_t>(spread));
-    this->wakeup = this->now + this->limits.election_least + duration(extra);
-}
-
-void replica::keep_vote_now() {
-    this->output.push_back(keep_vote{this->current_term, this->voted_for});
-}
-
 void replica::send(const instance_id& to, message content) {
     this->output.push_back(send_message{to, std::move(content)});
 }
--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -28,6 +28,7 @@
 }
 
 void replica::lead() {
+    this->release_snapshot();
     this->recruit_standbys();
     for (const auto& [id, state] : this->followers) {
         if (state.is_observer) {
@@ -47,10 +48,7 @@
     log_index previous = before(state.next);
     const bool is_behind_log = previous < this->snapshot_index;
     if (is_behind_log && this->now - state.snapshot_at >= this->limits.snapshot_time) {
-        state.snapshot_at = this->now;
-        this->send(to,
-                   snapshot_sent{this->current_term, this->self, this->snapshot_index,
-                                 this->snapshot_term, this->snapshot_voters, this->snapshot_data});
+        this->send_piece(to, state);
         return;
     }
     if (is_behind_log) {
--- a/packages/quorum/messages.h
+++ b/packages/quorum/messages.h
@@ -3,6 +3,7 @@
 #include "quorum/log_entry.h"
 #include "quorum/member.h"
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -43,21 +44,32 @@
     log_index match;
 };
 
+/// One piece of a snapshot.
 struct snapshot_sent {
     term_number term;
     member leader;
     log_index index;
     term_number index_term;
     membership voters;
+    std::uint64_t piece = 0;
+    std::uint64_t piece_count = 0;
     std::string data;
 };
 
+/// How many pieces of the snapshot the follower holds; the leader goes on there.
+struct snapshot_told {
+    term_number term;
+    member follower;
+    log_index index;
+    std::uint64_t pieces_taken = 0;
+};
+
 /// A keeper that is no voter asks to become one.
 struct join_asked {
     member joining;
 };
 
-using message =
-    std::variant<vote_asked, vote_told, entries_sent, entries_told, snapshot_sent, join_asked>;
+using message = std::variant<vote_asked, vote_told, entries_sent, entries_told, snapshot_sent,
+                             join_asked, snapshot_told>;
 
 } // namespace kingcupcart::quorum
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -37,8 +37,13 @@
         actions wanted;
     };
     [[nodiscard]] proposal propose(const std::string& command, time_point now);
-    /// The state after `index` is kept as a snapshot; the log before it is no longer needed.
-    [[nodiscard]] actions compact(log_index index, const std::string& data);
+    /// The state as it is applied, after `index`, is to be kept as a snapshot; the log before it is
+    /// no longer needed.
+    [[nodiscard]] actions compact(log_index index);
+    /// The state as it is applied, right after `compact`, for followers that are behind the log.
+    [[nodiscard]] actions supply_snapshot(snapshot_pieces pieces, time_point now);
+    /// Last index that the snapshot covers.
+    [[nodiscard]] log_index compacted() const { return this->snapshot_index; }
 
     /// The members that a replica which is no voter asks to be taken in by.
     void set_others(std::vector<instance_id> changed) { this->others = std::move(changed); }
@@ -78,8 +83,10 @@
         time_point last_heard{};
         /// Where the logs part is being looked for; nothing but probes is sent meanwhile.
         bool is_probed = false;
-        /// When a snapshot was sent last.
+        /// When a piece of a snapshot was sent last, of which snapshot, and how many it holds.
         time_point snapshot_at{};
+        log_index snapshot_index{};
+        std::uint64_t pieces_taken = 0;
         /// It is told who leads, and gets nothing of the log.
         bool is_observer = false;
     };
@@ -89,7 +96,10 @@
     void on(const entries_sent& sent);
     void on(const entries_told& told);
     void on(const snapshot_sent& sent);
+    void on(const snapshot_told& told);
     void on(const join_asked& asked);
+    /// Progress of the follower that answers, or null where its answer does not count.
+    [[nodiscard]] progress* heard_from(const member& follower, term_number term);
 
     void become_follower(term_number term);
     void begin_trial();
@@ -116,6 +126,10 @@
     void recruit_standbys();
     [[nodiscard]] bool has_standbys() const;
     void tell_observer(const instance_id& to);
+    void send_piece(const instance_id& to, progress& state);
+    void install_snapshot(const snapshot_sent& last);
+    /// Lets go of the pieces that no follower needs.
+    void release_snapshot();
     [[nodiscard]] bool is_caught_up(const instance_id& id) const;
     [[nodiscard]] bool is_unfit(const instance_id& id) const;
     void change_membership(membership changed);
@@ -145,7 +159,14 @@
     log_index snapshot_index;
     term_number snapshot_term;
     membership snapshot_voters;
-    std::string snapshot_data;
+    /// Null unless a follower of this leader is behind the log.
+    snapshot_pieces snapshot_data;
+    /// The snapshot that is being received.
+    struct {
+        instance_id leader;
+        log_index index;
+        std::vector<std::string> pieces;
+    } incoming;
     std::vector<log_entry> log;
     membership latest_membership;
     log_index commit_index;
--- a/packages/quorum/replica_limits.h
+++ b/packages/quorum/replica_limits.h
@@ -19,8 +19,8 @@
     std::size_t entries_in_flight = 512;
     /// Commands in one message, in bytes, where there is more than one.
     std::size_t message_bytes = 512UL * 1024;
-    /// A follower gets so long to take a snapshot before it is sent again.
-    duration snapshot_time = std::chrono::seconds(3);
+    /// A follower gets so long to take a piece of a snapshot before it is sent again.
+    duration snapshot_time = std::chrono::seconds(1);
     /// Voters to keep. 0: whoever asks becomes a voter.
     std::size_t voters_wanted = 0;
     /// Further members that stay caught up, to replace a voter; the others are only told who leads.
--- a/packages/quorum/stored_state.h
+++ b/packages/quorum/stored_state.h
@@ -3,7 +3,6 @@
 #include "quorum/log_entry.h"
 #include "quorum/member.h"
 
-#include <string>
 #include <vector>
 
 namespace kingcupcart::quorum {
@@ -15,7 +14,6 @@
     log_index snapshot_index;
     term_number snapshot_term;
     membership snapshot_voters;
-    std::string snapshot_data;
     /// The entries after the snapshot.
     std::vector<log_entry> entries;
 };
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -130,7 +130,7 @@
                 others.push_back(other);
             }
         }
-        one.applied = one.stored.snapshot_data;
+        one.applied = one.saved;
         one.part = std::make_unique<replica>(member{id, one.disk}, others, one.stored, this->limits,
                                              this->random(), this->now);
         one.part->set_leaving(this->leaving);
@@ -138,6 +138,7 @@
     void empty_disk(const instance_id& id) {
         node& one = this->nodes[id];
         one.stored = stored_state{};
+        one.saved.clear();
         one.disk = disk_id(this->random());
     }
     void freeze(const instance_id& id, bool is_frozen) { this->nodes[id].is_frozen = is_frozen; }
@@ -146,7 +147,7 @@
     void compact(const instance_id& id) {
         node& one = this->nodes[id];
         if (one.part) {
-            this->carry_out(id, one.part->compact(one.applied_index, one.applied));
+            this->carry_out(id, one.part->compact(one.applied_index));
         }
     }
     [[nodiscard]] const std::string& applied(const instance_id& id) {
@@ -172,8 +173,11 @@
         stored_state stored;
         disk_id disk;
         bool is_frozen = false;
-        /// The applied commands, one after the other; also the snapshot's data.
+        /// The applied commands, one after the other.
         std::string applied;
+        /// The same at the snapshot.
+        std::string saved;
+        bool has_wanted_snapshot = false;
         log_index applied_index;
     };
     struct letter {
@@ -196,6 +200,8 @@
         for (const action& one : wanted) {
             std::visit([&](const auto& alternative) { this->carry_out(id, alternative); }, one);
         }
+        // Once everything that is agreed is applied.
+        this->supply_snapshot(id);
     }
     void carry_out(const instance_id& id, const keep_vote& kept) {
         stored_state& stored = this->nodes[id].stored;
@@ -213,7 +219,8 @@
         stored.snapshot_index = kept.index;
         stored.snapshot_term = kept.index_term;
         stored.snapshot_voters = kept.voters;
-        stored.snapshot_data = kept.data;
+        this->nodes[id].saved = kept.data == nullptr ? this->nodes[id].applied : join(kept.data);
+        this->nodes[id].applied_index = kept.index;
         stored.entries.clear();
     }
     void carry_out(const instance_id& id, const send_message& sent) {
@@ -240,7 +247,33 @@
         CHECK(known.first->second == agreed.command);
     }
     void carry_out(const instance_id& id, const restore_state& restored) {
-        this->nodes[id].applied = restored.data;
+        this->nodes[id].applied = join(restored.data);
+    }
+    void carry_out(const instance_id& id, const snapshot_wanted& /*wanted*/) {
+        this->nodes[id].has_wanted_snapshot = true;
+    }
+    void supply_snapshot(const instance_id& id) {
+        node& one = this->nodes[id];
+        if (std::exchange(one.has_wanted_snapshot, false) && one.part) {
+            this->carry_out(id, one.part->compact(one.part->committed()));
+            this->carry_out(id, one.part->supply_snapshot(split(one.applied), this->now));
+        }
+    }
+    /// Pieces of some commands.
+    static snapshot_pieces split(const std::string& state) {
+        constexpr std::size_t size = 40;
+        std::vector<std::string> pieces;
+        for (std::size_t at = 0; at == 0 || at < state.size(); at += size) {
+            pieces.push_back(state.substr(at, size));
+        }
+        return std::make_shared<const std::vector<std::string>>(std::move(pieces));
+    }
+    static std::string join(const snapshot_pieces& pieces) {
+        std::string state;
+        for (const std::string& piece : *pieces) {
+            state += piece;
+        }
+        return state;
     }
     void carry_out(const instance_id& id, const leadership_changed& changed) {
         if (changed.is_leader) {
--- a/packages/store/internal/store_codec.h
+++ b/packages/store/internal/store_codec.h
@@ -2,8 +2,10 @@
 
 #include "base/outcome.h"
 #include "batch/job_book.h"
+#include "group/state_source.h"
 #include "wire/keeper_codec.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -18,10 +20,28 @@
     static outcome<logged> decode(std::string_view bytes) {
         return wire::decode_batch_command(bytes);
     }
-    static std::string save(const machine& book) { return wire::encode_state(book.save()); }
+    /// Text of results in one piece of a saved state, in bytes: a link sends it in milliseconds.
+    static constexpr std::size_t piece_bytes = 256UL * 1024;
+
+    static group::state_source save(const machine& book) {
+        return [job = book.jobs().begin(), end = book.jobs().end(),
+                next = std::size_t{0}](std::string& piece) mutable {
+            if (job == end) {
+                return false;
+            }
+            const batch::saved_job part = machine::save(job->second, next, piece_bytes);
+            next += part.results.size();
+            if (next == job->second.results.size()) {
+                ++job;
+                next = 0;
+            }
+            piece = wire::encode_state(part);
+            return true;
+        };
+    }
     static outcome<void> load(machine& book, std::string_view bytes) {
-        BOOST_LEAF_AUTO(content, wire::decode_batch_state(bytes));
-        book.load(content);
+        BOOST_LEAF_AUTO(part, wire::decode_saved_job(bytes));
+        book.load(part);
         return {};
     }
 };
--- a/packages/wire/internal/descriptions.h
+++ b/packages/wire/internal/descriptions.h
@@ -75,8 +75,8 @@
 void describe(Archive& /*archive*/, confirm_state& /*value*/) {}
 
 template <typename Archive>
-void describe(Archive& archive, job_book::saved_job& value) {
-    archive(value.content, value.keep_until, value.is_ended, value.results);
+void describe(Archive& archive, saved_job& value) {
+    archive(value.content, value.keep_until, value.is_ended, value.is_continued, value.results);
 }
 
 } // namespace kingcupcart::batch
--- a/packages/wire/internal/keeper_codec.cpp
+++ b/packages/wire/internal/keeper_codec.cpp
@@ -17,7 +17,7 @@
 using nlohmann::json;
 using replicated::replicated_state;
 
-constexpr std::uint64_t records_last = 3;
+constexpr std::uint64_t records_last = std::variant_size_v<journal_record> - 1;
 /// The commands by their numbers in the log, which are their places in the variant. The first two
 /// are written by hand, the others by their descriptions.
 constexpr std::uint64_t commands_last = std::variant_size_v<replicated::command> - 1;
@@ -50,9 +50,13 @@
     return json::array({2, record.first.value(), write_entries(record.entries)});
 }
 
-json write(const quorum::keep_snapshot& record) {
-    return json::array({3, record.index.value(), record.index_term.value(),
-                        write_membership(record.voters), write_bytes(record.data)});
+json write(const snapshot_begun& record) {
+    return json::array(
+        {3, record.index.value(), record.index_term.value(), write_membership(record.voters)});
+}
+
+json write(const snapshot_piece& record) {
+    return json::array({4, write_bytes(record.data)});
 }
 
 void write(json& fields, const replicated::accept_configuration& order) {
@@ -123,15 +127,17 @@
         record = kept;
         break;
     }
-    default: {
-        quorum::keep_snapshot kept;
-        kept.index = quorum::log_index(fields.number());
-        kept.index_term = quorum::term_number(fields.number());
-        kept.voters = read_membership(fields);
-        kept.data = fields.binary();
-        record = kept;
+    case 3: {
+        snapshot_begun begun;
+        begun.index = quorum::log_index(fields.number());
+        begun.index_term = quorum::term_number(fields.number());
+        begun.voters = read_membership(fields);
+        record = begun;
         break;
     }
+    default:
+        record = snapshot_piece{fields.binary()};
+        break;
     }
     BOOST_LEAF_CHECK(fields.finish());
     return record;
@@ -196,21 +202,21 @@
     return command;
 }
 
-std::string encode_state(const batch::job_book::content& content) {
+std::string encode_state(const batch::saved_job& part) {
     json fields = json::array();
     field_writer writer(fields);
-    writer(content);
+    writer(part);
     return print(fields);
 }
 
-outcome<batch::job_book::content> decode_batch_state(std::string_view bytes) {
+outcome<batch::saved_job> decode_saved_job(std::string_view bytes) {
     BOOST_LEAF_AUTO(parsed, parse(bytes));
-    field_reader fields(parsed, "batch state");
-    batch::job_book::content content;
+    field_reader fields(parsed, "saved job");
+    batch::saved_job part;
     field_taker taker(fields);
-    taker(content);
+    taker(part);
     BOOST_LEAF_CHECK(fields.finish());
-    return content;
+    return part;
 }
 
 std::string encode_state(const replicated_state::content& content) {
--- a/packages/wire/internal/quorum_fields.cpp
+++ b/packages/wire/internal/quorum_fields.cpp
@@ -27,7 +27,8 @@
     entries_sent,
     entries_told,
     snapshot_sent,
-    join_asked
+    join_asked,
+    snapshot_told
 };
 
 void write(json& fields, const quorum::vote_asked& said) {
@@ -67,9 +68,18 @@
     fields.push_back(said.index.value());
     fields.push_back(said.index_term.value());
     fields.push_back(write_membership(said.voters));
+    fields.push_back(said.piece);
+    fields.push_back(said.piece_count);
     fields.push_back(write_bytes(said.data));
 }
 
+void write(json& fields, const quorum::snapshot_told& said) {
+    fields.push_back(said.term.value());
+    add(fields, said.follower);
+    fields.push_back(said.index.value());
+    fields.push_back(said.pieces_taken);
+}
+
 void write(json& fields, const quorum::join_asked& said) {
     add(fields, said.joining);
 }
@@ -133,7 +143,7 @@
 
 quorum::message read_quorum(field_reader& fields) {
     const auto number = static_cast<quorum_number>(
-        fields.number_up_to(static_cast<std::uint8_t>(quorum_number::join_asked)));
+        fields.number_up_to(static_cast<std::uint8_t>(quorum_number::snapshot_told)));
     if (number == quorum_number::join_asked) {
         return quorum::join_asked{read_member(fields)};
     }
@@ -168,13 +178,21 @@
         return said;
     }
     case quorum_number::snapshot_sent: {
-        quorum::snapshot_sent said{term, from, {}, {}, {}, {}};
+        quorum::snapshot_sent said{term, from, {}, {}, {}, 0, 0, {}};
         said.index = quorum::log_index(fields.number());
         said.index_term = quorum::term_number(fields.number());
         said.voters = read_membership(fields);
+        said.piece = fields.number();
+        said.piece_count = fields.number();
         said.data = fields.binary();
         return said;
     }
+    case quorum_number::snapshot_told: {
+        quorum::snapshot_told said{term, from, {}, 0};
+        said.index = quorum::log_index(fields.number());
+        said.pieces_taken = fields.number();
+        return said;
+    }
     case quorum_number::join_asked:
         break;
     }
--- a/packages/wire/keeper_codec.h
+++ b/packages/wire/keeper_codec.h
@@ -19,9 +19,20 @@
     quorum::disk_id disk;
 };
 
-/// One record of a keeper's journal.
-using journal_record =
-    std::variant<disk_named, quorum::keep_vote, quorum::keep_entries, quorum::keep_snapshot>;
+/// A snapshot begins; its pieces follow, each in a record.
+struct snapshot_begun {
+    quorum::log_index index;
+    quorum::term_number index_term;
+    quorum::membership voters;
+};
+
+struct snapshot_piece {
+    std::string data;
+};
+
+/// One record of a keeper's or store's journal.
+using journal_record = std::variant<disk_named, quorum::keep_vote, quorum::keep_entries,
+                                    snapshot_begun, snapshot_piece>;
 
 /// What stands in the log of the stores.
 struct batch_command {
@@ -36,8 +47,8 @@
 [[nodiscard]] outcome<replicated::logged_command> decode_command(std::string_view bytes);
 [[nodiscard]] std::string encode_command(const batch_command& command);
 [[nodiscard]] outcome<batch_command> decode_batch_command(std::string_view bytes);
-[[nodiscard]] std::string encode_state(const batch::job_book::content& content);
-[[nodiscard]] outcome<batch::job_book::content> decode_batch_state(std::string_view bytes);
+[[nodiscard]] std::string encode_state(const batch::saved_job& part);
+[[nodiscard]] outcome<batch::saved_job> decode_saved_job(std::string_view bytes);
 [[nodiscard]] std::string encode_state(const replicated::replicated_state::content& content);
 [[nodiscard]] outcome<replicated::replicated_state::content> decode_state(std::string_view bytes);
 
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -74,6 +74,7 @@
             quorum_said{quorum::vote_told{}},
             quorum_said{quorum::entries_told{}},
             quorum_said{quorum::snapshot_sent{}},
+            quorum_said{quorum::snapshot_told{}},
             quorum_said{quorum::join_asked{}},
             command_forwarded{"c"}};
 }
@@ -115,7 +116,7 @@
         disk_named{quorum::disk_id(5)},
         quorum::keep_vote{quorum::term_number(2), instance_id("k1")},
         quorum::keep_entries{quorum::log_index(1), sample_entries().entries},
-        quorum::keep_snapshot{quorum::log_index(4), quorum::term_number(2), {}, saved}};
+        snapshot_begun{quorum::log_index(4), quorum::term_number(2), {}}, snapshot_piece{saved}};
     for (const journal_record& record : records) {
         const std::string bytes = encode_record(record);
         const auto back = value_or_error([&] { return decode_record(bytes); });
