Tell an engine's answer from that of an earlier call

It had been stopped for 2.2 s; when it went on, the limit of a report and the head of its answer were handled in one turn of the loop: the call was taken out, its callbacks were not, and the head looked for it. An answer could also have been taken for that of the engine's next call.

Ruled out: the members of the keeper and the followers of the log, the other places that look up without asking, by the log's last line and the order of the two events.

Callbacks carry the call's number now.

--- a/packages/keeper/internal/weight_orders.cpp
+++ b/packages/keeper/internal/weight_orders.cpp
@@ -156,16 +156,33 @@
                           std::function<void(bool, open_call&)> ended) {
     open_call& call = this->calls[engine];
     call = open_call{};
+    const std::uint64_t number = ++this->last_call;
+    call.number = number;
     call.due = this->own.time->now() + call_limit;
     this->ends.insert_or_assign(engine, std::move(ended));
-    call.call = this->client.start(
-        wanted,
-        {[] {},
-         [this, engine](const http::answer_head& head) { this->calls.at(engine).head = head; },
-         [this, engine](std::string_view data) { this->calls.at(engine).body += data; },
-         [this, engine](http::call_end how, const std::string&) {
-             this->end(engine, how == http::call_end::complete);
-         }});
+    call.call =
+        this->client.start(wanted, {[] {},
+                                    [this, engine, number](const http::answer_head& head) {
+                                        if (open_call* open = this->find(engine, number)) {
+                                            open->head = head;
+                                        }
+                                    },
+                                    [this, engine, number](std::string_view data) {
+                                        if (open_call* open = this->find(engine, number)) {
+                                            open->body += data;
+                                        }
+                                    },
+                                    [this, engine, number](http::call_end how, const std::string&) {
+                                        if (this->find(engine, number) != nullptr) {
+                                            this->end(engine, how == http::call_end::complete);
+                                        }
+                                    }});
+}
+
+weight_orders::open_call* weight_orders::find(const target_id& engine, std::uint64_t number) {
+    const auto found = this->calls.find(engine);
+    const bool is_open = found != this->calls.end() && found->second.number == number;
+    return is_open ? &found->second : nullptr;
 }
 
 void weight_orders::end(const target_id& engine, bool is_whole) {
--- a/packages/keeper/internal/weight_orders.h
+++ b/packages/keeper/internal/weight_orders.h
@@ -8,6 +8,7 @@
 #include "rollout/load_planner.h"
 #include "task/wakeup.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,6 +45,8 @@
 
 private:
     struct open_call {
+        /// Tells it from an earlier call to the same engine, which may still be answered.
+        std::uint64_t number = 0;
         std::unique_ptr<http::client::call> call;
         http::answer_head head;
         std::string body;
@@ -55,6 +58,8 @@
     void ask(const rollout::ask_report& wanted);
     void start(const target_id& engine, const http::request& wanted,
                std::function<void(bool is_whole, open_call&)> ended);
+    /// The engine's call of that number; null where it is over.
+    [[nodiscard]] open_call* find(const target_id& engine, std::uint64_t number);
     void end(const target_id& engine, bool is_whole);
     void pass_time();
     void arm();
@@ -67,6 +72,7 @@
     std::map<target_id, std::function<void(bool, open_call&)>> ends;
     /// Calls that ended within their own callback.
     std::vector<open_call> finished;
+    std::uint64_t last_call = 0;
     bool is_leader = false;
     bool has_authority = false;
     time_point authority_at{};
--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -16,6 +16,8 @@
 constexpr int status_unavailable = 503;
 /// Once everything is whole, users expect service within this.
 constexpr duration recovery_limit = std::chrono::seconds(15);
+/// Callers wait no longer than this for an answer.
+constexpr duration answer_limit = std::chrono::seconds(8);
 /// From the acknowledgement of a job until every machine knows it.
 constexpr duration settle_limit = std::chrono::seconds(1);
 /// From the acknowledgement of a configuration until no machine answers an older one.
@@ -320,6 +322,13 @@
 }
 
 void soak_clients::check_end() {
+    // What was asked before may still be accepted.
+    const time_point asked_until = std::chrono::steady_clock::now() + answer_limit;
+    while (!this->open.empty() && std::chrono::steady_clock::now() < asked_until) {
+        this->on.wait(std::chrono::milliseconds(50));
+        this->judge_ended();
+    }
+    this->open.clear();
     const time_point end = std::chrono::steady_clock::now() + recovery_limit;
     const auto is_complete = [this](const auto& item) {
         return !item.second.is_accepted || item.second.results.size() == item.second.items.size();
@@ -336,10 +345,10 @@
         this->book(true);
         this->read_configuration();
         this->on.wait(std::chrono::milliseconds(200));
-        this->act();
+        this->judge_ended();
     }
     this->on.wait(std::chrono::milliseconds(500));
-    this->act();
+    this->judge_ended();
     for (const auto& [name, one] : this->jobs) {
         if (one.is_accepted && one.results.size() < one.items.size()) {
             this->report(name + " has " + std::to_string(one.results.size()) + " of " +
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -147,11 +147,11 @@
     for (const std::string& finding : clients.broken()) {
         std::printf("  BROKEN %s\n", finding.c_str());
     }
-    std::fflush(stdout);
     if (!clients.broken().empty()) {
         on.keep_folder();
         std::printf("  logs in %s\n", on.path_of("").c_str());
     }
+    std::fflush(stdout);
     return clients.broken().empty();
 }
 
