--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -18,7 +18,7 @@
 /// A snapshot is made once the journal has outgrown the last one by so much, or by half of it where
 /// that is more: the log since then is held in memory, and rewriting a large state often would
 /// stall the group.
-constexpr std::size_t snapshot_growth_bytes = 16UL * 1024 * 1024;
+constexpr std::size_t snapshot_growth_bytes = 12UL * 1024 * 1024;
 /// The disk of every founder that is told only the founders' names.
 constexpr std::uint64_t founding_disk = 1;
 
@@ -52,9 +52,10 @@
 outcome<void> replicated_log::load() {
     BOOST_LEAF_AUTO(storage, journal::disk_storage::open(this->own.folder));
     BOOST_LEAF_AUTO(
-        opened, journal::journal_file::open(std::move(storage), [this](std::string_view record) {
-            return this->take(record);
-        }));
+        opened, journal::journal_file::open(std::move(storage),
+                                            [this](std::string_view record, std::size_t position) {
+                                                return this->take(record, position);
+                                            }));
     this->file = std::move(opened.file);
     if (opened.has_torn_tail) {
         spdlog::warn("journal: cut off a torn tail");
@@ -81,7 +82,7 @@
     return {};
 }
 
-outcome<void> replicated_log::take(std::string_view bytes) {
+outcome<void> replicated_log::take(std::string_view bytes, std::size_t position) {
     BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
     if (const auto* named = std::get_if<wire::disk_named>(&record)) {
         this->disk = named->disk;
@@ -97,10 +98,12 @@
         this->stored.snapshot_term = snapshot->index_term;
         this->stored.snapshot_voters = snapshot->voters;
         this->stored.entries.clear();
+        this->pieces.clear();
         this->tell.clear_state();
     } else {
         const auto& piece = std::get<wire::snapshot_piece>(record);
         this->snapshot_bytes += piece.data.size();
+        this->pieces.push_back(position);
         BOOST_LEAF_CHECK(this->tell.load_piece(piece.data));
     }
     return {};
@@ -207,6 +210,7 @@
         snapshot.data != nullptr ? each_of(snapshot.data) : this->tell.save();
     std::size_t head = 0;
     bool has_entries = false;
+    this->pieces.clear();
     BOOST_LEAF_CHECK(this->file->rewrite([&](std::string& record) {
         std::string piece;
         if (head == 0) {
@@ -218,6 +222,7 @@
                 wire::snapshot_begun{snapshot.index, snapshot.index_term, snapshot.voters});
         } else if (state(piece)) {
             record = wire::encode_record(wire::snapshot_piece{std::move(piece)});
+            this->pieces.push_back(this->file->size());
         } else if (!has_entries) {
             has_entries = true;
             record = wire::encode_record(entries);
@@ -268,12 +273,15 @@
             }
         } else if (const auto* changed = std::get_if<quorum::leadership_changed>(&one)) {
             this->tell.leadership_changed(changed->is_leader);
-        } else if (std::holds_alternative<quorum::snapshot_wanted>(one)) {
-            this->has_wanted_snapshot = true;
+        } else if (const auto* piece = std::get_if<quorum::send_piece>(&one)) {
+            const auto sent_piece = value_or_error([&] { return this->send(*piece); });
+            if (const auto* problem = std::get_if<error>(&sent_piece)) {
+                this->give_up(problem->message);
+                return;
+            }
         }
     }
     this->compact_if_large();
-    this->supply_snapshot();
 }
 
 void replicated_log::compact_if_large() {
@@ -284,21 +292,22 @@
     }
 }
 
-void replicated_log::supply_snapshot() {
-    if (!this->has_wanted_snapshot || !this->deferred.empty()) {
-        return;
+outcome<void> replicated_log::send(const quorum::send_piece& wanted) {
+    if (wanted.content.index != this->replica->compacted()) {
+        // A newer snapshot took its place; the follower is sent that one next.
+        return {};
     }
-    this->has_wanted_snapshot = false;
-    this->carry_out(this->replica->compact(this->replica->committed()));
-    if (this->broken) {
-        return;
-    }
-    auto pieces = std::make_shared<std::vector<std::string>>();
-    const state_source state = this->tell.save();
-    for (std::string piece; state(piece);) {
-        pieces->push_back(std::move(piece));
+    quorum::snapshot_sent sent = wanted.content;
+    sent.piece_count = this->pieces.size();
+    if (!this->pieces.empty()) {
+        // One that holds them all is sent the last one again, and answers that it has the state.
+        sent.piece = std::min<std::uint64_t>(sent.piece, this->pieces.size() - 1);
+        BOOST_LEAF_AUTO(bytes, this->file->read(this->pieces.at(sent.piece)));
+        BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
+        sent.data = std::get<wire::snapshot_piece>(record).data;
     }
-    this->carry_out(this->replica->supply_snapshot(std::move(pieces), this->own.time->now()));
+    this->tell.send(wanted.to, sent);
+    return {};
 }
 
 void replicated_log::give_up(const std::string& reason) {
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -84,9 +84,9 @@
     void pass_time();
     void flush();
     void compact_if_large();
-    [[nodiscard]] outcome<void> take(std::string_view record);
+    [[nodiscard]] outcome<void> take(std::string_view record, std::size_t position);
     [[nodiscard]] outcome<void> restore(const quorum::restore_state& wanted);
-    void supply_snapshot();
+    [[nodiscard]] outcome<void> send(const quorum::send_piece& wanted);
     void arm();
     void give_up(const std::string& reason);
 
@@ -100,7 +100,8 @@
     bool found_empty = false;
     /// Size of the journal right after the newest snapshot, in bytes.
     std::size_t snapshot_bytes = 0;
-    bool has_wanted_snapshot = false;
+    /// Where the pieces of the newest snapshot stand in the journal.
+    std::vector<std::size_t> pieces;
     bool is_dirty = false;
     bool broken = false;
     std::uint64_t syncs = 0;
--- a/packages/journal/internal/journal_file.cpp
+++ b/packages/journal/internal/journal_file.cpp
@@ -117,13 +117,14 @@
     record_reader reader(*on);
     bool has_format = false;
     while (true) {
+        const std::size_t begin = reader.position();
         BOOST_LEAF_AUTO(record, reader.next());
         if (!record) {
             break;
         }
         if (has_format) {
             made.was_empty = false;
-            BOOST_LEAF_CHECK(found(*record));
+            BOOST_LEAF_CHECK(found(*record, begin));
         } else if (*record != format_record) {
             return fail(error_code::invalid_input,
                         "journal is of another format: '" + std::string(*record) + "'");
@@ -156,8 +157,24 @@
     return this->on->sync();
 }
 
+outcome<std::string> journal_file::read(std::size_t position) const {
+    BOOST_LEAF_AUTO(bytes, this->on->read(position, sizeof(frame_head)));
+    frame_head head;
+    if (bytes.size() == sizeof head) {
+        std::memcpy(&head, bytes.data(), sizeof head);
+        BOOST_LEAF_AUTO(content, this->on->read(position + sizeof head, head.length));
+        bytes += content;
+    }
+    const auto record = record_at(bytes, 0);
+    if (!record) {
+        return fail(error_code::input_output,
+                    "journal holds no whole record at byte " + std::to_string(position));
+    }
+    return std::string(*record);
+}
+
 outcome<void> journal_file::rewrite(const storage::source& next) {
-    std::size_t written = 0;
+    this->bytes = 0;
     bool is_begun = false;
     BOOST_LEAF_CHECK(this->on->replace([&](std::string& part) {
         std::string record = format_record;
@@ -166,10 +183,9 @@
         }
         is_begun = true;
         part = frame(record);
-        written += part.size();
+        this->bytes += part.size();
         return true;
     }));
-    this->bytes = written;
     return {};
 }
 
--- a/packages/journal/journal_file.h
+++ b/packages/journal/journal_file.h
@@ -17,8 +17,9 @@
 public:
     /// What was found on opening.
     struct opened;
-    /// Takes a record that was found, in order; the text is borrowed for the call.
-    using visitor = std::function<outcome<void>(std::string_view record)>;
+    /// Takes a record that was found, in order, and where it stands; the text is borrowed for the
+    /// call.
+    using visitor = std::function<outcome<void>(std::string_view record, std::size_t position)>;
 
     /// A torn tail, that is an unsynced end of the file, is cut off. Anything else that is damaged
     /// is refused with `input_output`: a record in the middle must not be served, nor left out.
@@ -31,7 +32,10 @@
     [[nodiscard]] outcome<void> sync();
     /// Replaces all records by these, at once; they are taken one by one.
     [[nodiscard]] outcome<void> rewrite(const storage::source& next);
+    /// In bytes; also where the next record will stand, within a rewrite too.
     [[nodiscard]] std::size_t size() const { return this->bytes; }
+    /// The record at that position; fails with `input_output` where none stands there whole.
+    [[nodiscard]] outcome<std::string> read(std::size_t position) const;
 
 private:
     explicit journal_file(std::unique_ptr<storage> on) : on(std::move(on)) {}
--- a/packages/journal/tests/journal_test.cpp
+++ b/packages/journal/tests/journal_test.cpp
@@ -62,14 +62,17 @@
 struct found_journal {
     std::unique_ptr<journal_file> file;
     std::vector<std::string> records;
+    std::vector<std::size_t> positions;
     bool has_torn_tail = false;
 };
 
 std::variant<found_journal, error> open(std::unique_ptr<storage> on) {
     return value_or_error([&]() -> outcome<found_journal> {
         found_journal made;
-        BOOST_LEAF_AUTO(opened, journal_file::open(std::move(on), [&](std::string_view record) {
+        BOOST_LEAF_AUTO(opened, journal_file::open(std::move(on), [&](std::string_view record,
+                                                                      std::size_t position) {
                             made.records.emplace_back(record);
+                            made.positions.push_back(position);
                             return outcome<void>();
                         }));
         made.file = std::move(opened.file);
@@ -154,10 +157,20 @@
         CHECK(is_kept([&] { return first.file->append(large); }));
         CHECK(is_kept([&] { return first.file->append("after"); }));
         THEN("they are found whole") {
-            const auto found = open_well(on).records;
-            REQUIRE(found.size() == 5);
-            CHECK(found[3] == large);
-            CHECK(found[4] == "after");
+            const auto found = open_well(on);
+            REQUIRE(found.records.size() == 5);
+            CHECK(found.records[3] == large);
+            CHECK(found.records[4] == "after");
+            AND_THEN("each can be read again where it stands, and nothing elsewhere") {
+                for (std::size_t i = 0; i < found.records.size(); ++i) {
+                    const auto again =
+                        value_or_error([&] { return found.file->read(found.positions[i]); });
+                    CHECK(std::get<std::string>(again) == found.records[i]);
+                }
+                const auto wrong =
+                    value_or_error([&] { return found.file->read(found.positions[1] + 1); });
+                CHECK(std::holds_alternative<error>(wrong));
+            }
         }
     }
 }
--- a/packages/quorum/actions.h
+++ b/packages/quorum/actions.h
@@ -50,15 +50,19 @@
     snapshot_pieces data;
 };
 
-/// A follower is behind the log: `supply_snapshot` is wanted.
-struct snapshot_wanted {};
+/// This piece of the snapshot that was kept last is to be sent; `data` and `piece_count` are still
+/// to be filled in.
+struct send_piece {
+    instance_id to;
+    snapshot_sent content;
+};
 
 struct leadership_changed {
     bool is_leader = false;
 };
 
 using action = std::variant<keep_vote, keep_entries, keep_snapshot, send_message, apply_command,
-                            restore_state, leadership_changed, snapshot_wanted>;
+                            restore_state, leadership_changed, send_piece>;
 using actions = std::vector<action>;
 
 } // namespace kingcupcart::quorum
--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -28,7 +28,6 @@
 }
 
 void replica::lead() {
-    this->release_snapshot();
     this->recruit_standbys();
     for (const auto& [id, state] : this->followers) {
         if (state.is_observer) {
@@ -48,7 +47,7 @@
     log_index previous = before(state.next);
     const bool is_behind_log = previous < this->snapshot_index;
     if (is_behind_log && this->now - state.snapshot_at >= this->limits.snapshot_time) {
-        this->send_piece(to, state);
+        this->send_next_piece(to, state);
         return;
     }
     if (is_behind_log) {
@@ -62,8 +61,10 @@
     sent.previous_term = this->term_at(previous);
     sent.committed = this->commit_index;
     std::size_t size = 0;
+    const std::size_t under_way = this->bytes_under_way(state);
     for (log_index index = after(previous);
-         !is_behind_log && this->may_send(state, index, sent.entries.size(), size);
+         !is_behind_log && under_way + size < this->limits.bytes_in_flight &&
+         this->may_send(state, index, sent.entries.size(), size);
          index = after(index)) {
         sent.entries.push_back(this->entry_at(index));
         size += sent.entries.back().command.size();
@@ -101,6 +102,15 @@
     }
 }
 
+std::size_t replica::bytes_under_way(const progress& state) const {
+    std::size_t bytes = 0;
+    for (log_index index = std::max(after(state.match), after(this->snapshot_index));
+         index < state.next && index <= this->last_index(); index = after(index)) {
+        bytes += this->entry_at(index).command.size();
+    }
+    return bytes;
+}
+
 bool replica::may_send(const progress& state, log_index index, std::size_t count,
                        std::size_t size) const {
     const std::uint64_t under_way = index.value() - std::min(index, after(state.match)).value();
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -22,52 +22,25 @@
     this->snapshot_term = this->term_at(index);
     this->log.erase(this->log.begin(), this->log.begin() + dropped);
     this->snapshot_index = index;
-    this->snapshot_data = nullptr;
     this->output.push_back(keep_snapshot{index, this->snapshot_term, this->snapshot_voters, {}});
     this->output.push_back(keep_entries{after(index), this->log});
     return std::exchange(this->output, {});
 }
 
-actions replica::supply_snapshot(snapshot_pieces pieces, time_point moment) {
-    this->now = moment;
-    if (!this->is_leader() || this->applied_index != this->snapshot_index) {
-        return {};
-    }
-    this->snapshot_data = std::move(pieces);
-    for (auto& [id, state] : this->followers) {
-        if (!state.is_observer && before(state.next) < this->snapshot_index) {
-            this->send_piece(id, state);
-        }
-    }
-    return std::exchange(this->output, {});
-}
-
-void replica::send_piece(const instance_id& to, progress& state) {
-    if (this->snapshot_data == nullptr) {
-        this->output.push_back(snapshot_wanted{});
-        return;
-    }
+void replica::send_next_piece(const instance_id& to, progress& state) {
     if (state.snapshot_index != this->snapshot_index) {
         state.snapshot_index = this->snapshot_index;
         state.pieces_taken = 0;
     }
     state.snapshot_at = this->now;
-    const std::uint64_t count = this->snapshot_data->size();
-    // One that holds them all is sent the last one again, and answers that it has the state.
-    const std::uint64_t piece = std::min(state.pieces_taken, std::max<std::uint64_t>(count, 1) - 1);
-    this->send(to, snapshot_sent{this->current_term, this->self, this->snapshot_index,
-                                 this->snapshot_term, this->snapshot_voters, piece, count,
-                                 count == 0 ? "" : this->snapshot_data->at(piece)});
-}
-
-void replica::release_snapshot() {
-    const bool is_needed =
-        std::any_of(this->followers.begin(), this->followers.end(), [this](const auto& item) {
-            return !item.second.is_observer && before(item.second.next) < this->snapshot_index;
-        });
-    if (!is_needed) {
-        this->snapshot_data = nullptr;
-    }
+    snapshot_sent next;
+    next.term = this->current_term;
+    next.leader = this->self;
+    next.index = this->snapshot_index;
+    next.index_term = this->snapshot_term;
+    next.voters = this->snapshot_voters;
+    next.piece = state.pieces_taken;
+    this->output.push_back(send_piece{to, std::move(next)});
 }
 
 void replica::on(const snapshot_told& told) {
@@ -77,7 +50,7 @@
         return;
     }
     state->pieces_taken = told.pieces_taken;
-    this->send_piece(told.follower.id, *state);
+    this->send_next_piece(told.follower.id, *state);
 }
 
 void replica::on(const snapshot_sent& sent) {
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -40,8 +40,6 @@
     /// The state as it is applied, after `index`, is to be kept as a snapshot; the log before it is
     /// no longer needed.
     [[nodiscard]] actions compact(log_index index);
-    /// The state as it is applied, right after `compact`, for followers that are behind the log.
-    [[nodiscard]] actions supply_snapshot(snapshot_pieces pieces, time_point now);
     /// Last index that the snapshot covers.
     [[nodiscard]] log_index compacted() const { return this->snapshot_index; }
 
@@ -110,6 +108,8 @@
     void replicate_to(const instance_id& to);
     [[nodiscard]] bool may_send(const progress& state, log_index index, std::size_t count,
                                 std::size_t size) const;
+    /// Commands that were sent and not acknowledged.
+    [[nodiscard]] std::size_t bytes_under_way(const progress& state) const;
     void append(const log_entry& entry);
     void take_entries(const entries_sent& sent);
     void advance_commit();
@@ -126,10 +126,8 @@
     void recruit_standbys();
     [[nodiscard]] bool has_standbys() const;
     void tell_observer(const instance_id& to);
-    void send_piece(const instance_id& to, progress& state);
+    void send_next_piece(const instance_id& to, progress& state);
     void install_snapshot(const snapshot_sent& last);
-    /// Lets go of the pieces that no follower needs.
-    void release_snapshot();
     [[nodiscard]] bool is_caught_up(const instance_id& id) const;
     [[nodiscard]] bool is_unfit(const instance_id& id) const;
     void change_membership(membership changed);
@@ -159,8 +157,6 @@
     log_index snapshot_index;
     term_number snapshot_term;
     membership snapshot_voters;
-    /// Null unless a follower of this leader is behind the log.
-    snapshot_pieces snapshot_data;
     /// The snapshot that is being received.
     struct {
         instance_id leader;
--- a/packages/quorum/replica_limits.h
+++ b/packages/quorum/replica_limits.h
@@ -17,6 +17,9 @@
     std::size_t entries_per_message = 256;
     /// Entries under way to one follower; what it does not read fills its memory.
     std::size_t entries_in_flight = 512;
+    /// The same in bytes, where there is more than one: several of them would not fit beside the
+    /// state on a small machine.
+    std::size_t bytes_in_flight = 1024UL * 1024;
     /// Commands in one message, in bytes, where there is more than one.
     std::size_t message_bytes = 512UL * 1024;
     /// A follower gets so long to take a piece of a snapshot before it is sent again.
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -113,9 +113,10 @@
     }
 
     /// Proposes at whoever leads; the command counts as accepted when it is applied anywhere.
-    void propose() {
+    void propose(std::size_t padding = 0) {
         if (const auto at = this->leader()) {
-            const std::string command = "c" + std::to_string(++this->last_command);
+            const std::string command =
+                "c" + std::to_string(++this->last_command) + std::string(padding, '.');
             auto made = this->nodes[*at].part->propose(command, this->now);
             this->carry_out(*at, made.wanted);
         }
@@ -164,6 +165,7 @@
     double loss = 0;
     replica_limits limits;
     std::map<instance_id, std::size_t> entries_sent_to;
+    std::map<instance_id, std::size_t> bytes_sent_to;
     bool is_ordered = false;
 
 private:
@@ -177,7 +179,6 @@
         std::string applied;
         /// The same at the snapshot.
         std::string saved;
-        bool has_wanted_snapshot = false;
         log_index applied_index;
     };
     struct letter {
@@ -200,8 +201,6 @@
         for (const action& one : wanted) {
             std::visit([&](const auto& alternative) { this->carry_out(id, alternative); }, one);
         }
-        // Once everything that is agreed is applied.
-        this->supply_snapshot(id);
     }
     void carry_out(const instance_id& id, const keep_vote& kept) {
         stored_state& stored = this->nodes[id].stored;
@@ -226,6 +225,9 @@
     void carry_out(const instance_id& id, const send_message& sent) {
         if (const auto* entries = std::get_if<entries_sent>(&sent.content)) {
             this->entries_sent_to[sent.to] += entries->entries.size();
+            for (const log_entry& one : entries->entries) {
+                this->bytes_sent_to[sent.to] += one.command.size();
+            }
         }
         std::bernoulli_distribution lost(this->loss);
         const int copies = lost(this->random) ? 0 : (lost(this->random) ? 2 : 1);
@@ -249,15 +251,13 @@
     void carry_out(const instance_id& id, const restore_state& restored) {
         this->nodes[id].applied = join(restored.data);
     }
-    void carry_out(const instance_id& id, const snapshot_wanted& /*wanted*/) {
-        this->nodes[id].has_wanted_snapshot = true;
-    }
-    void supply_snapshot(const instance_id& id) {
-        node& one = this->nodes[id];
-        if (std::exchange(one.has_wanted_snapshot, false) && one.part) {
-            this->carry_out(id, one.part->compact(one.part->committed()));
-            this->carry_out(id, one.part->supply_snapshot(split(one.applied), this->now));
-        }
+    void carry_out(const instance_id& id, const send_piece& wanted) {
+        const snapshot_pieces pieces = split(this->nodes[id].saved);
+        snapshot_sent sent = wanted.content;
+        sent.piece_count = pieces->size();
+        sent.piece = std::min<std::uint64_t>(sent.piece, sent.piece_count - 1);
+        sent.data = pieces->at(sent.piece);
+        this->carry_out(id, send_message{wanted.to, sent});
     }
     /// Pieces of some commands.
     static snapshot_pieces split(const std::string& state) {
@@ -564,6 +564,34 @@
     }
 }
 
+SCENARIO("a follower that stands still is not sent more than a little ahead") {
+    GIVEN("three keepers, one of which is frozen while large commands are agreed") {
+        cluster keepers(51, 3, cluster::founded_by{3});
+        keepers.is_ordered = true;
+        keepers.pass(3s);
+        const instance_id leader = *keepers.leader();
+        const instance_id frozen = leader == keepers.ids[0] ? keepers.ids[1] : keepers.ids[0];
+        keepers.freeze(frozen, true);
+        const std::size_t before = keepers.bytes_sent_to[frozen];
+        for (int i = 0; i < 100; ++i) {
+            keepers.propose(100UL * 1024);
+            keepers.pass(10ms);
+        }
+        THEN("what is under way to it stays within the limit") {
+            CHECK(keepers.accepted() >= 90);
+            CHECK(keepers.bytes_sent_to[frozen] - before <=
+                  keepers.limits.bytes_in_flight + 100UL * 1024);
+        }
+        WHEN("it goes on") {
+            keepers.freeze(frozen, false);
+            keepers.pass(5s);
+            THEN("it has everything") {
+                CHECK(keepers.applied(frozen) == keepers.applied(leader));
+            }
+        }
+    }
+}
+
 SCENARIO("nothing that was accepted is lost under any mixture of failures") {
     std::size_t accepted = 0;
     for (std::uint64_t seed = 1; seed <= 150; ++seed) {
--- a/packages/wire/peer_link.h
+++ b/packages/wire/peer_link.h
@@ -40,7 +40,7 @@
     [[nodiscard]] std::size_t bytes_received() const;
 
     /// Unsent bytes above which a link to a slow peer is cut, so that it cannot fill the memory.
-    static constexpr std::size_t backlog_limit = 128UL * 1024 * 1024;
+    static constexpr std::size_t backlog_limit = 8UL * 1024 * 1024;
 
 private:
     class state;
