--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -92,12 +92,12 @@
 }
 
 void replica::recruit_standbys() {
-    for (auto item = this->followers.begin(); item != this->followers.end(); ++item) {
+    for (auto& [id, state] : this->followers) {
         if (this->has_standbys()) {
             return;
         }
-        if (item->second.is_observer && !this->is_unfit(item->first)) {
-            item->second = progress{after(this->last_index()), log_index(0), this->now};
+        if (state.is_observer && !this->is_unfit(id)) {
+            state = progress{after(this->last_index()), log_index(0), this->now};
         }
     }
 }
