Wire what a keeper does when its link to another opens

By the core's log the leading keeper, restarted like all others after a loss of power, knew 2 of 12 engines, and ordered weights for these two only.

Ruled out: the new sending in turns (what waited was never given to an engine), the stores (they knew all engines), the load planner.

Test: a keeper process that starts when all replicas have told another one of themselves; it knew none of two targets before, knows both now.

--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -121,8 +121,10 @@
         : own(std::move(made_of)),
           tell(std::move(tell)),
           links(*this->own.log.time,
-                {this->own.greeting, [](const instance_id&) {},
-                 [](const instance_id&, const wire::message&) {}, [](const instance_id&) {}}),
+                {this->own.greeting,
+                 [this](const instance_id& reached) { this->tell.reached(reached); },
+                 [this](const instance_id&, const wire::message& said) { this->tell.heard(said); },
+                 [](const instance_id&) {}}),
           limit([this] { this->end_overdue(); }) {}
 
     outcome<void> open_log() {
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -49,13 +49,13 @@
     void member_joined(const wire::hello& hello);
     void member_lost(const wire::hello& hello);
     /// The link to another keeper is open: it has missed what was spread before.
+    [[nodiscard]] std::size_t target_count() const { return this->targets.size(); }
     void keeper_reached(const instance_id& keeper);
     void heard(const wire::hello& from, const wire::message& said);
     void applied(const replicated::command& command);
     /// The state was replaced as a whole.
     void restored();
     void leadership_changed(bool is_leader);
-    [[nodiscard]] std::size_t target_count() const { return this->targets.size(); }
 
 private:
     void on(const put_routes& call);
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -373,6 +373,9 @@
     status["votes_here"] = log_state.is_settled_voter();
     status["joining"] = log_state.joining_count();
     status["journal_bytes"] = this->colleagues->agreement().journal_bytes();
+    if (this->fleet) {
+        status["targets"] = this->fleet->target_count();
+    }
     status["instances"] = ordered_json::array();
     for (const auto& [number, one] : this->members) {
         if (one.hello.role == wire::instance_role::keeper) {
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -59,20 +59,24 @@
             open_replica({"lm" + std::to_string(i), "lm", "m", endpoint{replica_ip, 0}, keeper,
                           shape.events, shape.slots, shape.event_interval}));
     }
-    this->on.add_process(
-        "keeper", this->settings_of("keeper", "keeper",
-                                    std::string("address = ") + keeper_ip + ":" + this->link_port +
-                                        "\ndata = " + this->on.path_of("keeper-data") +
-                                        "\ncontrol = " + keeper.to_string() +
-                                        "\nfirst-start = true\ntolerated-losses = 0\n"
-                                        "order-lease = 100ms\n",
-                                    keeper_ip));
+    this->add_keeper("keeper", keeper_ip, true);
     this->start_store();
     this->gateway_process =
         &this->on.add_process("gateway", this->gateway_settings("gateway", gateway_ip, keeper_ip));
     this->beat();
 }
 
+child_process& fleet::add_keeper(const std::string& id, const std::string& ip, bool is_first) {
+    return this->on.add_process(
+        id, this->settings_of(id, "keeper",
+                              "address = " + ip + ":" + this->link_port +
+                                  "\ndata = " + this->on.path_of(id + "-data") +
+                                  "\ncontrol = " + ip + ":" + this->outer_port +
+                                  "\nfirst-start = " + (is_first ? "true" : "false") +
+                                  "\ntolerated-losses = 0\norder-lease = 100ms\n",
+                              keeper_ip));
+}
+
 std::string fleet::gateway_settings(const std::string& id, const std::string& ip,
                                     const std::string& seed_ip) const {
     return this->settings_of(id, "gateway",
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -33,6 +33,8 @@
     /// Sends the configuration and waits until the gateway serves it with both replicas.
     bool is_ready();
     bool says_ready();
+    /// Another keeper that finds the fleet by the first one.
+    child_process& add_keeper(const std::string& id, const std::string& ip, bool is_first = false);
     /// The same of another gateway.
     bool says_ready(const std::string& ip);
     /// Settings of a gateway at that address that finds the fleet by the keeper at `seed_ip`.
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -104,6 +104,16 @@
         }
     }
 
+    GIVEN("a keeper that starts when all replicas have told another one of themselves") {
+        child_process& late = platform.add_keeper("late", "127.0.0.8");
+        THEN("it knows them too, though they have no news") {
+            CHECK(salon.run_until([&] {
+                const json status = salon.keeper_status(late);
+                return status.contains("targets") && status["targets"] == 2;
+            }));
+        }
+    }
+
     GIVEN("a gateway whose settings name a keeper that is gone") {
         constexpr const char* ip = "127.0.0.6";
         constexpr const char* nowhere = "127.0.0.7";
