Wait for the log's end without looking at it again and again

Cause: a stop asked every 5 ms whether the queue was empty. That polls, and an empty queue does not say that the last line is written: with the log's thread hanging in that write the stop would have waited for ever. A thread of its own closes the log now, and the process waits half a second for it. New test: a gateway whose log goes to a full pipe still answers 600 requests and ends when asked. It passes before and after: the window of an empty queue is not hit by it. Ruled out: ending without waiting; the last lines of a stop would be lost.

--- a/packages/telemetry/internal/log.cpp
+++ b/packages/telemetry/internal/log.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <thread>
 
@@ -18,9 +19,9 @@
 /// Lines that wait for a slow reader of the log: seconds of a busy store, under half a megabyte.
 constexpr std::size_t queued_lines = 1024;
 
-/// How long the end of a process waits for the reader of its log, and how often it looks.
+/// How long the end of a process waits for the reader of its log: long enough for what is queued,
+/// short beside a planned stop.
 constexpr std::chrono::milliseconds close_limit{500};
-constexpr std::chrono::milliseconds close_look_again{5};
 
 std::atomic<std::uint64_t>& left_out() {
     static std::atomic<std::uint64_t> count = 0;
@@ -51,16 +52,14 @@
 }
 
 bool close_log() {
-    const auto pool = spdlog::thread_pool();
-    const auto limit = std::chrono::steady_clock::now() + close_limit;
-    while (pool != nullptr && pool->queue_size() > 0) {
-        if (std::chrono::steady_clock::now() > limit) {
-            return false;
-        }
-        std::this_thread::sleep_for(close_look_again);
-    }
-    spdlog::shutdown();
-    return true;
+    // The log's own thread may hang in a write, and so would whoever waits for its end.
+    auto closed = std::make_shared<std::promise<void>>();
+    std::future<void> done = closed->get_future();
+    std::thread([closed] {
+        spdlog::shutdown();
+        closed->set_value();
+    }).detach();
+    return done.wait_for(close_limit) == std::future_status::ready;
 }
 
 std::uint64_t left_out_lines() {
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -122,7 +122,11 @@
 }
 
 std::string fleet::callers() const {
-    return "http://" + std::string(gateway_ip) + ":" + this->outer_port;
+    return this->callers_at(gateway_ip);
+}
+
+std::string fleet::callers_at(const std::string& ip) const {
+    return "http://" + ip + ":" + this->outer_port;
 }
 
 bool fleet::says_ready() {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -41,6 +41,8 @@
     [[nodiscard]] std::string gateway_settings(const std::string& id, const std::string& ip,
                                                const std::string& seed_ip) const;
     [[nodiscard]] std::string callers() const;
+    /// The same of the gateway at that address.
+    [[nodiscard]] std::string callers_at(const std::string& ip) const;
     child_process& gateway() { return *this->gateway_process; }
     child_process& store() { return *this->store_process; }
     stand_ins::platform_replica& engine() { return *this->models.front(); }
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -131,6 +131,29 @@
         }
     }
 
+    GIVEN("a gateway whose log goes to a pipe that nobody reads") {
+        constexpr const char* ip = "127.0.0.6";
+        std::string settings = platform.gateway_settings("talker", ip, "127.0.0.2");
+        const std::string quiet = "level = error";
+        settings.replace(settings.find(quiet), quiet.size(), "level = info\nstream = stdout");
+        child_process& talker = salon.add_process("talker", settings);
+        REQUIRE(salon.run_until([&] { return platform.says_ready(ip); }));
+        http::request stray = platform.book("r", "");
+        stray.url = platform.callers_at(ip) + "/none/" + std::string(200, 'x');
+        // Each refusal is a line that names the path: far more than a pipe holds.
+        constexpr int refusals = 600;
+        for (int i = 0; i < refusals; ++i) {
+            REQUIRE(salon.call(stray)->head.status == 404);
+        }
+        WHEN("it is asked to stop") {
+            talker.signal(SIGTERM);
+            THEN("it ends all the same") {
+                CHECK(salon.run_until([&] { return talker.has_ended(); }));
+                CHECK(talker.wait() == 0);
+            }
+        }
+    }
+
     GIVEN("a gateway that is asked to stop") {
         platform.gateway().signal(SIGTERM);
         THEN("it says that it is not ready, goes on serving for its grace, and exits cleanly") {
