--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -1,13 +1,12 @@
 // Sends the same load to a stand-in engine directly and through an entry instance, and prints what
 // the instance adds. Wall-clock figures: printed, not judged.
 #include "process/deployment.h"
+#include "process_usage.h"
 
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <fstream>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 using namespace kingcupcart;
@@ -21,21 +20,6 @@
     double per_second = 0;
 };
 
-/// User and system time of a process, in seconds.
-double cpu_seconds(int process) {
-    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
-    std::string word;
-    long ticks = 0;
-    constexpr int user_field = 14;
-    constexpr int system_field = 15;
-    for (int field = 1; file >> word && field <= system_field; ++field) {
-        if (field == user_field || field == system_field) {
-            ticks += std::stol(word);
-        }
-    }
-    return static_cast<double>(ticks) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 load_result run_load(deployment& bench, const http::request& wanted, int connections, int count) {
     using clock = std::chrono::steady_clock;
     std::vector<double> times;
@@ -91,9 +75,9 @@
         run_load(bench, direct, connections, warm_up);
         run_load(bench, through, connections, warm_up);
         const load_result plain = run_load(bench, direct, connections, count);
-        const double before = cpu_seconds(entry.id());
+        const double before = processor_seconds(entry.id());
         const load_result routed = run_load(bench, through, connections, count);
-        const double spent = (cpu_seconds(entry.id()) - before) * 1e6 / count;
+        const double spent = (processor_seconds(entry.id()) - before) * 1e6 / count;
         std::printf("%-12d %-8s %10.3f %10.3f %10.0f\n", connections, "direct", plain.median_ms,
                     plain.p99_ms, plain.per_second);
         std::printf("%-12d %-8s %10.3f %10.3f %10.0f %14.0f\n", connections, "routed",
