Find the ready line behind log lines, and pause between status requests

Cause: the process test "a gateway whose log goes to a pipe that nobody reads" took the first line of standard output for the ready line. Where the log goes to standard output too, a log line can come first: a link to a keeper opens on the gateway's own thread while the daemon is still starting.

Change: the test's child process waits for the line that begins with "ready" and keeps the others; it still fails when the output ends or pauses for 20 s without it, and now ends its process when it throws, which left processes behind. Waiting for targets pauses 50 ms between two status requests, which were sent back to back.

Ruled out: a product fault; the help text promises the line, not that it is the first one.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
 
 extern char** environ;
 
@@ -50,15 +51,21 @@
         throw std::runtime_error("cannot start " + command[0]);
     }
     this->read_available(true);
-    const auto line_end = this->buffered_output.find('\n');
-    if (!this->buffered_output.starts_with("ready") || line_end == std::string::npos) {
+    const auto line_begin = this->find_ready_line();
+    if (line_begin == std::string::npos) {
+        this->terminate();
         throw std::runtime_error(command[0] + " printed no ready line");
     }
-    this->ready_line = this->buffered_output.substr(0, line_end) + " ";
-    this->buffered_output.erase(0, line_end + 1);
+    const auto line_end = this->buffered_output.find('\n', line_begin);
+    this->ready_line = this->buffered_output.substr(line_begin, line_end - line_begin) + " ";
+    this->buffered_output.erase(line_begin, line_end + 1 - line_begin);
 }
 
 child_process::~child_process() {
+    this->terminate();
+}
+
+void child_process::terminate() {
     if (!this->has_exit_status) {
         this->signal(SIGKILL);
         this->wait();
@@ -66,6 +73,19 @@
     close(this->output);
 }
 
+std::size_t child_process::find_ready_line() const {
+    constexpr std::string_view prefix = "ready";
+    std::size_t begin = 0;
+    for (auto end = this->buffered_output.find('\n'); end != std::string::npos;
+         end = this->buffered_output.find('\n', begin)) {
+        if (this->buffered_output.compare(begin, prefix.size(), prefix) == 0) {
+            return begin;
+        }
+        begin = end + 1;
+    }
+    return std::string::npos;
+}
+
 std::string child_process::value(const std::string& key) const {
     const auto key_begin = this->ready_line.find(" " + key + "=");
     if (key_begin == std::string::npos) {
@@ -112,7 +132,7 @@
     this->exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
-void child_process::read_available(bool wait_for_line) {
+void child_process::read_available(bool wait_for_ready_line) {
     std::array<char, 4096> buffer{};
     while (true) {
         const auto size = read(this->output, buffer.data(), buffer.size());
@@ -120,7 +140,7 @@
             this->buffered_output.append(buffer.data(), static_cast<std::size_t>(size));
             continue;
         }
-        if (size == 0 || !wait_for_line || this->buffered_output.find('\n') != std::string::npos) {
+        if (size == 0 || !wait_for_ready_line || this->find_ready_line() != std::string::npos) {
             return;
         }
         pollfd descriptor{this->output, POLLIN, 0};
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -10,8 +11,9 @@
 /// A program that a test starts. The destructor kills the process if it still runs.
 class child_process {
 public:
-    /// Starts the program and waits for the first line of its standard output, which must begin
-    /// with `ready`. Throws `std::runtime_error` if it doesn't, or if there is no output for 20 s.
+    /// Starts the program and waits for the line of its standard output that begins with `ready`;
+    /// log lines may precede it where the log goes to standard output. Ends the process and throws
+    /// `std::runtime_error` if its output ends, or pauses for 20 s, without that line.
     /// Standard error is appended to the file `error_log` unless that is empty.
     explicit child_process(const std::vector<std::string>& command,
                            const std::string& error_log = "");
@@ -21,7 +23,7 @@
 
     /// The value of `key=` on the ready line; throws `std::runtime_error` if the key is missing.
     [[nodiscard]] std::string value(const std::string& key) const;
-    /// The lines that the process has written to standard output after the ready line.
+    /// The lines that the process has written to standard output, without the ready line.
     [[nodiscard]] std::vector<std::string> lines();
     [[nodiscard]] int id() const { return this->pid; }
     void signal(int signal_number) const;
@@ -31,7 +33,10 @@
     int wait();
 
 private:
-    void read_available(bool wait_for_line);
+    void read_available(bool wait_for_ready_line);
+    /// Position of the ready line in the buffered output; `npos` if it is not complete.
+    [[nodiscard]] std::size_t find_ready_line() const;
+    void terminate();
     void record_exit(int status);
 
     pid_t pid = -1;
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -16,6 +16,8 @@
 
 constexpr duration max_wait = std::chrono::seconds(30);
 constexpr duration poll_interval = std::chrono::milliseconds(10);
+/// Pause between two requests for an instance's status.
+constexpr duration status_interval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -210,7 +212,12 @@
 bool deployment::wait_for_targets(child_process& instance, std::size_t count) {
     return this->run_until([&] {
         const auto status = nlohmann::json::parse(this->status(instance), nullptr, false);
-        return status.is_object() && status["entry"]["targets"].size() == count;
+        const bool has_targets =
+            status.is_object() && status["entry"]["targets"].size() == count;
+        if (!has_targets) {
+            this->wait(status_interval);
+        }
+        return has_targets;
     });
 }
 
