Forwarding in a package of its own, which gateways and stores can use

Change: packages/forwarding holds the forwarder (dispatcher, attempts, client) and the forwarded call; the response goes to callbacks. The gateway keeps what concerns its callers.

A fault found on the way: when a caller disconnected, the dispatcher dropped the request but the gateway kept the call, so that each such caller cost memory, and a planned stop waited for it until its limit.

Responses are buffered up to [gateway] response-limit, 16 MB by default, and a stream event too; the limit was a constant of 64 MB, more than half of a machine's memory on some deployments.

--- /dev/null
+++ b/packages/forwarding/call_parameters.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/clock.h"
+#include "engines/forwarded_request.h"
+#include "forwarding/response_callbacks.h"
+
+#include <string>
+
+namespace kingcupcart::forwarding {
+
+/// A request that is to be forwarded to a target of a route.
+struct call_parameters {
+    /// The identifier that the request carries, which responses repeat.
+    std::string name;
+    /// `is_repeatable` and `time_left` are set from the route and from `max_wait`.
+    engines::forwarded_request request;
+    /// Time until the caller gives up; the route's timeout applies if it is shorter.
+    duration max_wait{};
+    response_callbacks notify;
+};
+
+} // namespace kingcupcart::forwarding
--- /dev/null
+++ b/packages/forwarding/forwarder.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/location.h"
+#include "engines/target_protocol.h"
+#include "fleet/keeper_client.h"
+#include "forwarding/call_parameters.h"
+#include "http/client.h"
+#include "membership/directory_change.h"
+#include "requests/dispatcher.h"
+#include "routes/route.h"
+#include "task/wakeup.h"
+#include "telemetry/metric_set.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcupcart::forwarding {
+
+class forwarded_call;
+
+/// Forwards requests to the targets of their routes: executes the actions of the request dispatcher
+/// on the event loop of the thread that created it.
+class forwarder {
+public:
+    struct parameters {
+        location place;
+        const clock* time = nullptr;
+        std::uint64_t seed = 0;
+        engines::target_protocol protocol;
+        /// Routes and targets; its owner reports changes to this object.
+        const fleet::keeper_client* fleet = nullptr;
+        telemetry::metric_set* metrics = nullptr;
+        /// Largest response that is buffered, in bytes.
+        std::size_t max_response_bytes = 0;
+        /// Called after each call that ended.
+        std::function<void()> on_call_ended;
+    };
+
+    explicit forwarder(parameters arguments);
+    ~forwarder();
+    forwarder(const forwarder&) = delete;
+    forwarder& operator=(const forwarder&) = delete;
+
+    /// Forwards the request to one of the route's services. The callbacks may be called before this
+    /// function returns.
+    request_id start(const routes::route& route, call_parameters call);
+    /// Aborts the call because its caller has disconnected. None of its callbacks is called again.
+    void cancel(request_id request);
+    void routes_changed();
+    void target_changed(const membership::directory_change& change);
+
+    [[nodiscard]] std::size_t open_count() const { return this->calls.size(); }
+
+private:
+    struct open_call {
+        std::unique_ptr<forwarded_call> call;
+        time_point started_at{};
+    };
+
+    /// Picks one of the route's services at random, by their weights.
+    [[nodiscard]] backend_name choose_service(const routes::route& route);
+    /// Queues the message for the dispatcher, and processes the queue unless that is under way
+    /// already.
+    void dispatch(const requests::message& message);
+    void process_inbox();
+    void execute(const requests::action& action);
+    void on(const requests::send_attempt& action);
+    void on(const requests::select_attempt& selected);
+    void on(const requests::cancel_attempt& cancelled);
+    void on(const requests::complete_request& completed);
+    void on(const requests::refuse_request& refused);
+    void finish(request_id request, const char* outcome);
+
+    parameters params;
+    std::mt19937_64 random;
+    requests::dispatcher dispatcher;
+    http::client client;
+    std::unordered_map<request_id, open_call> calls;
+    std::unordered_map<attempt_id, request_id> attempts;
+    std::uint64_t last_request = 0;
+    /// Messages for the dispatcher that arrive while another is being processed.
+    std::deque<requests::message> inbox;
+    bool is_processing = false;
+    /// Ended calls, each of which may still be in one of its own callbacks.
+    std::vector<std::unique_ptr<forwarded_call>> pending_deletion;
+    task::wakeup dispatcher_timer;
+    task::wakeup cleanup_timer;
+};
+
+} // namespace kingcupcart::forwarding
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -1,57 +1,35 @@
-#include "gateway/internal/forwarded_call.h"
+#include "forwarding/internal/forwarded_call.h"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <array>
-#include <cctype>
 #include <string_view>
 #include <utility>
 
-namespace kingcupcart::gateway {
+namespace kingcupcart::forwarding {
 
 namespace {
 
-/// Limit of a buffered response, in bytes.
-constexpr std::size_t max_response_bytes = 64UL * 1024 * 1024;
 constexpr int status_ok = 200;
 constexpr int status_multiple_choices = 300;
 
-/// Header fields that apply to a single connection, and those that this gateway's server sets
-/// itself.
-constexpr std::array<std::string_view, 9> connection_fields = {
-    "connection",        "keep-alive",     "proxy-connection", "te",     "trailer",
-    "transfer-encoding", "content-length", "upgrade",          "server",
-};
-
-bool is_connection_field(const std::string& name) {
-    std::string lower = name;
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-    return std::find(connection_fields.begin(), connection_fields.end(), lower) !=
-           connection_fields.end();
-}
-
 bool is_success(int status) {
     return status >= status_ok && status < status_multiple_choices;
 }
 
 } // namespace
 
-forwarded_call::forwarded_call(parameters arguments) : params(std::move(arguments)) {
-    this->params.exchange->on_disconnect(
-        [this] { this->params.notify(requests::caller_disconnected{this->params.id}); });
-}
+forwarded_call::forwarded_call(parameters arguments) : params(std::move(arguments)) {}
 
 forwarded_call::~forwarded_call() = default;
 
 void forwarded_call::start_attempt(const requests::send_attempt& action,
                                    const membership::target_record& target) {
     const attempt_id attempt = action.attempt;
-    engines::forwarded_request request = this->params.request;
+    engines::forwarded_request request = this->params.call.request;
     request.time_left = this->params.deadline - this->params.time->now();
     request.resume_after =
-        this->params.call.resume_after + static_cast<std::size_t>(action.resume_after.count());
+        request.resume_after + static_cast<std::size_t>(action.resume_after.count());
     auto response = std::make_unique<attempt_response>();
     attempt_response& added = *response;
     added.last_event = request.resume_after;
@@ -72,18 +50,17 @@
         return;
     }
     found->second->head = head;
-    switch (this->params.protocol.classify_response(head, this->params.call.request_name)) {
+    switch (this->params.protocol.classify_response(head, this->params.call.name)) {
     case engines::response_kind::matching:
         found->second->is_matching = true;
         break;
     case engines::response_kind::not_run:
-        this->fail(attempt, requests::attempt_failure::declined);
+        this->fail_attempt(attempt, requests::attempt_failure::declined,
+                           "the target did not run the request");
         break;
     case engines::response_kind::mismatched:
-        spdlog::warn("attempt failed request={} attempt={} reason=\"the response belongs to "
-                     "another request\"",
-                     this->params.call.request_name, attempt.value());
-        this->fail(attempt, requests::attempt_failure::broken);
+        this->fail_attempt(attempt, requests::attempt_failure::broken,
+                           "the response belongs to another request");
         break;
     }
 }
@@ -99,8 +76,9 @@
         return;
     }
     response.body += data;
-    if (response.body.size() > max_response_bytes) {
-        this->fail(attempt, requests::attempt_failure::broken);
+    if (response.body.size() > this->params.max_response_bytes) {
+        this->fail_attempt(attempt, requests::attempt_failure::broken,
+                           "the response is larger than the limit");
     }
 }
 
@@ -112,7 +90,8 @@
          response.parser.feed_events(data)) {
         const auto event = this->params.protocol.parse_event(server_sent_event);
         if (!event || event->number != response.last_event + 1) {
-            this->fail(attempt, requests::attempt_failure::broken);
+            this->fail_attempt(attempt, requests::attempt_failure::broken,
+                               "a stream event is malformed or out of order");
             return;
         }
         response.last_event = event->number;
@@ -120,6 +99,10 @@
     // Forwards complete events only, so that another target can resume after the last one.
     const auto end = response.body.rfind("\n\n");
     if (response.last_event == before || end == std::string::npos) {
+        if (response.body.size() > this->params.max_response_bytes) {
+            this->fail_attempt(attempt, requests::attempt_failure::broken,
+                               "a stream event is larger than the limit");
+        }
         return;
     }
     const auto produced = static_cast<std::int64_t>(response.last_event - before);
@@ -128,7 +111,8 @@
         return;
     }
     const std::size_t events_size = end + 2;
-    this->params.exchange->write(std::string_view(response.body).substr(0, events_size));
+    this->params.call.notify.on_stream_data(
+        std::string_view(response.body).substr(0, events_size));
     response.body.erase(0, events_size);
 }
 
@@ -143,14 +127,17 @@
         this->params.notify(requests::attempt_completed{attempt});
         return;
     }
-    spdlog::warn("attempt failed request={} attempt={} reason=\"{}\"",
-                 this->params.call.request_name, attempt.value(), reason);
-    this->fail(attempt, completion == http::call_result::unreachable
-                            ? requests::attempt_failure::unreachable
-                            : requests::attempt_failure::broken);
+    this->fail_attempt(attempt,
+                       completion == http::call_result::unreachable
+                           ? requests::attempt_failure::unreachable
+                           : requests::attempt_failure::broken,
+                       reason);
 }
 
-void forwarded_call::fail(attempt_id attempt, requests::attempt_failure failure) {
+void forwarded_call::fail_attempt(attempt_id attempt, requests::attempt_failure failure,
+                                  const std::string& reason) {
+    spdlog::warn("attempt failed request={} attempt={} reason=\"{}\"", this->params.call.name,
+                 attempt.value(), reason);
     this->cancel(attempt);
     this->params.notify(requests::attempt_failed{attempt, failure});
 }
@@ -160,9 +147,9 @@
     this->selected_attempt = attempt;
     const attempt_response& response = *this->attempts.at(attempt);
     if (this->params.is_stream && is_first && is_success(response.head.status)) {
-        this->forward_headers(response.head);
+        this->is_streaming = true;
         this->response_status = response.head.status;
-        this->params.exchange->begin_stream(response.head.status, response.head.content_type);
+        this->params.call.notify.on_stream_started(response.head);
     }
 }
 
@@ -176,32 +163,18 @@
     this->attempts.erase(found);
 }
 
-void forwarded_call::forward_headers(const http::response_head& head) {
-    for (const header_field& field : head.headers) {
-        const bool is_type = field.name == "Content-Type" || field.name == "content-type";
-        if (!is_connection_field(field.name) && !is_type) {
-            this->params.exchange->add_header(field.name.c_str(), field.value);
-        }
-    }
-}
-
 void forwarded_call::complete() {
     const attempt_response& response = *this->attempts.at(this->selected_attempt);
-    if (this->params.exchange->is_streaming()) {
-        this->params.exchange->end_stream();
+    if (this->is_streaming) {
+        this->params.call.notify.on_stream_ended();
         return;
     }
-    this->forward_headers(response.head);
     this->response_status = response.head.status;
-    this->params.exchange->respond(response.head.status, response.head.content_type, response.body);
+    this->params.call.notify.on_response(response.head, response.body);
 }
 
-void forwarded_call::refuse(const refusal& details) {
-    if (this->params.exchange->is_streaming()) {
-        // The exchange closes the stream without its last chunk, so that it does not look complete.
-        return;
-    }
-    this->params.refuse(*this->params.exchange, details);
+void forwarded_call::fail(const call_failure& failure) {
+    this->params.call.notify.on_failure(failure);
 }
 
-} // namespace kingcupcart::gateway
+} // namespace kingcupcart::forwarding
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -4,10 +4,8 @@
 #include "base/ids.h"
 #include "completions/event_parser.h"
 #include "engines/target_protocol.h"
-#include "gateway/caller_calls.h"
-#include "gateway/refusal.h"
+#include "forwarding/call_parameters.h"
 #include "http/client.h"
-#include "http/exchange.h"
 #include "http/response_head.h"
 #include "membership/target_record.h"
 #include "requests/actions.h"
@@ -19,28 +17,25 @@
 #include <string>
 #include <vector>
 
-namespace kingcupcart::gateway {
+namespace kingcupcart::forwarding {
 
-/// One caller's request: executes the dispatcher's actions for it. A response is buffered until it
+/// One forwarded request: executes the dispatcher's actions for it. A response is buffered until it
 /// is complete; a stream is forwarded event by event.
 class forwarded_call {
 public:
     struct parameters {
-        request_id id;
-        routed_call call;
-        engines::forwarded_request request;
-        std::unique_ptr<http::exchange> exchange;
+        call_parameters call;
         engines::target_protocol protocol;
         /// The earlier of the caller's deadline and the route's timeout.
         time_point deadline{};
         bool is_stream = false;
+        /// Largest response that is buffered, in bytes.
+        std::size_t max_response_bytes = 0;
         const clock* time = nullptr;
         http::client* client = nullptr;
         /// Passes a message to the dispatcher, whose actions are executed before the next event
         /// loop iteration.
         std::function<void(const requests::message&)> notify;
-        /// Sends the refusal to the caller.
-        std::function<void(http::exchange&, const refusal&)> refuse;
     };
 
     explicit forwarded_call(parameters arguments);
@@ -55,9 +50,9 @@
     void cancel(attempt_id attempt);
     /// Sends the rest of the selected attempt's response.
     void complete();
-    void refuse(const refusal& details);
+    void fail(const call_failure& failure);
 
-    [[nodiscard]] const std::string& name() const { return this->params.call.request_name; }
+    [[nodiscard]] const std::string& name() const { return this->params.call.name; }
     /// Status of the target's response that was sent to the caller; 0 if none was.
     [[nodiscard]] int status() const { return this->response_status; }
 
@@ -76,8 +71,8 @@
     void on_data(attempt_id attempt, std::string_view data);
     void on_stream_data(attempt_id attempt, attempt_response& response, std::string_view data);
     void on_end(attempt_id attempt, http::call_result completion, const std::string& reason);
-    void fail(attempt_id attempt, requests::attempt_failure failure);
-    void forward_headers(const http::response_head& head);
+    void fail_attempt(attempt_id attempt, requests::attempt_failure failure,
+                      const std::string& reason);
 
     parameters params;
     std::map<attempt_id, std::unique_ptr<attempt_response>> attempts;
@@ -86,6 +81,7 @@
     std::vector<std::unique_ptr<attempt_response>> pending_deletion;
     attempt_id selected_attempt;
     int response_status = 0;
+    bool is_streaming = false;
 };
 
-} // namespace kingcupcart::gateway
+} // namespace kingcupcart::forwarding
--- /dev/null
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -0,0 +1,214 @@
+#include "forwarding/forwarder.h"
+
+#include "forwarding/internal/forwarded_call.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <chrono>
+#include <numeric>
+#include <string>
+#include <utility>
+
+namespace kingcupcart::forwarding {
+
+namespace {
+
+/// Requests of one work class that may be queued per service.
+constexpr std::size_t queue_limit = 1000;
+
+requests::dispatcher_limits make_limits() {
+    requests::dispatcher_limits limits;
+    limits.hedge_floor = std::chrono::milliseconds(60);
+    return limits;
+}
+
+} // namespace
+
+forwarder::forwarder(parameters arguments)
+    : params(std::move(arguments)),
+      random(this->params.seed),
+      dispatcher(this->params.place, make_limits(), this->params.seed),
+      dispatcher_timer([this] { this->dispatch(requests::timer_expired{}); }),
+      cleanup_timer([this] { this->pending_deletion.clear(); }) {
+    if (this->params.fleet->routes() != nullptr) {
+        this->routes_changed();
+    }
+    for (const membership::target_record& record : this->params.fleet->targets().records()) {
+        this->target_changed({membership::directory_event::added, record});
+    }
+}
+
+forwarder::~forwarder() = default;
+
+void forwarder::routes_changed() {
+    std::vector<admission::work_class> classes;
+    for (const routes::route& route : this->params.fleet->routes()->routes) {
+        admission::work_class work_class;
+        work_class.name = work_class_name(route.name.value());
+        work_class.deadline = route.timeout;
+        work_class.queue_limit = queue_limit;
+        classes.push_back(std::move(work_class));
+    }
+    this->dispatcher.set_classes(classes);
+}
+
+void forwarder::target_changed(const membership::directory_change& change) {
+    for (const requests::action& action :
+         this->dispatcher.update_target(change, this->params.time->now())) {
+        this->execute(action);
+    }
+}
+
+backend_name forwarder::choose_service(const routes::route& route) {
+    const auto total = std::accumulate(
+        route.shares.begin(), route.shares.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const routes::service_share& share) { return sum + share.weight; });
+    std::uint64_t remaining = this->random() % std::max<std::uint64_t>(total, 1);
+    for (const routes::service_share& share : route.shares) {
+        if (remaining < share.weight) {
+            return share.service;
+        }
+        remaining -= share.weight;
+    }
+    return route.shares.empty() ? backend_name() : route.shares.back().service;
+}
+
+request_id forwarder::start(const routes::route& route, call_parameters call) {
+    const time_point now = this->params.time->now();
+    const duration max_wait = std::min(call.max_wait, route.timeout);
+    const bool is_stream = route.kind == routes::route_kind::stream;
+    const bool is_resumable = is_stream && route.is_resumable;
+    call.request.is_repeatable = route.kind == routes::route_kind::repeatable || is_resumable;
+
+    requests::request_profile profile;
+    profile.id = request_id(++this->last_request);
+    profile.caller = caller_id(route.name.value());
+    profile.backend = this->choose_service(route);
+    profile.work_class = work_class_name(route.name.value());
+    profile.repeatable = call.request.is_repeatable;
+    profile.resumable = is_resumable;
+    profile.deadline = max_wait;
+    profile.max_attempts = route.max_attempts;
+
+    forwarded_call::parameters arguments;
+    arguments.call = std::move(call);
+    arguments.protocol = this->params.protocol;
+    arguments.deadline = now + max_wait;
+    arguments.is_stream = is_stream;
+    arguments.max_response_bytes = this->params.max_response_bytes;
+    arguments.time = this->params.time;
+    arguments.client = &this->client;
+    arguments.notify = [this](const requests::message& message) { this->dispatch(message); };
+    this->calls.emplace(profile.id,
+                        open_call{std::make_unique<forwarded_call>(std::move(arguments)), now});
+    this->dispatch(requests::request_arrived{profile});
+    return profile.id;
+}
+
+void forwarder::cancel(request_id request) {
+    if (!this->calls.contains(request)) {
+        return;
+    }
+    this->dispatch(requests::caller_disconnected{request});
+    this->finish(request, "abandoned");
+}
+
+void forwarder::dispatch(const requests::message& message) {
+    this->inbox.push_back(message);
+    if (!this->is_processing) {
+        this->process_inbox();
+    }
+}
+
+void forwarder::process_inbox() {
+    this->is_processing = true;
+    while (!this->inbox.empty()) {
+        const requests::message message = std::move(this->inbox.front());
+        this->inbox.pop_front();
+        for (const requests::action& action :
+             this->dispatcher.handle(message, this->params.time->now())) {
+            this->execute(action);
+        }
+    }
+    this->is_processing = false;
+    if (const auto next = this->dispatcher.next_wakeup()) {
+        this->dispatcher_timer.arm(*next);
+    }
+}
+
+void forwarder::execute(const requests::action& action) {
+    std::visit([this](const auto& alternative) { this->on(alternative); }, action);
+}
+
+void forwarder::on(const requests::send_attempt& action) {
+    const auto found = this->calls.find(action.request);
+    const membership::target_record* target = this->params.fleet->targets().find(action.target);
+    if (found == this->calls.end() || target == nullptr) {
+        this->inbox.push_back(
+            requests::attempt_failed{action.attempt, requests::attempt_failure::unreachable});
+        return;
+    }
+    spdlog::info("sending attempt request={} attempt={} cause={} target={} backend={} "
+                 "incarnation={} routes={}",
+                 found->second.call->name(), action.attempt.value(),
+                 requests::to_string(action.cause), action.target.value(), target->backend.value(),
+                 target->incarnation.value(), this->params.fleet->routes()->version.value());
+    this->attempts.emplace(action.attempt, action.request);
+    found->second.call->start_attempt(action, *target);
+}
+
+void forwarder::on(const requests::select_attempt& selected) {
+    const auto found = this->calls.find(selected.request);
+    if (found != this->calls.end()) {
+        found->second.call->select_attempt(selected.attempt);
+    }
+}
+
+void forwarder::on(const requests::cancel_attempt& cancelled) {
+    const auto attempt = this->attempts.find(cancelled.attempt);
+    if (attempt == this->attempts.end()) {
+        return;
+    }
+    const auto found = this->calls.find(attempt->second);
+    if (found != this->calls.end()) {
+        found->second.call->cancel(cancelled.attempt);
+    }
+    this->attempts.erase(attempt);
+}
+
+void forwarder::on(const requests::complete_request& completed) {
+    const auto found = this->calls.find(completed.request);
+    if (found != this->calls.end()) {
+        found->second.call->complete();
+        this->finish(completed.request, "answered");
+    }
+}
+
+void forwarder::on(const requests::refuse_request& refused) {
+    const auto found = this->calls.find(refused.request);
+    if (found != this->calls.end()) {
+        found->second.call->fail({refused.outcome, refused.reason, refused.retry_after});
+        this->finish(refused.request, requests::to_string(refused.outcome));
+    }
+}
+
+void forwarder::finish(request_id request, const char* outcome) {
+    const auto found = this->calls.find(request);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const duration elapsed = this->params.time->now() - found->second.started_at;
+    spdlog::info("request finished request={} outcome={} status={} took_ms={}",
+                 found->second.call->name(), outcome, found->second.call->status(),
+                 elapsed / std::chrono::milliseconds(1));
+    this->params.metrics->observe("request_seconds", elapsed);
+    this->params.metrics->count(std::string("requests_total{outcome=\"") + outcome + "\"}");
+    this->pending_deletion.push_back(std::move(found->second.call));
+    this->calls.erase(found);
+    std::erase_if(this->attempts, [&](const auto& entry) { return entry.second == request; });
+    this->cleanup_timer.arm_now();
+    this->params.on_call_ended();
+}
+
+} // namespace kingcupcart::forwarding
--- /dev/null
+++ b/packages/forwarding/response_callbacks.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "forwarding/call_failure.h"
+#include "http/response_head.h"
+
+#include <functional>
+#include <string_view>
+
+namespace kingcupcart::forwarding {
+
+/// Receives the response to a forwarded request: either `on_response`, or `on_stream_started`
+/// followed by `on_stream_data` and `on_stream_ended`. A request without a complete response ends
+/// with `on_failure`, which may also follow parts of a stream.
+struct response_callbacks {
+    std::function<void(const http::response_head&, std::string_view body)> on_response;
+    std::function<void(const http::response_head&)> on_stream_started;
+    std::function<void(std::string_view)> on_stream_data;
+    std::function<void()> on_stream_ended;
+    std::function<void(const call_failure&)> on_failure;
+};
+
+} // namespace kingcupcart::forwarding
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -4,7 +4,9 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <numeric>
+#include <array>
+#include <cctype>
+#include <string_view>
 #include <utility>
 
 namespace kingcupcart::gateway {
@@ -18,13 +20,42 @@
 constexpr duration retry_after_default = std::chrono::milliseconds(100);
 /// Upper limit of the time that a submission waits for a store: the time that callers wait.
 constexpr duration submission_max_wait = std::chrono::milliseconds(2500);
-/// Requests of one work class that may be queued per service.
-constexpr std::size_t queue_limit = 1000;
+/// Header fields that apply to a single connection, and those that this gateway's server sets
+/// itself.
+constexpr std::array<std::string_view, 10> not_forwarded_fields = {
+    "connection",   "keep-alive",        "proxy-connection", "te",      "trailer",
+    "content-type", "transfer-encoding", "content-length",   "upgrade", "server",
+};
+
+bool is_forwarded_field(const std::string& name) {
+    std::string lower = name;
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return std::find(not_forwarded_fields.begin(), not_forwarded_fields.end(), lower) ==
+           not_forwarded_fields.end();
+}
 
-requests::dispatcher_limits make_limits() {
-    requests::dispatcher_limits limits;
-    limits.hedge_floor = std::chrono::milliseconds(60);
-    return limits;
+void add_headers(http::exchange& exchange, const http::response_head& head) {
+    for (const header_field& field : head.headers) {
+        if (is_forwarded_field(field.name)) {
+            exchange.add_header(field.name.c_str(), field.value);
+        }
+    }
+}
+
+refusal make_refusal(const forwarding::call_failure& failure) {
+    refusal details;
+    details.reason = requests::to_string(failure.reason);
+    details.retry_after =
+        failure.retry_after > duration::zero() ? failure.retry_after : retry_after_default;
+    if (failure.outcome == requests::outcome_kind::not_run) {
+        details.kind = refusal_kind::not_run;
+    } else {
+        details.kind = failure.reason == requests::refusal_reason::deadline_passed
+                           ? refusal_kind::too_late
+                           : refusal_kind::failed;
+    }
+    return details;
 }
 
 } // namespace
@@ -32,16 +63,12 @@
 outcome<std::unique_ptr<gateway>> gateway::open(parameters arguments) {
     std::unique_ptr<gateway> created(new gateway(std::move(arguments)));
     created->open_fleet();
+    created->open_forwarder();
     BOOST_LEAF_CHECK(created->open_servers());
     return created;
 }
 
-gateway::gateway(parameters arguments)
-    : params(std::move(arguments)),
-      random(this->params.seed),
-      dispatcher(this->params.settings.place, make_limits(), this->params.seed),
-      dispatcher_timer([this] { this->dispatch(requests::timer_expired{}); }),
-      cleanup_timer([this] { this->pending_deletion.clear(); }) {}
+gateway::gateway(parameters arguments) : params(std::move(arguments)) {}
 
 gateway::~gateway() = default;
 
@@ -69,12 +96,9 @@
 
     fleet::keeper_client::callbacks keeper_callbacks;
     keeper_callbacks.make_hello = [this] { return this->make_hello(); };
-    keeper_callbacks.routes_changed = [this] { this->routes_changed(); };
+    keeper_callbacks.routes_changed = [this] { this->forwarder->routes_changed(); };
     keeper_callbacks.target_changed = [this](const membership::directory_change& change) {
-        for (const requests::action& action :
-             this->dispatcher.update_target(change, this->params.time->now())) {
-            this->execute(action);
-        }
+        this->forwarder->target_changed(change);
     };
     keeper_callbacks.stores_changed = [this] {
         this->stores->stores_changed(this->fleet->stores());
@@ -86,6 +110,20 @@
         this->params.parse_route_table, std::move(keeper_callbacks));
 }
 
+void gateway::open_forwarder() {
+    forwarding::forwarder::parameters arguments;
+    arguments.place = this->params.settings.place;
+    arguments.time = this->params.time;
+    arguments.seed = this->params.seed;
+    arguments.protocol = this->params.targets;
+    arguments.fleet = this->fleet.get();
+    arguments.metrics = &this->metrics;
+    arguments.max_response_bytes =
+        static_cast<std::size_t>(this->params.settings.gateway->response_limit);
+    arguments.on_call_ended = [this] { this->check_drained(); };
+    this->forwarder = std::make_unique<forwarding::forwarder>(std::move(arguments));
+}
+
 wire::hello gateway::make_hello() const {
     wire::hello hello;
     hello.instance = this->params.settings.instance;
@@ -119,7 +157,7 @@
 }
 
 void gateway::check_drained() {
-    const bool is_idle = this->requests.empty() && this->stores->open_count() == 0 &&
+    const bool is_idle = this->forwarder->open_count() == 0 && this->stores->open_count() == 0 &&
                          this->callers_server->is_idle();
     if (!this->on_drained || !is_idle) {
         return;
@@ -130,18 +168,6 @@
     callback();
 }
 
-void gateway::routes_changed() {
-    std::vector<admission::work_class> classes;
-    for (const routes::route& route : this->fleet->routes()->routes) {
-        admission::work_class work_class;
-        work_class.name = work_class_name(route.name.value());
-        work_class.deadline = route.timeout;
-        work_class.queue_limit = queue_limit;
-        classes.push_back(std::move(work_class));
-    }
-    this->dispatcher.set_classes(classes);
-}
-
 void gateway::handle_request(std::unique_ptr<http::exchange> exchange) {
     const caller_call call = this->params.callers.parse_call(*exchange);
     if (std::holds_alternative<readiness_call>(call)) {
@@ -201,164 +227,42 @@
     this->stores->submit(std::move(exchange), std::get<batch::job>(std::move(parsed)), max_wait);
 }
 
-backend_name gateway::choose_service(const routes::route& route) {
-    const auto total = std::accumulate(
-        route.shares.begin(), route.shares.end(), std::uint64_t{0},
-        [](std::uint64_t sum, const routes::service_share& share) { return sum + share.weight; });
-    std::uint64_t remaining = this->random() % std::max<std::uint64_t>(total, 1);
-    for (const routes::service_share& share : route.shares) {
-        if (remaining < share.weight) {
-            return share.service;
-        }
-        remaining -= share.weight;
-    }
-    return route.shares.empty() ? backend_name() : route.shares.back().service;
-}
-
-void gateway::forward(std::unique_ptr<http::exchange> exchange, const routed_call& call,
+void gateway::forward(std::unique_ptr<http::exchange> received, const routed_call& call,
                       const routes::route& route) {
-    const time_point now = this->params.time->now();
-    const duration max_wait = std::min(call.max_wait.value_or(route.timeout), route.timeout);
-    const bool is_stream = route.kind == routes::route_kind::stream;
-    forwarded_call::parameters arguments;
-    arguments.id = request_id(++this->last_request);
-    arguments.call = call;
-    arguments.request.method = exchange->method();
-    arguments.request.path = exchange->path();
-    arguments.request.headers = exchange->headers();
-    arguments.request.body = exchange->body();
-    arguments.request.is_repeatable =
-        route.kind == routes::route_kind::repeatable || (is_stream && route.is_resumable);
-    arguments.exchange = std::move(exchange);
-    arguments.protocol = this->params.targets;
-    arguments.deadline = now + max_wait;
-    arguments.is_stream = is_stream;
-    arguments.time = this->params.time;
-    arguments.client = &this->client;
-    arguments.notify = [this](const requests::message& message) { this->dispatch(message); };
-    arguments.refuse = [this, name = call.request_name](http::exchange& to,
-                                                        const refusal& details) {
-        this->refuse(to, name, details);
-    };
-
-    requests::request_profile profile;
-    profile.id = arguments.id;
-    profile.caller = caller_id(route.name.value());
-    profile.backend = this->choose_service(route);
-    profile.work_class = work_class_name(route.name.value());
-    profile.repeatable = arguments.request.is_repeatable;
-    profile.resumable = is_stream && route.is_resumable;
-    profile.deadline = max_wait;
-    profile.max_attempts = route.max_attempts;
-    this->requests.emplace(
-        profile.id, open_request{std::make_unique<forwarded_call>(std::move(arguments)), now});
-    this->dispatch(requests::request_arrived{profile});
-}
-
-void gateway::dispatch(const requests::message& message) {
-    this->inbox.push_back(message);
-    if (!this->is_processing) {
-        this->process_inbox();
-    }
+    const std::shared_ptr<http::exchange> exchange = std::move(received);
+    forwarding::call_parameters forwarded;
+    forwarded.name = call.request_name;
+    forwarded.request.method = exchange->method();
+    forwarded.request.path = exchange->path();
+    forwarded.request.headers = exchange->headers();
+    forwarded.request.body = exchange->body();
+    forwarded.request.resume_after = call.resume_after;
+    forwarded.max_wait = call.max_wait.value_or(route.timeout);
+    forwarded.notify = this->respond_to(exchange, call.request_name);
+    const request_id request = this->forwarder->start(route, std::move(forwarded));
+    exchange->on_disconnect([this, request] { this->forwarder->cancel(request); });
 }
 
-void gateway::process_inbox() {
-    this->is_processing = true;
-    while (!this->inbox.empty()) {
-        const requests::message message = std::move(this->inbox.front());
-        this->inbox.pop_front();
-        for (const requests::action& action :
-             this->dispatcher.handle(message, this->params.time->now())) {
-            this->execute(action);
+forwarding::response_callbacks
+gateway::respond_to(const std::shared_ptr<http::exchange>& exchange, const std::string& name) {
+    forwarding::response_callbacks callbacks;
+    callbacks.on_response = [exchange](const http::response_head& head, std::string_view body) {
+        add_headers(*exchange, head);
+        exchange->respond(head.status, head.content_type, body);
+    };
+    callbacks.on_stream_started = [exchange](const http::response_head& head) {
+        add_headers(*exchange, head);
+        exchange->begin_stream(head.status, head.content_type);
+    };
+    callbacks.on_stream_data = [exchange](std::string_view data) { exchange->write(data); };
+    callbacks.on_stream_ended = [exchange] { exchange->end_stream(); };
+    callbacks.on_failure = [this, exchange, name](const forwarding::call_failure& failure) {
+        // The exchange closes a stream without its last chunk, so that it does not look complete.
+        if (!exchange->is_streaming()) {
+            this->refuse(*exchange, name, make_refusal(failure));
         }
-    }
-    this->is_processing = false;
-    if (const auto next = this->dispatcher.next_wakeup()) {
-        this->dispatcher_timer.arm(*next);
-    }
-}
-
-void gateway::execute(const requests::action& action) {
-    std::visit([this](const auto& alternative) { this->on(alternative); }, action);
-}
-
-void gateway::on(const requests::send_attempt& action) {
-    const auto found = this->requests.find(action.request);
-    const membership::target_record* target = this->fleet->targets().find(action.target);
-    if (found == this->requests.end() || target == nullptr) {
-        this->inbox.push_back(
-            requests::attempt_failed{action.attempt, requests::attempt_failure::unreachable});
-        return;
-    }
-    spdlog::info("sending attempt request={} attempt={} cause={} target={} backend={} "
-                 "incarnation={} routes={}",
-                 found->second.call->name(), action.attempt.value(),
-                 requests::to_string(action.cause), action.target.value(), target->backend.value(),
-                 target->incarnation.value(), this->fleet->routes()->version.value());
-    this->attempts.emplace(action.attempt, action.request);
-    found->second.call->start_attempt(action, *target);
-}
-
-void gateway::on(const requests::select_attempt& selected) {
-    const auto found = this->requests.find(selected.request);
-    if (found != this->requests.end()) {
-        found->second.call->select_attempt(selected.attempt);
-    }
-}
-
-void gateway::on(const requests::cancel_attempt& cancelled) {
-    const auto attempt = this->attempts.find(cancelled.attempt);
-    if (attempt == this->attempts.end()) {
-        return;
-    }
-    const auto found = this->requests.find(attempt->second);
-    if (found != this->requests.end()) {
-        found->second.call->cancel(cancelled.attempt);
-    }
-    this->attempts.erase(attempt);
-}
-
-void gateway::on(const requests::complete_request& completed) {
-    const auto found = this->requests.find(completed.request);
-    if (found != this->requests.end()) {
-        found->second.call->complete();
-        this->finish(completed.request, "answered");
-    }
-}
-
-void gateway::on(const requests::refuse_request& refused) {
-    const auto found = this->requests.find(refused.request);
-    if (found == this->requests.end()) {
-        return;
-    }
-    refusal details;
-    details.reason = requests::to_string(refused.reason);
-    details.retry_after =
-        refused.retry_after > duration::zero() ? refused.retry_after : retry_after_default;
-    if (refused.outcome == requests::outcome_kind::not_run) {
-        details.kind = refusal_kind::not_run;
-    } else {
-        details.kind = refused.reason == requests::refusal_reason::deadline_passed
-                           ? refusal_kind::too_late
-                           : refusal_kind::failed;
-    }
-    found->second.call->refuse(details);
-    this->finish(refused.request, requests::to_string(refused.outcome));
-}
-
-void gateway::finish(request_id request, const char* outcome) {
-    const auto found = this->requests.find(request);
-    const duration elapsed = this->params.time->now() - found->second.started_at;
-    spdlog::info("request finished request={} outcome={} status={} took_ms={}",
-                 found->second.call->name(), outcome, found->second.call->status(),
-                 elapsed / std::chrono::milliseconds(1));
-    this->metrics.observe("request_seconds", elapsed);
-    this->metrics.count(std::string("requests_total{outcome=\"") + outcome + "\"}");
-    this->pending_deletion.push_back(std::move(found->second.call));
-    this->requests.erase(found);
-    std::erase_if(this->attempts, [&](const auto& entry) { return entry.second == request; });
-    this->cleanup_timer.arm_now();
-    this->check_drained();
+    };
+    return callbacks;
 }
 
 void gateway::on(const admin::report_request& request) {
@@ -369,9 +273,9 @@
     status["keepers_reached"] = this->fleet->open_link_count();
     status["leading_store"] = this->stores->has_leader();
     status["targets"] = this->fleet->targets().size();
-    status["open_requests"] = this->requests.size();
+    status["open_requests"] = this->forwarder->open_count();
     status["open_batch_calls"] = this->stores->open_count();
-    this->metrics.set("gateway_open_requests", static_cast<double>(this->requests.size()));
+    this->metrics.set("gateway_open_requests", static_cast<double>(this->forwarder->open_count()));
     this->metrics.set("gateway_targets", static_cast<double>(this->fleet->targets().size()));
     admin::report report;
     report.component = "gateway";
--- a/packages/settings/gateway_settings.h
+++ b/packages/settings/gateway_settings.h
@@ -16,6 +16,8 @@
     endpoint ready;
     /// Largest request body accepted from a caller, in bytes.
     std::int64_t body_limit = std::int64_t{32} * 1024 * 1024;
+    /// Largest response of a target that is buffered, in bytes.
+    std::int64_t response_limit = std::int64_t{16} * 1024 * 1024;
 };
 
 } // namespace kingcupcart::settings
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -55,6 +55,9 @@
     BOOST_LEAF_ASSIGN(settings.ready, section.address("ready"));
     BOOST_LEAF_ASSIGN(settings.body_limit, section.integer_or("body-limit", settings.body_limit,
                                                               {1024, max_body_limit}));
+    BOOST_LEAF_ASSIGN(
+        settings.response_limit,
+        section.integer_or("response-limit", settings.response_limit, {1024, max_body_limit}));
     BOOST_LEAF_CHECK(section.check_unknown_keys());
     return settings;
 }
