Request the score of an item once its text is complete

Change: a job's item carries an optional score request; batch::score_scheduler decides when each is sent (items that the trainer waits for first; a learned limit of requests in progress; repetition with backoff; given up after the route's number of error responses; none after the job's end), and store::score_runner executes it through the forwarder. The signature of the 2xx response is stored with the result, in one command, so a result is listed with its score or not at all. A text and score of an earlier job are reused only for the same score request. Texts of ended jobs wait 20 s for their item to come again.

Weighed: unscored texts held by the leader only (chosen), or by a command of their own in the stores' log. The second doubles what is synced for every item, to save the texts of about one request's time (30 ms) when a leader is lost; the first generates these again.

Storage: both new fields are last and omitted when empty, so records without scorers are encoded as before; a test checks it.

--- a/packages/batch/internal/group_ranks.h
+++ b/packages/batch/internal/group_ranks.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
-#include "batch/internal/item_rank.h"
+#include "batch/item_rank.h"
 #include "batch/scheduler_messages.h"
 
 #include <map>
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -189,7 +189,7 @@
     }
     this->release_slot(*item);
     this->update_mean_output(*item);
-    this->output.push_back(item_completed{item->job, item->spec.id});
+    this->output.push_back(item_completed{item->job, item->spec.id, item->rank});
     const item_id id = item->spec.id;
     this->items.erase(id);
     this->erase_finished_jobs();
--- a/packages/batch/internal/job_state_machine.cpp
+++ b/packages/batch/internal/job_state_machine.cpp
@@ -40,7 +40,8 @@
 void job_state_machine::reuse_results(job_record& record) {
     for (const job_item& item : record.content.items) {
         const item_result* earlier = this->find_completed_result(item.id);
-        if (earlier != nullptr && satisfies(*earlier, record.content)) {
+        if (earlier != nullptr && satisfies(*earlier, record.content) &&
+            this->has_same_scorer(item)) {
             const item_result copy = *earlier;
             append_result(record, copy);
             this->index_completed_result(copy, record);
@@ -57,6 +58,12 @@
     return &record.results.at(record.positions.at(item));
 }
 
+bool job_state_machine::has_same_scorer(const job_item& item) const {
+    const job_record& record = this->records.at(this->jobs_by_completed_item.at(item.id));
+    const job_item* earlier = record.find_item(item.id);
+    return earlier != nullptr && earlier->scorer == item.scorer;
+}
+
 void job_state_machine::append_result(job_record& record, const item_result& result) {
     record.positions.emplace(result.item, record.results.size());
     record.results.push_back(result);
--- a/packages/batch/internal/scheduled_item.h
+++ b/packages/batch/internal/scheduled_item.h
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/units.h"
-#include "batch/internal/item_rank.h"
+#include "batch/item_rank.h"
 #include "batch/run_id.h"
 #include "batch/scheduler_actions.h"
 #include "batch/scheduler_messages.h"
--- a/packages/batch/item_result.h
+++ b/packages/batch/item_result.h
@@ -16,6 +16,8 @@
     std::string text;
     /// Versions of the weights that generated the text, in ascending order.
     std::vector<weight_version> versions;
+    /// Signature of the response to the item's score request; empty if the item has none.
+    std::string score;
 
     friend bool operator==(const item_result&, const item_result&) = default;
 };
--- a/packages/batch/job_item.h
+++ b/packages/batch/job_item.h
@@ -3,7 +3,9 @@
 #include "base/header_field.h"
 #include "base/ids.h"
 #include "base/units.h"
+#include "batch/score_request.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,8 @@
     tokens max_output;
     /// The submitter's estimate of the output length; zero if there is none.
     tokens output_hint;
+    /// Requested once the text is complete; its response is the score of the result.
+    std::optional<score_request> scorer;
 };
 
 } // namespace kingcupcart::batch
--- a/packages/batch/job_state_machine.h
+++ b/packages/batch/job_state_machine.h
@@ -45,6 +45,8 @@
     /// Appends the results of earlier jobs for the same items that satisfy the job's requirements.
     void reuse_results(job_record& record);
     [[nodiscard]] const item_result* find_completed_result(const item_id& item) const;
+    /// Whether the job of the item's indexed result requested its score in the same way.
+    [[nodiscard]] bool has_same_scorer(const job_item& item) const;
     /// Erases the jobs whose retention time has passed.
     void erase_expired_jobs(wall_time now);
     /// Removes the results of an erased job from the index. A remaining job's result for the same
--- a/packages/batch/scheduler_actions.h
+++ b/packages/batch/scheduler_actions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "batch/item_rank.h"
 #include "batch/run_id.h"
 
 #include <cstddef>
@@ -56,6 +57,7 @@
 struct item_completed {
     job_id job;
     item_id item;
+    item_rank rank = item_rank::required;
 };
 
 /// Why an item is given up: too many failed runs, an engine rejected it for good, or its time limit
--- a/packages/batch/tests/job_state_machine_test.cpp
+++ b/packages/batch/tests/job_state_machine_test.cpp
@@ -30,7 +30,7 @@
 }
 
 item_result make_result(const std::string& item, const std::string& text, std::uint64_t version) {
-    return {item_id(item), true, text, {weight_version(version)}};
+    return {item_id(item), true, text, {weight_version(version)}, ""};
 }
 
 /// Copies the state through a snapshot with one result in each piece.
@@ -118,6 +118,37 @@
 
 namespace {
 
+SCENARIO("a score is reused together with its text") {
+    GIVEN("an ended job with a scored result") {
+        const score_request scorer{"score-a", "shop", "/grade/a", "body"};
+        job first = make_job("first", {"a"});
+        first.items[0].scorer = scorer;
+        job_state_machine machine;
+        machine.apply(submit_job{first, std::chrono::minutes(2)});
+        item_result scored = make_result("a", "text", 1);
+        scored.score = "signature";
+        machine.apply(append_results{job_id("first"), {scored}});
+        machine.apply(end_job{job_id("first")});
+        WHEN("the item recurs with the same scorer") {
+            job second = make_job("second", {"a"});
+            second.items[0].scorer = scorer;
+            machine.apply(submit_job{second, std::chrono::minutes(2)});
+            THEN("the new job has its text and its score at once") {
+                CHECK(machine.find(job_id("second"))->results == std::vector{scored});
+            }
+        }
+        WHEN("the item recurs with another scorer") {
+            job second = make_job("second", {"a"});
+            second.items[0].scorer = scorer;
+            second.items[0].scorer->name = "score-b";
+            machine.apply(submit_job{second, std::chrono::minutes(2)});
+            THEN("the earlier score is not taken for that of the other request") {
+                CHECK(machine.find(job_id("second"))->results.empty());
+            }
+        }
+    }
+}
+
 /// Random commands of a trainer whose items recur in later jobs, reproducible by seed.
 class command_stream {
 public:
--- a/packages/engines/target_protocol.h
+++ b/packages/engines/target_protocol.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/outcome.h"
+#include "batch/score_request.h"
 #include "completions/server_sent_event.h"
 #include "engines/forwarded_request.h"
 #include "engines/item_request.h"
@@ -26,11 +27,13 @@
                                   const load_order& order, const membership::target_record& target,
                                   const http::response_head& head,
                                   const completions::server_sent_event& event,
-                                  std::string_view text) {
+                                  std::string_view text, const batch::score_request& scorer) {
     { Candidate::forward(forwarded, target) } -> std::same_as<http::request>;
     { Candidate::run_item(item, target) } -> std::same_as<http::request>;
     { Candidate::order_load(order, target) } -> std::same_as<http::request>;
     { Candidate::request_report(target) } -> std::same_as<http::request>;
+    { Candidate::make_score_call(scorer) } -> std::same_as<forwarded_request>;
+    { Candidate::signature_of(head) } -> std::same_as<std::optional<std::string>>;
     { Candidate::classify_response(head, text) } -> std::same_as<response_kind>;
     { Candidate::weight_version_of(head) } -> std::same_as<std::optional<weight_version>>;
     { Candidate::parse_event(event) } -> std::same_as<std::optional<stream_event>>;
@@ -44,6 +47,9 @@
     http::request (*run_item)(const item_request&, const membership::target_record&) = nullptr;
     http::request (*order_load)(const load_order&, const membership::target_record&) = nullptr;
     http::request (*request_report)(const membership::target_record&) = nullptr;
+    forwarded_request (*make_score_call)(const batch::score_request&) = nullptr;
+    /// The target's signature of a response; empty if the head has none.
+    std::optional<std::string> (*signature_of)(const http::response_head&) = nullptr;
     /// `request_name` is the identifier that the request was sent with.
     response_kind (*classify_response)(const http::response_head&,
                                        std::string_view request_name) = nullptr;
@@ -61,6 +67,7 @@
 constexpr target_protocol make_target_protocol() {
     return {&Dialect::forward,           &Dialect::run_item,
             &Dialect::order_load,        &Dialect::request_report,
+            &Dialect::make_score_call,   &Dialect::signature_of,
             &Dialect::classify_response, &Dialect::weight_version_of,
             &Dialect::parse_event,       &Dialect::parse_load_order_result,
             &Dialect::parse_report};
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -22,6 +22,9 @@
 
 item_runner::item_runner(parameters arguments)
     : params(std::move(arguments)),
+      scores({this->params.place, this->params.time, this->params.seed, this->params.protocol,
+              this->params.fleet, this->params.state_machine, this->params.metrics,
+              this->params.on_result}),
       client(read_interval),
       scheduler_timer([this] { this->dispatch(batch::timer_expired{}); }),
       send_timer([this] { this->send_unsent_runs(); }),
@@ -101,7 +104,11 @@
     if (route == nullptr) {
         this->jobs_without_route.push_back(record.content.id);
     }
-    const batch::job_opened opened = this->describe(record, route);
+    batch::job_opened opened = this->describe(record, route);
+    const std::vector<item_id> unscored = this->scores.resume(record);
+    std::erase_if(opened.items, [&](const batch::pending_item& item) {
+        return std::find(unscored.begin(), unscored.end(), item.id) != unscored.end();
+    });
     const auto hinted = std::count_if(opened.items.begin(), opened.items.end(),
                                       [](const auto& item) { return item.output.count() > 0; });
     spdlog::info("job opened job={} model={} oldest={} items={} open={} hinted={} route={}",
@@ -113,9 +120,11 @@
 
 void item_runner::close(const job_id& job) {
     this->dispatch(batch::job_closed{job});
+    this->scores.close(job);
 }
 
 void item_runner::target_changed(const membership::directory_change& change) {
+    this->scores.target_changed(change);
     if (change.event == membership::directory_event::removed) {
         this->dispatch(batch::engine_removed{change.record.id});
     } else {
@@ -126,6 +135,7 @@
 }
 
 void item_runner::routes_changed() {
+    this->scores.routes_changed();
     for (const membership::target_record& record : this->params.fleet->targets().records()) {
         this->dispatch(batch::engine_updated{this->engine_of(record), false});
     }
@@ -251,6 +261,13 @@
     result.text = std::move(text->second.text);
     result.versions.assign(text->second.versions.begin(), text->second.versions.end());
     this->partial_texts.erase(text);
+    const batch::job_record* record = this->params.state_machine->find(completed.job);
+    const batch::job_item* item =
+        record == nullptr ? nullptr : record->find_item(completed.item);
+    if (item != nullptr && item->scorer) {
+        this->scores.add(completed.job, std::move(result), completed.rank);
+        return;
+    }
     this->params.metrics->count("items_completed_total");
     this->params.on_result(completed.job, std::move(result));
 }
--- a/packages/store/internal/item_runner.h
+++ b/packages/store/internal/item_runner.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/location.h"
 #include "base/wall_clock.h"
 #include "batch/item_scheduler.h"
 #include "batch/job_record.h"
@@ -11,9 +12,11 @@
 #include "http/client.h"
 #include "store/internal/item_run.h"
 #include "store/internal/partial_text.h"
+#include "store/internal/score_runner.h"
 #include "task/wakeup.h"
 #include "telemetry/metric_set.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -28,6 +31,8 @@
 class item_runner {
 public:
     struct parameters {
+        location place;
+        std::uint64_t seed = 0;
         const clock* time = nullptr;
         const wall_clock* wall = nullptr;
         const fleet::keeper_client* fleet = nullptr;
@@ -52,6 +57,8 @@
 
     [[nodiscard]] std::size_t running_count() const { return this->scheduler.running_count(); }
     [[nodiscard]] std::size_t waiting_count() const { return this->scheduler.waiting_count(); }
+    /// Number of complete texts without a score.
+    [[nodiscard]] std::size_t unscored_count() const { return this->scores.pending_count(); }
 
 private:
     /// Queues the message, and processes the queue unless that is under way already.
@@ -74,6 +81,7 @@
     [[nodiscard]] const routes::route* route_of(const batch::job& job) const;
 
     parameters params;
+    score_runner scores;
     batch::item_scheduler scheduler;
     http::client client;
     std::unordered_map<batch::run_id, std::unique_ptr<item_run>> runs;
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -199,6 +199,8 @@
 void store::start_serving() {
     spdlog::info("serving batch jobs jobs={}", this->replicated_group->state().jobs().size());
     item_runner::parameters arguments;
+    arguments.place = this->params.settings.place;
+    arguments.seed = this->params.incarnation.value();
     arguments.time = this->params.time;
     arguments.wall = this->params.wall;
     arguments.fleet = this->fleet.get();
@@ -279,6 +281,7 @@
     status["jobs"] = this->replicated_group->state().jobs().size();
     status["running"] = this->runner ? this->runner->running_count() : 0;
     status["waiting"] = this->runner ? this->runner->waiting_count() : 0;
+    status["unscored"] = this->runner ? this->runner->unscored_count() : 0;
     this->metrics.set("store_jobs",
                       static_cast<double>(this->replicated_group->state().jobs().size()));
     this->metrics.set("store_journal_bytes",
--- a/packages/wire/internal/field_reader.h
+++ b/packages/wire/internal/field_reader.h
@@ -86,6 +86,8 @@
         }
     }
 
+    [[nodiscard]] bool has_more() const { return this->next < this->fields.size(); }
+
     /// Fails with `invalid_input` if a field was invalid or if fields are left unread.
     [[nodiscard]] outcome<void> finish() const {
         if (this->invalid_field != no_invalid_field) {
--- a/packages/wire/internal/input_archive.h
+++ b/packages/wire/internal/input_archive.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <type_traits>
 #include <vector>
@@ -23,6 +24,14 @@
         (this->load(values), ...);
     }
 
+    /// Loads a last field that `output_archive::trailing` omits if it is empty.
+    template <typename Field>
+    void trailing(Field& value) {
+        if (this->fields.has_more()) {
+            this->load(value);
+        }
+    }
+
 private:
     void load(bool& value) { value = this->fields.boolean(); }
     void load(std::string& value) { value = this->fields.binary(); }
@@ -67,6 +76,14 @@
             elements.push_back(std::move(element));
         });
     }
+    template <typename Content>
+    void load(std::optional<Content>& value) {
+        std::vector<Content> contents;
+        this->load(contents);
+        if (!contents.empty()) {
+            value = std::move(contents.front());
+        }
+    }
     template <typename Serializable>
     requires requires(input_archive& archive, Serializable& value) { serialize(archive, value); }
     void load(Serializable& value) { serialize(*this, value); }
--- a/packages/wire/internal/output_archive.h
+++ b/packages/wire/internal/output_archive.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <type_traits>
 #include <vector>
@@ -27,6 +28,15 @@
         (this->save(values), ...);
     }
 
+    /// Saves the last field of a vector's element unless it is empty. Records without it are thus
+    /// the same as before the field was added.
+    template <typename Field>
+    void trailing(const Field& value) {
+        if (value != Field{}) {
+            this->save(value);
+        }
+    }
+
 private:
     void save(bool value) { this->fields.push_back(value); }
     void save(const std::string& value) { this->fields.push_back(write_bytes(value)); }
@@ -65,6 +75,10 @@
         }
         this->fields.push_back(std::move(element_arrays));
     }
+    template <typename Content>
+    void save(const std::optional<Content>& value) {
+        this->save(value ? std::vector<Content>{*value} : std::vector<Content>{});
+    }
     template <typename Serializable>
     requires requires(output_archive& archive, Serializable& value) { serialize(archive, value); }
     void save(const Serializable& value) {
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -39,10 +39,16 @@
 
 namespace kingcupcart::batch {
 
+template <typename Archive>
+void serialize(Archive& archive, score_request& value) {
+    archive(value.name, value.host, value.path, value.body);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, job_item& value) {
     archive(value.id, value.group, value.path, value.headers, value.body, value.prompt,
             value.max_output, value.output_hint);
+    archive.trailing(value.scorer);
 }
 
 template <typename Archive>
@@ -54,6 +60,7 @@
 template <typename Archive>
 void serialize(Archive& archive, item_result& value) {
     archive(value.item, value.is_completed, value.text, value.versions);
+    archive.trailing(value.score);
 }
 
 template <typename Archive>
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -7,6 +7,7 @@
 #include "wire/websocket_session.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <sys/socket.h>
 
@@ -79,6 +80,16 @@
             forward_command{"c"}};
 }
 
+/// Number of fields of the first item in the encoding of a submission with two items.
+std::size_t count_item_fields(const std::string& submission) {
+    for (const auto& field : nlohmann::json::from_cbor(submission)) {
+        if (field.is_array() && field.size() == 2 && field[0].is_array()) {
+            return field[0].size();
+        }
+    }
+    return 0;
+}
+
 bool is_rejected(const std::string& bytes) {
     return std::holds_alternative<error>(value_or_error([&] { return decode(bytes); }));
 }
@@ -135,6 +146,35 @@
     CHECK(encode_command(std::get<replicated::logged_command>(command)) == encode_command(claim));
 }
 
+SCENARIO("scores are optional fields of stored jobs and results") {
+    batch::submit_job submission;
+    submission.content.id = job_id("j");
+    submission.content.items.resize(2);
+    submission.content.items[0].id = item_id("a");
+    submission.content.items[1].id = item_id("b");
+    const std::string without_scorer = encode_command(batch_command{{}, submission});
+    const auto decode_submission = [](const std::string& bytes) {
+        const auto decoded = value_or_error([&] { return decode_batch_command(bytes); });
+        REQUIRE(std::holds_alternative<batch_command>(decoded));
+        return std::get<batch::submit_job>(std::get<batch_command>(decoded).content);
+    };
+    GIVEN("a job of which one item has a scorer") {
+        submission.content.items[0].scorer = batch::score_request{"s", "shop", "/grade", "body"};
+        const std::string bytes = encode_command(batch_command{{}, submission});
+        THEN("the scorer is kept, and the other item has none") {
+            const auto decoded = decode_submission(bytes);
+            CHECK(decoded.content.items[0].scorer == submission.content.items[0].scorer);
+            CHECK_FALSE(decoded.content.items[1].scorer);
+        }
+    }
+    GIVEN("a job without scorers, as earlier versions stored it") {
+        THEN("it is encoded as before, and decoded") {
+            CHECK(count_item_fields(without_scorer) == 8);
+            CHECK(decode_submission(without_scorer).content.items.size() == 2);
+        }
+    }
+}
+
 SCENARIO("bytes that are not a message are rejected, whatever they are") {
     CHECK(is_rejected(""));
     CHECK(is_rejected("\xff\xff\xff"));
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 constexpr int status_ok = 200;
+constexpr int status_server_error = 500;
 constexpr int status_accepted = 202;
 constexpr int status_conflict = 409;
 constexpr int status_misdirected = 421;
@@ -108,7 +109,7 @@
     exchange->add_header("X-Request-Id", identifier);
     exchange->add_header("X-Server-Stamp", "stamp-of-" + this->params.id);
     if (this->params.model.empty()) {
-        exchange->respond(status_ok, "text/plain", "ran " + exchange->body());
+        this->run_service_request(std::move(exchange));
         return;
     }
     const int last_received_event = std::atoi(exchange->header("Last-Event-Id").c_str());
@@ -133,6 +134,17 @@
     }
 }
 
+void platform_replica::run_service_request(std::unique_ptr<http::exchange> exchange) {
+    if (this->holds_responses) {
+        this->held_exchanges.push_back(std::move(exchange));
+    } else if (this->requests_to_fail > 0) {
+        --this->requests_to_fail;
+        exchange->respond(status_server_error, "text/plain", "failed");
+    } else {
+        exchange->respond(status_ok, "text/plain", "ran " + exchange->body());
+    }
+}
+
 void platform_replica::write_events() {
     std::erase_if(this->streams, [](open_stream& stream) { return !write_event(stream); });
     if (!this->streams.empty()) {
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -68,6 +68,11 @@
         this->responses_to_interrupt = responses;
     }
 
+    /// Makes the next `requests` requests to a plain service fail with status 500.
+    void fail_requests(int requests) { this->requests_to_fail = requests; }
+    /// Makes a plain service leave requests unanswered.
+    void hold_responses(bool is_held) { this->holds_responses = is_held; }
+
 private:
     /// A stream with events left to write.
     struct open_stream {
@@ -87,6 +92,7 @@
     void handle_load_order(http::exchange& exchange);
     void send_report(http::exchange& exchange) const;
     void run_request(std::unique_ptr<http::exchange> exchange);
+    void run_service_request(std::unique_ptr<http::exchange> exchange);
     void write_events();
     /// Writes the stream's next event. Returns false once no event is left.
     static bool write_event(open_stream& stream);
@@ -98,6 +104,8 @@
     std::uint64_t heartbeats_sent = 0;
     int events_before_interrupt = 0;
     int responses_to_interrupt = 0;
+    int requests_to_fail = 0;
+    bool holds_responses = false;
     std::vector<std::string> executed_requests;
     std::map<std::string, std::set<std::uint64_t>> item_versions;
     std::vector<open_stream> streams;
@@ -105,6 +113,8 @@
     http::client client;
     std::vector<std::unique_ptr<http::client::call>> heartbeat_calls;
     std::unique_ptr<http::server> server;
+    /// Destroyed before the server, which owns their connections.
+    std::vector<std::unique_ptr<http::exchange>> held_exchanges;
 };
 
 /// Data of event `number` (from 1) in the stream of an item.
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -206,6 +206,22 @@
     return request;
 }
 
+http::request fleet::submit_scored_job_request(const std::string& job,
+                                               const std::vector<std::string>& items,
+                                               const std::string& scorer_path) const {
+    http::request request = this->submit_job_request(job, items, 1);
+    json body = json::parse(request.body);
+    for (json& item : body["requests"]) {
+        const std::string id = item["id"];
+        item["scorerUrl"] = {{"id", score_request_id(id)},
+                             {"host", "shop"},
+                             {"path", scorer_path + id},
+                             {"body", "AAEC"}};
+    }
+    request.body = body.dump();
+    return request;
+}
+
 http::request fleet::end_job_request(const std::string& job) const {
     http::request request;
     request.method = "DELETE";
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -52,6 +52,7 @@
     child_process& gateway() { return *this->gateway_process; }
     child_process& store() { return *this->store_process; }
     stand_ins::platform_replica& engine() { return *this->engine_replicas.front(); }
+    stand_ins::platform_replica& service() { return *this->service_replica; }
     void kill_store();
     /// Starts or restarts the store on the same data folder.
     void start_store();
@@ -62,6 +63,14 @@
     [[nodiscard]] http::request submit_job_request(const std::string& job,
                                                    const std::vector<std::string>& items,
                                                    int required_version) const;
+    /// The same with a score request for each item, which the plain service answers.
+    [[nodiscard]] http::request submit_scored_job_request(const std::string& job,
+                                                          const std::vector<std::string>& items,
+                                                          const std::string& scorer_path) const;
+    /// The identifier of the item's score request.
+    [[nodiscard]] static std::string score_request_id(const std::string& item) {
+        return "score-" + item;
+    }
     [[nodiscard]] http::request end_job_request(const std::string& job) const;
     [[nodiscard]] http::request publish_weights_request(int version) const;
     /// Reads the job's results from the first position until there are `count`; returns what was
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -63,6 +63,88 @@
         }
     }
 
+    GIVEN("a batch job whose items have scorers") {
+        WHEN("the grading service answers") {
+            const auto submitted = test_deployment.call(
+                test_fleet.submit_scored_job_request("s1", {"p", "q"}, "/b/grade/"));
+            REQUIRE(submitted->head.status == 202);
+            const json results = test_fleet.results("s1", 2);
+            THEN("each result carries the signature of its own score request's response") {
+                REQUIRE(results.size() == 2);
+                for (const json& result : results) {
+                    const std::string id = result["id"];
+                    CHECK(result["state"] == "completed");
+                    CHECK(result["text"] == test_fleet.expected_item_text(id));
+                    CHECK(result["score"] == "stamp-of-app");
+                    const auto& requests = test_fleet.service().executed_request_ids();
+                    CHECK(std::count(requests.begin(), requests.end(),
+                                     fleet::score_request_id(id)) == 1);
+                }
+            }
+        }
+        WHEN("the grading service fails once") {
+            test_fleet.service().fail_requests(1);
+            test_deployment.call(test_fleet.submit_scored_job_request("s2", {"r"}, "/b/grade/"));
+            THEN("the request is repeated, and the text is not generated again") {
+                const json results = test_fleet.results("s2", 1);
+                REQUIRE(results.size() == 1);
+                CHECK(results[0]["score"] == "stamp-of-app");
+                const auto& runs = test_fleet.engine().executed_request_ids();
+                CHECK(std::count(runs.begin(), runs.end(), "r") == 1);
+            }
+        }
+        WHEN("the grading service fails each time") {
+            constexpr int many = 100;
+            test_fleet.service().fail_requests(many);
+            test_deployment.call(test_fleet.submit_scored_job_request("s3", {"s"}, "/b/grade/"));
+            THEN("the item is given up after the route's number of attempts") {
+                const json results = test_fleet.results("s3", 1);
+                REQUIRE(results.size() == 1);
+                CHECK(results[0]["state"] == "terminated");
+                const auto& requests = test_fleet.service().executed_request_ids();
+                CHECK(std::count(requests.begin(), requests.end(), "score-s") == 3);
+                test_fleet.service().fail_requests(0);
+            }
+        }
+        WHEN("no route matches the score requests") {
+            test_deployment.call(test_fleet.submit_scored_job_request("s4", {"t"}, "/none/"));
+            test_deployment.wait(std::chrono::milliseconds(500));
+            THEN("the item waits, and is not listed as completed") {
+                CHECK(test_fleet.results("s4", 0).empty());
+            }
+        }
+        WHEN("a scorer has no host") {
+            http::request request =
+                test_fleet.submit_scored_job_request("s5", {"u"}, "/b/grade/");
+            json body = json::parse(request.body);
+            body["requests"][0]["scorerUrl"].erase("host");
+            request.body = body.dump();
+            THEN("the job is rejected, and the error names item and field") {
+                const auto rejected = test_deployment.call(request);
+                CHECK(rejected->head.status == 400);
+                CHECK(rejected->body.find("requests[0].scorerUrl.host") != std::string::npos);
+            }
+        }
+    }
+
+    GIVEN("a caller that disconnected before its response") {
+        test_fleet.service().hold_responses(true);
+        auto abandoned = test_deployment.begin(test_fleet.booking_request("left", ""));
+        REQUIRE(test_deployment.run_until([&] {
+            const auto& requests = test_fleet.service().executed_request_ids();
+            return std::count(requests.begin(), requests.end(), "left") == 1;
+        }));
+        abandoned->call.reset();
+        test_deployment.wait(std::chrono::milliseconds(200));
+        WHEN("the gateway receives SIGTERM") {
+            test_fleet.gateway().signal(SIGTERM);
+            THEN("its request does not hold up the planned stop") {
+                CHECK(test_deployment.run_until([&] { return test_fleet.gateway().has_exited(); }));
+                CHECK(test_fleet.gateway().wait() == 0);
+            }
+        }
+    }
+
     GIVEN("an engine that interrupts an item's stream in the middle") {
         test_fleet.engine().interrupt_responses_after(2, 1);
         test_deployment.call(test_fleet.submit_job_request("j2", {"d"}, 1));
