One epoll source for all links of a task, and reads of ready streams alone

Cause: GLib's loop visits every source in every iteration, and a link had three (read, its cancellable, keepalive timer); an issue's stack samples put 62% of the daemons' time on the large deployment in libglib. The store that runs items tried to read each of its streams every 25 ms, and compared each waiting item with every engine whenever a run ended.

Change: - task::socket_watch and task::timer: all sockets and timers of a loop share a source each. A link reads and writes its socket directly. The buffer for reads is one a thread in place of 64 KB a link. - http::read_coalescer asks epoll once per interval which streams have data. - The scheduler compares a waiting item with the engines only if the job's engine with most room has memory for it; what starts where is the same. - Score requests: the limit follows the mean latency, not single ones (distances and speeds differ), and latency alone does not take it below eight.

Tests: task (sockets and timers share a source), batch (targets at different distances), wire, http pass.

--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -139,11 +139,16 @@
         state.descriptor.versions.at(job.model) != item.newest) {
         return false;
     }
-    const double room =
+    return this->expected_memory(item) <= this->room_of(state);
+}
+
+tokens engine_pool::room_of(const engine_state& state) const {
+    if (state.runs.empty() || state.descriptor.memory.count() == 0) {
+        return tokens(std::numeric_limits<std::int64_t>::max());
+    }
+    const double usable =
         static_cast<double>(state.descriptor.memory.count()) * this->limits.max_memory_share;
-    const auto size = static_cast<double>(this->expected_memory(item).count());
-    return state.runs.empty() || state.descriptor.memory.count() == 0 ||
-           static_cast<double>(state.reserved.count()) + size <= room;
+    return tokens(static_cast<std::int64_t>(usable)) - state.reserved;
 }
 
 engine_state* engine_pool::choose_engine(const scheduled_item& item, const job_opened& job,
@@ -194,9 +199,14 @@
     return item.spec.prompt + tokens(item.spec.output.count() / 2);
 }
 
-bool engine_pool::has_free_slot_for(const job_opened& job, time_point now) const {
-    return std::any_of(this->engines.begin(), this->engines.end(),
-                       [&](const auto& entry) { return can_serve(entry.second, job, now); });
+tokens engine_pool::largest_room(const job_opened& job, time_point now) const {
+    tokens largest(-1);
+    for (const auto& [id, state] : this->engines) {
+        if (can_serve(state, job, now)) {
+            largest = std::max(largest, this->room_of(state));
+        }
+    }
+    return largest;
 }
 
 bool engine_pool::has_free_slot(time_point now) const {
--- a/packages/batch/internal/engine_pool.h
+++ b/packages/batch/internal/engine_pool.h
@@ -39,8 +39,9 @@
                                               time_point now);
     /// Whether any engine has a free slot.
     [[nodiscard]] bool has_free_slot(time_point now) const;
-    /// Whether any engine that can serve the job has a free slot.
-    [[nodiscard]] bool has_free_slot_for(const job_opened& job, time_point now) const;
+    /// The largest item that an engine with a free slot accepts for the job; negative if no engine
+    /// has a free slot.
+    [[nodiscard]] tokens largest_room(const job_opened& job, time_point now) const;
     /// Whether no other engine has newer weights of the model.
     [[nodiscard]] bool has_newest_weights(const engine_state& state, const model_name& model) const;
     /// Memory that a run of the item uses on average over its duration.
@@ -51,6 +52,8 @@
     [[nodiscard]] weight_version newest_version_of(const model_name& model) const;
     [[nodiscard]] static bool can_serve(const engine_state& state, const job_opened& job,
                                         time_point now);
+    /// The largest item for which the engine has memory.
+    [[nodiscard]] tokens room_of(const engine_state& state) const;
     [[nodiscard]] bool can_accept(const engine_state& state, const scheduled_item& item,
                                   const job_opened& job, time_point now) const;
 
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -237,19 +237,23 @@
         return;
     }
     std::vector<item_id> still_waiting;
-    std::set<job_id> jobs_without_slot;
+    // Room of each job's engines, known until the next run starts. Without it, hundreds of waiting
+    // items would each be compared with all engines whenever a run ends.
+    std::map<job_id, tokens> largest_rooms;
     for (const item_id& id : std::exchange(this->waiting, {})) {
         scheduled_item& item = this->items.at(id);
-        engine_state* target_engine =
-            jobs_without_slot.contains(item.job) ? nullptr : this->choose_engine(item);
-        if (target_engine == nullptr &&
-            !this->engines.has_free_slot_for(this->jobs.at(item.job).spec, this->now)) {
-            jobs_without_slot.insert(item.job);
+        const auto [room, is_new] = largest_rooms.try_emplace(item.job);
+        if (is_new) {
+            room->second = this->engines.largest_room(this->jobs.at(item.job).spec, this->now);
         }
+        engine_state* target_engine = this->engines.expected_memory(item) <= room->second
+                                          ? this->choose_engine(item)
+                                          : nullptr;
         if (target_engine == nullptr) {
             still_waiting.push_back(id);
         } else {
             this->start(item, *target_engine);
+            largest_rooms.clear();
         }
     }
     this->waiting = std::move(still_waiting);
--- a/packages/batch/internal/score_scheduler.cpp
+++ b/packages/batch/internal/score_scheduler.cpp
@@ -8,9 +8,14 @@
 
 namespace {
 
-/// Share of the difference by which the estimate of the shortest latency follows longer ones, so
-/// that it recovers when the service becomes slower for good.
-constexpr int latency_adaptation_responses = 256;
+/// Number of responses over which the moving average of the latency extends.
+constexpr int latency_averaging_responses = 16;
+/// Number of responses before the mean latency is compared: enough for all distances to be among
+/// them.
+constexpr int latency_warm_up_responses = 24;
+/// Number of responses over which the lowest mean latency follows a higher one, so that it adapts
+/// to a service that became slower for good.
+constexpr int latency_adaptation_responses = 2048;
 
 } // namespace
 
@@ -76,7 +81,7 @@
         return;
     }
     if (failed.failure == score_failure::unanswered) {
-        this->decrease_concurrency();
+        this->decrease_concurrency(this->limits.min_concurrency);
     } else if (++text->failures >= text->spec.max_failures) {
         this->output.push_back(score_given_up{text->spec.job, failed.item});
         this->remove(failed.item);
@@ -130,25 +135,30 @@
 }
 
 void score_scheduler::record_latency(duration latency) {
-    if (this->shortest_latency == duration::zero() || latency < this->shortest_latency) {
-        this->shortest_latency = latency;
+    ++this->latencies_recorded;
+    this->mean_latency += (latency - this->mean_latency) /
+                          std::min(this->latencies_recorded, latency_averaging_responses);
+    if (this->latencies_recorded <= latency_warm_up_responses) {
+        this->lowest_mean_latency = this->mean_latency;
     }
-    const auto usual = static_cast<double>(this->shortest_latency.count());
-    if (static_cast<double>(latency.count()) > usual * this->limits.queueing_ratio) {
-        this->decrease_concurrency();
-    } else {
-        this->limit = std::min(this->limit + 1 / this->limit, this->limits.max_concurrency);
+    this->lowest_mean_latency +=
+        (this->mean_latency - this->lowest_mean_latency) / latency_adaptation_responses;
+    this->lowest_mean_latency = std::min(this->lowest_mean_latency, this->mean_latency);
+    const auto lowest = static_cast<double>(this->lowest_mean_latency.count());
+    if (static_cast<double>(this->mean_latency.count()) > lowest * this->limits.queueing_ratio) {
+        this->decrease_concurrency(std::min(this->limit, this->limits.uncritical_concurrency));
+        return;
     }
-    this->shortest_latency += (latency - this->shortest_latency) / latency_adaptation_responses;
+    const double increase = this->limit < this->limits.uncritical_concurrency ? 1 : 1 / this->limit;
+    this->limit = std::min(this->limit + increase, this->limits.max_concurrency);
 }
 
-void score_scheduler::decrease_concurrency() {
+void score_scheduler::decrease_concurrency(double lower_bound) {
     if (this->now - this->last_decrease < this->limits.decrease_interval) {
         return;
     }
     this->last_decrease = this->now;
-    this->limit =
-        std::max(this->limit * this->limits.decrease_factor, this->limits.min_concurrency);
+    this->limit = std::max(this->limit * this->limits.decrease_factor, lower_bound);
 }
 
 } // namespace kingcupcart::batch
--- a/packages/batch/score_scheduler.h
+++ b/packages/batch/score_scheduler.h
@@ -65,7 +65,7 @@
     pending_text* end_request(const item_id& item);
     void remove(const item_id& item);
     void record_latency(duration latency);
-    void decrease_concurrency();
+    void decrease_concurrency(double lower_bound);
 
     score_limits limits;
     std::unordered_map<item_id, pending_text> texts;
@@ -76,8 +76,10 @@
     std::size_t in_progress = 0;
     double limit;
     time_point last_decrease{};
-    /// Estimate of the latency without queueing; zero before the first response.
-    duration shortest_latency{};
+    /// Moving average of the latency, and its lowest value; zero before the first response.
+    duration mean_latency{};
+    duration lowest_mean_latency{};
+    int latencies_recorded = 0;
     time_point now{};
     score_actions output;
 };
--- a/packages/batch/tests/score_scheduler_test.cpp
+++ b/packages/batch/tests/score_scheduler_test.cpp
@@ -93,8 +93,7 @@
             CHECK(scheduler.handle(job_closed{job_id("j")}, start).empty());
             THEN("no further request is sent for its items") {
                 CHECK(scheduler.handle(score_received{item_id("a")}, start).empty());
-                CHECK(scheduler
-                          .handle(score_failed{item_id("b"), score_failure::unanswered}, start)
+                CHECK(scheduler.handle(score_failed{item_id("b"), score_failure::unanswered}, start)
                           .empty());
                 CHECK_FALSE(scheduler.next_wakeup());
                 CHECK(scheduler.pending_count() == 0);
@@ -144,6 +143,29 @@
                 CHECK(most_late <= 3 * slots);
             }
         }
+        WHEN("many targets at different distances answer at once") {
+            // Every other response takes three times as long, without any queueing.
+            for (int i = 0; i < wave; ++i) {
+                const auto actions = scheduler.handle(text_of("i" + std::to_string(i)), now);
+                for (const std::string& item : requested_items(actions)) {
+                    responses.emplace(now + milliseconds(60), item);
+                }
+            }
+            int sent = 0;
+            while (!responses.empty()) {
+                const auto [due, item] = *responses.begin();
+                responses.erase(responses.begin());
+                now = due;
+                for (const std::string& next :
+                     requested_items(scheduler.handle(score_received{item_id(item)}, now))) {
+                    responses.emplace(now + milliseconds(++sent % 2 == 0 ? 60 : 180), next);
+                }
+            }
+            THEN("the differences are not taken for queueing") {
+                CHECK(scheduler.concurrency() >= 16);
+                CHECK(now - start < std::chrono::seconds(4));
+            }
+        }
         WHEN("the service loses every request") {
             for (int i = 0; i < wave; ++i) {
                 send(scheduler.handle(text_of("i" + std::to_string(i)), now));
@@ -156,8 +178,8 @@
                 }
                 responses.clear();
                 for (const std::string& item : lost) {
-                    send(scheduler.handle(
-                        score_failed{item_id(item), score_failure::unanswered}, now));
+                    send(scheduler.handle(score_failed{item_id(item), score_failure::unanswered},
+                                          now));
                 }
                 send(scheduler.handle(timer_expired{}, now));
             }
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -108,6 +108,7 @@
     }
 
     ~state() {
+        this->stop_coalesced_reads();
         if (this->message) {
             g_signal_handlers_disconnect_by_data(this->message.get(), this);
         }
@@ -126,6 +127,7 @@
             return;
         }
         this->is_over = true;
+        this->stop_coalesced_reads();
         g_cancellable_cancel(this->cancellable.get());
     }
 
@@ -137,6 +139,7 @@
     [[nodiscard]] bool is_valid() const { return static_cast<bool>(this->message); }
 
     void finish(call_result result, const std::string& reason) {
+        this->stop_coalesced_reads();
         if (!this->is_over) {
             this->is_over = true;
             const auto on_complete = std::move(this->notify.on_complete);
@@ -204,9 +207,7 @@
         if (this->is_over && !this->is_draining) {
             return;
         }
-        if (this->coalescer) {
-            this->coalescer->add(
-                [call_state = this->shared_from_this()] { call_state->read_available(); });
+        if (this->coalescer && this->start_coalesced_reads()) {
             return;
         }
         g_input_stream_read_async(this->input.get(), this->buffer.data(), this->buffer.size(),
@@ -214,6 +215,34 @@
                                   &state::data_received, this->retain_state());
     }
 
+    /// Returns false if the connection's socket is not known.
+    bool start_coalesced_reads() {
+        if (this->coalesced_socket) {
+            return true;
+        }
+        GSocket* socket =
+            this->connections->find(soup_message_get_connection_id(this->message.get()));
+        if (socket == nullptr || g_socket_is_closed(socket) != FALSE) {
+            return false;
+        }
+        this->coalesced_socket = task::g_pointer<GSocket>::share(socket);
+        this->coalesced_number =
+            this->coalescer->add(g_socket_get_fd(socket), [call_state = this->shared_from_this()] {
+                call_state->read_available();
+            });
+        // The bytes that followed the head may be in libsoup's buffer already.
+        this->read_available();
+        return true;
+    }
+
+    void stop_coalesced_reads() {
+        if (this->coalesced_socket) {
+            this->coalescer->remove(g_socket_get_fd(this->coalesced_socket.get()),
+                                    this->coalesced_number);
+            this->coalesced_socket = {};
+        }
+    }
+
     void read_available() {
         GPollableInputStream* pollable = G_POLLABLE_INPUT_STREAM(this->input.get());
         while (!this->is_over || this->is_draining) {
@@ -223,7 +252,6 @@
                 &problem);
             if (size < 0 && g_error_matches(problem, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE) {
                 g_error_free(problem);
-                this->read_more();
                 return;
             }
             if (!this->handle_read(size, problem)) {
@@ -290,6 +318,9 @@
     task::g_pointer<GSocket> new_socket;
     task::g_pointer<GCancellable> cancellable;
     task::g_pointer<GInputStream> input;
+    /// Set while the coalescer reads the response.
+    task::g_pointer<GSocket> coalesced_socket;
+    std::uint64_t coalesced_number = 0;
     callbacks notify;
     std::array<char, read_buffer_bytes> buffer{};
     bool has_write_started = false;
--- a/packages/http/internal/connection_table.h
+++ b/packages/http/internal/connection_table.h
@@ -25,6 +25,12 @@
         this->sockets.insert_or_assign(connection, std::move(socket));
     }
 
+    /// Null if the connection is not in the table.
+    [[nodiscard]] GSocket* find(std::uint64_t connection) const {
+        const auto entry = this->sockets.find(connection);
+        return entry == this->sockets.end() ? nullptr : entry->second.get();
+    }
+
     /// Whether the peer has closed the connection; true also if the connection is not in the table.
     [[nodiscard]] bool is_closed_by_peer(std::uint64_t connection) const {
         const auto entry = this->sockets.find(connection);
--- a/packages/task/tests/task_test.cpp
+++ b/packages/task/tests/task_test.cpp
@@ -1,9 +1,18 @@
 #include "base/system_clock.h"
+#include "task/event_loop.h"
+#include "task/socket_watch.h"
 #include "task/task.h"
+#include "task/timer.h"
 
 #include <doctest/doctest.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <future>
+#include <memory>
+#include <numeric>
 #include <vector>
 
 using namespace kingcupcart;
@@ -135,3 +144,84 @@
     }
     loop.leave();
 }
+
+SCENARIO("sockets and timers of an event loop share one source each") {
+    task::event_loop loop;
+    loop.enter();
+    GIVEN("watches of several sockets") {
+        constexpr int pair_count = 50;
+        std::vector<std::array<int, 2>> pairs(pair_count);
+        std::vector<std::unique_ptr<task::socket_watch>> watches;
+        std::vector<int> calls(pair_count);
+        for (std::size_t i = 0; i < pair_count; ++i) {
+            REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, pairs[i].data()) == 0);
+            watches.push_back(std::make_unique<task::socket_watch>(pairs[i][0], [&, i] {
+                char byte = 0;
+                ++calls[i];
+                CHECK(read(pairs[i][0], &byte, 1) == 1);
+            }));
+        }
+        WHEN("one socket receives data") {
+            REQUIRE(write(pairs[7][1], "x", 1) == 1);
+            g_main_context_iteration(loop.context(), TRUE);
+            THEN("its watch alone calls back") {
+                CHECK(calls[7] == 1);
+                CHECK(std::accumulate(calls.begin(), calls.end(), 0) == 1);
+            }
+        }
+        WHEN("a callback destroys its own watch and that of another ready socket") {
+            int remaining_calls = 0;
+            watches[0].reset();
+            watches[1].reset();
+            const auto destroy_both = [&] {
+                ++remaining_calls;
+                watches[0].reset();
+                watches[1].reset();
+            };
+            watches[0] = std::make_unique<task::socket_watch>(pairs[0][0], destroy_both);
+            watches[1] = std::make_unique<task::socket_watch>(pairs[1][0], destroy_both);
+            REQUIRE(write(pairs[0][1], "x", 1) == 1);
+            REQUIRE(write(pairs[1][1], "x", 1) == 1);
+            g_main_context_iteration(loop.context(), TRUE);
+            THEN("the other one does not call back") {
+                CHECK(remaining_calls == 1);
+            }
+        }
+        WHEN("a watch awaits that its socket is writable") {
+            watches[3].reset();
+            bool is_writable = false;
+            watches[3] =
+                std::make_unique<task::socket_watch>(pairs[3][0], [&] { is_writable = true; });
+            watches[3]->await_writable(true);
+            g_main_context_iteration(loop.context(), TRUE);
+            THEN("it calls back without any data") {
+                CHECK(is_writable);
+            }
+        }
+        watches.clear();
+        for (const auto& ends : pairs) {
+            close(ends[0]);
+            close(ends[1]);
+        }
+    }
+    GIVEN("timers that are due in another order than they were armed") {
+        std::vector<int> fired;
+        task::timer late([&] { fired.push_back(2); });
+        task::timer early([&] { fired.push_back(1); });
+        task::timer disarmed([&] { fired.push_back(3); });
+        const auto now = std::chrono::steady_clock::now();
+        late.arm(now + 20ms);
+        early.arm(now + 10ms);
+        disarmed.arm(now + 15ms);
+        disarmed.disarm();
+        WHEN("their times pass") {
+            while (fired.size() < 2) {
+                g_main_context_iteration(loop.context(), TRUE);
+            }
+            THEN("they call back in the order of their times, without the disarmed one") {
+                CHECK(fired == std::vector<int>{1, 2});
+            }
+        }
+    }
+    loop.leave();
+}
--- a/packages/wire/internal/peer_link.cpp
+++ b/packages/wire/internal/peer_link.cpp
@@ -2,14 +2,19 @@
 
 #include "task/g_pointer.h"
 #include "task/socket_options.h"
-#include "task/wakeup.h"
+#include "task/socket_watch.h"
+#include "task/timer.h"
 #include "wire/codec.h"
 #include "wire/websocket_session.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
+#include <cstring>
+#include <optional>
 #include <utility>
 
 namespace kingcupcart::wire {
@@ -36,8 +41,8 @@
 
 } // namespace
 
-/// The implementation of a link. Each pending asynchronous operation holds a reference to it; their
-/// completions do nothing once `is_closed` is set.
+/// The implementation of a link. The pending connection attempt and each callback hold a reference
+/// to it; they do nothing once `is_closed` is set.
 class peer_link::state : public std::enable_shared_from_this<peer_link::state> {
 public:
     explicit state(callbacks notify)
@@ -65,8 +70,7 @@
     }
 
     bool send(const message& outgoing) {
-        if (this->is_closed ||
-            this->unsent.size() + this->being_written.size() > max_unsent_bytes) {
+        if (this->is_closed || this->unsent.size() - this->written > max_unsent_bytes) {
             return false;
         }
         const bool is_accepted = this->session->send(encode(outgoing));
@@ -87,7 +91,8 @@
         this->is_closed = true;
         this->keepalive_timer.disarm();
         g_cancellable_cancel(this->cancellable.get());
-        if (this->connection && !this->is_writing) {
+        this->watch.reset();
+        if (this->connection) {
             g_io_stream_close(G_IO_STREAM(this->connection.get()), nullptr, nullptr);
         }
     }
@@ -129,17 +134,24 @@
     void start() {
         GSocket* socket = g_socket_connection_get_socket(this->connection.get());
         g_socket_set_timeout(socket, 0);
+        g_socket_set_blocking(socket, FALSE);
         g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
         task::set_peer_timeout(socket, kernel_timeout_ms);
         this->keepalive_timer.arm(std::chrono::steady_clock::now() + keepalive_interval);
+        this->descriptor = g_socket_get_fd(socket);
+        this->watch.emplace(this->descriptor, [this] { this->on_ready(); });
         this->session->start();
         this->flush();
-        this->start_read();
     }
 
     /// Called once per keepalive interval. Closes the link if the peer is unresponsive, or else
     /// sends a keepalive if nothing else was sent during the interval.
     void check_peer() {
+        if (!this->write_error.empty()) {
+            const state_reference reference = this->shared_from_this();
+            this->close_with(this->write_error);
+            return;
+        }
         if (std::exchange(this->received_in_interval, false)) {
             this->silent_intervals = 0;
         } else if (++this->silent_intervals > max_silent_intervals) {
@@ -186,66 +198,62 @@
         }
     }
 
-    void start_read() {
-        GInputStream* input = g_io_stream_get_input_stream(G_IO_STREAM(this->connection.get()));
-        g_input_stream_read_async(input, this->buffer.data(), this->buffer.size(),
-                                  G_PRIORITY_DEFAULT, this->cancellable.get(), &state::on_read,
-                                  this->new_reference());
+    void on_ready() {
+        // The owner may destroy the link in one of its callbacks.
+        const state_reference reference = this->shared_from_this();
+        this->flush();
+        this->read();
     }
 
-    static void on_read(GObject* source, GAsyncResult* result, gpointer link_reference) {
-        const state_reference link = release(link_reference);
-        GError* problem = nullptr;
-        const gssize size = g_input_stream_read_finish(G_INPUT_STREAM(source), result, &problem);
+    void read() {
+        // One buffer for all links of a thread: its content is processed before the next read.
+        thread_local std::array<char, read_buffer_size> buffer;
+        const ssize_t size = recv(this->descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
         if (size < 0) {
-            const std::string message = consume_error_message(problem);
-            link->close_with(message);
-            return;
-        }
-        if (link->is_closed) {
+            if (errno != EAGAIN && errno != EINTR) {
+                this->close_with(std::strerror(errno));
+            }
             return;
         }
         if (size == 0) {
-            link->session->end_of_input();
-            link->close_with(link->close_reason.empty() ? "closed by peer" : link->close_reason);
+            this->session->end_of_input();
+            this->close_with(this->close_reason.empty() ? "closed by peer" : this->close_reason);
             return;
         }
-        link->received_bytes += static_cast<std::size_t>(size);
-        link->received_in_interval = true;
-        link->session->read(link->buffer.data(), static_cast<std::size_t>(size));
-        link->flush();
-        link->close_if_ended();
-        if (!link->is_closed) {
-            link->start_read();
-        }
+        this->received_bytes += static_cast<std::size_t>(size);
+        this->received_in_interval = true;
+        this->session->read(buffer.data(), static_cast<std::size_t>(size));
+        this->flush();
+        this->close_if_ended();
     }
 
-    /// Writes the session's pending output to the connection, with one write in progress at a time.
+    /// Writes as much of the session's pending output as the socket takes. The rest follows once it
+    /// is writable. A failure closes the link in the event loop's next iteration, since the caller
+    /// may be in the middle of a loop over its links.
     void flush() {
-        if (this->is_writing || this->unsent.empty() || this->is_closed || !this->connection) {
+        if (this->is_closed || !this->watch || !this->write_error.empty()) {
             return;
         }
-        this->is_writing = true;
-        this->being_written = std::exchange(this->unsent, {});
-        GOutputStream* output = g_io_stream_get_output_stream(G_IO_STREAM(this->connection.get()));
-        g_output_stream_write_all_async(
-            output, this->being_written.data(), this->being_written.size(), G_PRIORITY_DEFAULT,
-            this->cancellable.get(), &state::on_written, this->new_reference());
-    }
-
-    static void on_written(GObject* source, GAsyncResult* result, gpointer link_reference) {
-        const state_reference link = release(link_reference);
-        link->is_writing = false;
-        GError* problem = nullptr;
-        gsize size = 0;
-        if (!g_output_stream_write_all_finish(G_OUTPUT_STREAM(source), result, &size, &problem)) {
-            const std::string message = consume_error_message(problem);
-            link->close_with(message);
+        while (this->written < this->unsent.size()) {
+            const ssize_t size =
+                ::send(this->descriptor, this->unsent.data() + this->written,
+                       this->unsent.size() - this->written, MSG_DONTWAIT | MSG_NOSIGNAL);
+            if (size < 0 && errno != EINTR) {
+                break;
+            }
+            const std::size_t progress = size < 0 ? 0 : static_cast<std::size_t>(size);
+            this->written += progress;
+            this->sent_bytes += progress;
+        }
+        const bool is_complete = this->written == this->unsent.size();
+        if (!is_complete && errno != EAGAIN) {
+            this->write_error = std::strerror(errno);
+            this->keepalive_timer.arm(std::chrono::steady_clock::now());
             return;
         }
-        link->sent_bytes += size;
-        link->being_written.clear();
-        link->flush();
+        this->unsent.erase(0, this->written);
+        this->written = 0;
+        this->watch->await_writable(!is_complete);
     }
 
     static void on_connected(GObject* source, GAsyncResult* result, gpointer link_reference) {
@@ -269,16 +277,20 @@
     task::g_pointer<GCancellable> cancellable;
     task::g_pointer<GSocketConnection> connection;
     std::unique_ptr<websocket_session> session;
-    std::array<char, read_buffer_size> buffer{};
+    /// The socket of `connection`.
+    int descriptor = -1;
+    /// Set while the connection is open.
+    std::optional<task::socket_watch> watch;
     std::string unsent;
-    std::string being_written;
+    /// Number of bytes of `unsent` that have been written already.
+    std::size_t written = 0;
+    std::string write_error;
     std::string close_reason;
-    task::wakeup keepalive_timer;
+    task::timer keepalive_timer;
     int silent_intervals = 0;
     bool received_in_interval = false;
     bool sent_in_interval = false;
     bool is_open = false;
-    bool is_writing = false;
     bool is_closed = false;
 };
 
