--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -34,8 +34,11 @@
     attempt_response& added = *response;
     added.last_event = request.resume_after;
     this->attempts.emplace(attempt, std::move(response));
+    http::request outgoing = this->params.protocol.forward(request, target);
+    // The length of a stream is not limited, only that of its events.
+    outgoing.max_response_bytes = this->params.is_stream ? 0 : this->params.max_response_bytes;
     added.call = this->params.client->start(
-        this->params.protocol.forward(request, target),
+        outgoing,
         {[this, attempt] { this->params.notify(requests::attempt_write_started{attempt}); },
          [this, attempt](const http::response_head& head) { this->on_head(attempt, head); },
          [this, attempt](std::string_view data) { this->on_data(attempt, data); },
@@ -76,10 +79,6 @@
         return;
     }
     response.body += data;
-    if (response.body.size() > this->params.max_response_bytes) {
-        this->fail_attempt(attempt, requests::attempt_failure::broken,
-                           "the response is larger than the limit");
-    }
 }
 
 void forwarded_call::on_stream_data(attempt_id attempt, attempt_response& response,
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -75,7 +75,8 @@
           coalescer(owner.coalescer),
           message(soup_message_new(outgoing.method.c_str(), outgoing.url.c_str())),
           cancellable(g_cancellable_new()),
-          notify(std::move(notify)) {
+          notify(std::move(notify)),
+          max_response_bytes(outgoing.max_response_bytes) {
         if (!this->message) {
             return;
         }
@@ -273,6 +274,14 @@
         if (this->is_draining) {
             return this->count_drained(static_cast<std::size_t>(size));
         }
+        this->received_bytes += static_cast<std::size_t>(size);
+        if (this->max_response_bytes > 0 && this->received_bytes > this->max_response_bytes) {
+            this->finish(call_result::broken, "the response is longer than " +
+                                                  std::to_string(this->max_response_bytes) +
+                                                  " bytes");
+            g_cancellable_cancel(this->cancellable.get());
+            return false;
+        }
         if (!this->is_over) {
             this->notify.on_data({this->buffer.data(), static_cast<std::size_t>(size)});
         }
@@ -322,6 +331,8 @@
     task::g_pointer<GSocket> coalesced_socket;
     std::uint64_t coalesced_number = 0;
     callbacks notify;
+    std::size_t max_response_bytes;
+    std::size_t received_bytes = 0;
     std::array<char, read_buffer_bytes> buffer{};
     bool has_write_started = false;
     bool is_over = false;
--- a/packages/http/request.h
+++ b/packages/http/request.h
@@ -2,6 +2,7 @@
 
 #include "base/header_field.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,9 @@
     /// Whether the client may send the request again, on a new connection, if the server closed
     /// the idle connection that was used first.
     bool repeatable = true;
+    /// A response with a longer body ends as broken, so that a server that sends without end does
+    /// not exhaust the memory; 0 for no limit.
+    std::size_t max_response_bytes = 16UL * 1024 * 1024;
 };
 
 } // namespace kingcupcart::http
--- a/packages/keeper/internal/weight_orders.cpp
+++ b/packages/keeper/internal/weight_orders.cpp
@@ -11,6 +11,8 @@
 
 /// An order or a report request without a response within this time counts as failed. Far above a
 /// round trip.
+/// Largest response to a load order or to a request for a report, in bytes.
+constexpr std::size_t max_response_bytes = 1024UL * 1024;
 constexpr duration call_timeout = std::chrono::milliseconds(1200);
 /// Added to the lease, to allow for clock drift and for orders in transit.
 constexpr duration lease_margin = std::chrono::milliseconds(300);
@@ -164,8 +166,10 @@
     call.number = number;
     call.deadline = this->params.time->now() + call_timeout;
     this->completions.insert_or_assign(engine, std::move(on_complete));
+    http::request limited = request;
+    limited.max_response_bytes = max_response_bytes;
     call.call = this->client.start(
-        request, {[] {},
+        limited, {[] {},
                   [this, engine, number](const http::response_head& head) {
                       if (open_call* open = this->find_call(engine, number)) {
                           open->head = head;
