Have other stores carry out runs of items for the leading one

Cause: on the large deployment the leading store is out of processor: it sends 220 runs a second and reads some hundreds of streams with 0.3 core, while 11 other stores stand by and engines have free slots (starts wait up to 3 s, then ever longer).

Change: the leader decides as before; beyond [store] local-runs (100) another store sends the request, reads the stream and reports the progress of all its runs together every 150 ms, the end of one at once. batch::worker_pool chooses the store (pure; fewest runs, near the engine), remote_runs keeps the leader's side, run_worker the other one. A lost link ends its runs as broken; they resume elsewhere.

The soak gives stores local-runs = 1, so that faults meet this path.

--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -110,8 +110,7 @@
         return;
     }
     const std::size_t events_size = end + 2;
-    this->params.call.notify.on_stream_data(
-        std::string_view(response.body).substr(0, events_size));
+    this->params.call.notify.on_stream_data(std::string_view(response.body).substr(0, events_size));
     response.body.erase(0, events_size);
 }
 
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -243,8 +243,8 @@
     exchange->on_disconnect([this, request] { this->forwarder->cancel(request); });
 }
 
-forwarding::response_callbacks
-gateway::respond_to(const std::shared_ptr<http::exchange>& exchange, const std::string& name) {
+forwarding::response_callbacks gateway::respond_to(const std::shared_ptr<http::exchange>& exchange,
+                                                   const std::string& name) {
     forwarding::response_callbacks callbacks;
     callbacks.on_response = [exchange](const http::response_head& head, std::string_view body) {
         add_headers(*exchange, head);
--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -49,9 +49,11 @@
         std::function<void()> restored;
         std::function<void(bool is_leader)> leadership_changed;
         /// Another member sent this message over the link that this member dialled.
-        std::function<void(const wire::message&)> received;
+        std::function<void(const instance_id& from, const wire::message&)> received;
         /// The link that this member dialled to another member is open.
         std::function<void(const instance_id&)> connected;
+        /// That link is lost.
+        std::function<void(const instance_id&)> disconnected;
     };
 
     /// Fails where the data folder can't be used or its journal is corrupt.
@@ -128,10 +130,10 @@
           links(*this->params.log.time,
                 {this->params.greeting,
                  [this](const instance_id& member) { this->notify.connected(member); },
-                 [this](const instance_id&, const wire::message& message) {
-                     this->notify.received(message);
+                 [this](const instance_id& from, const wire::message& message) {
+                     this->notify.received(from, message);
                  },
-                 [](const instance_id&) {}}),
+                 [this](const instance_id& member) { this->notify.disconnected(member); }}),
           timeout([this] { this->expire_commands(); }) {}
 
     outcome<void> open_log() {
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -109,7 +109,7 @@
             {[this](const replicated::command& command, const auto&) { this->applied(command); },
              [this] { this->publish(); },
              [this](bool is_leader) { this->leadership_changed(is_leader); },
-             [this](const wire::message& message) {
+             [this](const instance_id& /*from*/, const wire::message& message) {
                  if (this->fleet) {
                      this->fleet->handle_message({}, message);
                  }
@@ -118,7 +118,8 @@
                  if (this->fleet) {
                      this->fleet->keeper_connected(keeper);
                  }
-             }}));
+             },
+             [](const instance_id&) {}}));
     for (const std::string& member : config.members) {
         const auto at = member.find('@');
         BOOST_LEAF_AUTO(address, parse_endpoint(member.substr(at + 1)));
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -33,6 +33,7 @@
 
 constexpr std::int64_t max_port = 65535;
 constexpr std::int64_t max_tolerated_losses = 4;
+constexpr std::int64_t max_local_runs = 100000;
 
 outcome<fleet_settings> read_fleet(ini_section& section) {
     fleet_settings settings;
@@ -73,6 +74,10 @@
     BOOST_LEAF_ASSIGN(settings.retention,
                       section.duration_or("retention", settings.retention,
                                           {std::chrono::seconds(1), std::chrono::hours(48)}));
+    BOOST_LEAF_AUTO(local_runs,
+                    section.integer_or("local-runs", static_cast<std::int64_t>(settings.local_runs),
+                                       {0, max_local_runs}));
+    settings.local_runs = static_cast<std::size_t>(local_runs);
     BOOST_LEAF_CHECK(section.check_unknown_keys());
     return settings;
 }
--- a/packages/settings/store_settings.h
+++ b/packages/settings/store_settings.h
@@ -22,6 +22,9 @@
     std::size_t tolerated_losses = 1;
     /// Batch jobs and their results are retained for this long after submission.
     duration retention = std::chrono::minutes(10);
+    /// Runs of items that a leading store carries out itself; other stores carry out further ones.
+    /// A hundred streams take about a tenth of a core of a small machine.
+    std::size_t local_runs = 100;
 };
 
 } // namespace kingcupcart::settings
--- a/packages/store/internal/item_run.cpp
+++ b/packages/store/internal/item_run.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cstdint>
 #include <utility>
 
 namespace kingcupcart::store {
@@ -119,12 +120,15 @@
         this->fail(batch::run_failure::broken, reason.empty() ? "the stream ended early" : reason);
     } else {
         this->is_over = true;
+        // A run resumed after the item's last event has no events, and no versions if an earlier
+        // run was carried out elsewhere.
+        const auto& versions = this->params.text->versions;
+        const std::uint64_t oldest = versions.empty() ? 0 : versions.begin()->value();
+        const std::uint64_t newest = versions.empty() ? 0 : versions.rbegin()->value();
         spdlog::info(
             "run ended item={} job={} engine={} outcome=completed events={} versions={}..{}",
             this->params.action.item.value(), this->params.action.job.value(),
-            this->params.action.engine.value(), this->params.text->last_event,
-            this->params.text->versions.begin()->value(),
-            this->params.text->versions.rbegin()->value());
+            this->params.action.engine.value(), this->params.text->last_event, oldest, newest);
         this->notify(batch::run_completed{this->params.action.run});
     }
 }
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -26,6 +26,8 @@
               this->params.fleet, this->params.state_machine, this->params.metrics,
               this->params.on_result}),
       client(read_interval),
+      remote({this->params.max_local_runs, this->params.send_to_store,
+              [this](const batch::scheduler_message& message) { this->dispatch(message); }}),
       scheduler_timer([this] { this->dispatch(batch::timer_expired{}); }),
       send_timer([this] { this->send_unsent_runs(); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {
@@ -205,7 +207,7 @@
     const batch::job_record* record = this->params.state_machine->find(action.job);
     const batch::job_item* item = record == nullptr ? nullptr : record->find_item(action.item);
     const membership::target_record* target = this->params.fleet->targets().find(action.engine);
-    if (item == nullptr || record->is_ended || target == nullptr) {
+    if (item == nullptr || record->is_ended || target == nullptr || target->leaving) {
         this->dispatch(batch::run_failed{action.run, batch::run_failure::declined});
         return;
     }
@@ -220,23 +222,40 @@
     if (action.resume_after == 0) {
         text = partial_text{};
     }
+    wire::run_item_request request;
+    request.run = action.run;
+    request.job = action.job;
+    request.host = record->content.host;
+    request.engine = action.engine;
+    request.resume_after = action.resume_after;
+    request.oldest_version = record->content.oldest_version;
+    request.needs_versions = !record->content.model.value().empty();
+    request.item = *item;
+    if (!this->remote.start(request, target->place, text)) {
+        this->run_locally(action, request, *target, text);
+    }
+    this->dispatch(batch::run_sent{action.run});
+}
+
+void item_runner::run_locally(const batch::start_run& action, const wire::run_item_request& request,
+                              const membership::target_record& target, partial_text& text) {
     item_run::parameters arguments;
     arguments.action = action;
     arguments.protocol = this->params.protocol;
-    arguments.oldest_version = record->content.oldest_version;
-    arguments.needs_versions = !record->content.model.value().empty();
+    arguments.oldest_version = request.oldest_version;
+    arguments.needs_versions = request.needs_versions;
     arguments.text = &text;
     auto run = std::make_unique<item_run>(
         arguments, [this](const batch::scheduler_message& message) { this->dispatch(message); });
     item_run& added = *run;
     this->runs.emplace(action.run, std::move(run));
     added.start(this->client, this->params.protocol.run_item(
-                                  {*item, record->content.host, action.resume_after}, *target));
-    this->dispatch(batch::run_sent{action.run});
+                                  {request.item, request.host, action.resume_after}, target));
 }
 
 void item_runner::remove_run(batch::run_id run) {
     std::erase_if(this->unsent_runs, [&](const auto& action) { return action.run == run; });
+    this->remote.cancel(run);
     const auto found = this->runs.find(run);
     if (found != this->runs.end()) {
         found->second->stop();
@@ -262,8 +281,7 @@
     result.versions.assign(text->second.versions.begin(), text->second.versions.end());
     this->partial_texts.erase(text);
     const batch::job_record* record = this->params.state_machine->find(completed.job);
-    const batch::job_item* item =
-        record == nullptr ? nullptr : record->find_item(completed.item);
+    const batch::job_item* item = record == nullptr ? nullptr : record->find_item(completed.item);
     if (item != nullptr && item->scorer) {
         this->scores.add(completed.job, std::move(result), completed.rank);
         return;
--- a/packages/store/internal/item_runner.h
+++ b/packages/store/internal/item_runner.h
@@ -12,6 +12,7 @@
 #include "http/client.h"
 #include "store/internal/item_run.h"
 #include "store/internal/partial_text.h"
+#include "store/internal/remote_runs.h"
 #include "store/internal/score_runner.h"
 #include "task/wakeup.h"
 #include "telemetry/metric_set.h"
@@ -31,6 +32,8 @@
 class item_runner {
 public:
     struct parameters {
+        /// Runs that this store carries out itself.
+        std::size_t max_local_runs = 0;
         location place;
         std::uint64_t seed = 0;
         const clock* time = nullptr;
@@ -42,6 +45,8 @@
         /// Receives the result of each item that completed or was given up; the callee replicates
         /// it.
         std::function<void(const job_id&, batch::item_result)> on_result;
+        /// Sends a message to another store; returns false if the link is not open.
+        std::function<bool(const instance_id&, const wire::message&)> send_to_store;
     };
 
     explicit item_runner(parameters arguments);
@@ -52,6 +57,14 @@
     void open(const batch::job_record& record);
     void close(const job_id& job);
     void target_changed(const membership::directory_change& change);
+    /// Another store is ready to carry out runs.
+    void worker_connected(const instance_id& worker, const location& place) {
+        this->remote.worker_connected(worker, place);
+    }
+    void worker_lost(const instance_id& worker) { this->remote.worker_lost(worker); }
+    void handle(const instance_id& from, const wire::item_run_updates& message) {
+        this->remote.handle(from, message);
+    }
     /// Handles a new route table, which may change the services of routes and the engines' memory.
     void routes_changed();
 
@@ -69,6 +82,8 @@
     /// Sends up to `runs_sent_per_iteration` of the unsent runs.
     void send_unsent_runs();
     void send(const batch::start_run& action);
+    void run_locally(const batch::start_run& action, const wire::run_item_request& request,
+                     const membership::target_record& target, partial_text& text);
     void on(const batch::cancel_run& cancelled);
     void on(const batch::item_completed& completed);
     void on(const batch::item_given_up& given_up);
@@ -85,7 +100,9 @@
     batch::item_scheduler scheduler;
     http::client client;
     std::unordered_map<batch::run_id, std::unique_ptr<item_run>> runs;
+    /// Destroyed after `remote`, which refers to the texts.
     std::unordered_map<item_id, partial_text> partial_texts;
+    remote_runs remote;
     /// Runs that wait to be sent, in the scheduler's order.
     std::deque<batch::start_run> unsent_runs;
     /// Jobs opened while the route table had no route for them.
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -24,6 +24,7 @@
                              }));
     BOOST_LEAF_CHECK(created->open_group());
     created->open_fleet();
+    created->open_worker();
     created->run_maintenance();
     return created;
 }
@@ -58,7 +59,22 @@
                                this->command_applied(command, result);
                            },
                            [] {}, [this](bool is_leader) { this->leadership_changed(is_leader); },
-                           [](const wire::message&) {}, [](const instance_id&) {}}));
+                           [this](const instance_id& from, const wire::message& message) {
+                               const auto* updates = std::get_if<wire::item_run_updates>(&message);
+                               if (updates != nullptr && this->runner) {
+                                   this->runner->handle(from, *updates);
+                               }
+                           },
+                           [this](const instance_id& member) {
+                               if (this->runner) {
+                                   this->runner->worker_connected(member, this->place_of(member));
+                               }
+                           },
+                           [this](const instance_id& member) {
+                               if (this->runner) {
+                                   this->runner->worker_lost(member);
+                               }
+                           }}));
     job_request_handler::parameters handler_arguments;
     handler_arguments.time = this->params.time;
     handler_arguments.wall = this->params.wall;
@@ -101,6 +117,31 @@
         this->params.parse_route_table, std::move(keeper_callbacks));
 }
 
+void store::open_worker() {
+    run_worker::parameters arguments;
+    arguments.time = this->params.time;
+    arguments.fleet = this->fleet.get();
+    arguments.protocol = this->params.protocol;
+    arguments.metrics = &this->metrics;
+    arguments.send = [this](std::uint64_t link, const wire::message& message) {
+        const auto found = this->peers.find(link);
+        if (found != this->peers.end() && found->second.link) {
+            found->second.link->send(message);
+        }
+    };
+    this->worker = std::make_unique<run_worker>(std::move(arguments));
+}
+
+location store::place_of(const instance_id& member) const {
+    for (const auto& [number, connected_peer] : this->peers) {
+        if (connected_peer.hello.role == wire::instance_role::store &&
+            connected_peer.hello.address.to_string() == member.value()) {
+            return connected_peer.hello.place;
+        }
+    }
+    return {};
+}
+
 void store::send_registration(const instance_id& keeper) {
     const group::replicated_log& log = this->replicated_group->consensus();
     wire::store_registration registration;
@@ -133,17 +174,23 @@
                           reason);
              this->pending_deletion.push_back(std::move(lost.link));
              this->cleanup_timer.arm_now();
+             this->worker->link_lost(number);
          }});
 }
 
 void store::receive(std::uint64_t number, const wire::message& incoming) {
     peer& sender = this->peers.at(number);
     if (this->replicated_group->receive(incoming) ||
-        this->request_handler->handle(number, incoming)) {
+        this->request_handler->handle(number, incoming) || this->worker->handle(number, incoming)) {
         return;
     }
     if (const auto* hello = std::get_if<wire::hello>(&incoming)) {
         sender.hello = *hello;
+        const instance_id member(hello->address.to_string());
+        if (this->runner && hello->role == wire::instance_role::store &&
+            this->replicated_group->members().is_open(member)) {
+            this->runner->worker_connected(member, hello->place);
+        }
         sender.link->send(this->make_hello());
         sender.link->send(wire::leader_update{this->leader_address()});
     }
@@ -199,6 +246,7 @@
 void store::start_serving() {
     spdlog::info("serving batch jobs jobs={}", this->replicated_group->state().jobs().size());
     item_runner::parameters arguments;
+    arguments.max_local_runs = this->params.settings.store->local_runs;
     arguments.place = this->params.settings.place;
     arguments.seed = this->params.incarnation.value();
     arguments.time = this->params.time;
@@ -210,7 +258,15 @@
     arguments.on_result = [this](const job_id& job, batch::item_result result) {
         this->buffered_results.add(job, std::move(result));
     };
+    arguments.send_to_store = [this](const instance_id& member, const wire::message& message) {
+        return this->replicated_group->members().send(member, message);
+    };
     this->runner = std::make_unique<item_runner>(std::move(arguments));
+    for (const instance_id& member : this->replicated_group->members().ids()) {
+        if (this->replicated_group->members().is_open(member)) {
+            this->runner->worker_connected(member, this->place_of(member));
+        }
+    }
     this->request_handler->set_serving(true);
 }
 
@@ -281,6 +337,7 @@
     status["jobs"] = this->replicated_group->state().jobs().size();
     status["running"] = this->runner ? this->runner->running_count() : 0;
     status["waiting"] = this->runner ? this->runner->waiting_count() : 0;
+    status["carried_out"] = this->worker->running_count();
     status["unscored"] = this->runner ? this->runner->unscored_count() : 0;
     this->metrics.set("store_jobs",
                       static_cast<double>(this->replicated_group->state().jobs().size()));
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -14,6 +14,7 @@
 #include "store/internal/item_runner.h"
 #include "store/internal/job_request_handler.h"
 #include "store/internal/result_buffer.h"
+#include "store/internal/run_worker.h"
 #include "store/internal/store_codec.h"
 #include "task/wakeup.h"
 #include "telemetry/metric_set.h"
@@ -69,6 +70,9 @@
     void command_applied(const batch::command& command, batch::command_result result);
     void leadership_changed(bool is_leader);
     void start_serving();
+    void open_worker();
+    /// Place of the store that accepts links at the address; empty if it has not connected here.
+    [[nodiscard]] location place_of(const instance_id& member) const;
     void stores_changed();
     void send_registration(const instance_id& keeper);
     /// Sends the leader's address to all gateways, if it has changed.
@@ -88,6 +92,8 @@
     result_buffer buffered_results;
     /// Set while this store leads and serves requests.
     std::unique_ptr<item_runner> runner;
+    /// Carries out runs for another store that leads.
+    std::unique_ptr<run_worker> worker;
     std::map<std::uint64_t, peer> peers;
     std::uint64_t last_peer_number = 0;
     /// Lost links, each of which may still be in one of its own callbacks.
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -43,7 +43,10 @@
     read_results_request = 22,
     item_body_request = 23,
     end_job_request = 24,
-    batch_response = 25
+    batch_response = 25,
+    run_item_request = 26,
+    cancel_item_run = 27,
+    item_run_updates = 28
 };
 
 json number(message_number value) {
@@ -194,6 +197,12 @@
 constexpr message_number message_number_of<end_job_request> = message_number::end_job_request;
 template <>
 constexpr message_number message_number_of<batch_response> = message_number::batch_response;
+template <>
+constexpr message_number message_number_of<run_item_request> = message_number::run_item_request;
+template <>
+constexpr message_number message_number_of<cancel_item_run> = message_number::cancel_item_run;
+template <>
+constexpr message_number message_number_of<item_run_updates> = message_number::item_run_updates;
 
 template <typename Message>
 json write(const Message& outgoing) {
@@ -375,6 +384,9 @@
     {message_number::item_body_request, "item_body_asked", read_serializable<item_body_request>},
     {message_number::end_job_request, "job_end_asked", read_serializable<end_job_request>},
     {message_number::batch_response, "batch_answered", read_serializable<batch_response>},
+    {message_number::run_item_request, "run_item_request", read_serializable<run_item_request>},
+    {message_number::cancel_item_run, "cancel_item_run", read_serializable<cancel_item_run>},
+    {message_number::item_run_updates, "item_run_updates", read_serializable<item_run_updates>},
 };
 
 } // namespace
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -195,6 +195,27 @@
     archive(value.call, value.job);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, run_item_request& value) {
+    archive(value.run, value.job, value.host, value.engine, value.resume_after,
+            value.oldest_version, value.needs_versions, value.item);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, cancel_item_run& value) {
+    archive(value.run);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, item_run_update& value) {
+    archive(value.run, value.status, value.last_event, value.text, value.versions);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, item_run_updates& value) {
+    archive(value.updates);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, batch_response& value) {
     archive(value.call, value.status, value.total, value.results, value.body);
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -6,6 +6,8 @@
 #include "base/location.h"
 #include "batch/item_result.h"
 #include "batch/job.h"
+#include "batch/job_item.h"
+#include "batch/run_id.h"
 #include "membership/model_weights.h"
 #include "membership/target_load.h"
 #include "membership/target_record.h"
@@ -231,6 +233,46 @@
     std::string body;
 };
 
+/// Sent by the leading store to another store, which carries out a run of a batch job's item for
+/// it.
+struct run_item_request {
+    /// Assigned by the leader.
+    batch::run_id run;
+    job_id job;
+    /// Host under which the job was submitted.
+    std::string host;
+    target_id engine;
+    /// The run resumes after the event with this number; 0 for a run from the start.
+    std::uint64_t resume_after = 0;
+    weight_version oldest_version;
+    /// Whether the engine has to state the weight version that generated the text.
+    bool needs_versions = false;
+    /// The last field, since a scorer is omitted if the item has none.
+    batch::job_item item;
+};
+
+struct cancel_item_run {
+    batch::run_id run;
+};
+
+enum class item_run_status { running, completed, declined, failed, impossible, broken, stale };
+
+/// Progress or end of a run.
+struct item_run_update {
+    batch::run_id run;
+    item_run_status status = item_run_status::running;
+    /// Number of the last event of `text`.
+    std::uint64_t last_event = 0;
+    /// What the run's events since the last update append to the item's text.
+    std::string text;
+    /// Versions of the weights that generated the run's events so far, in ascending order.
+    std::vector<weight_version> versions;
+};
+
+struct item_run_updates {
+    std::vector<item_run_update> updates;
+};
+
 /// The order of the alternatives is that of their numbers on the wire.
 using message =
     std::variant<hello, target_update, target_heartbeats, configuration_update,
@@ -238,6 +280,7 @@
                  claim_response, instance_update, consensus_message, forward_command, keepalive,
                  fleet_update, routes_update, weights_update, store_registration,
                  initial_members_update, store_report, leader_update, submit_job_request,
-                 read_results_request, item_body_request, end_job_request, batch_response>;
+                 read_results_request, item_body_request, end_job_request, batch_response,
+                 run_item_request, cancel_item_run, item_run_updates>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -60,24 +60,30 @@
     target.record.id = target_id("e1");
     target.record.slots = 16;
     target.record.leaving = true;
-    return {example_hello(),
-            target,
-            target_heartbeats{{{target_id("e1"), 3, 4}}},
-            configuration_update{configuration_version(9), "[deployment]\n"},
-            configuration_in_force{instance_id("x"), configuration_version(9)},
-            example_call(),
-            forward_call_response{3, 200, "answered", "", {{"Content-Type", "text/plain"}}, "yes"},
-            claim_request{1, idempotency_key("k"), instance_id("x"), incarnation_id(2)},
-            claim_response{1, true, instance_id("x"), incarnation_id(2)},
-            instance_update{{instance_id("x"), endpoint{"127.0.0.1", 1}}},
-            consensus_message{example_append_entries()},
-            consensus_message{quorum::vote_request{}},
-            consensus_message{quorum::vote_response{}},
-            consensus_message{quorum::append_entries_response{}},
-            consensus_message{quorum::install_snapshot_request{}},
-            consensus_message{quorum::install_snapshot_response{}},
-            consensus_message{quorum::join_request{}},
-            forward_command{"c"}};
+    return {
+        example_hello(),
+        target,
+        target_heartbeats{{{target_id("e1"), 3, 4}}},
+        configuration_update{configuration_version(9), "[deployment]\n"},
+        configuration_in_force{instance_id("x"), configuration_version(9)},
+        example_call(),
+        forward_call_response{3, 200, "answered", "", {{"Content-Type", "text/plain"}}, "yes"},
+        claim_request{1, idempotency_key("k"), instance_id("x"), incarnation_id(2)},
+        claim_response{1, true, instance_id("x"), incarnation_id(2)},
+        instance_update{{instance_id("x"), endpoint{"127.0.0.1", 1}}},
+        consensus_message{example_append_entries()},
+        consensus_message{quorum::vote_request{}},
+        consensus_message{quorum::vote_response{}},
+        consensus_message{quorum::append_entries_response{}},
+        consensus_message{quorum::install_snapshot_request{}},
+        consensus_message{quorum::install_snapshot_response{}},
+        consensus_message{quorum::join_request{}},
+        forward_command{"c"},
+        run_item_request{
+            batch::run_id(4), job_id("j"), "shop", target_id("e"), 2, weight_version(3), true, {}},
+        cancel_item_run{batch::run_id(4)},
+        item_run_updates{
+            {{batch::run_id(4), item_run_status::completed, 5, "text", {weight_version(3)}}}}};
 }
 
 /// Number of fields of the first item in the encoding of a submission with two items.
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -212,8 +212,7 @@
 bool deployment::wait_for_targets(child_process& instance, std::size_t count) {
     return this->run_until([&] {
         const auto status = nlohmann::json::parse(this->status(instance), nullptr, false);
-        const bool has_targets =
-            status.is_object() && status["entry"]["targets"].size() == count;
+        const bool has_targets = status.is_object() && status["entry"]["targets"].size() == count;
         if (!has_targets) {
             this->wait(status_interval);
         }
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -114,8 +114,7 @@
             }
         }
         WHEN("a scorer has no host") {
-            http::request request =
-                test_fleet.submit_scored_job_request("s5", {"u"}, "/b/grade/");
+            http::request request = test_fleet.submit_scored_job_request("s5", {"u"}, "/b/grade/");
             json body = json::parse(request.body);
             body["requests"][0]["scorerUrl"].erase("host");
             request.body = body.dump();
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -102,6 +102,10 @@
                 "\ndata = " + this->test_deployment.path_of(instance.id + "-data") +
                 "\ntolerated-losses = 1\nfirst-start = " + (is_first_start ? "true" : "false") +
                 "\n";
+    if (instance.instance_role == role::store) {
+        // Most runs are carried out by stores that do not lead, so that faults meet this path too.
+        settings += "local-runs = 1\n";
+    }
     if (instance.instance_role == role::keeper) {
         settings += "control = " + external_address + "\norder-lease = 500ms\n";
     }
