--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -22,7 +22,12 @@
 
 item_runner::item_runner(parameters arguments)
     : params(std::move(arguments)),
+      scores({this->params.place, this->params.time, this->params.seed, this->params.protocol,
+              this->params.fleet, this->params.state_machine, this->params.metrics,
+              this->params.on_result}),
       client(read_interval),
+      remote({this->params.max_local_runs, this->params.send_to_store,
+              [this](const batch::scheduler_message& message) { this->dispatch(message); }}),
       scheduler_timer([this] { this->dispatch(batch::timer_expired{}); }),
       send_timer([this] { this->send_unsent_runs(); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {
@@ -101,7 +106,11 @@
     if (route == nullptr) {
         this->jobs_without_route.push_back(record.content.id);
     }
-    const batch::job_opened opened = this->describe(record, route);
+    batch::job_opened opened = this->describe(record, route);
+    const std::vector<item_id> unscored = this->scores.resume(record);
+    std::erase_if(opened.items, [&](const batch::pending_item& item) {
+        return std::find(unscored.begin(), unscored.end(), item.id) != unscored.end();
+    });
     const auto hinted = std::count_if(opened.items.begin(), opened.items.end(),
                                       [](const auto& item) { return item.output.count() > 0; });
     spdlog::info("job opened job={} model={} oldest={} items={} open={} hinted={} route={}",
@@ -113,9 +122,11 @@
 
 void item_runner::close(const job_id& job) {
     this->dispatch(batch::job_closed{job});
+    this->scores.close(job);
 }
 
 void item_runner::target_changed(const membership::directory_change& change) {
+    this->scores.target_changed(change);
     if (change.event == membership::directory_event::removed) {
         this->dispatch(batch::engine_removed{change.record.id});
     } else {
@@ -126,6 +137,7 @@
 }
 
 void item_runner::routes_changed() {
+    this->scores.routes_changed();
     for (const membership::target_record& record : this->params.fleet->targets().records()) {
         this->dispatch(batch::engine_updated{this->engine_of(record), false});
     }
@@ -195,7 +207,7 @@
     const batch::job_record* record = this->params.state_machine->find(action.job);
     const batch::job_item* item = record == nullptr ? nullptr : record->find_item(action.item);
     const membership::target_record* target = this->params.fleet->targets().find(action.engine);
-    if (item == nullptr || record->is_ended || target == nullptr) {
+    if (item == nullptr || record->is_ended || target == nullptr || target->leaving) {
         this->dispatch(batch::run_failed{action.run, batch::run_failure::declined});
         return;
     }
@@ -210,23 +222,40 @@
     if (action.resume_after == 0) {
         text = partial_text{};
     }
+    wire::run_item_request request;
+    request.run = action.run;
+    request.job = action.job;
+    request.host = record->content.host;
+    request.engine = action.engine;
+    request.resume_after = action.resume_after;
+    request.oldest_version = record->content.oldest_version;
+    request.needs_versions = !record->content.model.value().empty();
+    request.item = *item;
+    if (!this->remote.start(request, target->place, text)) {
+        this->run_locally(action, request, *target, text);
+    }
+    this->dispatch(batch::run_sent{action.run});
+}
+
+void item_runner::run_locally(const batch::start_run& action, const wire::run_item_request& request,
+                              const membership::target_record& target, partial_text& text) {
     item_run::parameters arguments;
     arguments.action = action;
     arguments.protocol = this->params.protocol;
-    arguments.oldest_version = record->content.oldest_version;
-    arguments.needs_versions = !record->content.model.value().empty();
+    arguments.oldest_version = request.oldest_version;
+    arguments.needs_versions = request.needs_versions;
     arguments.text = &text;
     auto run = std::make_unique<item_run>(
         arguments, [this](const batch::scheduler_message& message) { this->dispatch(message); });
     item_run& added = *run;
     this->runs.emplace(action.run, std::move(run));
     added.start(this->client, this->params.protocol.run_item(
-                                  {*item, record->content.host, action.resume_after}, *target));
-    this->dispatch(batch::run_sent{action.run});
+                                  {request.item, request.host, action.resume_after}, target));
 }
 
 void item_runner::remove_run(batch::run_id run) {
     std::erase_if(this->unsent_runs, [&](const auto& action) { return action.run == run; });
+    this->remote.cancel(run);
     const auto found = this->runs.find(run);
     if (found != this->runs.end()) {
         found->second->stop();
@@ -251,6 +280,12 @@
     result.text = std::move(text->second.text);
     result.versions.assign(text->second.versions.begin(), text->second.versions.end());
     this->partial_texts.erase(text);
+    const batch::job_record* record = this->params.state_machine->find(completed.job);
+    const batch::job_item* item = record == nullptr ? nullptr : record->find_item(completed.item);
+    if (item != nullptr && item->scorer) {
+        this->scores.add(completed.job, std::move(result), completed.rank);
+        return;
+    }
     this->params.metrics->count("items_completed_total");
     this->params.on_result(completed.job, std::move(result));
 }
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -39,10 +39,16 @@
 
 namespace kingcupcart::batch {
 
+template <typename Archive>
+void serialize(Archive& archive, score_request& value) {
+    archive(value.name, value.host, value.path, value.body);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, job_item& value) {
     archive(value.id, value.group, value.path, value.headers, value.body, value.prompt,
             value.max_output, value.output_hint);
+    archive.trailing(value.scorer);
 }
 
 template <typename Archive>
@@ -54,6 +60,7 @@
 template <typename Archive>
 void serialize(Archive& archive, item_result& value) {
     archive(value.item, value.is_completed, value.text, value.versions);
+    archive.trailing(value.score);
 }
 
 template <typename Archive>
@@ -188,6 +195,27 @@
     archive(value.call, value.job);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, run_item_request& value) {
+    archive(value.run, value.job, value.host, value.engine, value.resume_after,
+            value.oldest_version, value.needs_versions, value.item);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, cancel_item_run& value) {
+    archive(value.run);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, item_run_update& value) {
+    archive(value.run, value.status, value.last_event, value.text, value.versions);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, item_run_updates& value) {
+    archive(value.updates);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, batch_response& value) {
     archive(value.call, value.status, value.total, value.results, value.body);
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -7,6 +7,7 @@
 #include "wire/websocket_session.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <sys/socket.h>
 
@@ -59,24 +60,40 @@
     target.record.id = target_id("e1");
     target.record.slots = 16;
     target.record.leaving = true;
-    return {example_hello(),
-            target,
-            target_heartbeats{{{target_id("e1"), 3, 4}}},
-            configuration_update{configuration_version(9), "[deployment]\n"},
-            configuration_in_force{instance_id("x"), configuration_version(9)},
-            example_call(),
-            forward_call_response{3, 200, "answered", "", {{"Content-Type", "text/plain"}}, "yes"},
-            claim_request{1, idempotency_key("k"), instance_id("x"), incarnation_id(2)},
-            claim_response{1, true, instance_id("x"), incarnation_id(2)},
-            instance_update{{instance_id("x"), endpoint{"127.0.0.1", 1}}},
-            consensus_message{example_append_entries()},
-            consensus_message{quorum::vote_request{}},
-            consensus_message{quorum::vote_response{}},
-            consensus_message{quorum::append_entries_response{}},
-            consensus_message{quorum::install_snapshot_request{}},
-            consensus_message{quorum::install_snapshot_response{}},
-            consensus_message{quorum::join_request{}},
-            forward_command{"c"}};
+    return {
+        example_hello(),
+        target,
+        target_heartbeats{{{target_id("e1"), 3, 4}}},
+        configuration_update{configuration_version(9), "[deployment]\n"},
+        configuration_in_force{instance_id("x"), configuration_version(9)},
+        example_call(),
+        forward_call_response{3, 200, "answered", "", {{"Content-Type", "text/plain"}}, "yes"},
+        claim_request{1, idempotency_key("k"), instance_id("x"), incarnation_id(2)},
+        claim_response{1, true, instance_id("x"), incarnation_id(2)},
+        instance_update{{instance_id("x"), endpoint{"127.0.0.1", 1}}},
+        consensus_message{example_append_entries()},
+        consensus_message{quorum::vote_request{}},
+        consensus_message{quorum::vote_response{}},
+        consensus_message{quorum::append_entries_response{}},
+        consensus_message{quorum::install_snapshot_request{}},
+        consensus_message{quorum::install_snapshot_response{}},
+        consensus_message{quorum::join_request{}},
+        forward_command{"c"},
+        run_item_request{
+            batch::run_id(4), job_id("j"), "shop", target_id("e"), 2, weight_version(3), true, {}},
+        cancel_item_run{batch::run_id(4)},
+        item_run_updates{
+            {{batch::run_id(4), item_run_status::completed, 5, "text", {weight_version(3)}}}}};
+}
+
+/// Number of fields of the first item in the encoding of a submission with two items.
+std::size_t count_item_fields(const std::string& submission) {
+    for (const auto& field : nlohmann::json::from_cbor(submission)) {
+        if (field.is_array() && field.size() == 2 && field[0].is_array()) {
+            return field[0].size();
+        }
+    }
+    return 0;
 }
 
 bool is_rejected(const std::string& bytes) {
@@ -135,6 +152,35 @@
     CHECK(encode_command(std::get<replicated::logged_command>(command)) == encode_command(claim));
 }
 
+SCENARIO("scores are optional fields of stored jobs and results") {
+    batch::submit_job submission;
+    submission.content.id = job_id("j");
+    submission.content.items.resize(2);
+    submission.content.items[0].id = item_id("a");
+    submission.content.items[1].id = item_id("b");
+    const std::string without_scorer = encode_command(batch_command{{}, submission});
+    const auto decode_submission = [](const std::string& bytes) {
+        const auto decoded = value_or_error([&] { return decode_batch_command(bytes); });
+        REQUIRE(std::holds_alternative<batch_command>(decoded));
+        return std::get<batch::submit_job>(std::get<batch_command>(decoded).content);
+    };
+    GIVEN("a job of which one item has a scorer") {
+        submission.content.items[0].scorer = batch::score_request{"s", "shop", "/grade", "body"};
+        const std::string bytes = encode_command(batch_command{{}, submission});
+        THEN("the scorer is kept, and the other item has none") {
+            const auto decoded = decode_submission(bytes);
+            CHECK(decoded.content.items[0].scorer == submission.content.items[0].scorer);
+            CHECK_FALSE(decoded.content.items[1].scorer);
+        }
+    }
+    GIVEN("a job without scorers, as earlier versions stored it") {
+        THEN("it is encoded as before, and decoded") {
+            CHECK(count_item_fields(without_scorer) == 8);
+            CHECK(decode_submission(without_scorer).content.items.size() == 2);
+        }
+    }
+}
+
 SCENARIO("bytes that are not a message are rejected, whatever they are") {
     CHECK(is_rejected(""));
     CHECK(is_rejected("\xff\xff\xff"));
