--- a/review/support/support.cpp
+++ b/review/support/support.cpp
@@ -474,6 +474,10 @@
     return {this->block + "." + std::to_string(i + 1), this->control_port};
 }
 
+address fleet::store_admin_address(std::size_t i) const {
+    return {this->block + "." + std::to_string(this->keepers.size() + i + 1), this->admin_port};
+}
+
 address fleet::gateway_address(std::size_t i) const {
     const std::size_t before = this->keepers.size() + this->stores.size();
     return {this->block + "." + std::to_string(before + i + 1), this->callers_port};
--- a/review/support/support.h
+++ b/review/support/support.h
@@ -160,6 +160,7 @@
 
     [[nodiscard]] address gateway_address(std::size_t i) const;
     [[nodiscard]] address control_address(std::size_t i) const;
+    [[nodiscard]] address store_admin_address(std::size_t i) const;
     [[nodiscard]] std::vector<address> control_addresses() const;
     [[nodiscard]] std::string replica_ip() const { return this->block + ".200"; }
 
