Review case 4: callers are told that jobs have not run, and these run

Cause: 'not leader' from a new leader clears what the gateway knows of the submission to the one before. Change: the case, which kills the leading store while jobs are submitted.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+[ -x "$here/../bin/case-4" ] && [ -x target/apps/kingcupcartd ] || exit 2
+timeout -s KILL 110 "$here/../bin/case-4" "$here"
+code=$?
+[ "$code" -le 1 ] || exit 2
+exit "$code"
