Review case 1: more items a job, so that the second store is reached in time

Cause: with 12 items a job the faulty time could pass before a second store met a spoiled answer. Change: 24 items a job, 6 s of the 6.06 s that the site file has.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -11,10 +11,10 @@
 namespace {
 
 constexpr int events = 10;
-constexpr int items = 12;
+constexpr int items = 24;
 constexpr milliseconds event_interval(30);
 /// For this time, one of two replicas spoils one answer in 34.
-constexpr milliseconds trouble_time(5500);
+constexpr milliseconds trouble_time(6000);
 constexpr int spoiled_one_in = 34;
 constexpr milliseconds traffic_time(30000);
 /// `finishS` of the site.
