--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,8 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out; the driver takes it from the environment.
+TROUBLE=${TROUBLE:-1}
+export TROUBLE
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x "$here/../bin/case-2" ] && [ -x target/apps/kingcupcartd ] || exit 2
