--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -78,8 +78,9 @@
 
     bool send_without_end(connection& client, const std::string& name) {
         this->record.write("replica " + this->id + " sends heads without end for " + name);
+        // Large writes, so that the replica does not pause between them.
         std::string heads;
-        for (int i = 0; i < 1000; ++i) {
+        for (int i = 0; i < 40000; ++i) {
             heads += "HTTP/1.1 100 Continue\r\n\r\n";
         }
         while (client.write(heads)) {
