HTTP client: connections and response parsing of our own; interim heads are bounded

Cause: libsoup's client reads interim heads one after the other in one turn of the event loop, for as long as bytes are there, and counts them for no limit. Deadlines and cancellation need that loop. Ruled out as the place for a guard: neither a signal nor a flag of libsoup comes between two heads.

Change: the client dials and reads on sockets of the task's own event loop; responses are parsed by Boost.Beast's basic_parser, which does no I/O. The request is written to one connection, once. connection_table and the guess from the state of the socket are gone. The same client serves gateway, store, keeper and entry.

--- a/packages/command/internal/http_call.cpp
+++ b/packages/command/internal/http_call.cpp
@@ -1,5 +1,6 @@
 #include "command/http_call.h"
 
+#include "base/system_clock.h"
 #include "http/client.h"
 #include "task/event_loop.h"
 #include "task/wakeup.h"
@@ -15,7 +16,8 @@
     task::event_loop loop;
     loop.enter();
     {
-        http::client client;
+        const system_clock time;
+        http::client client(time);
         task::wakeup timeout([&] { loop.quit(); });
         timeout.arm(std::chrono::steady_clock::now() + max_wait);
         const auto running = client.start(
--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -74,6 +74,7 @@
                   std::unique_ptr<response_sink> sink) {
                this->run_service(request, key_created, std::move(sink));
            }),
+      client(*params.time, {params.settings.responses, {}}),
       context{client, [this](const requests::message& incoming) { this->dispatch(incoming); }},
       dispatcher_timer([this] {
           this->armed_time = time_point::max();
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/location.h"
+#include "base/response_limits.h"
 #include "engines/target_protocol.h"
 #include "fleet/keeper_client.h"
 #include "forwarding/call_parameters.h"
@@ -38,6 +39,7 @@
         /// Routes and targets; its owner reports changes to this object.
         const fleet::keeper_client* fleet = nullptr;
         telemetry::metric_set* metrics = nullptr;
+        response_limits limits;
         /// Largest response that is buffered, in bytes.
         std::size_t max_response_bytes = 0;
         /// Called after each call that ended.
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -29,6 +29,7 @@
     : params(std::move(arguments)),
       random(this->params.seed),
       dispatcher(this->params.place, make_limits(), this->params.seed),
+      client(*this->params.time, {this->params.limits, {}}),
       dispatcher_timer([this] { this->dispatch(requests::timer_expired{}); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {
     if (this->params.fleet->routes() != nullptr) {
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -118,6 +118,7 @@
     arguments.protocol = this->params.targets;
     arguments.fleet = this->fleet.get();
     arguments.metrics = &this->metrics;
+    arguments.limits = this->params.settings.responses;
     arguments.max_response_bytes =
         static_cast<std::size_t>(this->params.settings.gateway->response_limit);
     arguments.on_call_ended = [this] { this->check_drained(); };
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/response_limits.h"
 #include "http/request.h"
 #include "http/response_head.h"
 
@@ -18,13 +19,24 @@
     complete,
     /// No connection could be opened; no part of the request was written to a socket.
     unreachable,
-    /// The connection failed, or the response was truncated.
+    /// The connection failed, or the response was truncated, malformed or over a limit. The server
+    /// may have executed the request.
     broken
 };
 
 /// An HTTP client that runs on the event loop of the thread that created it.
+///
+/// It writes a request to one connection at most, and never a second time: whether to send it again
+/// is the caller's decision. Connections are kept open for later requests.
 class client {
 public:
+    struct parameters {
+        response_limits limits;
+        /// With a zero interval the client reads response data as it arrives. Otherwise it reads
+        /// once per interval, which costs less if many long responses arrive in small parts.
+        duration read_interval{};
+    };
+
     struct callbacks {
         /// Called just before the request is written to a socket.
         std::function<void()> on_write_started;
@@ -43,7 +55,7 @@
 
         /// Reads and discards the rest of the response, so that the connection can be reused. Calls
         /// no callback, and continues after this object is destroyed. Closes the
-        /// connection if the rest is longer than 64 KiB.
+        /// connection if the rest is longer than 64 KiB or takes more than 5 s.
         void drain();
 
     private:
@@ -53,18 +65,20 @@
         std::shared_ptr<state> impl;
     };
 
-    /// With a zero `read_interval` the client reads response data as it arrives. Otherwise it reads
-    /// once per interval, which costs less if many long responses arrive in small parts.
-    explicit client(duration read_interval = duration::zero());
+    /// `time` has to outlive the client.
+    explicit client(const clock& time);
+    client(const clock& time, const parameters& settings);
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
 
+    /// Starts the call in the event loop's next iteration. If the request can't be sent as given,
+    /// it ends as `unreachable`, before this function returns.
     [[nodiscard]] std::unique_ptr<call> start(const request& outgoing, callbacks notify);
 
 private:
-    class session_state;
-    std::unique_ptr<session_state> impl;
+    class shared_state;
+    std::shared_ptr<shared_state> impl;
 };
 
 } // namespace kingcupcart::http
--- a/packages/http/request.h
+++ b/packages/http/request.h
@@ -16,8 +16,8 @@
     std::vector<header_field> headers;
     std::string content_type;
     std::string body;
-    /// Whether the client may send the request again, on a new connection, if the server closed
-    /// the idle connection that was used first.
+    /// A request that is not repeatable is sent on a new connection: the server might close an idle
+    /// one at the same moment, and its outcome would be unknown.
     bool repeatable = true;
     /// A response with a longer body ends as broken, so that a server that sends without end does
     /// not exhaust the memory; 0 for no limit.
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -1,3 +1,4 @@
+#include "base/system_clock.h"
 #include "http/client.h"
 #include "http/exchange.h"
 #include "http/server.h"
@@ -18,6 +19,7 @@
 
 /// A server and a client on one event loop, which stops at each event that a test may wait for.
 struct client_and_server {
+    system_clock time;
     task::event_loop loop;
     std::unique_ptr<server> http_server;
     std::unique_ptr<client> http_client;
@@ -52,7 +54,8 @@
                                 });
         });
         this->http_server = std::move(std::get<std::unique_ptr<server>>(opened));
-        this->http_client = std::make_unique<client>(read_interval);
+        this->http_client =
+            std::make_unique<client>(this->time, client::parameters{{}, read_interval});
     }
     ~client_and_server() {
         CHECK_FALSE(this->timed_out);
--- a/packages/http/tests/raw_server.cpp
+++ b/packages/http/tests/raw_server.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr int poll_interval_ms = 10;
+/// After that many bytes the server closes the connection, so that a client that reads all of them
+/// is seen to do so.
+constexpr std::size_t max_written_bytes = 256UL * 1024 * 1024;
 
 bool wait_for(int socket, short condition) {
     pollfd descriptor{socket, condition, 0};
@@ -69,6 +72,9 @@
         if (unsent.empty() || !wait_for(connection, POLLOUT)) {
             continue;
         }
+        if (this->written > max_written_bytes) {
+            return;
+        }
         const ssize_t size =
             send(connection, unsent.data(), unsent.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         if (size < 0) {
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -23,7 +23,7 @@
       targets(location{}, membership::lease_scope::all_domains),
       stores(this->params.settings.tolerated_losses),
       orders({this->params.instance, this->params.protocol, &this->targets, this->params.time,
-              this->params.settings.order_lease,
+              this->params.limits, this->params.settings.order_lease,
               [this] {
                   return fencing_token(
                       this->params.replicated_group->consensus().state().term().value());
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/response_limits.h"
 #include "engines/target_protocol.h"
 #include "group/group.h"
 #include "keeper/control_calls.h"
@@ -31,6 +32,7 @@
         settings::control_settings settings;
         instance_id instance;
         const clock* time = nullptr;
+        response_limits limits;
         keeper_group* replicated_group = nullptr;
         routes::route_table_parser parse_route_table = nullptr;
         engines::target_protocol protocol;
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -138,6 +138,7 @@
     arguments.settings = control;
     arguments.instance = this->params.settings.instance;
     arguments.time = this->params.time;
+    arguments.limits = this->params.settings.responses;
     arguments.replicated_group = this->replicated_group.get();
     arguments.parse_route_table = this->params.protocol.parse_route_table;
     arguments.protocol = this->params.protocol.targets;
--- a/packages/keeper/internal/weight_orders.cpp
+++ b/packages/keeper/internal/weight_orders.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-/// An order or a report request without a response within this time counts as failed. Far above a
-/// round trip.
 /// Largest response to a load order or to a request for a report, in bytes.
 constexpr std::size_t max_response_bytes = 1024UL * 1024;
+/// An order or a report request without a response within this time counts as failed. Far above a
+/// round trip.
 constexpr duration call_timeout = std::chrono::milliseconds(1200);
 /// Added to the lease, to allow for clock drift and for orders in transit.
 constexpr duration lease_margin = std::chrono::milliseconds(300);
@@ -42,6 +42,7 @@
 weight_orders::weight_orders(parameters arguments, callbacks notify)
     : params(std::move(arguments)),
       notify(std::move(notify)),
+      client(*this->params.time, {this->params.limits, {}}),
       timer([this] { this->handle_timer(); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {}
 
--- a/packages/keeper/internal/weight_orders.h
+++ b/packages/keeper/internal/weight_orders.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/response_limits.h"
 #include "engines/target_protocol.h"
 #include "http/client.h"
 #include "membership/directory.h"
@@ -25,6 +26,7 @@
         engines::target_protocol protocol;
         const membership::directory* targets = nullptr;
         const clock* time = nullptr;
+        response_limits limits;
         /// Time that a new leader waits before its first order.
         duration lease{};
         /// Returns the fencing token of the orders that this keeper sends.
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Bounds of the limits of a response's head, interim responses and chunk extensions, in bytes.
+constexpr std::int64_t min_response_limit = 1024;
+constexpr std::int64_t max_response_limit = std::int64_t{16} * 1024 * 1024;
 constexpr std::int64_t max_body_limit = std::int64_t{1024} * 1024 * 1024;
 
 outcome<entry_settings> read_entry(const ini_document& document) {
@@ -142,11 +145,29 @@
     return section.check_unknown_keys();
 }
 
+outcome<std::size_t> read_size(ini_section& section, const char* key, std::size_t fallback) {
+    BOOST_LEAF_AUTO(size, section.integer_or(key, static_cast<std::int64_t>(fallback),
+                                             {min_response_limit, max_response_limit}));
+    return static_cast<std::size_t>(size);
+}
+
+outcome<response_limits> read_responses(const ini_document& document) {
+    ini_section section(document, "responses");
+    response_limits limits;
+    BOOST_LEAF_ASSIGN(limits.head_bytes, read_size(section, "head-limit", limits.head_bytes));
+    BOOST_LEAF_ASSIGN(limits.interim_bytes,
+                      read_size(section, "interim-limit", limits.interim_bytes));
+    BOOST_LEAF_ASSIGN(limits.chunk_extension_bytes,
+                      read_size(section, "chunk-extension-limit", limits.chunk_extension_bytes));
+    BOOST_LEAF_CHECK(section.check_unknown_keys());
+    return limits;
+}
+
 } // namespace
 
 outcome<process_settings> process_settings::read(const ini_document& document) {
-    BOOST_LEAF_CHECK(
-        document.check_groups({"instance", "entry", "keeper", "gateway", "store", "log"}, {}));
+    BOOST_LEAF_CHECK(document.check_groups(
+        {"instance", "entry", "keeper", "gateway", "store", "responses", "log"}, {}));
     ini_section instance(document, "instance");
     process_settings settings;
     BOOST_LEAF_AUTO(id, instance.text("id"));
@@ -189,6 +210,7 @@
         }
     }
     BOOST_LEAF_CHECK(instance.check_unknown_keys());
+    BOOST_LEAF_ASSIGN(settings.responses, read_responses(document));
     BOOST_LEAF_CHECK(read_log(document, settings));
     return settings;
 }
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "base/location.h"
 #include "base/outcome.h"
+#include "base/response_limits.h"
 #include "settings/control_settings.h"
 #include "settings/gateway_settings.h"
 #include "settings/store_settings.h"
@@ -65,6 +66,8 @@
     std::optional<keeper_settings> keeper;
     std::optional<gateway_settings> gateway;
     std::optional<store_settings> store;
+    /// Limits of the responses that this process reads from targets.
+    response_limits responses;
     telemetry::log_format format = telemetry::log_format::text;
     telemetry::log_stream log_stream = telemetry::log_stream::standard_error;
     std::string log_level = "info";
--- a/packages/store/internal/item_runner.h
+++ b/packages/store/internal/item_runner.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/location.h"
+#include "base/response_limits.h"
 #include "base/wall_clock.h"
 #include "batch/item_scheduler.h"
 #include "batch/job_record.h"
@@ -42,6 +43,7 @@
         const batch::job_state_machine* state_machine = nullptr;
         engines::target_protocol protocol;
         telemetry::metric_set* metrics = nullptr;
+        response_limits limits;
         /// Receives the result of each item that completed or was given up; the callee replicates
         /// it.
         std::function<void(const job_id&, batch::item_result)> on_result;
--- a/packages/store/internal/run_worker.h
+++ b/packages/store/internal/run_worker.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/response_limits.h"
 #include "batch/scheduler_messages.h"
 #include "engines/target_protocol.h"
 #include "fleet/keeper_client.h"
@@ -32,6 +33,7 @@
         const fleet::keeper_client* fleet = nullptr;
         engines::target_protocol protocol;
         telemetry::metric_set* metrics = nullptr;
+        response_limits limits;
         /// Sends a message over a link that the leader opened.
         std::function<void(std::uint64_t link, const wire::message&)> send;
     };
--- a/packages/store/internal/score_runner.h
+++ b/packages/store/internal/score_runner.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/location.h"
+#include "base/response_limits.h"
 #include "batch/item_rank.h"
 #include "batch/item_result.h"
 #include "batch/job_record.h"
@@ -35,6 +36,7 @@
         const fleet::keeper_client* fleet = nullptr;
         const batch::job_state_machine* state_machine = nullptr;
         telemetry::metric_set* metrics = nullptr;
+        response_limits limits;
         /// Receives each result with its score, and those of items that were given up.
         std::function<void(const job_id&, batch::item_result)> on_result;
     };
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -123,6 +123,7 @@
     arguments.fleet = this->fleet.get();
     arguments.protocol = this->params.protocol;
     arguments.metrics = &this->metrics;
+    arguments.limits = this->params.settings.responses;
     arguments.send = [this](std::uint64_t link, const wire::message& message) {
         const auto found = this->peers.find(link);
         if (found != this->peers.end() && found->second.link) {
@@ -255,6 +256,7 @@
     arguments.state_machine = &this->replicated_group->state();
     arguments.protocol = this->params.protocol;
     arguments.metrics = &this->metrics;
+    arguments.limits = this->params.settings.responses;
     arguments.on_result = [this](const job_id& job, batch::item_result result) {
         this->buffered_results.add(job, std::move(result));
     };
--- a/stand_ins/announcer.h
+++ b/stand_ins/announcer.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/endpoint.h"
+#include "base/system_clock.h"
 #include "http/client.h"
 #include "task/wakeup.h"
 
@@ -57,6 +58,7 @@
     std::uint64_t sequence = 0;
     bool leaving = false;
     std::size_t next_entry = 0;
+    system_clock time;
     http::client client;
     std::unique_ptr<http::client::call> call;
     task::wakeup timer;
--- a/stand_ins/internal/announcer.cpp
+++ b/stand_ins/internal/announcer.cpp
@@ -16,6 +16,7 @@
       running_requests(std::move(running_requests)),
       weight_version(std::move(weight_version)),
       incarnation(new_incarnation().value()),
+      client(this->time),
       timer([this] { this->announce(); }) {}
 
 announcer::~announcer() = default;
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -30,7 +30,9 @@
 }
 
 platform_replica::platform_replica(parameters arguments)
-    : params(std::move(arguments)), write_timer([this] { this->write_events(); }) {}
+    : params(std::move(arguments)),
+      write_timer([this] { this->write_events(); }),
+      client(this->time) {}
 
 outcome<std::unique_ptr<platform_replica>> platform_replica::open(const parameters& arguments) {
     std::unique_ptr<platform_replica> replica(new platform_replica(arguments));
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/outcome.h"
+#include "base/system_clock.h"
 #include "http/client.h"
 #include "http/exchange.h"
 #include "http/server.h"
@@ -110,6 +111,7 @@
     std::map<std::string, std::set<std::uint64_t>> item_versions;
     std::vector<open_stream> streams;
     task::wakeup write_timer;
+    system_clock time;
     http::client client;
     std::vector<std::unique_ptr<http::client::call>> heartbeat_calls;
     std::unique_ptr<http::server> server;
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -34,7 +34,7 @@
     this->loop.enter();
     std::string pattern = (std::filesystem::temp_directory_path() / "kingcupcart-XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
-    this->client = std::make_unique<http::client>();
+    this->client = std::make_unique<http::client>(this->time);
 }
 
 deployment::~deployment() {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/system_clock.h"
 #include "http/client.h"
 #include "http/request.h"
 #include "http/response_head.h"
@@ -87,6 +88,7 @@
     task::event_loop loop;
     std::string folder;
     bool keeps_folder = false;
+    system_clock time;
     std::unique_ptr<http::client> client;
     std::vector<std::string> keeper_addresses;
     std::string entry_address;
