Test: a response is complete only by its own framing

Cause: the former client asked the state of the socket whether the last chunk had come, which says nothing where the peer closes anyway; libsoup takes a close between two chunks for an end, and with 'Connection: close' also a body shorter than its length.

--- /dev/null
+++ b/packages/http/tests/response_framing_test.cpp
@@ -0,0 +1,117 @@
+#include "http/tests/raw_caller.h"
+#include "http/tests/scripted_server.h"
+
+#include <doctest/doctest.h>
+
+using namespace kingcupcart;
+using namespace kingcupcart::http;
+
+namespace {
+
+using ending = scripted_reply::ending;
+
+const std::string ok_head = "HTTP/1.1 200 OK\r\n";
+const std::string chunked = "Transfer-Encoding: chunked\r\n";
+const std::string closing = "Connection: close\r\n";
+
+/// The call's end for a single reply.
+void check_end(const scripted_reply& reply, call_result end, const std::string& body) {
+    for (const duration read_interval :
+         {duration::zero(), duration(std::chrono::milliseconds(5))}) {
+        scripted_server server({reply});
+        raw_caller caller(read_interval);
+        caller.send(make_request(server.address()));
+        CAPTURE(caller.reason);
+        CHECK(caller.end == end);
+        CHECK(caller.data == body);
+        CHECK(server.requests().size() == 1);
+    }
+}
+
+} // namespace
+
+// A response that a crash cuts off must not pass for a whole one (review, case 4).
+SCENARIO("a response is complete only by its own framing") {
+    GIVEN("a chunked response") {
+        for (const std::string& connection : {std::string(), closing}) {
+            const std::string start = ok_head + chunked + connection + "\r\n4\r\nhalf\r\n";
+            const std::string kind = connection.empty() ? ", keep-alive" : ", closing";
+            SUBCASE(("When: its last chunk arrives" + kind).c_str()) {
+                THEN("it is complete") {
+                    check_end({start + "0\r\n\r\n", ending::close}, call_result::complete, "half");
+                }
+            }
+            SUBCASE(("When: the server closes between two chunks" + kind).c_str()) {
+                THEN("it is broken") {
+                    check_end({start, ending::close}, call_result::broken, "half");
+                }
+            }
+            SUBCASE(("When: the server resets the connection" + kind).c_str()) {
+                THEN("it is broken") {
+                    check_end({start, ending::reset}, call_result::broken, "half");
+                }
+            }
+            SUBCASE(("When: the server closes within the last chunk" + kind).c_str()) {
+                THEN("it is broken") {
+                    check_end({start + "0\r\n", ending::close}, call_result::broken, "half");
+                }
+            }
+        }
+    }
+    GIVEN("a response with a length") {
+        WHEN("the server closes before its end") {
+            THEN("it is broken") {
+                check_end({ok_head + "Content-Length: 8\r\n" + closing + "\r\nhalf", ending::close},
+                          call_result::broken, "half");
+            }
+        }
+        WHEN("it also claims to be chunked") {
+            THEN("it is broken, since its end is ambiguous") {
+                check_end({ok_head + chunked + "Content-Length: 4\r\n\r\n4\r\nhalf\r\n0\r\n\r\n"},
+                          call_result::broken, "");
+            }
+        }
+    }
+    GIVEN("a response without length and chunks") {
+        WHEN("the server closes the connection") {
+            THEN("it is complete") {
+                check_end({ok_head + "\r\nall", ending::close}, call_result::complete, "all");
+            }
+        }
+        WHEN("the server resets the connection") {
+            THEN("it is broken") {
+                check_end({ok_head + "\r\nhalf", ending::reset}, call_result::broken, "half");
+            }
+        }
+    }
+}
+
+SCENARIO("interim responses are skipped") {
+    GIVEN("a server that sends two of them before its response") {
+        scripted_server server({{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+                                 "Link: a\r\n\r\n" +
+                                 ok_head + "Content-Length: 2\r\n\r\nok"}});
+        raw_caller caller;
+        caller.send(make_request(server.address()));
+        THEN("the caller gets the final response alone") {
+            CHECK(caller.end == call_result::complete);
+            CHECK(caller.status == 200);
+            CHECK(caller.data == "ok");
+        }
+    }
+    GIVEN("a server that switches to another protocol") {
+        THEN("the call ends as broken") {
+            check_end({"HTTP/1.1 101 Switching Protocols\r\n\r\nbytes"}, call_result::broken, "");
+        }
+    }
+}
+
+SCENARIO("a response to HEAD has no body") {
+    scripted_server server({{ok_head + "Content-Length: 10\r\n\r\n"}, {ok_head + "\r\n"}});
+    raw_caller caller;
+    caller.send(make_request(server.address(), "HEAD"));
+    THEN("it is complete after its head") {
+        CHECK(caller.end == call_result::complete);
+        CHECK(caller.data.empty());
+    }
+}
