Gateway: a planned stop refuses new requests and answers the open ones

Cause: the gateway only withdrew its readiness. Nothing told its dispatcher to stop, so it passed on requests for as long as one was open, and the stop limit ended the process with what ran. Ruled out: the http server (it counts open requests rightly) and the limit itself (any limit would cut).

Change: responses say 'Connection: close' from the signal on, also those of open requests; after the grace period new requests and batch calls are refused as not run; dispatcher::begin_stop takes a deadline, at which what is still open gets its final response, truly not run or unknown. The entry role does the same, and a daemon with both roles waits for both. Durations in settings may have a decimal fraction.

--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -24,6 +24,9 @@
 constexpr int exit_ok = 0;
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
+/// Requests that are open at the stop limit get their final response this long before it, so that
+/// it reaches their callers.
+constexpr duration response_time = std::chrono::milliseconds(300);
 
 constexpr const char* help = R"(usage: kingcupcartd --settings FILE [--check | --found]
 
@@ -125,8 +128,9 @@
     }
 
     void drain() {
-        this->limit_timer.arm(std::chrono::steady_clock::now() + this->limit);
-        this->instance.begin_stop([this] { this->loop.quit(); });
+        const time_point limit_at = std::chrono::steady_clock::now() + this->limit;
+        this->limit_timer.arm(limit_at);
+        this->instance.begin_stop(limit_at - response_time, [this] { this->loop.quit(); });
     }
 
     void abort_at_limit() {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/outcome.h"
 #include "daemon/external_protocols.h"
@@ -26,11 +27,13 @@
 
     /// Applies the settings that can change at run time: the seeds of a fleet.
     void apply(const settings::process_settings& changed);
-    /// Reports not ready from now on; requests are still accepted.
+    /// Reports not ready from now on, and closes connections after their response; requests are
+    /// still accepted.
     void announce_stop();
-    /// Stops accepting work. Calls `drained`, on the thread of a task, once all running work has
-    /// finished; at once, on the caller's thread, if the instance serves no callers.
-    void begin_stop(std::function<void()> drained);
+    /// Stops accepting work; requests that are open get their final response by `deadline`. Calls
+    /// `drained` once, on the thread of a task, when no role has one any more; at once, on the
+    /// caller's thread, if the instance serves no callers.
+    void begin_stop(time_point deadline, const std::function<void()>& drained);
 
     /// Bound addresses, with the actual port where the settings give port 0. Empty for a role that
     /// this instance does not have.
--- a/packages/daemon/internal/daemon.cpp
+++ b/packages/daemon/internal/daemon.cpp
@@ -7,6 +7,7 @@
 #include "store/store_module.h"
 #include "task/task.h"
 
+#include <atomic>
 #include <utility>
 
 namespace kingcupcart::daemon {
@@ -121,15 +122,28 @@
     if (this->impl->gateway) {
         this->impl->gateway->announce_stop();
     }
+    if (this->impl->entry) {
+        this->impl->entry->announce_stop();
+    }
 }
 
-void daemon::begin_stop(std::function<void()> drained) {
-    if (this->impl->entry) {
-        this->impl->entry->begin_stop(std::move(drained));
-    } else if (this->impl->gateway) {
-        this->impl->gateway->begin_stop(std::move(drained));
-    } else {
+void daemon::begin_stop(time_point deadline, const std::function<void()>& drained) {
+    const int roles = (this->impl->entry ? 1 : 0) + (this->impl->gateway ? 1 : 0);
+    if (roles == 0) {
         drained();
+        return;
+    }
+    const auto open_roles = std::make_shared<std::atomic<int>>(roles);
+    const auto role_drained = [open_roles, drained] {
+        if (--*open_roles == 0) {
+            drained();
+        }
+    };
+    if (this->impl->entry) {
+        this->impl->entry->begin_stop(deadline, role_drained);
+    }
+    if (this->impl->gateway) {
+        this->impl->gateway->begin_stop(deadline, role_drained);
     }
 }
 
--- a/packages/entry/entry_module.h
+++ b/packages/entry/entry_module.h
@@ -29,9 +29,11 @@
     [[nodiscard]] task::sender<admin::report_request> frontend_reports() const;
     [[nodiscard]] task::sender<admin::report_request> peers_reports() const;
 
-    /// Stops accepting work. Calls `on_drained`, on the frontend's thread, when all calls have
-    /// ended and the HTTP server is idle.
-    void begin_stop(std::function<void()> on_drained);
+    /// Closes each connection after its response from now on.
+    void announce_stop();
+    /// Stops accepting work; open calls get their final response by `deadline`. Calls `on_drained`,
+    /// on the frontend's thread, when all calls have ended and the HTTP server is idle.
+    void begin_stop(time_point deadline, std::function<void()> on_drained);
 
 private:
     class state;
--- a/packages/entry/internal/entry_module.cpp
+++ b/packages/entry/internal/entry_module.cpp
@@ -68,8 +68,12 @@
         });
 }
 
-void entry_module::begin_stop(std::function<void()> on_drained) {
-    this->impl->frontend_task.post(stop_request{std::move(on_drained)});
+void entry_module::announce_stop() {
+    this->impl->frontend_task.post(stop_announced{});
+}
+
+void entry_module::begin_stop(time_point deadline, std::function<void()> on_drained) {
+    this->impl->frontend_task.post(stop_request{deadline, std::move(on_drained)});
 }
 
 } // namespace kingcupcart::entry
--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -276,9 +276,15 @@
     this->keys.complete_claim(completed, this->params.time->now());
 }
 
+void frontend::on(const stop_announced& /*announced*/) {
+    this->server->close_connections();
+}
+
 void frontend::on(stop_request& request) {
+    this->is_stopping = true;
     this->on_drained = std::move(request.on_drained);
-    this->dispatcher.begin_stop();
+    this->dispatcher.begin_stop(request.deadline);
+    this->arm_dispatcher_timer();
     this->server->begin_stop([this] { this->check_drained(); });
 }
 
@@ -294,7 +300,7 @@
     // A load balancer must not send callers here before an accepted configuration is in force.
     const bool has_configuration =
         this->params.settings.entry->keepers.empty() || this->in_force > configuration_version(0);
-    report.is_ready = !this->on_drained && has_configuration;
+    report.is_ready = !this->is_stopping && has_configuration;
     static_cast<void>(request.reply.post(std::move(report)));
 }
 
@@ -325,7 +331,8 @@
 
 void frontend::check_drained() {
     if (this->on_drained && this->calls.empty() && this->server->is_idle()) {
-        this->on_drained();
+        this->server->close();
+        std::exchange(this->on_drained, nullptr)();
     }
 }
 
@@ -335,7 +342,7 @@
     status["failure_domain"] = this->params.settings.place.domain.value();
     status["region"] = this->params.settings.place.region.value();
     status["configuration_version"] = this->in_force.value();
-    status["stopping"] = static_cast<bool>(this->on_drained);
+    status["stopping"] = this->is_stopping;
     status["open_requests"] = this->dispatcher.open_requests();
     status["queued_requests"] = this->dispatcher.queued_requests();
     status["targets"] = nlohmann::ordered_json::array();
--- a/packages/entry/internal/frontend.h
+++ b/packages/entry/internal/frontend.h
@@ -63,6 +63,7 @@
     void on(forwarded_call_received& received);
     void on(forwarded_call_completed& completed);
     void on(const claim_completed& completed);
+    void on(const stop_announced& announced);
     void on(stop_request& request);
     void on(const admin::report_request& request);
 
@@ -116,6 +117,7 @@
     std::vector<any_call> pending_deletion;
     request_id last_request_id{0};
     std::function<void()> on_drained;
+    bool is_stopping = false;
     /// The time that `dispatcher_timer` is armed for.
     time_point armed_time = time_point::max();
     task::wakeup dispatcher_timer;
--- a/packages/entry/internal/frontend_message.h
+++ b/packages/entry/internal/frontend_message.h
@@ -58,14 +58,19 @@
     incarnation_id incarnation;
 };
 
-/// Stop accepting work and call `on_drained` when all calls have ended.
+/// The process will stop soon: each response closes its connection from now on.
+struct stop_announced {};
+
+/// Stop accepting work, answer all calls by `deadline`, and call `on_drained` when all have ended.
 struct stop_request {
+    time_point deadline{};
     std::function<void()> on_drained;
 };
 
 using frontend_message =
     std::variant<target_update_received, target_heartbeats_received, configuration_accepted,
                  domain_size_changed, peer_link_opened, forwarded_call_received,
-                 forwarded_call_completed, claim_completed, stop_request, admin::report_request>;
+                 forwarded_call_completed, claim_completed, stop_announced, stop_request,
+                 admin::report_request>;
 
 } // namespace kingcupcart::entry
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -56,6 +56,9 @@
     request_id start(const routes::route& route, call_parameters call);
     /// Aborts the call because its caller has disconnected. None of its callbacks is called again.
     void cancel(request_id request);
+    /// Refuses new requests from now on. Those that are open get their final response by
+    /// `deadline`.
+    void begin_stop(time_point deadline);
     void routes_changed();
     void target_changed(const membership::directory_change& change);
 
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -115,6 +115,11 @@
     this->finish(request, "abandoned");
 }
 
+void forwarder::begin_stop(time_point deadline) {
+    this->dispatcher.begin_stop(deadline);
+    this->dispatch(requests::timer_expired{});
+}
+
 void forwarder::dispatch(const requests::message& message) {
     this->inbox.push_back(message);
     if (!this->is_processing) {
--- a/packages/gateway/gateway_module.h
+++ b/packages/gateway/gateway_module.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admin/report.h"
+#include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/outcome.h"
 #include "engines/target_protocol.h"
@@ -33,12 +34,12 @@
     gateway_module& operator=(const gateway_module&) = delete;
 
     [[nodiscard]] task::sender<admin::report_request> reports() const;
-    /// Reports not ready from now on, so that load balancers send callers elsewhere; new requests
-    /// are still served.
+    /// Reports not ready from now on, so that load balancers send callers elsewhere, and closes
+    /// each connection after its response; new requests are still served.
     void announce_stop();
-    /// From now on each response closes its connection. Calls `on_drained` once, on the gateway
-    /// task, when no request is open any more.
-    void begin_stop(std::function<void()> on_drained);
+    /// Refuses new requests from now on. Those that are open get their final response by
+    /// `deadline`. Calls `on_drained` once, on the gateway task, when none is open any more.
+    void begin_stop(time_point deadline, std::function<void()> on_drained);
 
     /// Adds keepers to contact for discovery; keepers that are known already stay known.
     void change_seeds(settings::seeds_changed changed);
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -148,11 +148,16 @@
 
 void gateway::on(const stop_announced& /*announced*/) {
     this->is_stopping = true;
+    this->callers_server->close_connections();
 }
 
 void gateway::on(stop_started& started) {
     this->is_stopping = true;
+    this->is_draining = true;
+    spdlog::info("refusing new requests open_requests={} open_batch_calls={}",
+                 this->forwarder->open_count(), this->stores->open_count());
     this->on_drained = std::move(started.on_drained);
+    this->forwarder->begin_stop(started.deadline);
     this->callers_server->begin_stop([this] { this->check_drained(); });
     this->check_drained();
 }
@@ -163,6 +168,8 @@
     if (!this->on_drained || !is_idle) {
         return;
     }
+    // A request that arrives from now on is not read, so its caller knows that it did not run.
+    this->callers_server->close();
     // Called once only: the object that the callback refers to may no longer exist when the
     // servers close.
     const auto callback = std::exchange(this->on_drained, nullptr);
@@ -173,6 +180,11 @@
     const caller_call call = this->params.callers.parse_call(*exchange);
     if (std::holds_alternative<readiness_call>(call)) {
         this->params.callers.send_readiness(*exchange, this->is_ready());
+    } else if (this->is_draining) {
+        // Connections that were kept open stay with this instance until it closes them.
+        const auto* routed = std::get_if<routed_call>(&call);
+        this->refuse(*exchange, routed == nullptr ? "" : routed->request_name,
+                     {refusal_kind::not_run, "this gateway is stopping", retry_after_default});
     } else if (const auto* routed = std::get_if<routed_call>(&call)) {
         this->handle_routed_call(std::move(exchange), *routed);
     } else if (const auto* results = std::get_if<read_results_call>(&call)) {
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -66,7 +66,10 @@
 
     parameters params;
     telemetry::metric_set metrics;
+    /// Readiness is withdrawn.
     bool is_stopping = false;
+    /// New requests are refused.
+    bool is_draining = false;
     /// Set while a stop is in progress.
     std::function<void()> on_drained;
     std::unique_ptr<store_client> stores;
--- a/packages/gateway/internal/gateway_message.h
+++ b/packages/gateway/internal/gateway_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admin/report.h"
+#include "base/clock.h"
 #include "settings/seeds_changed.h"
 
 #include <functional>
@@ -8,12 +9,14 @@
 
 namespace kingcupcart::gateway {
 
-/// The process will stop soon: readiness is withdrawn, requests are still served.
+/// The process will stop soon: readiness is withdrawn and each response closes its connection, but
+/// requests are still served.
 struct stop_announced {};
 
-/// From now on each response closes its connection; the gateway calls `on_drained` when no request
-/// is open any more.
+/// From now on new requests are refused. Each open one gets its final response by `deadline`. The
+/// gateway calls `on_drained` when none is open any more.
 struct stop_started {
+    time_point deadline{};
     std::function<void()> on_drained;
 };
 
--- a/packages/gateway/internal/gateway_module.cpp
+++ b/packages/gateway/internal/gateway_module.cpp
@@ -44,8 +44,8 @@
     this->impl->gateway_task.post(stop_announced{});
 }
 
-void gateway_module::begin_stop(std::function<void()> on_drained) {
-    this->impl->gateway_task.post(stop_started{std::move(on_drained)});
+void gateway_module::begin_stop(time_point deadline, std::function<void()> on_drained) {
+    this->impl->gateway_task.post(stop_started{deadline, std::move(on_drained)});
 }
 
 void gateway_module::change_seeds(settings::seeds_changed changed) {
--- a/packages/http/internal/server.cpp
+++ b/packages/http/internal/server.cpp
@@ -65,8 +65,7 @@
         soup_server_message_set_status(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
         soup_server_message_set_response(message, "text/plain", SOUP_MEMORY_COPY, text.data(),
                                          text.size());
-        soup_message_headers_replace(soup_server_message_get_response_headers(message),
-                                     "Connection", "close");
+        announce_close(message);
         return;
     }
     if (soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED) {
@@ -74,29 +73,45 @@
     }
 }
 
+void server::close_connections() {
+    this->is_closing = true;
+    for (SoupServerMessage* message : this->open_requests) {
+        announce_close(message);
+    }
+}
+
+void server::announce_close(SoupServerMessage* message) {
+    soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection",
+                                 "close");
+}
+
+void server::close() {
+    soup_server_disconnect(this->soup);
+}
+
 void server::begin_stop(std::function<void()> callback) {
+    this->close_connections();
     this->on_idle = std::move(callback);
     this->check_idle();
 }
 
 void server::check_idle() {
-    if (this->on_idle && this->open_requests == 0) {
+    if (this->on_idle && this->is_idle()) {
         this->on_idle();
     }
 }
 
 void server::request_started(SoupServer* /*soup*/, SoupServerMessage* message, gpointer data) {
     auto* http_server = static_cast<server*>(data);
-    ++http_server->open_requests;
-    if (http_server->on_idle) {
-        soup_message_headers_replace(soup_server_message_get_response_headers(message),
-                                     "Connection", "close");
+    http_server->open_requests.insert(message);
+    if (http_server->is_closing) {
+        announce_close(message);
     }
 }
 
-void server::request_ended(SoupServer* /*soup*/, SoupServerMessage* /*message*/, gpointer data) {
+void server::request_ended(SoupServer* /*soup*/, SoupServerMessage* message, gpointer data) {
     auto* http_server = static_cast<server*>(data);
-    --http_server->open_requests;
+    http_server->open_requests.erase(message);
     http_server->check_idle();
 }
 
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <unordered_set>
 
 namespace kingcupcart::http {
 
@@ -31,10 +32,14 @@
     /// The bound address, with the port that the kernel chose for port 0.
     [[nodiscard]] const endpoint& address() const { return this->bound; }
 
-    /// From now on the server closes each connection after its response. `on_idle` is called once
-    /// no request is open, and immediately if none is.
+    /// From now on each response whose head is not written yet says that its connection closes, and
+    /// the server closes it.
+    void close_connections();
+    /// Does the same. `on_idle` is called once no request is open, and immediately if none is.
     void begin_stop(std::function<void()> on_idle);
-    [[nodiscard]] bool is_idle() const { return this->open_requests == 0; }
+    /// Closes the listening socket and all connections, also those with an open request.
+    void close();
+    [[nodiscard]] bool is_idle() const { return this->open_requests.empty(); }
 
 private:
     server(SoupServer* soup, endpoint bound, std::int64_t body_limit, handler on_request);
@@ -45,13 +50,15 @@
     static void request_started(SoupServer* soup, SoupServerMessage* message, gpointer data);
     static void request_ended(SoupServer* soup, SoupServerMessage* message, gpointer data);
     void check_idle();
+    static void announce_close(SoupServerMessage* message);
     static void got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data);
 
     SoupServer* soup;
     endpoint bound;
     std::int64_t body_limit;
     handler on_request;
-    int open_requests = 0;
+    std::unordered_set<SoupServerMessage*> open_requests;
+    bool is_closing = false;
     std::function<void()> on_idle;
 };
 
--- a/packages/requests/dispatcher.h
+++ b/packages/requests/dispatcher.h
@@ -42,8 +42,9 @@
                        time_point now);
     /// Number of instances in this failure domain, including this one.
     void set_instances(int count);
-    /// Refuses new requests from now on; running and queued requests are completed.
-    void begin_stop();
+    /// Refuses new requests from now on. Running and queued requests are completed; those that are
+    /// still open at `deadline` get their final response then.
+    void begin_stop(time_point deadline);
 
     /// When `handle` must next receive `timer_expired`; empty without a pending timer.
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -76,8 +76,8 @@
     this->impl->router.set_instances(count);
 }
 
-void dispatcher::begin_stop() {
-    this->impl->stopping = true;
+void dispatcher::begin_stop(time_point deadline) {
+    this->impl->begin_stop(deadline);
 }
 
 std::optional<time_point> dispatcher::next_wakeup() const {
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr duration retry_after_no_target = std::chrono::seconds(1);
-constexpr duration retry_after_stop = std::chrono::seconds(1);
+/// Another instance can take the request at once; the delay spreads the callers of this one.
+constexpr duration retry_after_stop = std::chrono::milliseconds(100);
 /// Minimum time between two preemptions of long work on the reserved targets of a backend.
 constexpr duration preemption_interval = std::chrono::milliseconds(50);
 
@@ -167,6 +168,16 @@
     }
 }
 
+void dispatcher::state::begin_stop(time_point stop_deadline) {
+    this->stopping = true;
+    for (auto& [id, request] : this->requests) {
+        if (request.deadline > stop_deadline) {
+            request.deadline = stop_deadline;
+            this->timers.add({stop_deadline, timer_queue::purpose::deadline, id});
+        }
+    }
+}
+
 void dispatcher::state::send_queued(const backend_name& backend) {
     const auto found = this->queues.find(backend);
     if (found == this->queues.end()) {
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -24,6 +24,7 @@
     void on(const attempt_failed& failed);
     void on(const caller_disconnected& disconnected);
     void on(const timer_expired& expired);
+    void begin_stop(time_point stop_deadline);
 
     /// Sends the queued requests of the backend for which a target has room.
     void send_queued(const backend_name& backend);
--- a/packages/requests/tests/requests_test.cpp
+++ b/packages/requests/tests/requests_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 using namespace kingcupcart;
 using namespace kingcupcart::requests;
 using namespace std::chrono_literals;
@@ -264,8 +266,40 @@
     }
     GIVEN("an instance that is stopping") {
         fixture.add_target("a");
-        fixture.subject.begin_stop();
+        fixture.subject.begin_stop(time_point::max());
         fixture.arrive(1, true);
         CHECK(fixture.find<refuse_request>()->reason == refusal_reason::stopping);
     }
+    GIVEN("an instance that stops while one request runs and another one waits") {
+        fixture.add_target("a");
+        fixture.arrive(1, true, "draft");
+        const attempt_id running = fixture.sent_attempt();
+        fixture.dispatch(attempt_write_started{running});
+        fixture.arrive(2, true, "draft");
+        fixture.subject.begin_stop(fixture.now + 5s);
+        WHEN("the running request ends before the deadline of the stop") {
+            fixture.now += 4s;
+            fixture.dispatch(attempt_completed{running});
+            THEN("it is answered, and the other one is sent") {
+                CHECK(fixture.find<complete_request>()->request == request_id(1));
+                CHECK(fixture.find<send_attempt>()->request == request_id(2));
+            }
+        }
+        WHEN("the deadline of the stop passes") {
+            REQUIRE(fixture.subject.next_wakeup() <= fixture.now + 5s);
+            fixture.now += 5s;
+            fixture.dispatch(timer_expired{});
+            THEN("both get a final response, and only the one that waited has not run") {
+                std::map<request_id, outcome_kind> outcomes;
+                for (const action& returned : fixture.latest) {
+                    if (const auto* refused = std::get_if<refuse_request>(&returned)) {
+                        outcomes[refused->request] = refused->outcome;
+                    }
+                }
+                CHECK(outcomes[request_id(1)] == outcome_kind::unknown);
+                CHECK(outcomes[request_id(2)] == outcome_kind::not_run);
+                CHECK(fixture.subject.open_requests() == 0);
+            }
+        }
+    }
 }
--- a/packages/settings/internal/ini_section.cpp
+++ b/packages/settings/internal/ini_section.cpp
@@ -33,23 +33,44 @@
     return number;
 }
 
+/// Parses a number with an optional decimal fraction, in units of `unit`.
+std::optional<duration> parse_multiple(const std::string& text, duration unit) {
+    const auto point = text.find('.');
+    const auto whole = parse_integer(text.substr(0, point));
+    if (!whole || *whole >= duration::max().count() / unit.count()) {
+        return std::nullopt;
+    }
+    duration multiple = unit * *whole;
+    if (point == std::string::npos) {
+        return multiple;
+    }
+    const std::string fraction = text.substr(point + 1);
+    if (fraction.empty() || fraction.find('.') != std::string::npos) {
+        return std::nullopt;
+    }
+    duration place = unit;
+    for (const char digit : fraction) {
+        place /= 10;
+        multiple += place * (digit - '0');
+    }
+    return multiple;
+}
+
 std::optional<duration> parse_duration(const std::string& text) {
-    const auto digits_end = text.find_first_not_of("0123456789");
+    const auto digits_end = text.find_first_not_of("0123456789.");
     if (digits_end == 0 || digits_end == std::string::npos) {
         return std::nullopt;
     }
-    const auto number = parse_integer(text.substr(0, digits_end));
     const auto unit_begin = text.find_first_not_of(' ', digits_end);
     const std::string unit =
         text.substr(unit_begin == std::string::npos ? text.size() : unit_begin);
     const auto match =
         std::find_if(time_units.begin(), time_units.end(),
                      [&](const time_unit& candidate) { return unit == candidate.name; });
-    if (!number || match == time_units.end() ||
-        *number > duration::max().count() / match->length.count()) {
+    if (match == time_units.end()) {
         return std::nullopt;
     }
-    return match->length * *number;
+    return parse_multiple(text.substr(0, digits_end), match->length);
 }
 
 std::string format_duration(duration value) {
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -12,6 +12,10 @@
 /// Bounds of the limits of a response's head, interim responses and chunk extensions, in bytes.
 constexpr std::int64_t min_response_limit = 1024;
 constexpr std::int64_t max_response_limit = std::int64_t{16} * 1024 * 1024;
+/// A planned stop goes on serving for this part of the time until the process is killed at most.
+constexpr int stop_grace_share = 3;
+/// A planned stop ends this long before the process would be killed.
+constexpr duration kill_margin = std::chrono::milliseconds(500);
 constexpr std::int64_t max_body_limit = std::int64_t{1024} * 1024 * 1024;
 
 outcome<entry_settings> read_entry(const ini_document& document) {
@@ -132,6 +136,16 @@
     return settings;
 }
 
+/// Shortens the times of a planned stop so that it ends before the supervisor kills the process.
+void fit_stop_times(process_settings& settings) {
+    if (settings.kill_after == duration::zero()) {
+        return;
+    }
+    settings.stop_grace = std::min(settings.stop_grace, settings.kill_after / stop_grace_share);
+    settings.stop_limit = std::clamp(settings.kill_after - settings.stop_grace - kill_margin,
+                                     duration::zero(), settings.stop_limit);
+}
+
 outcome<void> read_log(const ini_document& document, process_settings& settings) {
     ini_section section(document, "log");
     BOOST_LEAF_AUTO(format, section.choice_or("format", "text", {"text", "json"}));
@@ -182,6 +196,10 @@
     BOOST_LEAF_ASSIGN(settings.stop_grace,
                       instance.duration_or("stop-grace", settings.stop_grace,
                                            {duration::zero(), std::chrono::minutes(10)}));
+    BOOST_LEAF_ASSIGN(settings.kill_after,
+                      instance.duration_or("kill-after", settings.kill_after,
+                                           {duration::zero(), std::chrono::hours(24)}));
+    fit_stop_times(settings);
     BOOST_LEAF_AUTO(roles, instance.list("roles"));
     for (const std::string& role : roles) {
         if (role == "entry") {
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -76,6 +76,9 @@
     duration stop_grace = std::chrono::seconds(2);
     /// How long a planned stop waits for running work before it aborts it.
     duration stop_limit = std::chrono::minutes(10);
+    /// The supervisor kills the process this long after the signal for a planned stop; zero if it
+    /// does not. `stop_grace` and `stop_limit` are shortened to fit into it.
+    duration kill_after{};
 
     /// Validates the whole document, including unknown groups and keys.
     static outcome<process_settings> read(const ini_document& document);
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -104,3 +104,29 @@
         CHECK(std::get<error>(result).message == "/nowhere.ini: cannot be opened");
     }
 }
+
+SCENARIO("a planned stop fits into the time until the process is killed") {
+    const auto stop_times = [](const std::string& lines) {
+        const auto result = read_settings(replace_once("roles = entry", lines + "\nroles = entry"));
+        REQUIRE(std::holds_alternative<process_settings>(result));
+        const auto& settings = std::get<process_settings>(result);
+        return std::pair(settings.stop_grace, settings.stop_limit);
+    };
+    using std::chrono::milliseconds;
+    GIVEN("a supervisor that leaves enough time") {
+        CHECK(stop_times("stop-grace = 2500ms\nstop-limit = 3s\nkill-after = 8s") ==
+              std::pair<duration, duration>(milliseconds(2500), milliseconds(3000)));
+    }
+    GIVEN("a supervisor that leaves less") {
+        CHECK(stop_times("stop-grace = 2500ms\nkill-after = 4.5s") ==
+              std::pair<duration, duration>(milliseconds(1500), milliseconds(2500)));
+    }
+    GIVEN("no supervisor that kills") {
+        CHECK(stop_times("stop-grace = 2500ms\nstop-limit = 3s") ==
+              std::pair<duration, duration>(milliseconds(2500), milliseconds(3000)));
+    }
+    GIVEN("a time with two fractions") {
+        CHECK(message_for(replace_once("6s", "6.5.1s")).find("[entry] target-lease") !=
+              std::string::npos);
+    }
+}
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -21,6 +21,8 @@
         "routes": [
             {"name": "book", "host": "shop", "pathPrefix": "/b/", "type": "idempotent",
              "timeoutMs": 2000, "sloMs": 200, "service": "app", "maxAttempts": 2},
+            {"name": "slow", "host": "shop", "pathPrefix": "/s/", "type": "non_idempotent",
+             "timeoutMs": 20000, "sloMs": 200, "service": "app", "maxAttempts": 1},
             {"name": "drafts", "host": "shop", "pathPrefix": "/d/", "type": "rollout",
              "timeoutMs": 10000, "service": "lm", "maxAttempts": 3, "maxQueueS": 40,
              "dueMs": 7500, "resumable": true}],
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -251,3 +251,66 @@
         }
     }
 }
+
+// A gateway that was stopping passed on requests that it could not finish any more, and cut them
+// off at its stop limit (review, case 5).
+SCENARIO("a planned stop answers or refuses every request") {
+    deployment test_deployment;
+    fleet test_fleet(test_deployment);
+    REQUIRE(test_fleet.wait_until_ready());
+    constexpr const char* ip = "127.0.0.6";
+    std::string settings = test_fleet.gateway_settings("stopping", ip, "127.0.0.2");
+    const std::string grace = "stop-grace = 1s";
+    settings.replace(settings.find(grace), grace.size(), grace + "\nkill-after = 4s");
+    child_process& gateway = test_deployment.add_process("stopping", settings);
+    REQUIRE(test_deployment.run_until([&] { return test_fleet.reports_ready(ip); }));
+    const auto make_request = [&](const std::string& name) {
+        http::request request = test_fleet.booking_request(name, "");
+        request.url = test_fleet.callers_at(ip) + "/s/";
+        // Longer than the stop may take.
+        request.headers = {{"Host", "shop"}, {"X-Request-Id", name}, {"X-Deadline-Ms", "20000"}};
+        return request;
+    };
+    const auto count_runs = [&](const std::string& name) {
+        const auto& requests = test_fleet.service().executed_request_ids();
+        return std::count(requests.begin(), requests.end(), name);
+    };
+
+    GIVEN("callers with open connections, and a request whose target does not respond") {
+        std::vector<std::unique_ptr<client_call>> openers;
+        for (const char* name : {"open1", "open2", "open3"}) {
+            openers.push_back(test_deployment.begin(make_request(name)));
+        }
+        for (const auto& opener : openers) {
+            REQUIRE(test_deployment.run_until([&] { return opener->is_completed; }));
+        }
+        test_fleet.service().hold_responses(true);
+        const auto held = test_deployment.begin(make_request("held"));
+        REQUIRE(test_deployment.run_until([&] { return count_runs("held") == 1; }));
+        test_fleet.service().hold_responses(false);
+
+        WHEN("the gateway receives SIGTERM, and another one during the stop") {
+            gateway.signal(SIGTERM);
+            test_deployment.wait(std::chrono::milliseconds(300));
+            const auto in_grace = test_deployment.call(make_request("in-grace"));
+            test_deployment.wait(std::chrono::seconds(1));
+            gateway.signal(SIGTERM);
+            const auto after_grace = test_deployment.call(make_request("after-grace"));
+            THEN("it serves during its grace period, and says that the connection closes") {
+                CHECK(in_grace->head.status == 200);
+                CHECK(in_grace->header("Connection") == "close");
+            }
+            THEN("it refuses requests after that, and does not pass them on") {
+                CHECK(after_grace->head.status == 503);
+                CHECK(after_grace->header("Connection") == "close");
+                CHECK(count_runs("after-grace") == 0);
+            }
+            THEN("the request that does not end gets a final response before the gateway exits") {
+                CHECK(test_deployment.run_until([&] { return held->is_completed; }));
+                CHECK(held->result == http::call_result::complete);
+                CHECK(held->head.status == 504);
+                CHECK(gateway.wait() == 0);
+            }
+        }
+    }
+}
