Streams: an error response does not continue or end a stream that has begun

Cause: an attempt is completed when its response is whole, whatever its status. For a resumed attempt nothing asked whether the caller already had the head and a part of another response. Both roles had it, each in its own code. A whole response that ends within an event also passed for the end.

Change: forwarded_call fails an attempt whose head is an error once the caller's stream has begun, and one whose events end in the middle; engine_call passes an engine's error on only while no attempt has been selected. The dispatcher then decides as after any broken attempt.

--- a/packages/entry/internal/engine_call.cpp
+++ b/packages/entry/internal/engine_call.cpp
@@ -139,7 +139,9 @@
     const attempt_stream& stream = *found->second;
     if (result == http::call_result::unreachable) {
         this->fail_attempt(attempt, requests::attempt_failure::unreachable);
-    } else if (result == http::call_result::complete && is_request_error(stream.status)) {
+    } else if (result == http::call_result::complete && is_request_error(stream.status) &&
+               !this->selected_attempt) {
+        // Once an attempt has been selected, the caller has a part of another response.
         this->engine_status = stream.status;
         this->engine_error = stream.error_body;
         this->context.dispatch(requests::attempt_completed{attempt});
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -56,6 +56,12 @@
     switch (this->params.protocol.classify_response(head, this->params.call.name)) {
     case engines::response_kind::matching:
         found->second->is_matching = true;
+        if (this->is_streaming && !is_success(head.status)) {
+            // The caller already has a part of another response.
+            this->fail_attempt(attempt, requests::attempt_failure::broken,
+                               "error response with status " + std::to_string(head.status) +
+                                   " to the rest of a stream");
+        }
         break;
     case engines::response_kind::not_run:
         this->fail_attempt(attempt, requests::attempt_failure::declined,
@@ -121,6 +127,13 @@
         return;
     }
     const attempt_response& response = *found->second;
+    const bool ends_in_event = this->params.is_stream && is_success(response.head.status) &&
+                               !response.parser.is_between_events();
+    if (completion == http::call_result::complete && ends_in_event) {
+        this->fail_attempt(attempt, requests::attempt_failure::broken,
+                           "the stream ends within an event");
+        return;
+    }
     if (completion == http::call_result::complete && response.is_matching) {
         this->params.notify(requests::attempt_completed{attempt});
         return;
--- /dev/null
+++ b/packages/forwarding/tests/forwarded_call_test.cpp
@@ -0,0 +1,208 @@
+#include "forwarding/internal/forwarded_call.h"
+#include "http/tests/raw_caller.h"
+#include "http/tests/scripted_server.h"
+
+#include <doctest/doctest.h>
+
+#include <charconv>
+#include <optional>
+#include <variant>
+#include <vector>
+
+using namespace kingcupcart;
+using namespace kingcupcart::forwarding;
+using http::scripted_reply;
+using ending = http::scripted_reply::ending;
+
+namespace {
+
+constexpr std::size_t response_limit = 1024UL * 1024;
+const std::string stream_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+
+http::request forward(const engines::forwarded_request& request,
+                      const membership::target_record& target) {
+    return http::make_request(target.address, request.method, request.path);
+}
+
+engines::response_kind classify(const http::response_head& /*head*/, std::string_view /*name*/) {
+    return engines::response_kind::matching;
+}
+
+std::optional<engines::stream_event> parse_event(const completions::server_sent_event& event) {
+    engines::stream_event parsed;
+    std::from_chars(event.id.data(), event.id.data() + event.id.size(), parsed.number);
+    parsed.data = event.data;
+    return parsed;
+}
+
+/// A call of a stream, and what its caller and the dispatcher receive. Selects an attempt as soon
+/// as it progresses, as the dispatcher does.
+struct streamed_call {
+    http::raw_caller runner;
+    std::optional<forwarded_call> call;
+    std::string delivered;
+    bool has_started = false;
+    bool has_ended = false;
+    bool has_response = false;
+    std::optional<requests::message> outcome;
+
+    explicit streamed_call(bool is_stream = true) {
+        forwarded_call::parameters arguments;
+        arguments.call.name = "r";
+        arguments.call.request.method = "POST";
+        arguments.call.request.path = "/";
+        arguments.call.notify.on_response = [this](const http::response_head&,
+                                                   std::string_view body) {
+            this->has_response = true;
+            this->delivered += body;
+        };
+        arguments.call.notify.on_stream_started = [this](const http::response_head&) {
+            this->has_started = true;
+        };
+        arguments.call.notify.on_stream_data = [this](std::string_view data) {
+            this->delivered += data;
+        };
+        arguments.call.notify.on_stream_ended = [this] { this->has_ended = true; };
+        arguments.protocol.forward = &forward;
+        arguments.protocol.classify_response = &classify;
+        arguments.protocol.parse_event = &parse_event;
+        arguments.deadline = this->runner.time.now() + std::chrono::seconds(10);
+        arguments.is_stream = is_stream;
+        arguments.max_response_bytes = response_limit;
+        arguments.time = &this->runner.time;
+        arguments.client = this->runner.http_client.get();
+        arguments.notify = [this](const requests::message& message) { this->receive(message); };
+        this->call.emplace(std::move(arguments));
+    }
+    ~streamed_call() { this->call.reset(); }
+    streamed_call(const streamed_call&) = delete;
+    streamed_call& operator=(const streamed_call&) = delete;
+
+    void receive(const requests::message& message) {
+        if (const auto* progressed = std::get_if<requests::attempt_progressed>(&message)) {
+            this->call->select_attempt(progressed->attempt);
+        } else if (const auto* completed = std::get_if<requests::attempt_completed>(&message)) {
+            this->call->select_attempt(completed->attempt);
+            this->call->complete();
+            this->outcome = message;
+            this->runner.loop.quit();
+        } else if (std::holds_alternative<requests::attempt_failed>(message)) {
+            this->outcome = message;
+            this->runner.loop.quit();
+        }
+    }
+
+    /// Runs an attempt at the server to its end.
+    void attempt(std::uint64_t number, const http::scripted_server& server, int resume_after) {
+        this->outcome.reset();
+        membership::target_record target;
+        target.address = server.address();
+        requests::send_attempt action;
+        action.attempt = attempt_id(number);
+        action.resume_after = tokens(resume_after);
+        this->call->start_attempt(action, target);
+        this->runner.pause_for(http::raw_caller::max_time);
+    }
+
+    [[nodiscard]] bool has_failed() const {
+        const auto* failed =
+            this->outcome ? std::get_if<requests::attempt_failed>(&*this->outcome) : nullptr;
+        return failed != nullptr && failed->failure == requests::attempt_failure::broken;
+    }
+};
+
+const std::string first_event = "id: 1\ndata: one\n\n";
+const std::string second_event = "id: 2\ndata: two\n\n";
+
+std::string whole_stream(const std::string& events) {
+    return stream_head + "Content-Length: " + std::to_string(events.size()) + "\r\n\r\n" + events;
+}
+
+} // namespace
+
+// Operators of similar systems saw streams that broke off and that another server's error response
+// ended as if they were complete, or in which its text appeared.
+SCENARIO("a stream that has begun ends by its own end, or is broken off") {
+    GIVEN("a stream that broke off after its first event") {
+        streamed_call stream;
+        http::scripted_server first(
+            {{stream_head + "Content-Length: 100\r\n\r\n" + first_event, ending::close}});
+        stream.attempt(1, first, 0);
+        REQUIRE(stream.has_failed());
+        REQUIRE(stream.delivered == first_event);
+        for (const char* head :
+             {"HTTP/1.1 500 Internal Server Error\r\n", "HTTP/1.1 400 Bad Request\r\n",
+              "HTTP/1.1 302 Found\r\n", "HTTP/1.1 503 Service Unavailable\r\n"}) {
+            SUBCASE((std::string("When: the next target answers ") + head).c_str()) {
+                http::scripted_server second(
+                    {{head + std::string("Content-Length: 7\r\n\r\nfailure")}});
+                stream.attempt(2, second, 1);
+                THEN("that attempt has failed, and the caller gets nothing of it") {
+                    CHECK(stream.has_failed());
+                    CHECK_FALSE(stream.has_ended);
+                    CHECK_FALSE(stream.has_response);
+                    CHECK(stream.delivered == first_event);
+                }
+            }
+        }
+        WHEN("the next target resumes it") {
+            http::scripted_server second({{whole_stream(second_event)}});
+            stream.attempt(2, second, 1);
+            THEN("the caller gets the rest and the end") {
+                CHECK(stream.delivered == first_event + second_event);
+                CHECK(stream.has_ended);
+            }
+        }
+        WHEN("the next target stops within its head") {
+            http::scripted_server second({{"HTTP/1.1 200 OK\r\nContent-", ending::close}});
+            stream.attempt(2, second, 1);
+            THEN("that attempt has failed") {
+                CHECK(stream.has_failed());
+                CHECK_FALSE(stream.has_ended);
+            }
+        }
+    }
+    GIVEN("a whole response that ends within an event") {
+        streamed_call stream;
+        http::scripted_server first({{whole_stream(first_event + "id: 2\ndata: tw")}});
+        stream.attempt(1, first, 0);
+        THEN("the attempt has failed, after its complete events") {
+            CHECK(stream.has_failed());
+            CHECK_FALSE(stream.has_ended);
+            CHECK(stream.delivered == first_event);
+        }
+    }
+    GIVEN("an error response before the stream has begun") {
+        streamed_call stream;
+        http::scripted_server first(
+            {{"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\nfailure"}});
+        stream.attempt(1, first, 0);
+        THEN("the caller gets it as it is") {
+            CHECK(stream.has_response);
+            CHECK(stream.delivered == "failure");
+            CHECK_FALSE(stream.has_started);
+        }
+    }
+}
+
+// Operators of similar systems saw a 200 with a short body where a server stopped within its head.
+SCENARIO("a response whose head was cut short reaches no caller") {
+    for (const ending after : {ending::close, ending::reset}) {
+        for (const std::string& part :
+             {std::string("HTTP/1.1 200 OK\r\n"),
+              std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"),
+              std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Te")}) {
+            SUBCASE(("When: a server ends after '" + part + "'" +
+                     (after == ending::close ? "" : " by a reset"))
+                        .c_str()) {
+                streamed_call call(false);
+                http::scripted_server server({{part, after}});
+                call.attempt(1, server, 0);
+                THEN("the attempt has failed") {
+                    CHECK(call.has_failed());
+                    CHECK_FALSE(call.has_response);
+                }
+            }
+        }
+    }
+}
