Test: a head that is cut short is no response

Cause: it could happen here. libsoup parses the head that it has when the connection ends.

Change: none in the product; the client's parser needs the end of the head.

--- a/packages/http/tests/response_framing_test.cpp
+++ b/packages/http/tests/response_framing_test.cpp
@@ -86,6 +86,30 @@
     }
 }
 
+// Operators saw a 200 with an empty body where a server had stopped within its head.
+SCENARIO("a head that is cut short is no response") {
+    for (const ending after : {ending::close, ending::reset}) {
+        for (const std::string& part :
+             {std::string("HTTP/1.1 2"), std::string("HTTP/1.1 200 OK"), ok_head,
+              ok_head + "Content-Length: 2\r\n", ok_head + "X-Test: a\r\n" + chunked,
+              ok_head + closing + "\r", std::string("HTTP/1.1 103 Early Hints\r\n\r\n"),
+              "HTTP/1.1 103 Early Hints\r\n\r\n" + ok_head}) {
+            SUBCASE(("When: the server ends after '" + part + "'" +
+                     (after == ending::close ? "" : " by a reset"))
+                        .c_str()) {
+                scripted_server server({{part, after}});
+                raw_caller caller;
+                caller.send(make_request(server.address()));
+                THEN("the call ends as broken, and the caller gets no head") {
+                    CHECK(caller.end == call_result::broken);
+                    CHECK(caller.status == 0);
+                    CHECK(caller.data.empty());
+                }
+            }
+        }
+    }
+}
+
 SCENARIO("interim responses are skipped") {
     GIVEN("a server that sends two of them before its response") {
         scripted_server server({{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
