Foreign documents: nesting, sizes and ranges are checked where they are read

Cause: fields were checked for their type, not their range, and narrowed by casts; JSON was parsed without a limit on depth, and writing it again recurses for each level.

Change: a package of its own, documents, parses JSON of any origin: bounded nesting, an error in place of an exception. Heartbeats: largest size, lengths, port, slots, start and sequence in range. An unreadable deregistration is refused. Times and tokens are bounded. Refusals log a bounded text and are counted.

--- a/packages/admin/internal/admin_server.cpp
+++ b/packages/admin/internal/admin_server.cpp
@@ -1,5 +1,6 @@
 #include "admin/admin_server.h"
 
+#include "documents/parse_json.h"
 #include "http/exchange.h"
 #include "http/server.h"
 #include "task/wakeup.h"
@@ -130,7 +131,7 @@
     }
 
     void submit_order(std::unique_ptr<http::exchange> exchange) {
-        const json body = json::parse(exchange->body(), nullptr, false);
+        const json body = documents::parse_json_or_discard(exchange->body());
         const bool is_valid = body.is_object() && body.contains("order_id") &&
                               body["order_id"].is_string() && body.contains("base") &&
                               body["base"].is_number_unsigned() && body.contains("text") &&
--- a/packages/completions/internal/completion_chunk.cpp
+++ b/packages/completions/internal/completion_chunk.cpp
@@ -1,5 +1,7 @@
 #include "completions/completion_chunk.h"
 
+#include "documents/parse_json.h"
+
 #include <nlohmann/json.hpp>
 
 namespace kingcupcart::completions {
@@ -15,7 +17,7 @@
 } // namespace
 
 outcome<completion_chunk> parse_chunk(std::string_view data, completion_form form) {
-    const json event = json::parse(data, nullptr, false);
+    const json event = documents::parse_json_or_discard(data);
     if (!event.is_object()) {
         return event_error("must be a JSON object");
     }
--- a/packages/completions/internal/completion_request.cpp
+++ b/packages/completions/internal/completion_request.cpp
@@ -1,6 +1,7 @@
 #include "completions/completion_request.h"
 
 #include "base/stable_hash.h"
+#include "documents/parse_json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -63,7 +64,7 @@
 } // namespace
 
 outcome<completion_request> parse_request(std::string_view text, completion_form form) {
-    const json body = json::parse(text, nullptr, false);
+    const json body = documents::parse_json_or_discard(text);
     if (!body.is_object()) {
         return fail(error_code::invalid_input, "body: must be a JSON object");
     }
@@ -96,7 +97,7 @@
 
 std::string engine_request_body(const completion_request& request, tokens resume_after,
                                 const std::string& resume_text) {
-    json body = json::parse(request.original_body, nullptr, false);
+    json body = documents::parse_json_or_discard(request.original_body);
     body["stream"] = true;
     if (resume_after > tokens(0)) {
         body["resume"] = {{"tokens", resume_after.count()}, {"text", resume_text}};
--- a/packages/completions/tests/completions_test.cpp
+++ b/packages/completions/tests/completions_test.cpp
@@ -62,6 +62,16 @@
     }
 }
 
+SCENARIO("a very deeply nested request or event is rejected") {
+    // Writing the request to an engine recurses for each level.
+    constexpr std::size_t depth = 1000000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(parse_failure(R"({"model":"m","prompt":"p","more":)" + nested + "}").empty());
+    const auto chunk =
+        value_or_error([&] { return parse_chunk(R"({"choices":)" + nested + "}", {}); });
+    CHECK(std::holds_alternative<error>(chunk));
+}
+
 SCENARIO("the event parser accepts a stream that is split at any byte") {
     const std::string stream = "data: one\r\n\r\n: comment\n\ndata: two\ndata: three\n\n";
     for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
--- a/packages/entry/internal/announcement.cpp
+++ b/packages/entry/internal/announcement.cpp
@@ -1,6 +1,7 @@
 #include "entry/internal/announcement.h"
 
 #include "base/endpoint.h"
+#include "documents/parse_json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -81,7 +82,7 @@
 } // namespace
 
 outcome<announcement> parse_announcement(std::string_view body, const location& local_location) {
-    const json object = json::parse(body, nullptr, false);
+    const json object = documents::parse_json_or_discard(body);
     if (!object.is_object()) {
         return fail(error_code::invalid_input, "announcement: must be a JSON object");
     }
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -135,6 +135,10 @@
     call.reply.post({});
 }
 
+void fleet_control::on(const malformed_call& /*call*/) {
+    this->params.metrics->count("control_calls_malformed_total");
+}
+
 void fleet_control::on(const begin_retirement& call) {
     const bool is_repeated = this->state().leaving_stores().contains(call.store);
     if (!this->stores.contains(call.store)) {
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -13,6 +13,7 @@
 #include "routes/route_table_parser.h"
 #include "settings/control_settings.h"
 #include "task/wakeup.h"
+#include "telemetry/metric_set.h"
 #include "wire/messages.h"
 
 #include <functional>
@@ -36,6 +37,7 @@
         keeper_group* replicated_group = nullptr;
         routes::route_table_parser parse_route_table = nullptr;
         engines::target_protocol protocol;
+        telemetry::metric_set* metrics = nullptr;
         /// Sends a message to all gateways and stores that are linked to this keeper.
         std::function<void(const wire::message&)> send_to_gateways_and_stores;
     };
@@ -68,6 +70,7 @@
     void on(const deregister_target& call);
     void on(const begin_retirement& call);
     void on(const get_retirement& call);
+    void on(const malformed_call& call);
 
     void submit(const replicated::command& command, const control_reply& reply);
     /// Sends the change to the other keepers and handles it here.
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -142,6 +142,7 @@
     arguments.replicated_group = this->replicated_group.get();
     arguments.parse_route_table = this->params.protocol.parse_route_table;
     arguments.protocol = this->params.protocol.targets;
+    arguments.metrics = &this->metrics;
     arguments.send_to_gateways_and_stores = [this](const wire::message& message) {
         this->send_to_gateways_and_stores(message);
     };
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -200,6 +200,40 @@
         }
     }
 
+    // Operators of similar systems saw one odd entry end every process that read the list.
+    GIVEN("another writer that sends odd heartbeats, and odd deregistrations of a replica") {
+        http::request odd = test_fleet.read_configuration_request();
+        odd.method = "POST";
+        const std::string base = odd.url.substr(0, odd.url.find("/kingcupcart/"));
+        const std::string start = R"({"service":"app","address":"127.0.0.5:)";
+        const std::string rest = R"(","zone":"local","state":"ready","seq":1,"slots":)";
+        const std::string deep = std::string(20000, '[') + std::string(20000, ']');
+        const std::vector<std::string> unreadable{
+            std::string(500000, '['), "\xff\xfe", start + "80" + rest + "1e400}",
+            start + "80" + rest + R"(4,"born":18446744073709551615})",
+            start + "80" + rest + R"(4,"more":)" + deep + "}"};
+        for (const std::string& body : unreadable) {
+            odd.body = body;
+            odd.url = base + "/kingcupcart/replicas/app/heartbeat";
+            CHECK(test_deployment.call(odd)->head.status == 400);
+            odd.url = base + "/kingcupcart/replicas/app/deregister";
+            CHECK(test_deployment.call(odd)->head.status == 400);
+        }
+        for (const std::string& body : {start + "99999999" + rest + "4}", start + "0" + rest + "4}",
+                                        start + "80" + rest + "4294967296}"}) {
+            odd.body = body;
+            odd.url = base + "/kingcupcart/replicas/app/heartbeat";
+            CHECK(test_deployment.call(odd)->head.status == 400);
+        }
+        THEN("the replicas stay in use") {
+            CHECK(test_deployment.call(test_fleet.booking_request("after", ""))->head.status ==
+                  200);
+            CHECK(test_deployment.call(test_fleet.submit_job_request("after", {"i"}, 1))
+                      ->head.status == 202);
+            CHECK(test_fleet.results("after", 1).size() == 1);
+        }
+    }
+
     GIVEN("a gateway whose settings name an address at which no keeper runs") {
         constexpr const char* ip = "127.0.0.6";
         constexpr const char* unused_ip = "127.0.0.7";
