Leaving targets: a response that says so ends new work to that incarnation

Cause: only heartbeats and deregistrations were read, which reach an instance through the keepers.

Change: the dialect reads the header; forwarder, item runs at leaders and workers, and the keepers' orders report it. keeper_client keeps a mark for the target's incarnation beside the keepers' records, applies it to each later update, and sends target_leaving to the keepers, which spread it as if a heartbeat had said so. Another incarnation is served again.

--- a/packages/engines/target_protocol.h
+++ b/packages/engines/target_protocol.h
@@ -35,6 +35,7 @@
     { Candidate::make_score_call(scorer) } -> std::same_as<forwarded_request>;
     { Candidate::signature_of(head) } -> std::same_as<std::optional<std::string>>;
     { Candidate::classify_response(head, text) } -> std::same_as<response_kind>;
+    { Candidate::is_leaving(head) } -> std::same_as<bool>;
     { Candidate::weight_version_of(head) } -> std::same_as<std::optional<weight_version>>;
     { Candidate::parse_event(event) } -> std::same_as<std::optional<stream_event>>;
     { Candidate::parse_load_order_result(head) } -> std::same_as<rollout::load_order_result>;
@@ -53,6 +54,8 @@
     /// `request_name` is the identifier that the request was sent with.
     response_kind (*classify_response)(const http::response_head&,
                                        std::string_view request_name) = nullptr;
+    /// Whether the target says in this response, of whatever kind, that it is leaving.
+    bool (*is_leaving)(const http::response_head&) = nullptr;
     /// The weight version that generates the first events of the stream; empty if the head has
     /// none.
     std::optional<weight_version> (*weight_version_of)(const http::response_head&) = nullptr;
@@ -65,11 +68,17 @@
 
 template <target_dialect Dialect>
 constexpr target_protocol make_target_protocol() {
-    return {&Dialect::forward,           &Dialect::run_item,
-            &Dialect::order_load,        &Dialect::request_report,
-            &Dialect::make_score_call,   &Dialect::signature_of,
-            &Dialect::classify_response, &Dialect::weight_version_of,
-            &Dialect::parse_event,       &Dialect::parse_load_order_result,
+    return {&Dialect::forward,
+            &Dialect::run_item,
+            &Dialect::order_load,
+            &Dialect::request_report,
+            &Dialect::make_score_call,
+            &Dialect::signature_of,
+            &Dialect::classify_response,
+            &Dialect::is_leaving,
+            &Dialect::weight_version_of,
+            &Dialect::parse_event,
+            &Dialect::parse_load_order_result,
             &Dialect::parse_report};
 }
 
--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -53,16 +53,7 @@
     if (const auto* routes = std::get_if<wire::routes_update>(&message)) {
         this->update_routes(from, *routes);
     } else if (const auto* target = std::get_if<wire::target_update>(&message)) {
-        const auto change =
-            this->directory.apply_update(target->record, unlimited_lease, this->time.now());
-        if (change.is_record_change()) {
-            const membership::target_record& record = change.record;
-            spdlog::info(
-                "target {} target={} backend={} incarnation={} sequence={} leaving={} from={}",
-                membership::to_string(change.event), record.id.value(), record.backend.value(),
-                record.incarnation.value(), record.sequence, record.leaving, from.value());
-            this->notify.target_changed(change);
-        }
+        this->update_target(from, target->record);
     } else if (const auto* fleet = std::get_if<wire::fleet_update>(&message)) {
         this->update_fleet(*fleet);
     } else if (const auto* initial_members = std::get_if<wire::initial_members_update>(&message)) {
@@ -70,6 +61,45 @@
     }
 }
 
+bool keeper_client::is_marked(const membership::target_record& record) const {
+    const auto found = this->leaving_targets.find(record.id);
+    return found != this->leaving_targets.end() && found->second == record.incarnation;
+}
+
+void keeper_client::update_target(const instance_id& from,
+                                  const membership::target_record& update) {
+    membership::target_record record = update;
+    // The keepers may not have been told yet.
+    record.leaving = record.leaving || this->is_marked(record);
+    const auto change = this->directory.apply_update(record, unlimited_lease, this->time.now());
+    if (!change.is_record_change()) {
+        return;
+    }
+    if (!this->is_marked(record) || record.gone) {
+        this->leaving_targets.erase(record.id);
+    }
+    spdlog::info("target {} target={} backend={} incarnation={} sequence={} leaving={} from={}",
+                 membership::to_string(change.event), record.id.value(), record.backend.value(),
+                 record.incarnation.value(), record.sequence, record.leaving, from.value());
+    this->notify.target_changed(change);
+}
+
+void keeper_client::mark_leaving(const target_id& target, incarnation_id incarnation) {
+    const membership::target_record* known = this->directory.find(target);
+    if (known == nullptr || known->incarnation != incarnation || this->is_marked(*known)) {
+        return;
+    }
+    this->leaving_targets.insert_or_assign(target, incarnation);
+    this->links.send_to_all(wire::target_leaving{target, incarnation});
+    const auto change = this->directory.mark_leaving(target);
+    spdlog::info("target says that it is leaving target={} backend={} incarnation={} known={}",
+                 target.value(), known->backend.value(), incarnation.value(),
+                 !change.is_record_change());
+    if (change.is_record_change()) {
+        this->notify.target_changed(change);
+    }
+}
+
 void keeper_client::update_routes(const instance_id& from, const wire::routes_update& update) {
     this->route_confirmations.insert(from);
     const bool is_newer = this->table == nullptr || update.version > this->table->version;
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -59,11 +59,16 @@
         return this->links.send(keeper, message);
     }
     void send_to_all(const wire::message& message) { this->links.send_to_all(message); }
+    /// Records that the target said in a response that it is leaving, and notifies the keepers. The
+    /// record says so from now on, whatever the keepers send, until another incarnation starts.
+    void mark_leaving(const target_id& target, incarnation_id incarnation);
 
 private:
     void receive(const instance_id& from, const wire::message& message);
     void update_routes(const instance_id& from, const wire::routes_update& update);
     void update_fleet(const wire::fleet_update& update);
+    void update_target(const instance_id& from, const membership::target_record& record);
+    [[nodiscard]] bool is_marked(const membership::target_record& record) const;
 
     routes::route_table_parser parse_route_table;
     callbacks notify;
@@ -74,6 +79,8 @@
     std::set<instance_id> route_confirmations;
     std::size_t keeper_majority = 1;
     membership::directory directory;
+    /// Targets that said in a response that they are leaving.
+    std::map<target_id, incarnation_id> leaving_targets;
     std::vector<wire::store_address> known_stores;
     const clock& time;
     group::member_links links;
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -37,7 +37,7 @@
         std::uint64_t seed = 0;
         engines::target_protocol protocol;
         /// Routes and targets; its owner reports changes to this object.
-        const fleet::keeper_client* fleet = nullptr;
+        fleet::keeper_client* fleet = nullptr;
         telemetry::metric_set* metrics = nullptr;
         response_limits limits;
         /// Largest response that is buffered, in bytes.
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -33,6 +33,8 @@
     auto response = std::make_unique<attempt_response>();
     attempt_response& added = *response;
     added.last_event = request.resume_after;
+    added.target = target.id;
+    added.incarnation = target.incarnation;
     this->attempts.emplace(attempt, std::move(response));
     http::request outgoing = this->params.protocol.forward(request, target);
     // The length of a stream is not limited, only that of its events.
@@ -48,7 +50,11 @@
 }
 
 void forwarded_call::on_head(attempt_id attempt, const http::response_head& head) {
-    const auto found = this->attempts.find(attempt);
+    auto found = this->attempts.find(attempt);
+    if (found != this->attempts.end() && this->params.protocol.is_leaving(head)) {
+        this->params.target_leaving(found->second->target, found->second->incarnation);
+        found = this->attempts.find(attempt);
+    }
     if (found == this->attempts.end()) {
         return;
     }
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -36,6 +36,8 @@
         /// Passes a message to the dispatcher, whose actions are executed before the next event
         /// loop iteration.
         std::function<void(const requests::message&)> notify;
+        /// Called if a target says in its response that it is leaving.
+        std::function<void(const target_id&, incarnation_id)> target_leaving;
     };
 
     explicit forwarded_call(parameters arguments);
@@ -65,6 +67,8 @@
         completions::event_parser parser;
         std::size_t last_event = 0;
         bool is_matching = false;
+        target_id target;
+        incarnation_id incarnation;
     };
 
     void on_head(attempt_id attempt, const http::response_head& head);
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -101,6 +101,9 @@
     arguments.time = this->params.time;
     arguments.client = &this->client;
     arguments.notify = [this](const requests::message& message) { this->dispatch(message); };
+    arguments.target_leaving = [this](const target_id& target, incarnation_id incarnation) {
+        this->params.fleet->mark_leaving(target, incarnation);
+    };
     this->calls.emplace(profile.id,
                         open_call{std::make_unique<forwarded_call>(std::move(arguments)), now});
     this->dispatch(requests::request_arrived{profile});
--- a/packages/keeper/control_calls.h
+++ b/packages/keeper/control_calls.h
@@ -74,8 +74,8 @@
 /// A call that could not be read, and was refused; reported to be counted.
 struct malformed_call {};
 
-using control_call = std::variant<put_routes, get_routes, put_weights, target_heartbeat,
-                                  deregister_target, begin_retirement, get_retirement,
-                                  malformed_call>;
+using control_call =
+    std::variant<put_routes, get_routes, put_weights, target_heartbeat, deregister_target,
+                 begin_retirement, get_retirement, malformed_call>;
 
 } // namespace kingcupcart::keeper
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -29,7 +29,10 @@
                       this->params.replicated_group->consensus().state().term().value());
               },
               [this] { return this->params.replicated_group->has_leader_lease(); }},
-             {[this](const target_id& target, const model_name& model, weight_version version) {
+             {[this](const target_id& target, incarnation_id incarnation) {
+                  this->mark_leaving(target, incarnation);
+              },
+              [this](const target_id& target, const model_name& model, weight_version version) {
                   this->change_record(target, [&](membership::target_record& record) {
                       membership::merge_weights(record.weights, {model, version});
                   });
@@ -225,6 +228,8 @@
         for (const membership::target_load& target : heartbeats->targets) {
             this->targets.renew(target.id, this->params.settings.target_lease, now);
         }
+    } else if (const auto* leaving = std::get_if<wire::target_leaving>(&message)) {
+        this->mark_leaving(leaving->target, leaving->incarnation);
     } else if (const auto* registration = std::get_if<wire::store_registration>(&message)) {
         this->stores.registered(from.instance, *registration, now);
         this->bootstrap_stores();
@@ -240,6 +245,18 @@
     }
 }
 
+void fleet_control::mark_leaving(const target_id& target, incarnation_id incarnation) {
+    const membership::target_record* known = this->targets.find(target);
+    if (known == nullptr || known->incarnation != incarnation || known->leaving) {
+        return;
+    }
+    membership::target_record leaving = *known;
+    leaving.leaving = true;
+    ++leaving.revision;
+    this->broadcast(this->targets.apply_update(leaving, this->params.settings.target_lease,
+                                               this->params.time->now()));
+}
+
 void fleet_control::broadcast(const membership::directory_change& change) {
     if (change.is_record_change()) {
         this->params.replicated_group->members().send_to_all(wire::target_update{change.record});
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -74,6 +74,8 @@
 
     void submit(const replicated::command& command, const control_reply& reply);
     /// Sends the change to the other keepers and handles it here.
+    /// The target said in a response that it is leaving; all instances are told.
+    void mark_leaving(const target_id& target, incarnation_id incarnation);
     void broadcast(const membership::directory_change& change);
     /// Sends the change to linked gateways and stores, and notifies the load planner.
     void handle_change(const membership::directory_change& change);
--- a/packages/keeper/internal/weight_orders.cpp
+++ b/packages/keeper/internal/weight_orders.cpp
@@ -169,12 +169,17 @@
     this->completions.insert_or_assign(engine, std::move(on_complete));
     http::request limited = request;
     limited.max_response_bytes = max_response_bytes;
+    const membership::target_record* target = this->params.targets->find(engine);
+    const incarnation_id incarnation = target == nullptr ? incarnation_id() : target->incarnation;
     call.call = this->client.start(
         limited, {[] {},
-                  [this, engine, number](const http::response_head& head) {
+                  [this, engine, number, incarnation](const http::response_head& head) {
                       if (open_call* open = this->find_call(engine, number)) {
                           open->head = head;
                       }
+                      if (this->params.protocol.is_leaving(head)) {
+                          this->notify.leaving(engine, incarnation);
+                      }
                   },
                   [this, engine, number](std::string_view data) {
                       if (open_call* open = this->find_call(engine, number)) {
--- a/packages/keeper/internal/weight_orders.h
+++ b/packages/keeper/internal/weight_orders.h
@@ -35,6 +35,8 @@
         std::function<bool()> may_order;
     };
     struct callbacks {
+        /// The engine said in a response that it is leaving.
+        std::function<void(const target_id&, incarnation_id)> leaving;
         std::function<void(const target_id&, const model_name&, weight_version)> loaded;
         std::function<void(const target_id&, bool is_loading)> loading_changed;
     };
--- a/packages/keeper/tests/weight_orders_test.cpp
+++ b/packages/keeper/tests/weight_orders_test.cpp
@@ -57,12 +57,14 @@
         arguments.holder = instance_id("k");
         arguments.protocol.request_report = &make_report_request;
         arguments.protocol.parse_report = &parse_report;
+        arguments.protocol.is_leaving = [](const http::response_head&) { return false; };
         arguments.targets = &this->targets;
         arguments.time = &this->time;
         arguments.fence = [] { return fencing_token(1); };
         arguments.may_order = [] { return false; };
         this->orders = std::make_unique<weight_orders>(
-            std::move(arguments), weight_orders::callbacks{[](const auto&, const auto&, auto) {},
+            std::move(arguments), weight_orders::callbacks{[](const auto&, auto) {},
+                                                           [](const auto&, const auto&, auto) {},
                                                            [](const auto&, bool) {}});
         rollout::service_models service;
         service.service = backend_name("llm");
--- a/packages/membership/directory.h
+++ b/packages/membership/directory.h
@@ -25,6 +25,9 @@
     /// unless it is renewed; a record of another domain stays until an update marks it as gone.
     /// With `lease_scope::all_domains` every record expires.
     directory_change apply_update(const target_record& record, duration lease, time_point now);
+    /// Marks the present record of a target as leaving, without a new announcement: a newer record
+    /// replaces the mark. The change is stale if there is no such target or it is leaving already.
+    directory_change mark_leaving(const target_id& target);
     /// Extends the lease of a target whose heartbeat another instance relayed.
     void renew(const target_id& target, duration lease, time_point now);
     /// Marks targets whose lease has expired as gone, and drops the records of targets that
--- a/packages/membership/internal/directory.cpp
+++ b/packages/membership/internal/directory.cpp
@@ -88,6 +88,19 @@
     return {directory_event::renewed, current.record};
 }
 
+directory_change directory::mark_leaving(const target_id& target) {
+    const auto existing = this->entries.find(target);
+    if (existing == this->entries.end()) {
+        return {directory_event::stale, {}};
+    }
+    target_record& record = existing->second.record;
+    if (record.gone || record.leaving) {
+        return {directory_event::stale, record};
+    }
+    record.leaving = true;
+    return {directory_event::changed, record};
+}
+
 void directory::renew(const target_id& target, duration lease, time_point now) {
     const auto existing = this->entries.find(target);
     if (existing != this->entries.end() && !existing->second.record.gone) {
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -94,3 +94,23 @@
         }
     }
 }
+
+SCENARIO("a target that says in a response that it leaves is marked without an announcement") {
+    directory targets(local_domain);
+    targets.apply_update(engine("e", 1), 5s, time_point(0s));
+    GIVEN("a mark") {
+        const auto change = targets.mark_leaving(target_id("e"));
+        CHECK(change.event == directory_event::changed);
+        CHECK(targets.find(target_id("e"))->leaving);
+        THEN("a second one changes nothing") {
+            CHECK(targets.mark_leaving(target_id("e")).event == directory_event::stale);
+        }
+        THEN("a newer record of the target replaces it") {
+            targets.apply_update(engine("e", 2), 5s, time_point(1s));
+            CHECK_FALSE(targets.find(target_id("e"))->leaving);
+        }
+    }
+    GIVEN("a target that is not known") {
+        CHECK(targets.mark_leaving(target_id("other")).event == directory_event::stale);
+    }
+}
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -245,6 +245,9 @@
     arguments.oldest_version = request.oldest_version;
     arguments.needs_versions = request.needs_versions;
     arguments.text = &text;
+    arguments.engine_leaving = [this, engine = target.id, incarnation = target.incarnation] {
+        this->params.fleet->mark_leaving(engine, incarnation);
+    };
     auto run = std::make_unique<item_run>(
         arguments, [this](const batch::scheduler_message& message) { this->dispatch(message); });
     item_run& added = *run;
--- a/packages/store/internal/item_runner.h
+++ b/packages/store/internal/item_runner.h
@@ -39,7 +39,7 @@
         std::uint64_t seed = 0;
         const clock* time = nullptr;
         const wall_clock* wall = nullptr;
-        const fleet::keeper_client* fleet = nullptr;
+        fleet::keeper_client* fleet = nullptr;
         const batch::job_state_machine* state_machine = nullptr;
         engines::target_protocol protocol;
         telemetry::metric_set* metrics = nullptr;
--- a/packages/store/internal/run_worker.cpp
+++ b/packages/store/internal/run_worker.cpp
@@ -82,6 +82,9 @@
     arguments.oldest_version = request.oldest_version;
     arguments.needs_versions = request.needs_versions;
     arguments.text = &active->text;
+    arguments.engine_leaving = [this, engine = target->id, incarnation = target->incarnation] {
+        this->params.fleet->mark_leaving(engine, incarnation);
+    };
     active->run =
         std::make_unique<item_run>(arguments, [this, key](const batch::scheduler_message& message) {
             this->on_run_message(key, message);
--- a/packages/store/internal/run_worker.h
+++ b/packages/store/internal/run_worker.h
@@ -30,7 +30,7 @@
     struct parameters {
         const clock* time = nullptr;
         /// The targets, by which engines are addressed.
-        const fleet::keeper_client* fleet = nullptr;
+        fleet::keeper_client* fleet = nullptr;
         engines::target_protocol protocol;
         telemetry::metric_set* metrics = nullptr;
         response_limits limits;
--- a/packages/store/internal/score_runner.h
+++ b/packages/store/internal/score_runner.h
@@ -33,7 +33,7 @@
         const clock* time = nullptr;
         std::uint64_t seed = 0;
         engines::target_protocol protocol;
-        const fleet::keeper_client* fleet = nullptr;
+        fleet::keeper_client* fleet = nullptr;
         const batch::job_state_machine* state_machine = nullptr;
         telemetry::metric_set* metrics = nullptr;
         response_limits limits;
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -46,7 +46,8 @@
     batch_response = 25,
     run_item_request = 26,
     cancel_item_run = 27,
-    item_run_updates = 28
+    item_run_updates = 28,
+    target_leaving = 29
 };
 
 json number(message_number value) {
@@ -203,6 +204,8 @@
 constexpr message_number message_number_of<cancel_item_run> = message_number::cancel_item_run;
 template <>
 constexpr message_number message_number_of<item_run_updates> = message_number::item_run_updates;
+template <>
+constexpr message_number message_number_of<target_leaving> = message_number::target_leaving;
 
 template <typename Message>
 json write(const Message& outgoing) {
@@ -387,6 +390,7 @@
     {message_number::run_item_request, "run_item_request", read_serializable<run_item_request>},
     {message_number::cancel_item_run, "cancel_item_run", read_serializable<cancel_item_run>},
     {message_number::item_run_updates, "item_run_updates", read_serializable<item_run_updates>},
+    {message_number::target_leaving, "target_leaving", read_serializable<target_leaving>},
 };
 
 } // namespace
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -130,6 +130,11 @@
 template <typename Archive>
 void serialize(Archive& /*archive*/, keepalive& /*value*/) {}
 
+template <typename Archive>
+void serialize(Archive& archive, target_leaving& value) {
+    archive(value.target, value.incarnation);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, instance_address& value) {
     archive(value.id, value.address);
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -273,6 +273,12 @@
     std::vector<item_run_update> updates;
 };
 
+/// A target said in one of its responses that it is leaving.
+struct target_leaving {
+    target_id target;
+    incarnation_id incarnation;
+};
+
 /// The order of the alternatives is that of their numbers on the wire.
 using message =
     std::variant<hello, target_update, target_heartbeats, configuration_update,
@@ -281,6 +287,6 @@
                  fleet_update, routes_update, weights_update, store_registration,
                  initial_members_update, store_report, leader_update, submit_job_request,
                  read_results_request, item_body_request, end_job_request, batch_response,
-                 run_item_request, cancel_item_run, item_run_updates>;
+                 run_item_request, cancel_item_run, item_run_updates, target_leaving>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -83,7 +83,8 @@
             batch::run_id(4), job_id("j"), "shop", target_id("e"), 2, weight_version(3), true, {}},
         cancel_item_run{batch::run_id(4)},
         item_run_updates{
-            {{batch::run_id(4), item_run_status::completed, 5, "text", {weight_version(3)}}}}};
+            {{batch::run_id(4), item_run_status::completed, 5, "text", {weight_version(3)}}}},
+        target_leaving{target_id("e1"), incarnation_id(7)}};
 }
 
 /// Number of fields of the first item in the encoding of a submission with two items.
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -75,6 +75,9 @@
 }
 
 void platform_replica::handle_request(std::unique_ptr<http::exchange> exchange) {
+    if (this->says_leaving) {
+        exchange->add_header("Server-Leaving", "1");
+    }
     const std::string expected = exchange->header("X-Expect-Instance");
     if (!expected.empty() && expected != this->params.id) {
         exchange->respond(status_misdirected, "text/plain", "");
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -71,6 +71,8 @@
 
     /// Makes the next `requests` requests to a plain service fail with status 500.
     void fail_requests(int requests) { this->requests_to_fail = requests; }
+    /// Makes all responses say that this replica is leaving; its heartbeats do not change.
+    void announce_leaving_in_responses() { this->says_leaving = true; }
     /// Makes a plain service leave requests unanswered.
     void hold_responses(bool is_held) { this->holds_responses = is_held; }
 
@@ -107,6 +109,7 @@
     int responses_to_interrupt = 0;
     int requests_to_fail = 0;
     bool holds_responses = false;
+    bool says_leaving = false;
     std::vector<std::string> executed_requests;
     std::map<std::string, std::set<std::uint64_t>> item_versions;
     std::vector<open_stream> streams;
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -234,6 +234,46 @@
         }
     }
 
+    // A machine that is cut off from the keepers learns only from a response that a replica leaves.
+    GIVEN("a replica whose responses say that it leaves, while its heartbeats do not") {
+        const auto is_refused = [&](const std::string& name) {
+            return test_deployment.call(test_fleet.booking_request(name, ""))->head.status == 503;
+        };
+        test_fleet.service().announce_leaving_in_responses();
+        const auto response = test_deployment.call(test_fleet.booking_request("last", ""));
+        CHECK(response->head.status == 200);
+        CHECK(response->header("Server-Leaving") == "1");
+        THEN("no request is sent to it any more, at this gateway and at others") {
+            CHECK(is_refused("next"));
+            // Several heartbeats later, a new gateway knows it from the keepers.
+            constexpr const char* ip = "127.0.0.6";
+            test_deployment.add_process("other",
+                                        test_fleet.gateway_settings("other", ip, "127.0.0.2"));
+            CHECK(test_deployment.run_until([&] { return test_fleet.reports_ready(ip); }));
+            test_deployment.wait(std::chrono::seconds(1));
+            http::request elsewhere = test_fleet.booking_request("elsewhere", "");
+            elsewhere.url = test_fleet.callers_at(ip) + "/b/1";
+            CHECK(test_deployment.call(elsewhere)->head.status == 503);
+            CHECK(is_refused("later"));
+            CHECK(test_fleet.service().executed_request_ids().back() == "last");
+        }
+    }
+
+    GIVEN("an engine whose responses say that it leaves") {
+        test_fleet.engine().announce_leaving_in_responses();
+        REQUIRE(
+            test_deployment.call(test_fleet.submit_job_request("one", {"i1"}, 1))->head.status ==
+            202);
+        REQUIRE(test_fleet.results("one", 1).size() == 1);
+        const auto run_count = test_fleet.engine().executed_request_ids().size();
+        THEN("no further item is sent to it") {
+            REQUIRE(test_deployment.call(test_fleet.submit_job_request("two", {"i2"}, 1))
+                        ->head.status == 202);
+            test_deployment.wait(std::chrono::seconds(2));
+            CHECK(test_fleet.engine().executed_request_ids().size() == run_count);
+        }
+    }
+
     GIVEN("a gateway whose settings name an address at which no keeper runs") {
         constexpr const char* ip = "127.0.0.6";
         constexpr const char* unused_ip = "127.0.0.7";
