Gateway: an unanswered submission is not refused as not run

Cause: store_client kept one flag for all sends of a submission; 'not leader' from the next store cleared what was known of the send to the one before.

Change: send_history counts the sends without an outcome; 'not leader' resolves one of them.

--- a/packages/gateway/internal/store_client.cpp
+++ b/packages/gateway/internal/store_client.cpp
@@ -108,7 +108,7 @@
     }
     spdlog::debug("batch call sent call={} job={} store={}", number, call.job.value(),
                   this->leader.value());
-    call.may_have_run = true;
+    call.history.sent();
     call.next_send_at = time_point::max();
     call.response_deadline = now + response_timeout;
     if (const auto* read = std::get_if<wire::read_results_request>(&call.request)) {
@@ -148,7 +148,6 @@
         return;
     }
     open_call& call = found->second;
-    const bool is_submission = std::holds_alternative<wire::submit_job_request>(call.request);
     switch (response.status) {
     case wire::batch_status::done:
         this->finish(response.call, response);
@@ -157,10 +156,9 @@
         this->refuse(response.call, {refusal_kind::missing, "the job or item does not exist", {}});
         return;
     case wire::batch_status::not_leader:
-        call.may_have_run = false;
+        call.history.declined();
         break;
     case wire::batch_status::outcome_unknown:
-        call.may_have_run = is_submission;
         break;
     }
     call.next_send_at = this->params.time->now() + resend_interval;
@@ -222,7 +220,7 @@
     for (const std::uint64_t number : expired) {
         const open_call& call = this->open_calls.at(number);
         const bool is_submission = std::holds_alternative<wire::submit_job_request>(call.request);
-        if (is_submission && call.may_have_run) {
+        if (is_submission && call.history.may_have_run()) {
             this->refuse(number, {refusal_kind::failed, "no store answered in time", {}});
         } else {
             this->refuse(number, {refusal_kind::not_run, "no store could confirm that it leads",
--- a/packages/gateway/internal/store_client.h
+++ b/packages/gateway/internal/store_client.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "fleet/keeper_client.h"
 #include "gateway/caller_protocol.h"
+#include "gateway/internal/send_history.h"
 #include "group/member_links.h"
 #include "http/exchange.h"
 #include "task/wakeup.h"
@@ -60,8 +61,7 @@
         time_point response_deadline{};
         /// The caller is refused if no response has arrived by then.
         time_point deadline{};
-        /// The request was sent to a store, which has not reported that it did not execute it.
-        bool may_have_run = false;
+        send_history history;
     };
 
     void add(std::unique_ptr<http::exchange> exchange, wire::message request, const job_id& job,
