Streams that can't be resumed are forwarded as they arrive

What callers saw (review): a streaming route without 'resumable' answered 200 with an empty body that looked complete.

Cause: the dispatcher selects an attempt on its first output only if the request is resumable; the forwarder sends events of the selected attempt alone, and nothing of them at the end.

Change: request_profile::is_streamed, set for every stream, makes the dispatcher select on output. A stream that can't be resumed and breaks off ends with an unknown outcome, as before.

Evidence: requests_test, 'a stream that can't be resumed': fails with the dispatcher as before, passes now.

--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -89,6 +89,7 @@
     profile.work_class = work_class_name(route.name.value());
     profile.repeatable = call.request.is_repeatable;
     profile.resumable = is_resumable;
+    profile.is_streamed = is_stream;
     profile.deadline = max_wait;
     profile.max_attempts = route.max_attempts;
 
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -79,7 +79,8 @@
                                      this->now - attempt.last_output);
     }
     attempt.last_output = this->now;
-    if (!request.profile.resumable || !this->select(request, progressed.attempt)) {
+    const bool is_forwarded = request.profile.resumable || request.profile.is_streamed;
+    if (!is_forwarded || !this->select(request, progressed.attempt)) {
         return;
     }
     request.delivered_tokens += progressed.produced;
--- a/packages/requests/request_profile.h
+++ b/packages/requests/request_profile.h
@@ -19,6 +19,8 @@
     bool repeatable = false;
     /// The response is a stream of tokens that another target can continue.
     bool resumable = false;
+    /// The response is forwarded to the caller as it arrives.
+    bool is_streamed = false;
     /// The run continues when the caller disconnects, because it cannot be undone.
     bool continues_after_disconnect = false;
     std::vector<prefix_hash> prefix;
--- a/packages/requests/tests/requests_test.cpp
+++ b/packages/requests/tests/requests_test.cpp
@@ -264,6 +264,34 @@
             CHECK(fixture.find<send_attempt>()->request == request_id(3));
         }
     }
+    // Such streams were answered with an empty body that looked complete.
+    GIVEN("a stream that can't be resumed") {
+        fixture.add_target("a");
+        fixture.add_target("b");
+        request_profile profile;
+        profile.id = request_id(1);
+        profile.caller = caller_id("counter");
+        profile.backend = model;
+        profile.work_class = work_class_name("query");
+        profile.is_streamed = true;
+        fixture.dispatch(request_arrived{profile});
+        const attempt_id running = fixture.sent_attempt();
+        fixture.dispatch(attempt_write_started{running});
+        WHEN("its first output arrives") {
+            fixture.dispatch(attempt_progressed{running, tokens(1)});
+            THEN("it is forwarded") {
+                REQUIRE(fixture.find<select_attempt>() != nullptr);
+                CHECK(fixture.find<select_attempt>()->attempt == running);
+            }
+            AND_WHEN("it breaks off") {
+                fixture.dispatch(attempt_failed{running, attempt_failure::broken});
+                THEN("it ends with an unknown outcome, and is not sent again") {
+                    CHECK(fixture.refusal_outcome() == outcome_kind::unknown);
+                    CHECK(fixture.find<send_attempt>() == nullptr);
+                }
+            }
+        }
+    }
     GIVEN("an instance that is stopping") {
         fixture.add_target("a");
         fixture.subject.begin_stop(time_point::max());
