Events: an empty first data line keeps its line feed

What callers saw (review, by reading): the text of an event whose first 'data' line is empty lost a line feed.

Cause: the parser took 'no data yet' for 'no data line yet'.

Change: it remembers whether the event has a data line.

--- a/packages/completions/event_parser.h
+++ b/packages/completions/event_parser.h
@@ -31,6 +31,8 @@
 
     std::string line;
     server_sent_event current;
+    /// The current event has a `data` line, which may be empty.
+    bool has_data_line = false;
     bool over_limit = false;
 };
 
--- a/packages/completions/internal/event_parser.cpp
+++ b/packages/completions/internal/event_parser.cpp
@@ -41,6 +41,7 @@
         if (!this->current.is_empty()) {
             events.push_back(std::exchange(this->current, {}));
         }
+        this->has_data_line = false;
         return;
     }
     const std::string_view field = this->line;
@@ -51,7 +52,7 @@
         value.remove_prefix(1);
     }
     if (name == "data") {
-        this->current.data += this->current.data.empty() ? "" : "\n";
+        this->current.data += std::exchange(this->has_data_line, true) ? "\n" : "";
         this->current.data += value;
     } else if (name == "id") {
         this->current.id = value;
--- a/packages/completions/tests/completions_test.cpp
+++ b/packages/completions/tests/completions_test.cpp
@@ -72,6 +72,13 @@
     CHECK(std::holds_alternative<error>(chunk));
 }
 
+SCENARIO("an event keeps the line feeds between its data lines") {
+    event_parser parser;
+    CHECK(parser.feed("data:\ndata: one\n\n") == std::vector<std::string>{"\none"});
+    CHECK(parser.feed("data: one\ndata:\ndata: two\n\n") == std::vector<std::string>{"one\n\ntwo"});
+    CHECK(parser.feed("data: next\n\n") == std::vector<std::string>{"next"});
+}
+
 SCENARIO("the event parser accepts a stream that is split at any byte") {
     const std::string stream = "data: one\r\n\r\n: comment\n\ndata: two\ndata: three\n\n";
     for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
