--- a/cmake/kingcupcart.cmake
+++ b/cmake/kingcupcart.cmake
@@ -8,15 +8,20 @@
     target_link_libraries(kingcupcart_${name} PUBLIC ${ARG_LINKS} PRIVATE kingcupcart_warnings)
 endfunction()
 
-# kingcupcart_test(NAME SOURCES… LINKS …): adds the doctest program of a package and its CTest entry.
+# kingcupcart_test(NAME SOURCES… LINKS … EXCLUDE …): adds the doctest program of a package and its CTest
+# entry. EXCLUDE names test cases that show a known failure; each has an entry in KNOWN-RED.txt.
 function(kingcupcart_test name)
     if(NOT KINGCUPCART_TESTS)
         return()
     endif()
-    cmake_parse_arguments(ARG "" "" "LINKS" ${ARGN})
+    cmake_parse_arguments(ARG "" "EXCLUDE" "LINKS" ${ARGN})
     add_executable(${name}_test ${ARG_UNPARSED_ARGUMENTS})
     target_link_libraries(${name}_test PRIVATE kingcupcart::${name} ${ARG_LINKS} kingcupcart_test_main
                           kingcupcart_warnings)
-    add_test(NAME ${name} COMMAND ${name}_test)
+    set(arguments "")
+    if(ARG_EXCLUDE)
+        set(arguments "--test-case-exclude=${ARG_EXCLUDE}")
+    endif()
+    add_test(NAME ${name} COMMAND ${name}_test ${arguments})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
