--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -69,7 +69,7 @@
 void keeper_client::update_target(const instance_id& from,
                                   const membership::target_record& update) {
     membership::target_record record = update;
-    // The keepers may not have been told yet.
+    // The keepers' record may be older than the response in which the target said so.
     record.leaving = record.leaving || this->is_marked(record);
     const auto change = this->directory.apply_update(record, unlimited_lease, this->time.now());
     if (!change.is_record_change()) {
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -59,8 +59,8 @@
         return this->links.send(keeper, message);
     }
     void send_to_all(const wire::message& message) { this->links.send_to_all(message); }
-    /// Records that the target said in a response that it is leaving, and notifies the keepers. The
-    /// record says so from now on, whatever the keepers send, until another incarnation starts.
+    /// Marks the target as leaving after it said so in a response, and notifies the keepers. The
+    /// mark outlasts updates of the keepers until another incarnation of the target starts.
     void mark_leaving(const target_id& target, incarnation_id incarnation);
 
 private:
--- a/packages/http/internal/connection_pool.h
+++ b/packages/http/internal/connection_pool.h
@@ -24,7 +24,7 @@
 
     /// The connection that was used last; null if there is none.
     [[nodiscard]] std::unique_ptr<connection> take(const endpoint& peer);
-    /// `keep_alive_time` is how long the peer keeps the connection open, if it says so.
+    /// `keep_alive_time` is the idle timeout that the peer announced, if any.
     void add(std::unique_ptr<connection> unused, std::optional<duration> keep_alive_time);
 
 private:
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -32,8 +32,8 @@
     /// The bound address, with the port that the kernel chose for port 0.
     [[nodiscard]] const endpoint& address() const { return this->bound; }
 
-    /// From now on each response whose head is not written yet says that its connection closes, and
-    /// the server closes it.
+    /// From now on each response whose head is not written yet carries `Connection: close`, and the
+    /// server closes the connection after it.
     void close_connections();
     /// Does the same. `on_idle` is called once no request is open, and immediately if none is.
     void begin_stop(std::function<void()> on_idle);
--- a/packages/http/tests/raw_server.cpp
+++ b/packages/http/tests/raw_server.cpp
@@ -1,7 +1,7 @@
 #include "http/tests/raw_server.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
+#include "http/tests/loopback_listener.h"
+
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,15 +27,9 @@
 
 raw_server::raw_server(std::string response, std::string filler)
     : response(std::move(response)), filler(std::move(filler)) {
-    this->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(this->listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    listen(this->listener, SOMAXCONN);
-    socklen_t size = sizeof(address);
-    getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
-    this->bound = endpoint{"127.0.0.1", ntohs(address.sin_port)};
+    const loopback_listener opened = loopback_listener::open();
+    this->listener = opened.socket;
+    this->bound = opened.bound;
     this->thread = std::thread([this] { this->serve(); });
 }
 
--- a/packages/http/tests/scripted_server.cpp
+++ b/packages/http/tests/scripted_server.cpp
@@ -1,7 +1,7 @@
 #include "http/tests/scripted_server.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
+#include "http/tests/loopback_listener.h"
+
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -41,15 +41,9 @@
 
 scripted_server::scripted_server(std::vector<scripted_reply> replies)
     : replies(std::move(replies)) {
-    this->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(this->listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    listen(this->listener, SOMAXCONN);
-    socklen_t size = sizeof(address);
-    getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
-    this->bound = endpoint{"127.0.0.1", ntohs(address.sin_port)};
+    const loopback_listener opened = loopback_listener::open();
+    this->listener = opened.socket;
+    this->bound = opened.bound;
     this->thread = std::thread([this] { this->serve(); });
 }
 
--- a/packages/http/tests/scripted_server.h
+++ b/packages/http/tests/scripted_server.h
@@ -23,8 +23,8 @@
     bool is_early = false;
 };
 
-/// A server that speaks bytes, not HTTP: it answers each request, on whichever connection it
-/// arrives, with the next reply of a list. It shows which requests a client writes, and where.
+/// A server that writes raw bytes: it answers each request, on any connection, with the next reply
+/// of a list. It shows which requests a client writes, and where.
 class scripted_server {
 public:
     struct received_request {
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -74,7 +74,7 @@
 
     void submit(const replicated::command& command, const control_reply& reply);
     /// Sends the change to the other keepers and handles it here.
-    /// The target said in a response that it is leaving; all instances are told.
+    /// Marks the target as leaving, as if a heartbeat had announced it, and notifies all instances.
     void mark_leaving(const target_id& target, incarnation_id incarnation);
     void broadcast(const membership::directory_change& change);
     /// Sends the change to linked gateways and stores, and notifies the load planner.
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -12,7 +12,8 @@
 /// Bounds of the limits of a response's head, interim responses and chunk extensions, in bytes.
 constexpr std::int64_t min_response_limit = 1024;
 constexpr std::int64_t max_response_limit = std::int64_t{16} * 1024 * 1024;
-/// A planned stop goes on serving for this part of the time until the process is killed at most.
+/// The grace period is at most one part in `stop_grace_share` of the time until the process is
+/// killed.
 constexpr int stop_grace_share = 3;
 /// A planned stop ends this long before the process would be killed.
 constexpr duration kill_margin = std::chrono::milliseconds(500);
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -71,7 +71,7 @@
 
     /// Makes the next `requests` requests to a plain service fail with status 500.
     void fail_requests(int requests) { this->requests_to_fail = requests; }
-    /// Makes all responses say that this replica is leaving; its heartbeats do not change.
+    /// Adds the header of a leaving replica to all responses, and leaves the heartbeats unchanged.
     void announce_leaving_in_responses() { this->says_leaving = true; }
     /// Makes a plain service leave requests unanswered.
     void hold_responses(bool is_held) { this->holds_responses = is_held; }
