--- a/packages/base/error.h
+++ b/packages/base/error.h
@@ -5,7 +5,16 @@
 namespace kingcupcart {
 
 /// The kinds of failure that a caller may handle differently.
-enum class error_code { invalid_input, not_found, conflict, unavailable, input_output, internal };
+enum class error_code {
+    invalid_input,
+    not_found,
+    conflict,
+    unavailable,
+    input_output,
+    /// The disk is full or refuses writes, which may end while the process runs.
+    storage_unavailable,
+    internal
+};
 
 /// The error of a failed `outcome`.
 struct error {
--- a/packages/journal/storage.h
+++ b/packages/journal/storage.h
@@ -9,7 +9,8 @@
 
 namespace kingcupcart::journal {
 
-/// The file operations that a journal needs. Errors are reported as `input_output`.
+/// The file operations that a journal needs. Errors are reported as `storage_unavailable` where the
+/// disk is full or refuses the operation, otherwise as `input_output`.
 class storage {
 public:
     virtual ~storage() = default;
@@ -29,6 +30,8 @@
     /// Replaces the whole content atomically: after a crash the file holds either the old content
     /// or the new.
     [[nodiscard]] virtual outcome<void> replace(const source& next_chunk) = 0;
+    /// Writes and syncs a few bytes beside the file, to find out whether the disk takes writes.
+    [[nodiscard]] virtual outcome<void> check_writable() = 0;
     /// Truncates the file to `size` bytes and syncs it.
     [[nodiscard]] virtual outcome<void> truncate(std::size_t size) = 0;
 };
