Replicated log: a disk that refused a write is used again

Cause: the log stopped at the first refused write until its process was restarted, and nothing restarts a sound process. A leader only fell silent, and what waited at it waited for its time-out.

Change: the log is suspended instead. It drops what awaited the sync, which nobody had been told of, and resigns: a new message names the voter with the longest log, which starts an election at once. Commands submitted here complete as unknown. A full disk at the start no longer ends the process.

--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -34,7 +34,7 @@
     using command = typename state_machine::command;
     using result = typename state_machine::result;
     /// Receives the result of a command, or nothing where the command was not committed within
-    /// `command_timeout`; it may still take effect later.
+    /// `command_timeout` or this member's log was suspended; it may still take effect later.
     using completion_callback = std::function<void(const std::optional<result>&)>;
 
     struct parameters {
@@ -54,6 +54,8 @@
         std::function<void(const instance_id&)> connected;
         /// That link is lost.
         std::function<void(const instance_id&)> disconnected;
+        /// The replicated log was suspended by its disk, and takes part again.
+        std::function<void()> resumed;
     };
 
     /// Fails where the data folder can't be used or its journal is corrupt.
@@ -95,7 +97,9 @@
                                  ++this->last_command_number};
         logged_command.content = content;
         const std::string bytes = Codec::encode(logged_command);
-        const time_point deadline = this->params.log.time->now() + command_timeout;
+        const duration time_left =
+            this->log->is_suspended() ? duration::zero() : duration(command_timeout);
+        const time_point deadline = this->params.log.time->now() + time_left;
         this->pending_commands.emplace(this->last_command_number,
                                        pending_command{std::move(on_complete), deadline});
         if (!this->log->propose(bytes)) {
@@ -153,10 +157,17 @@
                                   this->log->state().term().value());
                      this->notify.leadership_changed(is_leader);
                  },
-                 [this] { return Codec::save(this->applied_state); }}));
+                 [this] { return Codec::save(this->applied_state); },
+                 [this] { this->complete_all_as_unknown(); }, [this] { this->notify.resumed(); }}));
         return {};
     }
 
+    void complete_all_as_unknown() {
+        for (const auto& [number, command] : std::exchange(this->pending_commands, {})) {
+            command.on_complete(std::nullopt);
+        }
+    }
+
     void apply(const std::string& bytes) {
         auto decoded = value_or_error([&] { return Codec::decode(bytes); });
         if (const auto* problem = std::get_if<error>(&decoded)) {
--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -19,6 +19,14 @@
 /// half the size of that snapshot where that is more. The log since the snapshot is held in memory,
 /// which limits the growth; rewriting a large state too often would stall the group.
 constexpr std::size_t snapshot_growth_bytes = 12UL * 1024 * 1024;
+/// After a failed snapshot. The journal goes on growing meanwhile.
+constexpr duration compaction_retry_interval = std::chrono::seconds(10);
+/// The journal of a suspended log is tried again after these delays, each twice the one before.
+constexpr duration min_resume_delay = std::chrono::milliseconds(250);
+constexpr duration max_resume_delay = std::chrono::seconds(2);
+/// The delay after an error that is no refused write, such as a damaged journal: each attempt reads
+/// the whole file.
+constexpr duration damaged_journal_retry_interval = std::chrono::seconds(30);
 /// Disk identity of each initial member where the configuration lists only the members' names.
 constexpr std::uint64_t initial_member_disk = 1;
 
@@ -45,17 +53,50 @@
     : params(arguments),
       notify(std::move(notify)),
       replica_timer([this] { this->handle_timer(); }),
-      flush_wakeup([this] { this->flush(); }) {}
+      flush_wakeup([this] { this->flush(); }),
+      resume_timer([this] { this->try_to_resume(); }) {}
 
 replicated_log::~replicated_log() = default;
 
 outcome<void> replicated_log::load() {
-    BOOST_LEAF_AUTO(storage, journal::disk_storage::open(this->params.folder));
-    BOOST_LEAF_AUTO(
-        opened, journal::journal_file::open(std::move(storage),
-                                            [this](std::string_view record, std::size_t position) {
-                                                return this->load_record(record, position);
-                                            }));
+    const auto opened = value_or_error([this]() -> outcome<void> {
+        BOOST_LEAF_AUTO(storage, this->open_storage());
+        return this->open_journal(std::move(storage));
+    });
+    const auto* problem = std::get_if<error>(&opened);
+    if (problem != nullptr && problem->code != error_code::storage_unavailable) {
+        return fail(problem->code, problem->message);
+    }
+    this->start_replica();
+    if (problem != nullptr) {
+        this->suspend(*problem);
+    }
+    return {};
+}
+
+outcome<std::unique_ptr<journal::storage>> replicated_log::open_storage() const {
+    std::unique_ptr<journal::storage> storage;
+    if (this->params.open_storage) {
+        BOOST_LEAF_ASSIGN(storage, this->params.open_storage());
+    } else {
+        BOOST_LEAF_ASSIGN(storage, journal::disk_storage::open(this->params.folder));
+    }
+    BOOST_LEAF_CHECK(storage->check_writable());
+    return storage;
+}
+
+outcome<void> replicated_log::open_journal(std::unique_ptr<journal::storage> storage) {
+    this->stored = {};
+    this->piece_positions.clear();
+    this->snapshot_bytes = 0;
+    this->needs_sync = false;
+    this->notify.clear_state();
+    BOOST_LEAF_AUTO(opened, journal::journal_file::open(
+                                std::move(storage),
+                                [this](std::string_view record, std::size_t position) {
+                                    return this->load_record(record, position);
+                                },
+                                this->trusted_size));
     this->file = std::move(opened.file);
     if (opened.has_torn_tail) {
         spdlog::warn("journal: truncated a torn tail");
@@ -65,6 +106,10 @@
         BOOST_LEAF_CHECK(this->initialize_journal());
         BOOST_LEAF_CHECK(this->file->sync());
     }
+    return {};
+}
+
+void replicated_log::start_replica() {
     this->vote = quorum::persist_vote{this->stored.term, this->stored.voted_for};
     if (this->stored.snapshot_index > quorum::log_index(0)) {
         this->notify.restored();
@@ -75,11 +120,18 @@
     this->replica = std::make_unique<quorum::replica>(
         quorum::member{this->params.local_id, this->disk}, this->params.peers, this->stored, limits,
         this->params.seed, now);
+    this->replica->set_leaving(this->leaving);
+    if (this->file == nullptr) {
+        return;
+    }
     if (this->folder_was_empty && this->params.may_bootstrap) {
         this->execute(this->replica->bootstrap(now));
     }
+    if (!this->adopted_members.empty()) {
+        this->execute(
+            this->replica->adopt_initial_members({this->adopted_members, instance_id()}, now));
+    }
     this->arm();
-    return {};
 }
 
 outcome<void> replicated_log::load_record(std::string_view bytes, std::size_t position) {
@@ -132,7 +184,8 @@
 }
 
 void replicated_log::adopt_initial_members(const std::vector<quorum::member>& initial_members) {
-    if (!this->failed) {
+    this->adopted_members = initial_members;
+    if (!this->suspended) {
         this->execute(this->replica->adopt_initial_members({initial_members, instance_id()},
                                                            this->params.time->now()));
         this->arm();
@@ -140,22 +193,24 @@
 }
 
 void replicated_log::set_peers(std::vector<instance_id> peers) {
-    this->replica->set_peers(std::move(peers));
+    this->params.peers = std::move(peers);
+    this->replica->set_peers(this->params.peers);
 }
 
-void replicated_log::set_leaving(std::set<instance_id> leaving) {
-    this->replica->set_leaving(std::move(leaving));
+void replicated_log::set_leaving(std::set<instance_id> changed) {
+    this->leaving = std::move(changed);
+    this->replica->set_leaving(this->leaving);
 }
 
 void replicated_log::handle(const quorum::message& message) {
-    if (!this->failed) {
+    if (!this->suspended) {
         this->execute(this->replica->handle(message, this->params.time->now()));
         this->arm();
     }
 }
 
 bool replicated_log::propose(const std::string& command) {
-    if (this->failed) {
+    if (this->suspended) {
         return false;
     }
     auto proposal = this->replica->propose(command, this->params.time->now());
@@ -165,20 +220,23 @@
 }
 
 void replicated_log::handle_timer() {
-    if (!this->failed) {
+    if (!this->suspended) {
         this->execute(this->replica->handle_timer(this->params.time->now()));
         this->arm();
     }
 }
 
 void replicated_log::arm() {
+    if (this->suspended) {
+        return;
+    }
     this->replica_timer.arm(this->replica->next_wakeup());
 }
 
 void replicated_log::execute(const quorum::actions& actions) {
     const auto persisted = value_or_error([&] { return this->persist(actions); });
     if (const auto* problem = std::get_if<error>(&persisted)) {
-        this->fail_permanently(problem->message);
+        this->suspend(*problem);
         return;
     }
     if (!this->deferred.empty()) {
@@ -214,6 +272,8 @@
     std::size_t records_written = 0;
     bool has_entries = false;
     this->piece_positions.clear();
+    // Takes effect if the rewrite fails, since the log is read again then.
+    this->compact_after = this->params.time->now() + compaction_retry_interval;
     BOOST_LEAF_CHECK(this->file->rewrite([&](std::string& record) {
         std::string piece;
         if (records_written == 0) {
@@ -235,6 +295,7 @@
         ++records_written;
         return true;
     }));
+    this->compact_after = {};
     this->snapshot_bytes = this->file->size();
     spdlog::info("snapshot persisted index={} bytes={}", snapshot.index.value(),
                  this->snapshot_bytes);
@@ -251,13 +312,14 @@
 }
 
 void replicated_log::flush() {
-    if (this->failed) {
+    if (this->suspended) {
+        this->announce_suspension();
         return;
     }
     if (this->needs_sync) {
         const auto synced = value_or_error([&] { return this->file->sync(); });
         if (const auto* problem = std::get_if<error>(&synced)) {
-            this->fail_permanently(problem->message);
+            this->suspend(*problem);
             return;
         }
         this->needs_sync = false;
@@ -272,7 +334,7 @@
         } else if (const auto* restored = std::get_if<quorum::restore_state>(&action)) {
             const auto loaded = value_or_error([&] { return this->restore(*restored); });
             if (const auto* problem = std::get_if<error>(&loaded)) {
-                this->fail_permanently("snapshot can't be read: " + problem->message);
+                this->suspend({problem->code, "snapshot can't be read: " + problem->message});
                 return;
             }
         } else if (const auto* leadership = std::get_if<quorum::leadership_changed>(&action)) {
@@ -280,7 +342,7 @@
         } else if (const auto* piece = std::get_if<quorum::send_snapshot_piece>(&action)) {
             const auto sent_piece = value_or_error([&] { return this->send(*piece); });
             if (const auto* problem = std::get_if<error>(&sent_piece)) {
-                this->fail_permanently(problem->message);
+                this->suspend(*problem);
                 return;
             }
         }
@@ -291,7 +353,9 @@
 void replicated_log::compact_if_large() {
     const std::size_t growth = std::max(snapshot_growth_bytes, this->snapshot_bytes / 2);
     // The snapshot covers all committed entries, so they must have been applied to the state.
-    if (this->file->size() > this->snapshot_bytes + growth && this->deferred.empty()) {
+    if (!this->suspended && this->deferred.empty() &&
+        this->file->size() > this->snapshot_bytes + growth &&
+        this->params.time->now() >= this->compact_after) {
         this->execute(this->replica->compact(this->replica->committed()));
     }
 }
@@ -315,11 +379,73 @@
     return {};
 }
 
-void replicated_log::fail_permanently(const std::string& reason) {
-    this->failed = true;
-    this->deferred.clear();
+void replicated_log::suspend(const error& reason) {
+    if (this->suspended) {
+        return;
+    }
+    spdlog::critical("replicated log suspended term={} leader={} reason=\"{}\"",
+                     this->replica->term().value(), this->replica->is_leader(), reason.message);
+    this->suspended = true;
+    this->has_unannounced_suspension = true;
+    ++this->suspensions;
+    this->last_problem = reason.message;
+    if (this->file != nullptr) {
+        this->trusted_size = this->file->synced_size();
+    }
     this->replica_timer.disarm();
-    spdlog::critical("replicated log stopped until the process is restarted: {}", reason);
+    // Everything that awaited the sync is dropped: nobody has been told of it.
+    this->deferred = this->replica->resign(this->params.time->now());
+    this->flush_wakeup.arm_now();
+}
+
+void replicated_log::announce_suspension() {
+    if (!std::exchange(this->has_unannounced_suspension, false)) {
+        return;
+    }
+    for (const quorum::action& action : std::exchange(this->deferred, {})) {
+        if (const auto* outgoing = std::get_if<quorum::send_message>(&action)) {
+            this->notify.send(outgoing->to, outgoing->content);
+        } else if (const auto* leadership = std::get_if<quorum::leadership_changed>(&action)) {
+            this->notify.leadership_changed(leadership->is_leader);
+        }
+    }
+    this->notify.suspended();
+    this->resume_delay = min_resume_delay;
+    this->resume_timer.arm(this->params.time->now() + this->resume_delay);
+}
+
+void replicated_log::try_to_resume() {
+    const auto resumed = value_or_error([this] { return this->resume(); });
+    if (const auto* problem = std::get_if<error>(&resumed)) {
+        if (problem->message != this->last_problem) {
+            spdlog::error("replicated log stays suspended reason=\"{}\"", problem->message);
+            this->last_problem = problem->message;
+        }
+        this->resume_delay = problem->code == error_code::storage_unavailable
+                                 ? std::min(2 * this->resume_delay, max_resume_delay)
+                                 : damaged_journal_retry_interval;
+        this->resume_timer.arm(this->params.time->now() + this->resume_delay);
+        return;
+    }
+    spdlog::info("replicated log resumed term={} entries={} bytes={}", this->stored.term.value(),
+                 this->stored.entries.size(), this->file->size());
+    this->notify.resumed();
+}
+
+outcome<void> replicated_log::resume() {
+    // The old file holds the lock of the folder.
+    this->file.reset();
+    BOOST_LEAF_AUTO(storage, this->open_storage());
+    auto opened = value_or_error([&] { return this->open_journal(std::move(storage)); });
+    if (const auto* problem = std::get_if<error>(&opened)) {
+        // What was read up to the error is no state that this group ever had.
+        this->notify.clear_state();
+        return fail(problem->code, problem->message);
+    }
+    this->suspended = false;
+    this->trusted_size = journal::journal_file::unlimited_size;
+    this->start_replica();
+    return {};
 }
 
 } // namespace kingcupcart::group
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/error.h"
 #include "base/ids.h"
 #include "base/outcome.h"
 #include "group/state_source.h"
 #include "journal/journal_file.h"
+#include "journal/storage.h"
 #include "quorum/actions.h"
+#include "quorum/member.h"
 #include "quorum/messages.h"
 #include "quorum/replica.h"
 #include "task/wakeup.h"
@@ -23,6 +26,10 @@
 /// The replicated log of one group member with its journal. Executes the replica's actions:
 /// appends to the journal, syncs it once per event loop iteration, and only then sends messages and
 /// applies commands.
+///
+/// After a failed write or sync it resigns, and neither sends nor applies anything. Once the disk
+/// takes writes again it reads the journal as at a start, cut to what was synced, and takes part
+/// again.
 class replicated_log {
 public:
     struct parameters {
@@ -42,6 +49,8 @@
         std::size_t desired_voters = 0;
         std::uint64_t seed = 0;
         const clock* time = nullptr;
+        /// Opens the storage of the journal; by default, the file in `folder`.
+        std::function<outcome<std::unique_ptr<journal::storage>>()> open_storage;
     };
     struct callbacks {
         std::function<void(const instance_id& to, const quorum::message& message)> send;
@@ -54,9 +63,15 @@
         std::function<void(bool is_leader)> leadership_changed;
         /// Returns the pieces of the state, with all commands applied so far.
         std::function<state_source()> save;
+        /// A write or sync has failed. What was proposed here and is not applied has an unknown
+        /// outcome.
+        std::function<void()> suspended;
+        /// The journal was read again. Commands that were applied before are applied again.
+        std::function<void()> resumed;
     };
 
-    /// Fails where the data folder can't be used or its journal is corrupt.
+    /// Fails where the data folder can't be used or its journal is corrupt. Where its disk takes no
+    /// writes, the log is opened suspended.
     static outcome<std::unique_ptr<replicated_log>> open(const parameters& arguments,
                                                          callbacks notify);
     ~replicated_log();
@@ -71,23 +86,26 @@
     void set_peers(std::vector<instance_id> peers);
     /// Sets the members that are to be replaced as voters although they are running.
     void set_leaving(std::set<instance_id> leaving);
-    /// Returns false where this member does not lead or its log has failed.
+    /// Returns false where this member does not lead or its log is suspended.
     bool propose(const std::string& command);
 
     [[nodiscard]] quorum::disk_id local_disk() const { return this->disk; }
     /// Whether the data folder was empty when it was opened.
     [[nodiscard]] bool was_empty() const { return this->folder_was_empty; }
     [[nodiscard]] const quorum::replica& state() const { return *this->replica; }
-    /// Whether the log has failed, for instance by a disk error. This member then sends nothing
-    /// until its process is restarted.
-    [[nodiscard]] bool has_failed() const { return this->failed; }
-    [[nodiscard]] std::size_t journal_bytes() const { return this->file->size(); }
+    /// Whether a write or sync has failed and the journal is not open again yet.
+    [[nodiscard]] bool is_suspended() const { return this->suspended; }
+    [[nodiscard]] std::uint64_t suspension_count() const { return this->suspensions; }
+    [[nodiscard]] std::size_t journal_bytes() const { return this->file ? this->file->size() : 0; }
     [[nodiscard]] std::uint64_t sync_count() const { return this->syncs; }
 
 private:
     replicated_log(const parameters& arguments, callbacks notify);
     outcome<void> load();
+    [[nodiscard]] outcome<std::unique_ptr<journal::storage>> open_storage() const;
+    [[nodiscard]] outcome<void> open_journal(std::unique_ptr<journal::storage> storage);
     [[nodiscard]] outcome<void> initialize_journal();
+    void start_replica();
     void execute(const quorum::actions& actions);
     [[nodiscard]] outcome<void> persist(const quorum::actions& actions);
     [[nodiscard]] outcome<void> persist_snapshot(const quorum::persist_snapshot& snapshot,
@@ -99,7 +117,12 @@
     [[nodiscard]] outcome<void> restore(const quorum::restore_state& action);
     [[nodiscard]] outcome<void> send(const quorum::send_snapshot_piece& action);
     void arm();
-    void fail_permanently(const std::string& reason);
+    /// Notifications follow in the next event loop iteration, since the caller may be in the middle
+    /// of a change.
+    void suspend(const error& reason);
+    void announce_suspension();
+    void try_to_resume();
+    [[nodiscard]] outcome<void> resume();
 
     parameters params;
     callbacks notify;
@@ -114,12 +137,25 @@
     /// Journal positions of the pieces of the newest snapshot.
     std::vector<std::size_t> piece_positions;
     bool needs_sync = false;
-    bool failed = false;
+    bool suspended = false;
+    /// Whether `announce_suspension` is still to be called.
+    bool has_unannounced_suspension = false;
+    std::uint64_t suspensions = 0;
+    duration resume_delay{};
+    /// The last error that kept the log suspended, which is logged once.
+    std::string last_problem;
+    /// The journal is read up to this size: beyond it the page cache may differ from the disk.
+    std::size_t trusted_size = journal::journal_file::unlimited_size;
+    /// No snapshot is attempted before, after the disk had no room for one.
+    time_point compact_after{};
     std::uint64_t syncs = 0;
+    std::vector<quorum::member> adopted_members;
+    std::set<instance_id> leaving;
     /// Actions that are executed after the next sync: messages to send and commands to apply.
     quorum::actions deferred;
     task::wakeup replica_timer;
     task::wakeup flush_wakeup;
+    task::wakeup resume_timer;
 };
 
 } // namespace kingcupcart::group
--- /dev/null
+++ b/packages/group/tests/replicated_log_test.cpp
@@ -0,0 +1,261 @@
+#include "group/tests/test_group.h"
+#include "task/event_loop.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+#include <vector>
+
+using namespace kingcupcart;
+using namespace kingcupcart::group;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration step = 10ms;
+/// A group has to have a leader and equal states within this time once all disks take writes: some
+/// elections and resume delays.
+constexpr duration recovery_time = 15s;
+
+/// The event loop that all groups of a test share, so that many of them can run at once.
+class shared_loop {
+public:
+    shared_loop() { this->loop.enter(); }
+    ~shared_loop() { this->loop.leave(); }
+
+    void run_for(duration time) {
+        task::wakeup end([this] { this->loop.quit(); });
+        end.arm(this->clock.now() + time);
+        this->loop.run();
+    }
+    /// Returns false if the condition doesn't hold within the time.
+    [[nodiscard]] bool run_until(const std::function<bool()>& condition, duration time) {
+        const time_point deadline = this->clock.now() + time;
+        while (!condition() && this->clock.now() < deadline) {
+            this->run_for(step);
+        }
+        return condition();
+    }
+
+private:
+    system_clock clock;
+    task::event_loop loop;
+};
+
+using test_groups = std::vector<std::unique_ptr<test_group>>;
+
+bool have_converged(const test_groups& groups) {
+    return std::all_of(groups.begin(), groups.end(), [](const auto& group) {
+        return group->leader() != nullptr && group->has_converged();
+    });
+}
+
+void check_rules(const test_groups& groups) {
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+        CAPTURE(i);
+        CHECK(groups[i]->has_converged());
+        CHECK(groups[i]->is_consistent());
+        CHECK(groups[i]->sent_while_suspended() == 0);
+    }
+}
+
+} // namespace
+
+// Guards against a member whose log stopped for good at the first refused write, until its process
+// was restarted.
+SCENARIO("the only member of a group outlasts any refused call of its disk") {
+    shared_loop loop;
+    constexpr std::size_t max_calls = 60;
+    test_groups groups;
+    for (std::size_t call = 1; call <= max_calls; ++call) {
+        groups.push_back(std::make_unique<test_group>(call, 1));
+    }
+    GIVEN("groups with a leader, each of which meets the refusal at another call") {
+        REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+        for (std::size_t i = 0; i < groups.size(); ++i) {
+            test_disk& disk = groups[i]->at(0).disk;
+            disk.refuse_call(disk.calls() + i + 1);
+        }
+        WHEN("commands are proposed meanwhile") {
+            for (int round = 0; round < 60; ++round) {
+                for (const auto& group : groups) {
+                    group->propose();
+                }
+                loop.run_for(step);
+            }
+            REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+            THEN("each takes commands again, and a loss of power takes nothing acknowledged") {
+                for (const auto& group : groups) {
+                    CHECK(group->at(0).disk.has_refused());
+                    CHECK(group->at(0).resumptions == 1);
+                    const std::size_t count = group->acknowledged().size();
+                    group->propose();
+                    CHECK(loop.run_until([&] { return group->acknowledged().size() > count; }, 5s));
+                }
+                check_rules(groups);
+                for (const auto& group : groups) {
+                    group->lose_power(group->at(0));
+                    group->start(group->at(0));
+                }
+                REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+                check_rules(groups);
+            }
+        }
+    }
+}
+
+SCENARIO("a disk that is full when its member starts does not end the process") {
+    shared_loop loop;
+    test_groups groups;
+    groups.push_back(std::make_unique<test_group>(1, 3));
+    test_group& group = *groups.front();
+    REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+    GIVEN("two members, one with a full disk, that lost power") {
+        for (std::size_t i = 0; i < 2; ++i) {
+            group.lose_power(group.at(i));
+        }
+        group.at(0).disk.set_full(true);
+        group.start(group.at(0));
+        group.start(group.at(1));
+        group.propose();
+        REQUIRE(loop.run_until([&] { return group.leader() != nullptr; }, recovery_time));
+        CHECK(group.at(0).log->is_suspended());
+        CHECK(group.at(0).applied.empty());
+        WHEN("the disk takes writes") {
+            group.at(0).disk.set_full(false);
+            THEN("the member takes part again") {
+                CHECK(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+                check_rules(groups);
+            }
+        }
+    }
+}
+
+SCENARIO("a leader whose disk is full hands over") {
+    shared_loop loop;
+    test_groups groups;
+    groups.push_back(std::make_unique<test_group>(2, 3));
+    test_group& group = *groups.front();
+    REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+    test_group::member* first = group.leader();
+    REQUIRE(first != nullptr);
+    first->disk.set_full(true);
+    group.propose();
+    THEN("another member leads, and the first one follows it once its disk takes writes") {
+        REQUIRE(loop.run_until([&] { return group.leader() != nullptr && group.leader() != first; },
+                               recovery_time));
+        CHECK(first->log->is_suspended());
+        for (int i = 0; i < 20; ++i) {
+            group.propose();
+            loop.run_for(step);
+        }
+        first->disk.set_full(false);
+        REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+        check_rules(groups);
+        AND_THEN("the next leader can lose its disk in turn") {
+            test_group::member* second = group.leader();
+            REQUIRE(second != nullptr);
+            second->disk.set_full(true);
+            group.propose();
+            REQUIRE(loop.run_until(
+                [&] { return group.leader() != nullptr && group.leader() != second; },
+                recovery_time));
+            second->disk.set_full(false);
+            CHECK(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+            check_rules(groups);
+        }
+    }
+}
+
+SCENARIO("a snapshot that finds no room leaves the group with its commands") {
+    shared_loop loop;
+    test_groups groups;
+    groups.push_back(std::make_unique<test_group>(3, 1));
+    test_group& group = *groups.front();
+    REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+    GIVEN("a journal that is about to be compacted, and a disk that fills then") {
+        constexpr std::size_t command_size = 1UL << 20;
+        constexpr std::size_t commands_before_snapshot = 11;
+        for (std::size_t i = 0; i < commands_before_snapshot; ++i) {
+            group.propose(command_size);
+            REQUIRE(loop.run_until([&] { return group.acknowledged().size() == i + 1; }, 10s));
+        }
+        test_disk& disk = group.at(0).disk;
+        // The next command takes a write, a sync and its mark; the snapshot follows.
+        disk.refuse_call(disk.calls() + 4);
+        group.propose(command_size);
+        group.propose(command_size);
+        REQUIRE(loop.run_until([&] { return group.at(0).resumptions == 1; }, 10s));
+        THEN("all commands are there, and further ones are taken") {
+            REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+            const std::size_t count = group.acknowledged().size();
+            group.propose();
+            CHECK(loop.run_until([&] { return group.acknowledged().size() > count; }, 5s));
+            check_rules(groups);
+        }
+    }
+}
+
+// Disks of one member after the other are full, refuse single calls (a refused sync loses what it
+// was to write), and machines lose power, beside a steady load.
+SCENARIO("no acknowledged command is lost to disks that refuse writes") {
+    shared_loop loop;
+    constexpr std::uint64_t seeds = 24;
+    constexpr int rounds = 500;
+    std::mt19937_64 random(7);
+    test_groups groups;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        groups.push_back(std::make_unique<test_group>(100 + seed, 3));
+    }
+    /// The member with the current fault of each group, and the rounds until it ends.
+    struct fault {
+        test_group::member* at = nullptr;
+        std::uint64_t remaining = 50;
+    };
+    std::vector<fault> faults(groups.size());
+    for (int round = 0; round < rounds; ++round) {
+        for (std::size_t i = 0; i < groups.size(); ++i) {
+            test_group& group = *groups[i];
+            fault& current = faults[i];
+            group.propose();
+            if (--current.remaining > 0) {
+                continue;
+            }
+            current.remaining = 20 + random() % 60;
+            if (current.at != nullptr) {
+                current.at->disk.set_full(false);
+                if (!current.at->log) {
+                    group.start(*current.at);
+                }
+                current.at = nullptr;
+                continue;
+            }
+            current.at = &group.at(random() % group.size());
+            const auto kind = random() % 3;
+            if (kind == 0) {
+                current.at->disk.set_full(true);
+            } else if (kind == 1) {
+                current.at->disk.refuse_call(current.at->disk.calls() + 1 + random() % 6);
+            } else {
+                group.lose_power(*current.at);
+            }
+        }
+        loop.run_for(step);
+    }
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+        for (std::size_t member = 0; member < groups[i]->size(); ++member) {
+            groups[i]->at(member).disk.set_full(false);
+            if (!groups[i]->at(member).log) {
+                groups[i]->start(groups[i]->at(member));
+            }
+        }
+    }
+    CHECK(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+    check_rules(groups);
+    for (const auto& group : groups) {
+        CHECK(group->acknowledged().size() > 20);
+    }
+}
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -119,7 +119,7 @@
                      this->fleet->keeper_connected(keeper);
                  }
              },
-             [](const instance_id&) {}}));
+             [](const instance_id&) {}, [] {}}));
     for (const std::string& member : config.members) {
         const auto at = member.find('@');
         BOOST_LEAF_AUTO(address, parse_endpoint(member.substr(at + 1)));
@@ -405,13 +405,15 @@
                       static_cast<double>(this->replicated_group->consensus().sync_count()));
     this->metrics.set("keeper_journal_bytes",
                       static_cast<double>(this->replicated_group->consensus().journal_bytes()));
+    const group::replicated_log& log = this->replicated_group->consensus();
+    this->metrics.set("keeper_log_suspended", log.is_suspended() ? 1 : 0);
+    this->metrics.set("keeper_log_suspensions", static_cast<double>(log.suspension_count()));
     this->metrics.set("keeper_instances", static_cast<double>(this->linked_instances.size()));
     admin::report report;
     report.component = "keeper";
     report.status = to_body(status);
     report.metrics = this->metrics.exposition();
-    report.is_ready =
-        !this->replicated_group->consensus().has_failed() && !log_state.leader().value().empty();
+    report.is_ready = !log.is_suspended() && !log_state.leader().value().empty();
     request.reply.post(std::move(report));
 }
 
--- a/packages/quorum/internal/replica_election.cpp
+++ b/packages/quorum/internal/replica_election.cpp
@@ -113,6 +113,44 @@
     }
 }
 
+actions replica::resign(time_point moment) {
+    this->now = moment;
+    if (this->is_leader()) {
+        const instance_id successor = this->choose_successor();
+        for (const auto& [id, state] : this->followers) {
+            this->send(id, resignation{this->current_term, this->local_member, successor});
+        }
+    }
+    this->become_follower(this->current_term);
+    return std::exchange(this->output, {});
+}
+
+instance_id replica::choose_successor() const {
+    instance_id successor;
+    log_index longest;
+    for (const auto& [id, state] : this->followers) {
+        const bool is_eligible = !this->learners.contains(id) && !this->leaving.contains(id) &&
+                                 this->now - state.last_contact < this->limits.min_election_timeout;
+        if (is_eligible && (successor.value().empty() || state.match > longest)) {
+            successor = id;
+            longest = state.match;
+        }
+    }
+    return successor;
+}
+
+void replica::on(const resignation& notice) {
+    if (notice.term != this->current_term || notice.leader.id != this->known_leader) {
+        return;
+    }
+    this->known_leader = instance_id();
+    if (notice.successor == this->local_member.id && this->is_voter()) {
+        this->start_pre_vote();
+    } else {
+        this->reset_election_timer();
+    }
+}
+
 void replica::reset_election_timer() {
     if (!this->is_voter() && this->wakeup > this->now) {
         // Contact with the leader must not postpone the next join request.
--- a/packages/quorum/messages.h
+++ b/packages/quorum/messages.h
@@ -72,8 +72,17 @@
     member joining;
 };
 
+/// Sent by a leader that gives up its leadership, so that the others need not wait for an election
+/// timeout. The successor starts an election at once.
+struct resignation {
+    term_number term;
+    member leader;
+    /// Empty if no other voter has recent contact.
+    instance_id successor;
+};
+
 using message =
     std::variant<vote_request, vote_response, append_entries_request, append_entries_response,
-                 install_snapshot_request, join_request, install_snapshot_response>;
+                 install_snapshot_request, join_request, install_snapshot_response, resignation>;
 
 } // namespace kingcupcart::quorum
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -43,6 +43,9 @@
     };
     /// Appends a command to the log, if this replica is the leader.
     [[nodiscard]] proposal propose(const std::string& command, time_point now);
+    /// Gives up leadership or candidacy, and knows no leader any more. The returned actions persist
+    /// nothing.
+    [[nodiscard]] actions resign(time_point now);
     /// Takes a snapshot of the state machine, which has applied the log up to `index`, and drops
     /// that part of the log.
     [[nodiscard]] actions compact(log_index index);
@@ -106,6 +109,9 @@
     void on(const install_snapshot_request& request);
     void on(const install_snapshot_response& response);
     void on(const join_request& request);
+    void on(const resignation& notice);
+    /// The voter that holds most of the log among those with recent contact; empty if none.
+    [[nodiscard]] instance_id choose_successor() const;
     /// Records that a follower responded in `term`, or steps down if `term` is newer. Returns the
     /// follower's progress, or null if the response is stale or came from another disk.
     [[nodiscard]] progress* record_contact(const member& follower, term_number term);
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -137,6 +137,9 @@
         }
     }
 
+    void resign(const instance_id& id) {
+        this->execute(id, this->nodes[id].raft->resign(this->now));
+    }
     void stop(const instance_id& id) { this->nodes[id].raft.reset(); }
     void start(const instance_id& id) {
         node& member_node = this->nodes[id];
@@ -612,6 +615,31 @@
     }
 }
 
+// Guards against a whole election timeout without a leader when one can't lead any more, for
+// instance since its disk is full.
+SCENARIO("a leader that resigns is replaced without an election timeout") {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        CAPTURE(seed);
+        cluster members(seed, seed % 2 == 0 ? 3 : 5);
+        members.is_ordered = true;
+        members.advance(8s);
+        const instance_id first = members.leader().value();
+        for (int i = 0; i < 5; ++i) {
+            members.propose();
+        }
+        members.advance(200ms);
+        members.resign(first);
+        CHECK_FALSE(members.leader());
+        // A resignation, a pre-vote and a vote with their responses, of 20 ms each.
+        members.advance(110ms);
+        REQUIRE(members.leader());
+        CHECK(*members.leader() != first);
+        members.propose();
+        members.advance(1s);
+        CHECK(members.applied(first).find("c6;") != std::string::npos);
+    }
+}
+
 SCENARIO("no accepted command is lost under random combinations of failures") {
     std::size_t accepted = 0;
     for (std::uint64_t seed = 1; seed <= 300; ++seed) {
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -74,7 +74,8 @@
                                if (this->runner) {
                                    this->runner->worker_lost(member);
                                }
-                           }}));
+                           },
+                           [this] { this->fleet->send_to_all(this->make_registration()); }}));
     job_request_handler::parameters handler_arguments;
     handler_arguments.time = this->params.time;
     handler_arguments.wall = this->params.wall;
@@ -144,12 +145,18 @@
 }
 
 void store::send_registration(const instance_id& keeper) {
+    if (!this->replicated_group->consensus().is_suspended()) {
+        this->fleet->send(keeper, this->make_registration());
+    }
+}
+
+wire::store_registration store::make_registration() const {
     const group::replicated_log& log = this->replicated_group->consensus();
     wire::store_registration registration;
     registration.disk = log.local_disk().value();
     registration.may_bootstrap = this->params.settings.store->is_first_start && log.was_empty() &&
                                  log.state().voters().voters.empty();
-    this->fleet->send(keeper, registration);
+    return registration;
 }
 
 void store::stores_changed() {
@@ -345,12 +352,14 @@
                       static_cast<double>(this->replicated_group->state().jobs().size()));
     this->metrics.set("store_journal_bytes",
                       static_cast<double>(this->replicated_group->consensus().journal_bytes()));
+    const group::replicated_log& log = this->replicated_group->consensus();
+    this->metrics.set("store_log_suspended", log.is_suspended() ? 1 : 0);
+    this->metrics.set("store_log_suspensions", static_cast<double>(log.suspension_count()));
     admin::report report;
     report.component = "store";
     report.status = status.dump() + "\n";
     report.metrics = this->metrics.exposition();
-    report.is_ready =
-        !this->replicated_group->consensus().has_failed() && !replica.leader().value().empty();
+    report.is_ready = !log.is_suspended() && !replica.leader().value().empty();
     request.reply.post(std::move(report));
 }
 
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -74,7 +74,10 @@
     /// Place of the store that accepts links at the address; empty if it has not connected here.
     [[nodiscard]] location place_of(const instance_id& member) const;
     void stores_changed();
+    /// Does nothing while the replicated log is suspended: the identity of its disk may not be
+    /// stored yet.
     void send_registration(const instance_id& keeper);
+    [[nodiscard]] wire::store_registration make_registration() const;
     /// Sends the leader's address to all gateways, if it has changed.
     void broadcast_leader();
     /// While this store leads, sends all keepers the voters among the stores and the oldest weight
--- a/packages/wire/internal/quorum_fields.cpp
+++ b/packages/wire/internal/quorum_fields.cpp
@@ -29,7 +29,8 @@
     append_entries_response,
     install_snapshot_request,
     join_request,
-    install_snapshot_response
+    install_snapshot_response,
+    resignation
 };
 
 void write(json& fields, const quorum::vote_request& outgoing) {
@@ -81,6 +82,12 @@
     fields.push_back(outgoing.pieces_received);
 }
 
+void write(json& fields, const quorum::resignation& outgoing) {
+    fields.push_back(outgoing.term.value());
+    write_member(fields, outgoing.leader);
+    fields.push_back(outgoing.successor.value());
+}
+
 void write(json& fields, const quorum::join_request& outgoing) {
     write_member(fields, outgoing.joining);
 }
@@ -144,8 +151,8 @@
 }
 
 quorum::message read_quorum_message(field_reader& fields) {
-    const auto number = static_cast<quorum_message_number>(fields.number_up_to(
-        static_cast<std::uint8_t>(quorum_message_number::install_snapshot_response)));
+    const auto number = static_cast<quorum_message_number>(
+        fields.number_up_to(static_cast<std::uint8_t>(quorum_message_number::resignation)));
     if (number == quorum_message_number::join_request) {
         return quorum::join_request{read_member(fields)};
     }
@@ -195,6 +202,8 @@
         incoming.pieces_received = fields.number();
         return incoming;
     }
+    case quorum_message_number::resignation:
+        return quorum::resignation{term, sender, instance_id(fields.text())};
     case quorum_message_number::join_request:
         break;
     }
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -78,6 +78,7 @@
         consensus_message{quorum::install_snapshot_request{}},
         consensus_message{quorum::install_snapshot_response{}},
         consensus_message{quorum::join_request{}},
+        consensus_message{quorum::resignation{}},
         forward_command{"c"},
         run_item_request{
             batch::run_id(4), job_id("j"), "shop", target_id("e"), 2, weight_version(3), true, {}},
