Leader's lease: contact is as old as the request that was answered

Callers: a leader whose loop stood still for seconds (a sync that hangs, a freeze) could answer reads from an outdated state, and send orders beside the new leader, until it had read all that waited in its sockets.

Cause: the lease counted from the moment at which a response was read, and the responses of before the stop were still to be read. A new leader counted from the moment of its election, though the votes may have waited likewise.

Change: requests carry the leader's time and responses return it. The messages between members change with it (no stored data).

--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -148,7 +148,8 @@
 void replica::on(const append_entries_request& request) {
     if (request.term < this->current_term) {
         this->send(request.leader.id,
-                   append_entries_response{this->current_term, this->local_member, false, {}});
+                   append_entries_response{
+                       this->current_term, this->local_member, false, {}, request.sent_at});
         return;
     }
     if (request.term > this->current_term || this->role != role_kind::follower) {
@@ -157,8 +158,8 @@
     this->known_leader = request.leader.id;
     this->last_leader_contact = this->now;
     this->reset_election_timer();
-    append_entries_response reply{this->current_term, this->local_member, false,
-                                  this->last_index()};
+    append_entries_response reply{this->current_term, this->local_member, false, this->last_index(),
+                                  request.sent_at};
     const bool has_previous = request.previous_index <= this->last_index();
     if (request.previous_index < this->snapshot_index) {
         reply.match = this->snapshot_index;
@@ -195,7 +196,8 @@
     this->output.push_back(persist_entries{index, new_entries});
 }
 
-replica::progress* replica::record_contact(const member& follower, term_number term) {
+replica::progress* replica::record_contact(const member& follower, term_number term,
+                                           time_point request_sent_at) {
     if (term > this->current_term) {
         this->become_follower(term);
         return nullptr;
@@ -210,12 +212,14 @@
     if (!is_known_disk) {
         return nullptr;
     }
-    known->second.last_contact = this->now;
+    time_point& last_contact = known->second.last_contact;
+    last_contact = std::max(last_contact, std::min(request_sent_at, this->now));
     return &known->second;
 }
 
 void replica::on(const append_entries_response& response) {
-    progress* sender = this->record_contact(response.follower, response.term);
+    progress* sender =
+        this->record_contact(response.follower, response.term, response.request_sent_at);
     if (sender == nullptr || sender->is_observer) {
         return;
     }
--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -15,7 +15,8 @@
     this->learners.clear();
     for (const member& voter : this->latest_membership.voters) {
         if (voter.id != this->local_member.id) {
-            this->followers[voter.id] = progress{after(this->last_index()), {}, this->now};
+            this->followers[voter.id] =
+                progress{after(this->last_index()), {}, this->votes_requested_at};
         }
     }
     this->output.push_back(leadership_changed{true});
@@ -57,6 +58,7 @@
     append_entries_request request;
     request.term = this->current_term;
     request.leader = this->local_member;
+    request.sent_at = this->now;
     request.previous_index = previous;
     request.previous_term = this->term_at(previous);
     request.committed = this->commit_index;
@@ -79,6 +81,7 @@
     append_entries_request request;
     request.term = this->current_term;
     request.leader = this->local_member;
+    request.sent_at = this->now;
     this->send(to, std::move(request));
 }
 
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -36,6 +36,7 @@
     install_snapshot_request next;
     next.term = this->current_term;
     next.leader = this->local_member;
+    next.sent_at = this->now;
     next.index = this->snapshot_index;
     next.index_term = this->snapshot_term;
     next.voters = this->snapshot_voters;
@@ -44,7 +45,8 @@
 }
 
 void replica::on(const install_snapshot_response& response) {
-    progress* state = this->record_contact(response.follower, response.term);
+    progress* state =
+        this->record_contact(response.follower, response.term, response.request_sent_at);
     if (state == nullptr || response.index != this->snapshot_index ||
         before(state->next) >= this->snapshot_index) {
         return;
@@ -73,15 +75,17 @@
             this->incoming_snapshot.pieces.push_back(request.data);
         }
         if (this->incoming_snapshot.pieces.size() < request.piece_count) {
-            this->send(request.leader.id, install_snapshot_response{
-                                              this->current_term, this->local_member, request.index,
-                                              this->incoming_snapshot.pieces.size()});
+            this->send(
+                request.leader.id,
+                install_snapshot_response{this->current_term, this->local_member, request.index,
+                                          this->incoming_snapshot.pieces.size(), request.sent_at});
             return;
         }
         this->install_snapshot(request);
     }
-    this->send(request.leader.id, append_entries_response{this->current_term, this->local_member,
-                                                          true, this->commit_index});
+    this->send(request.leader.id,
+               append_entries_response{this->current_term, this->local_member, true,
+                                       this->commit_index, request.sent_at});
 }
 
 void replica::install_snapshot(const install_snapshot_request& last) {
--- a/packages/quorum/messages.h
+++ b/packages/quorum/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "quorum/log_entry.h"
 #include "quorum/member.h"
 
@@ -34,6 +35,9 @@
     term_number previous_term;
     std::vector<log_entry> entries;
     log_index committed;
+    /// By the leader's clock. The follower returns it, so that a response that the leader reads
+    /// late is no proof of recent contact.
+    time_point sent_at{};
 };
 
 struct append_entries_response {
@@ -43,6 +47,8 @@
     /// If accepted, the last index at which the follower's log matches the leader's; if rejected,
     /// an index from which the leader may retry.
     log_index match;
+    /// The request's `sent_at`.
+    time_point request_sent_at{};
 };
 
 /// One piece of a snapshot. `index` and `index_term` belong to the last entry that the snapshot
@@ -56,6 +62,8 @@
     std::uint64_t piece = 0;
     std::uint64_t piece_count = 0;
     std::string data;
+    /// As in `append_entries_request`.
+    time_point sent_at{};
 };
 
 /// The number of pieces of the snapshot that the follower has received; the leader sends the piece
@@ -65,6 +73,8 @@
     member follower;
     log_index index;
     std::uint64_t pieces_received = 0;
+    /// The request's `sent_at`.
+    time_point request_sent_at{};
 };
 
 /// Sent by a member that is not a voter, to join the group as a learner.
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -89,6 +89,7 @@
     struct progress {
         log_index next{1};
         log_index match;
+        /// When the newest request was sent that the follower has responded to.
         time_point last_contact{};
         /// The leader is searching for the last index at which the logs match, and sends no entries
         /// meanwhile.
@@ -114,7 +115,8 @@
     [[nodiscard]] instance_id choose_successor() const;
     /// Records that a follower responded in `term`, or steps down if `term` is newer. Returns the
     /// follower's progress, or null if the response is stale or came from another disk.
-    [[nodiscard]] progress* record_contact(const member& follower, term_number term);
+    [[nodiscard]] progress* record_contact(const member& follower, term_number term,
+                                           time_point request_sent_at);
 
     void become_follower(term_number term);
     void start_pre_vote();
@@ -186,6 +188,7 @@
     log_index commit_index;
     log_index applied_index;
     std::set<instance_id> votes;
+    time_point votes_requested_at{};
     std::map<instance_id, progress> followers;
     /// Members that asked to join and are not voters yet, by instance.
     std::map<instance_id, member> learners;
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <numeric>
@@ -85,8 +86,10 @@
                 const queued_message next = this->network.top();
                 this->network.pop();
                 node& receiver = this->nodes[next.to];
-                if (receiver.raft && !receiver.is_frozen &&
-                    !this->is_separated(next.from, next.to)) {
+                if (receiver.is_frozen && this->keeps_backlog) {
+                    receiver.backlog.push_back(next.content);
+                } else if (receiver.raft && !receiver.is_frozen &&
+                           !this->is_separated(next.from, next.to)) {
                     this->execute(next.to, receiver.raft->handle(next.content, this->now));
                 }
             }
@@ -163,6 +166,22 @@
         member_node.disk = disk_id(this->random());
     }
     void freeze(const instance_id& id, bool is_frozen) { this->nodes[id].is_frozen = is_frozen; }
+    /// Wakes the member, which handles the next message that arrived while it was frozen. Returns
+    /// false if there is none.
+    bool handle_backlog(const instance_id& id) {
+        node& member_node = this->nodes[id];
+        member_node.is_frozen = false;
+        if (member_node.backlog.empty()) {
+            return false;
+        }
+        const message next = member_node.backlog.front();
+        member_node.backlog.pop_front();
+        this->execute(id, member_node.raft->handle(next, this->now));
+        return true;
+    }
+    [[nodiscard]] bool has_lease(const instance_id& id) {
+        return this->nodes[id].raft->has_recent_majority_contact(this->now);
+    }
     void isolate(const instance_id& id) { this->isolated = id; }
     void heal() { this->isolated.reset(); }
     void compact(const instance_id& id) {
@@ -187,6 +206,8 @@
     std::map<instance_id, std::size_t> entries_sent_to;
     std::map<instance_id, std::size_t> bytes_sent_to;
     bool is_ordered = false;
+    /// Whether messages to a frozen member wait for it, as in the buffers of its sockets.
+    bool keeps_backlog = false;
 
 private:
     std::set<instance_id> leaving;
@@ -195,6 +216,7 @@
         stored_state stored;
         disk_id disk;
         bool is_frozen = false;
+        std::deque<message> backlog;
         /// The applied commands, in order.
         std::string applied;
         /// The same, as of the latest snapshot.
@@ -616,6 +638,30 @@
     }
 }
 
+// Guards against reads of an outdated state: a leader that a freeze or a hanging disk stopped took
+// responses of before the stop for recent contact.
+SCENARIO("responses that a leader reads late do not renew its lease") {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        CAPTURE(seed);
+        cluster members(seed, seed % 2 == 0 ? 3 : 5);
+        members.is_ordered = true;
+        members.keeps_backlog = true;
+        members.advance(8s);
+        const instance_id first = members.leader().value();
+        members.advance(duration(5ms) * static_cast<int>(seed));
+        CHECK(members.has_lease(first));
+        members.freeze(first, true);
+        members.advance(3s);
+        const instance_id second = members.leader().value();
+        CHECK(second != first);
+        do {
+            CHECK_FALSE(members.has_lease(first));
+        } while (members.handle_backlog(first));
+        members.advance(1s);
+        CHECK(members.known_leader(first) == second);
+    }
+}
+
 // Guards against a whole election timeout without a leader when one can't lead any more, for
 // instance since its disk is full.
 SCENARIO("a leader that resigns is replaced without an election timeout") {
--- a/packages/wire/internal/quorum_fields.cpp
+++ b/packages/wire/internal/quorum_fields.cpp
@@ -1,5 +1,6 @@
 #include "wire/internal/quorum_fields.h"
 
+#include <limits>
 #include <utility>
 
 namespace kingcupcart::wire {
@@ -13,6 +14,17 @@
     fields.push_back(member.disk.value());
 }
 
+/// In nanoseconds of the sender's clock.
+void write_time(json& fields, time_point moment) {
+    fields.push_back(static_cast<std::uint64_t>(moment.time_since_epoch().count()));
+}
+
+time_point read_time(field_reader& fields) {
+    const std::uint64_t nanoseconds =
+        fields.number_up_to(static_cast<std::uint64_t>(std::numeric_limits<duration::rep>::max()));
+    return time_point(duration(static_cast<duration::rep>(nanoseconds)));
+}
+
 quorum::member read_member(field_reader& fields) {
     quorum::member member;
     member.id = instance_id(fields.text());
@@ -55,6 +67,7 @@
     fields.push_back(outgoing.previous_term.value());
     fields.push_back(write_entries(outgoing.entries));
     fields.push_back(outgoing.committed.value());
+    write_time(fields, outgoing.sent_at);
 }
 
 void write(json& fields, const quorum::append_entries_response& outgoing) {
@@ -62,6 +75,7 @@
     write_member(fields, outgoing.follower);
     fields.push_back(outgoing.is_accepted);
     fields.push_back(outgoing.match.value());
+    write_time(fields, outgoing.request_sent_at);
 }
 
 void write(json& fields, const quorum::install_snapshot_request& outgoing) {
@@ -73,6 +87,7 @@
     fields.push_back(outgoing.piece);
     fields.push_back(outgoing.piece_count);
     fields.push_back(write_bytes(outgoing.data));
+    write_time(fields, outgoing.sent_at);
 }
 
 void write(json& fields, const quorum::install_snapshot_response& outgoing) {
@@ -80,6 +95,7 @@
     write_member(fields, outgoing.follower);
     fields.push_back(outgoing.index.value());
     fields.push_back(outgoing.pieces_received);
+    write_time(fields, outgoing.request_sent_at);
 }
 
 void write(json& fields, const quorum::resignation& outgoing) {
@@ -173,33 +189,37 @@
         return incoming;
     }
     case quorum_message_number::append_entries_request: {
-        quorum::append_entries_request incoming{term, sender, {}, {}, {}, {}};
+        quorum::append_entries_request incoming{term, sender, {}, {}, {}, {}, {}};
         incoming.previous_index = quorum::log_index(fields.number());
         incoming.previous_term = quorum::term_number(fields.number());
         incoming.entries = read_entries(fields);
         incoming.committed = quorum::log_index(fields.number());
+        incoming.sent_at = read_time(fields);
         return incoming;
     }
     case quorum_message_number::append_entries_response: {
-        quorum::append_entries_response incoming{term, sender, false, {}};
+        quorum::append_entries_response incoming{term, sender, false, {}, {}};
         incoming.is_accepted = fields.boolean();
         incoming.match = quorum::log_index(fields.number());
+        incoming.request_sent_at = read_time(fields);
         return incoming;
     }
     case quorum_message_number::install_snapshot_request: {
-        quorum::install_snapshot_request incoming{term, sender, {}, {}, {}, 0, 0, {}};
+        quorum::install_snapshot_request incoming{term, sender, {}, {}, {}, 0, 0, {}, {}};
         incoming.index = quorum::log_index(fields.number());
         incoming.index_term = quorum::term_number(fields.number());
         incoming.voters = read_membership(fields);
         incoming.piece = fields.number();
         incoming.piece_count = fields.number();
         incoming.data = fields.binary();
+        incoming.sent_at = read_time(fields);
         return incoming;
     }
     case quorum_message_number::install_snapshot_response: {
-        quorum::install_snapshot_response incoming{term, sender, {}, 0};
+        quorum::install_snapshot_response incoming{term, sender, {}, 0, {}};
         incoming.index = quorum::log_index(fields.number());
         incoming.pieces_received = fields.number();
+        incoming.request_sent_at = read_time(fields);
         return incoming;
     }
     case quorum_message_number::resignation:
