Planned stop: requests that would outlast it are left to other instances

Callers (a report of operators of a similar system; here: 504 at the limit in place of a cut): requests that came late in the grace period were passed on although their service needs longer than what remained, among them requests that may not be repeated.

Cause: until the end of stop-grace every request was taken, and what waited in the dispatcher's queue waited until the limit.

Change: the dispatcher learns of the stop and of its end at the signal. From the longest of the recent runs of each kind of work it refuses, at once and as not run, what can't end in time; queued requests as soon as it gets too late to send them. Unknown run times count as too long only for requests that may not be repeated. Mean and deviation as in TCP's timer were tried first: they forget the one long run in ten (admission_test: 280 ms for 500 ms).

--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -121,8 +121,9 @@
         if (!sequence->has_started) {
             sequence->has_started = true;
             spdlog::info("planned stop started");
-            sequence->instance.announce_stop();
-            sequence->grace_timer.arm(std::chrono::steady_clock::now() + sequence->grace);
+            const time_point drain_at = std::chrono::steady_clock::now() + sequence->grace;
+            sequence->instance.announce_stop(drain_at + sequence->limit - response_time);
+            sequence->grace_timer.arm(drain_at);
         }
         return G_SOURCE_CONTINUE;
     }
--- a/packages/admission/tests/admission_test.cpp
+++ b/packages/admission/tests/admission_test.cpp
@@ -1,4 +1,5 @@
 #include "admission/drain_rate.h"
+#include "admission/duration_estimate.h"
 #include "admission/fair_queue.h"
 #include "admission/retry_budget.h"
 
@@ -96,3 +97,24 @@
     rate.observe_departure(time_point(1100ms));
     CHECK(rate.expected_wait(5) == 500ms);
 }
+
+SCENARIO("the time of a run is estimated from earlier runs") {
+    duration_estimate estimate;
+    CHECK_FALSE(estimate.upper_bound());
+    GIVEN("a few long runs among short ones") {
+        for (int i = 0; i < 100; ++i) {
+            estimate.observe(i % 10 == 0 ? 500ms : 100ms);
+            if (i > 10) {
+                CHECK(*estimate.upper_bound() == 500ms);
+            }
+        }
+        WHEN("runs stay short") {
+            for (int i = 0; i < 100; ++i) {
+                estimate.observe(100ms);
+            }
+            THEN("the estimate follows") {
+                CHECK(*estimate.upper_bound() == 100ms);
+            }
+        }
+    }
+}
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -28,8 +28,8 @@
     /// Applies the settings that can change at run time: the seeds of a fleet.
     void apply(const settings::process_settings& changed);
     /// Reports not ready from now on, and closes connections after their response; requests are
-    /// still accepted.
-    void announce_stop();
+    /// still accepted, unless they are not expected to end by `deadline`.
+    void announce_stop(time_point deadline);
     /// Stops accepting work; requests that are open get their final response by `deadline`. Calls
     /// `drained` once, on the thread of a task, when no role has one any more; at once, on the
     /// caller's thread, if the instance serves no callers.
--- a/packages/daemon/internal/daemon.cpp
+++ b/packages/daemon/internal/daemon.cpp
@@ -117,13 +117,13 @@
     }
 }
 
-void daemon::announce_stop() {
+void daemon::announce_stop(time_point deadline) {
     this->impl->admin_task.post(admin::admin_server::stop_started{});
     if (this->impl->gateway) {
-        this->impl->gateway->announce_stop();
+        this->impl->gateway->announce_stop(deadline);
     }
     if (this->impl->entry) {
-        this->impl->entry->announce_stop();
+        this->impl->entry->announce_stop(deadline);
     }
 }
 
--- a/packages/entry/entry_module.h
+++ b/packages/entry/entry_module.h
@@ -29,8 +29,9 @@
     [[nodiscard]] task::sender<admin::report_request> frontend_reports() const;
     [[nodiscard]] task::sender<admin::report_request> peers_reports() const;
 
-    /// Closes each connection after its response from now on.
-    void announce_stop();
+    /// Closes each connection after its response from now on, and refuses requests that are not
+    /// expected to end by `deadline`.
+    void announce_stop(time_point deadline);
     /// Stops accepting work; open calls get their final response by `deadline`. Calls `on_drained`,
     /// on the frontend's thread, when all calls have ended and the HTTP server is idle.
     void begin_stop(time_point deadline, std::function<void()> on_drained);
--- a/packages/entry/internal/entry_module.cpp
+++ b/packages/entry/internal/entry_module.cpp
@@ -68,8 +68,8 @@
         });
 }
 
-void entry_module::announce_stop() {
-    this->impl->frontend_task.post(stop_announced{});
+void entry_module::announce_stop(time_point deadline) {
+    this->impl->frontend_task.post(stop_announced{deadline});
 }
 
 void entry_module::begin_stop(time_point deadline, std::function<void()> on_drained) {
--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -276,14 +276,16 @@
     this->keys.complete_claim(completed, this->params.time->now());
 }
 
-void frontend::on(const stop_announced& /*announced*/) {
+void frontend::on(const stop_announced& announced) {
+    this->execute(this->dispatcher.announce_stop(announced.deadline, this->params.time->now()));
+    this->arm_dispatcher_timer();
     this->server->close_connections();
 }
 
 void frontend::on(stop_request& request) {
     this->is_stopping = true;
     this->on_drained = std::move(request.on_drained);
-    this->dispatcher.begin_stop(request.deadline);
+    this->execute(this->dispatcher.begin_stop(request.deadline, this->params.time->now()));
     this->arm_dispatcher_timer();
     this->server->begin_stop([this] { this->check_drained(); });
 }
--- a/packages/entry/internal/frontend_message.h
+++ b/packages/entry/internal/frontend_message.h
@@ -58,8 +58,10 @@
     incarnation_id incarnation;
 };
 
-/// The process will stop soon: each response closes its connection from now on.
-struct stop_announced {};
+/// The process will stop at `deadline`: each response closes its connection from now on.
+struct stop_announced {
+    time_point deadline{};
+};
 
 /// Stop accepting work, answer all calls by `deadline`, and call `on_drained` when all have ended.
 struct stop_request {
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -56,6 +56,8 @@
     request_id start(const routes::route& route, call_parameters call);
     /// Aborts the call because its caller has disconnected. None of its callbacks is called again.
     void cancel(request_id request);
+    /// See `requests::dispatcher::announce_stop`.
+    void announce_stop(time_point deadline);
     /// Refuses new requests from now on. Those that are open get their final response by
     /// `deadline`.
     void begin_stop(time_point deadline);
@@ -76,7 +78,7 @@
     /// already.
     void dispatch(const requests::message& message);
     void process_inbox();
-    void execute(const requests::action& action);
+    void execute(const requests::actions& pending);
     void on(const requests::send_attempt& action);
     void on(const requests::select_attempt& selected);
     void on(const requests::cancel_attempt& cancelled);
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -55,10 +55,7 @@
 }
 
 void forwarder::target_changed(const membership::directory_change& change) {
-    for (const requests::action& action :
-         this->dispatcher.update_target(change, this->params.time->now())) {
-        this->execute(action);
-    }
+    this->execute(this->dispatcher.update_target(change, this->params.time->now()));
 }
 
 backend_name forwarder::choose_service(const routes::route& route) {
@@ -119,8 +116,13 @@
     this->finish(request, "abandoned");
 }
 
+void forwarder::announce_stop(time_point deadline) {
+    this->execute(this->dispatcher.announce_stop(deadline, this->params.time->now()));
+    this->dispatch(requests::timer_expired{});
+}
+
 void forwarder::begin_stop(time_point deadline) {
-    this->dispatcher.begin_stop(deadline);
+    this->execute(this->dispatcher.begin_stop(deadline, this->params.time->now()));
     this->dispatch(requests::timer_expired{});
 }
 
@@ -136,10 +138,7 @@
     while (!this->inbox.empty()) {
         const requests::message message = std::move(this->inbox.front());
         this->inbox.pop_front();
-        for (const requests::action& action :
-             this->dispatcher.handle(message, this->params.time->now())) {
-            this->execute(action);
-        }
+        this->execute(this->dispatcher.handle(message, this->params.time->now()));
     }
     this->is_processing = false;
     if (const auto next = this->dispatcher.next_wakeup()) {
@@ -147,8 +146,10 @@
     }
 }
 
-void forwarder::execute(const requests::action& action) {
-    std::visit([this](const auto& alternative) { this->on(alternative); }, action);
+void forwarder::execute(const requests::actions& pending) {
+    for (const requests::action& action : pending) {
+        std::visit([this](const auto& alternative) { this->on(alternative); }, action);
+    }
 }
 
 void forwarder::on(const requests::send_attempt& action) {
--- a/packages/gateway/gateway_module.h
+++ b/packages/gateway/gateway_module.h
@@ -35,8 +35,9 @@
 
     [[nodiscard]] task::sender<admin::report_request> reports() const;
     /// Reports not ready from now on, so that load balancers send callers elsewhere, and closes
-    /// each connection after its response; new requests are still served.
-    void announce_stop();
+    /// each connection after its response; new requests are still served, unless they are not
+    /// expected to end by `deadline`.
+    void announce_stop(time_point deadline);
     /// Refuses new requests from now on. Those that are open get their final response by
     /// `deadline`. Calls `on_drained` once, on the gateway task, when none is open any more.
     void begin_stop(time_point deadline, std::function<void()> on_drained);
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -146,8 +146,9 @@
     this->fleet->add_seeds(changed.links);
 }
 
-void gateway::on(const stop_announced& /*announced*/) {
+void gateway::on(const stop_announced& announced) {
     this->is_stopping = true;
+    this->forwarder->announce_stop(announced.deadline);
     this->callers_server->close_connections();
 }
 
--- a/packages/gateway/internal/gateway_message.h
+++ b/packages/gateway/internal/gateway_message.h
@@ -9,9 +9,11 @@
 
 namespace kingcupcart::gateway {
 
-/// The process will stop soon: readiness is withdrawn and each response closes its connection, but
-/// requests are still served.
-struct stop_announced {};
+/// The process will stop at `deadline`: readiness is withdrawn and each response closes its
+/// connection, but requests are still served, if they are expected to end before.
+struct stop_announced {
+    time_point deadline{};
+};
 
 /// From now on new requests are refused. Each open one gets its final response by `deadline`. The
 /// gateway calls `on_drained` when none is open any more.
--- a/packages/gateway/internal/gateway_module.cpp
+++ b/packages/gateway/internal/gateway_module.cpp
@@ -40,8 +40,8 @@
         });
 }
 
-void gateway_module::announce_stop() {
-    this->impl->gateway_task.post(stop_announced{});
+void gateway_module::announce_stop(time_point deadline) {
+    this->impl->gateway_task.post(stop_announced{deadline});
 }
 
 void gateway_module::begin_stop(time_point deadline, std::function<void()> on_drained) {
--- a/packages/requests/dispatcher.h
+++ b/packages/requests/dispatcher.h
@@ -42,9 +42,13 @@
                        time_point now);
     /// Number of instances in this failure domain, including this one.
     void set_instances(int count);
-    /// Refuses new requests from now on. Running and queued requests are completed; those that are
-    /// still open at `deadline` get their final response then.
-    void begin_stop(time_point deadline);
+    /// The instance stops at `deadline`. Requests are still accepted, but for those that are not
+    /// expected to end before; these, and queued ones for which it gets too late, are refused while
+    /// another instance can take them.
+    [[nodiscard]] actions announce_stop(time_point deadline, time_point now);
+    /// Refuses new requests from now on. Running and queued requests are completed as above; those
+    /// that are still open at `deadline` get their final response then.
+    [[nodiscard]] actions begin_stop(time_point deadline, time_point now);
 
     /// When `handle` must next receive `timer_expired`; empty without a pending timer.
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -76,8 +76,16 @@
     this->impl->router.set_instances(count);
 }
 
-void dispatcher::begin_stop(time_point deadline) {
+actions dispatcher::announce_stop(time_point deadline, time_point now) {
+    this->impl->now = now;
+    this->impl->announce_stop(deadline);
+    return std::exchange(this->impl->output, {});
+}
+
+actions dispatcher::begin_stop(time_point deadline, time_point now) {
+    this->impl->now = now;
     this->impl->begin_stop(deadline);
+    return std::exchange(this->impl->output, {});
 }
 
 std::optional<time_point> dispatcher::next_wakeup() const {
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -38,9 +38,17 @@
     const duration requested = request.profile.deadline;
     request.deadline =
         this->now + (requested > duration::zero() ? requested : known_class->second.deadline);
+    request.requested_deadline = request.deadline;
+    if (!this->may_end_before_stop(request)) {
+        this->refuse(request, refusal_reason::stopping, retry_after_stop);
+        return;
+    }
     request_state& stored =
         this->requests.insert_or_assign(arrived.profile.id, std::move(request)).first->second;
     this->timers.add({stored.deadline, timer_queue::purpose::deadline, stored.profile.id});
+    if (this->stop_deadline) {
+        this->limit_by_stop(stored);
+    }
     // A request must not overtake queued requests of the same class.
     const auto& waiting =
         this->queues[stored.profile.backend].queue_for(known_class->second).waiting;
@@ -103,6 +111,7 @@
     }
     // An attempt that was to resume this one after a stall may still be running.
     this->cancel_others(request, completed.attempt);
+    this->run_times[request.profile.work_class].observe(this->now - attempt.sent);
     this->end_attempt(request, completed.attempt);
     this->output.push_back(complete_request{request.profile.id});
     const backend_name backend = request.profile.backend;
@@ -159,6 +168,11 @@
         case timer_queue::purpose::deadline:
             this->handle_deadline(found->second);
             break;
+        case timer_queue::purpose::latest_send:
+            if (found->second.queued) {
+                this->refuse(found->second, refusal_reason::stopping, retry_after_stop);
+            }
+            break;
         case timer_queue::purpose::hedge:
             this->hedge(found->second);
             break;
@@ -169,14 +183,54 @@
     }
 }
 
-void dispatcher::state::begin_stop(time_point stop_deadline) {
-    this->stopping = true;
+void dispatcher::state::announce_stop(time_point deadline) {
+    this->stop_deadline = deadline;
+    std::vector<request_id> late;
     for (auto& [id, request] : this->requests) {
-        if (request.deadline > stop_deadline) {
-            request.deadline = stop_deadline;
-            this->timers.add({stop_deadline, timer_queue::purpose::deadline, id});
+        this->limit_by_stop(request);
+        if (request.queued && !this->may_end_before_stop(request)) {
+            late.push_back(id);
         }
     }
+    for (const request_id id : late) {
+        this->refuse(this->requests.at(id), refusal_reason::stopping, retry_after_stop);
+    }
+}
+
+void dispatcher::state::begin_stop(time_point deadline) {
+    this->stopping = true;
+    this->announce_stop(deadline);
+}
+
+void dispatcher::state::limit_by_stop(request_state& request) {
+    if (request.deadline > *this->stop_deadline) {
+        request.deadline = *this->stop_deadline;
+        this->timers.add({request.deadline, timer_queue::purpose::deadline, request.profile.id});
+    }
+    if (const auto latest = this->latest_send(request)) {
+        this->timers.add({*latest, timer_queue::purpose::latest_send, request.profile.id});
+    }
+}
+
+std::optional<time_point> dispatcher::state::latest_send(const request_state& request) const {
+    const bool has_started = request.attempt_count > 0 || request.write_started;
+    if (!this->stop_deadline || has_started || request.requested_deadline <= *this->stop_deadline) {
+        return std::nullopt;
+    }
+    const auto known = this->run_times.find(request.profile.work_class);
+    const auto expected =
+        known == this->run_times.end() ? std::optional<duration>() : known->second.upper_bound();
+    if (expected) {
+        return *this->stop_deadline - *expected;
+    }
+    // A second run does no harm where it turns out to be too late. Otherwise the request is left to
+    // an instance that has the time.
+    return request.profile.repeatable ? std::nullopt : std::optional(time_point::min());
+}
+
+bool dispatcher::state::may_end_before_stop(const request_state& request) const {
+    const auto latest = this->latest_send(request);
+    return !latest || this->now <= *latest;
 }
 
 void dispatcher::state::send_queued(const backend_name& backend) {
@@ -187,6 +241,10 @@
     for (auto& queue : found->second.by_urgency()) {
         while (!queue.waiting.empty()) {
             request_state& request = this->requests.at(queue.waiting.front().id);
+            if (!this->may_end_before_stop(request)) {
+                this->refuse(request, refusal_reason::stopping, retry_after_stop);
+                continue;
+            }
             const auto choice = this->route(request, request.profile.repeatable);
             if (!choice.target) {
                 break;
@@ -246,6 +304,11 @@
     const admission::work_class& work = this->class_of(request);
     auto& queue = this->queues[request.profile.backend].queue_for(work);
     const duration wait = queue.drain.expected_wait(queue.waiting.size());
+    const auto latest = this->latest_send(request);
+    if (latest && this->now + wait > *latest) {
+        this->refuse(request, refusal_reason::stopping, retry_after_stop);
+        return;
+    }
     if (this->now + wait >= request.deadline) {
         this->refuse(request, refusal_reason::would_be_late, wait);
         return;
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/duration_estimate.h"
 #include "admission/retry_budget.h"
 #include "requests/dispatcher.h"
 #include "requests/internal/attempt_state.h"
@@ -8,6 +9,7 @@
 #include "requests/internal/timer_queue.h"
 #include "routing/router.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace kingcupcart::requests {
@@ -24,7 +26,8 @@
     void on(const attempt_failed& failed);
     void on(const caller_disconnected& disconnected);
     void on(const timer_expired& expired);
-    void begin_stop(time_point stop_deadline);
+    void announce_stop(time_point deadline);
+    void begin_stop(time_point deadline);
 
     /// Sends the queued requests of the backend for which a target has room.
     void send_queued(const backend_name& backend);
@@ -36,7 +39,12 @@
     std::unordered_map<request_id, request_state> requests;
     std::unordered_map<attempt_id, attempt_state> attempts;
     timer_queue timers;
+    /// New requests are refused.
     bool stopping = false;
+    /// When a planned stop ends; empty if none was announced.
+    std::optional<time_point> stop_deadline;
+    /// How long runs of each work class take, from sending to the complete response.
+    std::unordered_map<work_class_name, admission::duration_estimate> run_times;
     /// Time of the message that is being handled, and the resulting actions.
     time_point now{};
     actions output;
@@ -56,6 +64,11 @@
     void hedge(request_state& request);
     void check_stall(request_state& request);
     void handle_deadline(request_state& request);
+    /// The latest time at which the request may be sent so that it is expected to end before the
+    /// planned stop does; empty if any time will do, or if it was sent already.
+    [[nodiscard]] std::optional<time_point> latest_send(const request_state& request) const;
+    [[nodiscard]] bool may_end_before_stop(const request_state& request) const;
+    void limit_by_stop(request_state& request);
     [[nodiscard]] duration stall_delay(const request_state& request) const;
     /// Makes this attempt the source of the caller's output and cancels the others. Returns false
     /// if the attempt starts at another token than the caller needs; the attempt is cancelled then.
--- a/packages/requests/internal/request_state.h
+++ b/packages/requests/internal/request_state.h
@@ -16,6 +16,8 @@
     request_profile profile;
     urgency kind = urgency::short_work;
     time_point deadline;
+    /// The deadline before a planned stop shortened it.
+    time_point requested_deadline;
     /// Attempts that are running, oldest first.
     std::vector<attempt_id> active_attempts;
     std::vector<target_id> tried_targets;
--- a/packages/requests/tests/requests_test.cpp
+++ b/packages/requests/tests/requests_test.cpp
@@ -294,7 +294,7 @@
     }
     GIVEN("an instance that is stopping") {
         fixture.add_target("a");
-        fixture.subject.begin_stop(time_point::max());
+        fixture.latest = fixture.subject.begin_stop(time_point::max(), fixture.now);
         fixture.arrive(1, true);
         CHECK(fixture.find<refuse_request>()->reason == refusal_reason::stopping);
     }
@@ -304,7 +304,7 @@
         const attempt_id running = fixture.sent_attempt();
         fixture.dispatch(attempt_write_started{running});
         fixture.arrive(2, true, "draft");
-        fixture.subject.begin_stop(fixture.now + 5s);
+        fixture.latest = fixture.subject.begin_stop(fixture.now + 5s, fixture.now);
         WHEN("the running request ends before the deadline of the stop") {
             fixture.now += 4s;
             fixture.dispatch(attempt_completed{running});
@@ -331,3 +331,107 @@
         }
     }
 }
+
+// Guards against requests that were taken late in the grace period of a planned stop and cut at its
+// end, since their service needs longer than what remained.
+SCENARIO("a stopping instance takes no request that it can't finish") {
+    dispatcher_fixture fixture;
+    fixture.add_target("a", 10);
+    const auto run = [&](std::uint64_t id, duration time) {
+        fixture.arrive(id, false);
+        const attempt_id attempt = fixture.sent_attempt();
+        fixture.now += time;
+        fixture.dispatch(attempt_completed{attempt});
+    };
+    const auto announce = [&](duration remaining) {
+        fixture.latest = fixture.subject.announce_stop(fixture.now + remaining, fixture.now);
+    };
+    const auto check_refused = [&] {
+        CHECK(fixture.find<send_attempt>() == nullptr);
+        REQUIRE(fixture.find<refuse_request>() != nullptr);
+        CHECK(fixture.refusal_outcome() == outcome_kind::not_run);
+        CHECK(fixture.find<refuse_request>()->reason == refusal_reason::stopping);
+    };
+
+    GIVEN("a service whose runs take 2 s") {
+        for (std::uint64_t id = 1; id <= 20; ++id) {
+            run(id, 2s);
+        }
+        WHEN("a request arrives while 6 s remain") {
+            announce(6s);
+            fixture.arrive(100, false);
+            THEN("it is sent") {
+                CHECK(fixture.find<send_attempt>() != nullptr);
+            }
+        }
+        WHEN("a request arrives while 1 s remains") {
+            announce(6s);
+            fixture.now += 5s;
+            fixture.arrive(100, false);
+            THEN("it is refused at once as not run") {
+                check_refused();
+            }
+        }
+        WHEN("its own deadline ends before the stop") {
+            announce(11s);
+            fixture.now += 100ms;
+            fixture.arrive(100, false);
+            THEN("it is sent") {
+                CHECK(fixture.find<send_attempt>() != nullptr);
+            }
+        }
+    }
+    GIVEN("a service whose run times are not known") {
+        announce(6s);
+        WHEN("a request that must not be repeated could outlast the stop") {
+            fixture.arrive(1, false);
+            THEN("it is left to another instance") {
+                check_refused();
+            }
+        }
+        WHEN("the request may be repeated") {
+            fixture.arrive(1, true);
+            THEN("it is sent") {
+                CHECK(fixture.find<send_attempt>() != nullptr);
+            }
+        }
+    }
+    GIVEN("requests that wait for a target") {
+        for (std::uint64_t id = 1; id <= 20; ++id) {
+            run(id, 2s);
+        }
+        std::vector<attempt_id> running;
+        while (running.empty() || fixture.find<send_attempt>() != nullptr) {
+            fixture.arrive(100 + running.size(), false);
+            if (fixture.find<send_attempt>() != nullptr) {
+                running.push_back(fixture.sent_attempt());
+                fixture.dispatch(attempt_write_started{running.back()});
+                CHECK(fixture.find<send_attempt>() == nullptr);
+                fixture.latest.push_back(send_attempt{});
+            }
+        }
+        REQUIRE(fixture.subject.queued_requests() == 1);
+        const auto waiting = request_id(100 + running.size());
+        WHEN("the stop leaves too little time for them") {
+            announce(1s);
+            THEN("they are refused at once, and those that run are not") {
+                REQUIRE(fixture.find<refuse_request>() != nullptr);
+                CHECK(fixture.find<refuse_request>()->request == waiting);
+                CHECK(fixture.refusal_outcome() == outcome_kind::not_run);
+                CHECK(fixture.subject.open_requests() == running.size());
+            }
+        }
+        WHEN("the time runs out while they wait") {
+            announce(5s);
+            CHECK(fixture.latest.empty());
+            REQUIRE(fixture.subject.next_wakeup() <= fixture.now + 3s);
+            fixture.now += 3s;
+            fixture.dispatch(timer_expired{});
+            THEN("they are refused then, not at the end") {
+                REQUIRE(fixture.find<refuse_request>() != nullptr);
+                CHECK(fixture.find<refuse_request>()->request == waiting);
+                CHECK(fixture.refusal_outcome() == outcome_kind::not_run);
+            }
+        }
+    }
+}
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -150,6 +150,12 @@
     }
 }
 
+void platform_replica::answer_held_requests() {
+    for (const auto& held : std::exchange(this->held_exchanges, {})) {
+        held->respond(status_ok, "text/plain", "ran " + held->body());
+    }
+}
+
 void platform_replica::write_events() {
     std::erase_if(this->streams, [](open_stream& stream) { return !write_event(stream); });
     if (!this->streams.empty()) {
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -75,6 +75,8 @@
     void announce_leaving_in_responses() { this->says_leaving = true; }
     /// Makes a plain service leave requests unanswered.
     void hold_responses(bool is_held) { this->holds_responses = is_held; }
+    /// Answers the requests that were held so far.
+    void answer_held_requests();
 
 private:
     /// A stream with events left to write.
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -387,4 +387,29 @@
             }
         }
     }
+
+    GIVEN("a service whose runs take 3 s") {
+        test_fleet.service().hold_responses(true);
+        std::vector<std::unique_ptr<client_call>> calls;
+        for (const char* name : {"slow1", "slow2", "slow3"}) {
+            calls.push_back(test_deployment.begin(make_request(name)));
+        }
+        test_deployment.wait(std::chrono::seconds(3));
+        test_fleet.service().answer_held_requests();
+        for (const auto& call : calls) {
+            REQUIRE(test_deployment.run_until([&] { return call->is_completed; }));
+            REQUIRE(call->head.status == 200);
+        }
+        WHEN("a request that may not be repeated arrives late in the grace period") {
+            gateway.signal(SIGTERM);
+            test_deployment.wait(std::chrono::milliseconds(800));
+            const auto late = test_deployment.call(make_request("late"));
+            THEN("it is refused at once as not run, since it could not end before the stop") {
+                CHECK(late->head.status == 503);
+                CHECK(late->header("Connection") == "close");
+                CHECK(count_runs("late") == 0);
+                CHECK_FALSE(gateway.has_exited());
+            }
+        }
+    }
 }
