Process tests: listening ports lie outside the ephemeral range

Cause (traced before): free_address() let the kernel choose a port of the ephemeral range and freed it; an outgoing connection can take it before the daemon binds it.

Change: ports from 20000 to 31999, each tried before use, from a random start so that programs that run at the same time differ.

The race was not provoked on purpose.

--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -6,9 +6,11 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <random>
 
 namespace kingcupcart::process_tests {
 
@@ -66,10 +68,20 @@
 }
 
 std::string free_address() {
-    const auto opened = value_or_error([] {
-        return wire::listener::open(endpoint{"127.0.0.1", 0}, [](GSocketConnection*) {});
-    });
-    return std::get<std::unique_ptr<wire::listener>>(opened)->address().to_string();
+    // Below the kernel's range of ephemeral ports: an outgoing connection would take a port of that
+    // range between this check and the start of the process that is to listen on it.
+    constexpr std::uint16_t first_port = 20000;
+    constexpr std::uint16_t port_count = 12000;
+    static std::uint16_t offset = static_cast<std::uint16_t>(std::random_device()() % port_count);
+    while (true) {
+        offset = static_cast<std::uint16_t>((offset + 1) % port_count);
+        const endpoint candidate{"127.0.0.1", static_cast<std::uint16_t>(first_port + offset)};
+        const auto opened = value_or_error(
+            [&] { return wire::listener::open(candidate, [](GSocketConnection*) {}); });
+        if (std::holds_alternative<std::unique_ptr<wire::listener>>(opened)) {
+            return candidate.to_string();
+        }
+    }
 }
 
 child_process& deployment::add_process(const std::string& name, const std::string& settings) {
