Planned stop: stores and keepers hand over their leadership

Callers: a planned stop of the leading store or keeper ended its process at once; jobs, changes and reads waited for an election timeout, and calls that were open there ended without an answer.

Change: on SIGTERM a member resigns in favour of the voter with the longest log (the message that a suspended log sends), completes the commands submitted here as unknown, so that their callers get an answer, and ends 100 ms later, when the messages have left. The member stays a voter until then.

--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -30,9 +30,9 @@
     /// Reports not ready from now on, and closes connections after their response; requests are
     /// still accepted, unless they are not expected to end by `deadline`.
     void announce_stop(time_point deadline);
-    /// Stops accepting work; requests that are open get their final response by `deadline`. Calls
-    /// `drained` once, on the thread of a task, when no role has one any more; at once, on the
-    /// caller's thread, if the instance serves no callers.
+    /// Stops accepting work; requests that are open get their final response by `deadline`, and
+    /// members of replicated groups hand over their leadership. Calls `drained` once, on the thread
+    /// of a task, when every role is done.
     void begin_stop(time_point deadline, const std::function<void()>& drained);
 
     /// Bound addresses, with the actual port where the settings give port 0. Empty for a role that
--- a/packages/daemon/internal/daemon.cpp
+++ b/packages/daemon/internal/daemon.cpp
@@ -128,7 +128,8 @@
 }
 
 void daemon::begin_stop(time_point deadline, const std::function<void()>& drained) {
-    const int roles = (this->impl->entry ? 1 : 0) + (this->impl->gateway ? 1 : 0);
+    const int roles = (this->impl->entry ? 1 : 0) + (this->impl->gateway ? 1 : 0) +
+                      (this->impl->store ? 1 : 0) + (this->impl->keeper ? 1 : 0);
     if (roles == 0) {
         drained();
         return;
@@ -145,6 +146,12 @@
     if (this->impl->gateway) {
         this->impl->gateway->begin_stop(deadline, role_drained);
     }
+    if (this->impl->store) {
+        this->impl->store->begin_stop(role_drained);
+    }
+    if (this->impl->keeper) {
+        this->impl->keeper->begin_stop(role_drained);
+    }
 }
 
 endpoint daemon::admin_address() const {
--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -108,6 +108,16 @@
         this->arm_timeout();
     }
 
+    /// Prepares the end of the process: gives up leadership, and completes the commands that were
+    /// submitted here as unknown, so that their callers get an answer. Calls `on_done` once the
+    /// messages about it had the time to leave.
+    void hand_over(std::function<void()> on_done) {
+        this->on_handed_over = std::move(on_done);
+        this->log->hand_over();
+        this->complete_all_as_unknown();
+        this->handover_timer.arm(this->params.log.time->now() + handover_time);
+    }
+
     [[nodiscard]] const state_machine& state() const { return this->applied_state; }
     [[nodiscard]] replicated_log& consensus() { return *this->log; }
     [[nodiscard]] const replicated_log& consensus() const { return *this->log; }
@@ -121,6 +131,8 @@
 
     /// A command that has not been committed within this time completes without a result.
     static constexpr duration command_timeout = std::chrono::seconds(3);
+    /// Time for the last messages of a member that stops: several network delays between regions.
+    static constexpr duration handover_time = std::chrono::milliseconds(100);
 
 private:
     struct pending_command {
@@ -138,7 +150,12 @@
                      this->notify.received(from, message);
                  },
                  [this](const instance_id& member) { this->notify.disconnected(member); }}),
-          timeout([this] { this->expire_commands(); }) {}
+          timeout([this] { this->expire_commands(); }),
+          handover_timer([this] {
+              if (const auto done = std::exchange(this->on_handed_over, nullptr)) {
+                  done();
+              }
+          }) {}
 
     outcome<void> open_log() {
         BOOST_LEAF_ASSIGN(
@@ -214,6 +231,8 @@
     std::uint64_t last_command_number = 0;
     member_links links;
     task::wakeup timeout;
+    std::function<void()> on_handed_over;
+    task::wakeup handover_timer;
     std::unique_ptr<replicated_log> log;
 };
 
--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -219,6 +219,13 @@
     return proposal.index.has_value();
 }
 
+void replicated_log::hand_over() {
+    if (!this->suspended) {
+        this->execute(this->replica->resign(this->params.time->now()));
+        this->arm();
+    }
+}
+
 void replicated_log::handle_timer() {
     if (!this->suspended) {
         this->execute(this->replica->handle_timer(this->params.time->now()));
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -89,6 +89,9 @@
     /// Returns false where this member does not lead or its log is suspended.
     bool propose(const std::string& command);
 
+    /// Gives up leadership in favour of the voter with the longest log.
+    void hand_over();
+
     [[nodiscard]] quorum::disk_id local_disk() const { return this->disk; }
     /// Whether the data folder was empty when it was opened.
     [[nodiscard]] bool was_empty() const { return this->folder_was_empty; }
--- a/packages/group/tests/replicated_log_test.cpp
+++ b/packages/group/tests/replicated_log_test.cpp
@@ -170,6 +170,21 @@
     }
 }
 
+SCENARIO("a leader that stops hands over") {
+    shared_loop loop;
+    test_groups groups;
+    groups.push_back(std::make_unique<test_group>(4, 3));
+    test_group& group = *groups.front();
+    REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+    test_group::member* first = group.leader();
+    REQUIRE(first != nullptr);
+    first->log->hand_over();
+    CHECK(loop.run_until([&] { return group.leader() != nullptr && group.leader() != first; },
+                         recovery_time));
+    CHECK_FALSE(first->leads);
+    CHECK_FALSE(first->log->is_suspended());
+}
+
 SCENARIO("a snapshot that finds no room leaves the group with its commands") {
     shared_loop loop;
     test_groups groups;
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -166,6 +166,10 @@
     }
 }
 
+void keeper::on(const group::stop_started& started) {
+    this->replicated_group->hand_over(started.on_drained);
+}
+
 void keeper::on(const control_call& call) {
     if (this->fleet) {
         this->fleet->handle(call);
--- a/packages/keeper/internal/keeper.h
+++ b/packages/keeper/internal/keeper.h
@@ -67,6 +67,7 @@
     void on(const admin::report_request& request);
     void on(const settings::seeds_changed& changed);
     void on(const control_call& call);
+    void on(const group::stop_started& started);
 
     void accept(GSocketConnection* connection);
     void receive(std::uint64_t number, wire::message incoming);
--- a/packages/keeper/internal/keeper_module.cpp
+++ b/packages/keeper/internal/keeper_module.cpp
@@ -61,6 +61,10 @@
     return this->impl->sender_of<admin::configuration_request>();
 }
 
+void keeper_module::begin_stop(std::function<void()> on_drained) {
+    this->impl->keeper_task.post(group::stop_started{std::move(on_drained)});
+}
+
 void keeper_module::change_seeds(settings::seeds_changed changed) {
     this->impl->keeper_task.post(std::move(changed));
 }
--- a/packages/keeper/keeper_module.h
+++ b/packages/keeper/keeper_module.h
@@ -10,6 +10,7 @@
 #include "settings/seeds_changed.h"
 #include "task/sender.h"
 
+#include <functional>
 #include <memory>
 
 namespace kingcupcart::keeper {
@@ -31,6 +32,8 @@
     [[nodiscard]] task::sender<control_call> control() const;
     [[nodiscard]] task::sender<admin::configuration_request> configurations() const;
 
+    /// Hands over leadership, and calls `on_drained` on the keeper task when the process may end.
+    void begin_stop(std::function<void()> on_drained);
     /// Adds the keepers at these addresses to those that this keeper connects to; none is removed.
     void change_seeds(settings::seeds_changed changed);
 
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -336,6 +336,10 @@
     this->fleet->add_seeds(changed.links);
 }
 
+void store::on(const group::stop_started& started) {
+    this->replicated_group->hand_over(started.on_drained);
+}
+
 void store::on(const admin::report_request& request) {
     nlohmann::ordered_json status;
     const quorum::replica& replica = this->replicated_group->consensus().state();
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -8,6 +8,7 @@
 #include "engines/target_protocol.h"
 #include "fleet/keeper_client.h"
 #include "group/group.h"
+#include "group/stop_started.h"
 #include "routes/route_table_parser.h"
 #include "settings/process_settings.h"
 #include "settings/seeds_changed.h"
@@ -34,7 +35,8 @@
 /// the batch jobs and, while this store leads, the runs of their items.
 class store {
 public:
-    using message = std::variant<admin::report_request, settings::seeds_changed>;
+    using message =
+        std::variant<admin::report_request, settings::seeds_changed, group::stop_started>;
     using store_group = group::group<store_codec>;
 
     struct parameters {
@@ -63,6 +65,7 @@
     explicit store(parameters arguments);
     void on(const admin::report_request& request);
     void on(const settings::seeds_changed& changed);
+    void on(const group::stop_started& started);
     outcome<void> open_group();
     void open_fleet();
     void accept(GSocketConnection* connection);
--- a/packages/store/internal/store_module.cpp
+++ b/packages/store/internal/store_module.cpp
@@ -3,6 +3,7 @@
 #include "base/incarnation.h"
 #include "base/system_clock.h"
 #include "base/system_wall_clock.h"
+#include "group/stop_started.h"
 #include "store/internal/store.h"
 #include "task/start_task.h"
 #include "task/task.h"
@@ -39,6 +40,10 @@
         });
 }
 
+void store_module::begin_stop(std::function<void()> on_drained) {
+    this->impl->store_task.post(group::stop_started{std::move(on_drained)});
+}
+
 void store_module::change_seeds(settings::seeds_changed changed) {
     this->impl->store_task.post(std::move(changed));
 }
--- a/packages/store/store_module.h
+++ b/packages/store/store_module.h
@@ -8,6 +8,7 @@
 #include "settings/seeds_changed.h"
 #include "task/sender.h"
 
+#include <functional>
 #include <memory>
 
 namespace kingcupcart::store {
@@ -30,6 +31,8 @@
 
     [[nodiscard]] task::sender<admin::report_request> reports() const;
 
+    /// Hands over leadership, and calls `on_drained` on the store task when the process may end.
+    void begin_stop(std::function<void()> on_drained);
     /// Adds keepers to contact for discovery; keepers that are known already stay known.
     void change_seeds(settings::seeds_changed changed);
 
