--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -111,8 +111,8 @@
     /// Prepares the end of the process: gives up leadership, and completes the commands that were
     /// submitted here as unknown, so that their callers get an answer. Calls `on_done` once the
     /// messages about it had the time to leave.
-    void hand_over(std::function<void()> on_done) {
-        this->on_handed_over = std::move(on_done);
+    void hand_over(const std::function<void()>& on_done) {
+        this->on_handed_over = on_done;
         this->log->hand_over();
         this->complete_all_as_unknown();
         this->handover_timer.arm(this->params.log.time->now() + handover_time);
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr duration retry_after_no_target = std::chrono::seconds(1);
-/// Another instance can take the request at once; the delay spreads the callers of this one.
-constexpr duration retry_after_stop = std::chrono::milliseconds(100);
 /// Minimum time between two preemptions of long work on the reserved targets of a backend.
 constexpr duration preemption_interval = std::chrono::milliseconds(50);
 
@@ -30,7 +28,7 @@
         return;
     }
     if (this->stopping) {
-        this->refuse(request, refusal_reason::stopping, retry_after_stop);
+        this->refuse_for_stop(request);
         return;
     }
     this->budget.deposit();
@@ -40,7 +38,7 @@
         this->now + (requested > duration::zero() ? requested : known_class->second.deadline);
     request.requested_deadline = request.deadline;
     if (!this->may_end_before_stop(request)) {
-        this->refuse(request, refusal_reason::stopping, retry_after_stop);
+        this->refuse_for_stop(request);
         return;
     }
     request_state& stored =
@@ -170,7 +168,7 @@
             break;
         case timer_queue::purpose::latest_send:
             if (found->second.queued) {
-                this->refuse(found->second, refusal_reason::stopping, retry_after_stop);
+                this->refuse_for_stop(found->second);
             }
             break;
         case timer_queue::purpose::hedge:
@@ -183,56 +181,6 @@
     }
 }
 
-void dispatcher::state::announce_stop(time_point deadline) {
-    this->stop_deadline = deadline;
-    std::vector<request_id> late;
-    for (auto& [id, request] : this->requests) {
-        this->limit_by_stop(request);
-        if (request.queued && !this->may_end_before_stop(request)) {
-            late.push_back(id);
-        }
-    }
-    for (const request_id id : late) {
-        this->refuse(this->requests.at(id), refusal_reason::stopping, retry_after_stop);
-    }
-}
-
-void dispatcher::state::begin_stop(time_point deadline) {
-    this->stopping = true;
-    this->announce_stop(deadline);
-}
-
-void dispatcher::state::limit_by_stop(request_state& request) {
-    if (request.deadline > *this->stop_deadline) {
-        request.deadline = *this->stop_deadline;
-        this->timers.add({request.deadline, timer_queue::purpose::deadline, request.profile.id});
-    }
-    if (const auto latest = this->latest_send(request)) {
-        this->timers.add({*latest, timer_queue::purpose::latest_send, request.profile.id});
-    }
-}
-
-std::optional<time_point> dispatcher::state::latest_send(const request_state& request) const {
-    const bool has_started = request.attempt_count > 0 || request.write_started;
-    if (!this->stop_deadline || has_started || request.requested_deadline <= *this->stop_deadline) {
-        return std::nullopt;
-    }
-    const auto known = this->run_times.find(request.profile.work_class);
-    const auto expected =
-        known == this->run_times.end() ? std::optional<duration>() : known->second.upper_bound();
-    if (expected) {
-        return *this->stop_deadline - *expected;
-    }
-    // A second run does no harm where it turns out to be too late. Otherwise the request is left to
-    // an instance that has the time.
-    return request.profile.repeatable ? std::nullopt : std::optional(time_point::min());
-}
-
-bool dispatcher::state::may_end_before_stop(const request_state& request) const {
-    const auto latest = this->latest_send(request);
-    return !latest || this->now <= *latest;
-}
-
 void dispatcher::state::send_queued(const backend_name& backend) {
     const auto found = this->queues.find(backend);
     if (found == this->queues.end()) {
@@ -242,7 +190,7 @@
         while (!queue.waiting.empty()) {
             request_state& request = this->requests.at(queue.waiting.front().id);
             if (!this->may_end_before_stop(request)) {
-                this->refuse(request, refusal_reason::stopping, retry_after_stop);
+                this->refuse_for_stop(request);
                 continue;
             }
             const auto choice = this->route(request, request.profile.repeatable);
@@ -306,7 +254,7 @@
     const duration wait = queue.drain.expected_wait(queue.waiting.size());
     const auto latest = this->latest_send(request);
     if (latest && this->now + wait > *latest) {
-        this->refuse(request, refusal_reason::stopping, retry_after_stop);
+        this->refuse_for_stop(request);
         return;
     }
     if (this->now + wait >= request.deadline) {
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -68,7 +68,10 @@
     /// planned stop does; empty if any time will do, or if it was sent already.
     [[nodiscard]] std::optional<time_point> latest_send(const request_state& request) const;
     [[nodiscard]] bool may_end_before_stop(const request_state& request) const;
+    /// Shortens the request's deadline to the end of the stop, and has it checked again when it
+    /// gets too late to send it.
     void limit_by_stop(request_state& request);
+    void refuse_for_stop(request_state& request);
     [[nodiscard]] duration stall_delay(const request_state& request) const;
     /// Makes this attempt the source of the caller's output and cancels the others. Returns false
     /// if the attempt starts at another token than the caller needs; the attempt is cancelled then.
