--- a/packages/group/internal/log_suspension.cpp
+++ b/packages/group/internal/log_suspension.cpp
@@ -73,14 +73,22 @@
     this->notify.resumed();
 }
 
+void replicated_log::discard_partial_state() {
+    if (this->file != nullptr) {
+        this->trusted_size = this->file->synced_size();
+        this->file.reset();
+    }
+    this->stored = {};
+    this->notify.clear_state();
+}
+
 outcome<void> replicated_log::resume() {
     // The old file holds the lock of the folder.
     this->file.reset();
     BOOST_LEAF_AUTO(storage, this->open_storage());
     auto opened = value_or_error([&] { return this->open_journal(std::move(storage)); });
     if (const auto* problem = std::get_if<error>(&opened)) {
-        // What was read up to the error is no state that this group ever had.
-        this->notify.clear_state();
+        this->discard_partial_state();
         return fail(problem->code, problem->message);
     }
     this->suspended = false;
--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -58,13 +58,16 @@
         return this->open_journal(std::move(storage));
     });
     const auto* problem = std::get_if<error>(&opened);
-    if (problem != nullptr && problem->code != error_code::storage_unavailable) {
+    if (problem == nullptr) {
+        this->start_replica();
+        return {};
+    }
+    if (problem->code != error_code::storage_unavailable) {
         return fail(problem->code, problem->message);
     }
+    this->discard_partial_state();
     this->start_replica();
-    if (problem != nullptr) {
-        this->suspend(*problem);
-    }
+    this->suspend(*problem);
     return {};
 }
 
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -126,6 +126,9 @@
     void announce_suspension();
     void try_to_resume();
     [[nodiscard]] outcome<void> resume();
+    /// After an error while the journal was read: what was read up to it is no state that the group
+    /// ever had.
+    void discard_partial_state();
 
     parameters params;
     callbacks notify;
