--- a/packages/batch/internal/job_state_machine.cpp
+++ b/packages/batch/internal/job_state_machine.cpp
@@ -67,15 +67,6 @@
 void job_state_machine::append_result(job_record& record, const item_result& result) {
     record.positions.emplace(result.item, record.results.size());
     record.results.push_back(result);
-    const auto index = record.item_indices.find(result.item);
-    if (index != record.item_indices.end()) {
-        release_request(record.content.items[index->second]);
-    }
-}
-
-void job_state_machine::release_request(job_item& item) {
-    item.body = std::string();
-    item.headers = {};
 }
 
 command_result job_state_machine::on(const append_results& request) {
@@ -101,14 +92,8 @@
     if (found == this->records.end()) {
         return command_result::no_such_job;
     }
-    job_record& record = found->second;
-    if (std::exchange(record.is_ended, true)) {
-        return command_result::repeated;
-    }
-    for (job_item& item : record.content.items) {
-        release_request(item);
-    }
-    return command_result::done;
+    return std::exchange(found->second.is_ended, true) ? command_result::repeated
+                                                       : command_result::done;
 }
 
 command_result job_state_machine::on(const read_barrier& /*request*/) {
--- a/packages/batch/job_state_machine.h
+++ b/packages/batch/job_state_machine.h
@@ -42,8 +42,6 @@
     result on(const end_job& request);
     result on(const read_barrier& request);
     static void append_result(job_record& record, const item_result& result);
-    /// Frees what only a run of the item needs: its body and headers, most of a job's memory.
-    static void release_request(job_item& item);
     /// Appends the results of earlier jobs for the same items that satisfy the job's requirements.
     void reuse_results(job_record& record);
     [[nodiscard]] const item_result* find_completed_result(const item_id& item) const;
--- a/packages/store/internal/job_request_handler.cpp
+++ b/packages/store/internal/job_request_handler.cpp
@@ -117,7 +117,7 @@
 void job_request_handler::send_item_body(std::uint64_t link, const wire::item_body_request& request,
                                          const batch::job_record& record) {
     const batch::job_item* item = record.find_item(request.item);
-    if (item == nullptr || record.is_ended || record.has_result(request.item)) {
+    if (item == nullptr || record.is_ended) {
         this->send_status(link, request.call, wire::batch_status::missing);
         return;
     }
