--- a/packages/group/internal/log_suspension.cpp
+++ b/packages/group/internal/log_suspension.cpp
@@ -34,7 +34,7 @@
         this->trusted_size = this->file->synced_size();
     }
     this->replica_timer.disarm();
-    // Everything that awaited the sync is dropped: nobody has been told of it.
+    // Drops the messages and commands that awaited the sync. None was sent or applied yet.
     this->deferred = this->replica->resign(this->params.time->now());
     this->flush_wakeup.arm_now();
 }
--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -19,7 +19,7 @@
 /// half the size of that snapshot where that is more. The log since the snapshot is held in memory,
 /// which limits the growth; rewriting a large state too often would stall the group.
 constexpr std::size_t snapshot_growth_bytes = 12UL * 1024 * 1024;
-/// After a failed snapshot. The journal goes on growing meanwhile.
+/// Delay before the next snapshot after one that failed.
 constexpr duration compaction_retry_interval = std::chrono::seconds(10);
 /// Disk identity of each initial member where the configuration lists only the members' names.
 constexpr std::uint64_t initial_member_disk = 1;
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -58,7 +58,7 @@
     void restart_keeper();
     /// Whether the replicas send heartbeats, which they do from the start.
     void set_heartbeats(bool are_sent) { this->sends_heartbeats = are_sent; }
-    /// The request by which the plain service's replica says that it is gone.
+    /// The deregistration of the plain service's replica.
     [[nodiscard]] http::request deregister_service_request() const;
     /// Starts or restarts the store on the same data folder.
     void start_store();
