--- a/packages/base/error.h
+++ b/packages/base/error.h
@@ -11,7 +11,7 @@
     conflict,
     unavailable,
     input_output,
-    /// The disk is full or refuses writes, which may end while the process runs.
+    /// The system refuses an operation on the disk, which may end while the process runs.
     storage_unavailable,
     internal
 };
--- a/packages/journal/disk_storage.h
+++ b/packages/journal/disk_storage.h
@@ -11,8 +11,8 @@
 /// while this object exists.
 class disk_storage final : public storage {
 public:
-    /// Fails with `conflict` if another process has locked the folder, and with `input_output` if
-    /// it cannot be created or opened.
+    /// Fails with `conflict` if another process has locked the folder, and with
+    /// `storage_unavailable` if it cannot be created or opened.
     static outcome<std::unique_ptr<disk_storage>> open(const std::string& folder);
     ~disk_storage() override;
     disk_storage(const disk_storage&) = delete;
--- a/packages/journal/internal/disk_storage.cpp
+++ b/packages/journal/internal/disk_storage.cpp
@@ -18,15 +18,12 @@
 /// Bytes that `check_writable` writes: one block of common file systems.
 constexpr std::size_t probe_size = 4096;
 
-bool is_storage_unavailable(int problem) {
-    return problem == ENOSPC || problem == EDQUOT || problem == EIO;
-}
-
-/// The error of the system call that failed last.
+/// The error of the system call that failed last. No error number is taken as proof of damage: a
+/// disk that is full, over its quota or its size limit, or mounted read-only may accept the same
+/// call later.
 boost::leaf::error_id io_error(const std::string& path, const char* operation) {
     const int problem = errno;
-    return fail(is_storage_unavailable(problem) ? error_code::storage_unavailable
-                                                : error_code::input_output,
+    return fail(error_code::storage_unavailable,
                 path + ": cannot " + operation + ": " + std::generic_category().message(problem));
 }
 
@@ -51,8 +48,7 @@
     std::error_code problem;
     std::filesystem::create_directories(folder, problem);
     if (problem) {
-        return fail(is_storage_unavailable(problem.value()) ? error_code::storage_unavailable
-                                                            : error_code::input_output,
+        return fail(error_code::storage_unavailable,
                     folder + ": cannot be created: " + problem.message());
     }
     const std::string lock_path = folder + "/lock";
@@ -61,8 +57,13 @@
         return io_error(lock_path, "open");
     }
     if (flock(lock, LOCK_EX | LOCK_NB) != 0) {
+        const int lock_problem = errno;
         ::close(lock);
-        return fail(error_code::conflict, folder + ": another process uses this data folder");
+        if (lock_problem == EWOULDBLOCK) {
+            return fail(error_code::conflict, folder + ": another process uses this data folder");
+        }
+        errno = lock_problem;
+        return io_error(lock_path, "lock");
     }
     return std::unique_ptr<disk_storage>(new disk_storage(folder, lock));
 }
@@ -154,6 +155,9 @@
         return io_error(new_path, "write");
     }
     if (::rename(new_path.c_str(), this->path().c_str()) != 0) {
+        const int rename_problem = errno;
+        ::unlink(new_path.c_str());
+        errno = rename_problem;
         return io_error(new_path, "rename");
     }
     if (this->file >= 0) {
@@ -173,6 +177,7 @@
     const bool is_written = write_all(probe, std::string(probe_size, '\0')) && fsync(probe) == 0;
     const int problem = errno;
     ::close(probe);
+    // A probe that can't be removed does no harm: the next one replaces it.
     ::unlink(probe_path.c_str());
     if (!is_written) {
         errno = problem;
--- a/packages/journal/storage.h
+++ b/packages/journal/storage.h
@@ -9,8 +9,8 @@
 
 namespace kingcupcart::journal {
 
-/// The file operations that a journal needs. Errors are reported as `storage_unavailable` where the
-/// disk is full or refuses the operation, otherwise as `input_output`.
+/// The file operations that a journal needs. An operation that the system refuses, for whatever
+/// reason, fails with `storage_unavailable`: it may succeed later.
 class storage {
 public:
     virtual ~storage() = default;
--- a/packages/journal/tests/journal_test.cpp
+++ b/packages/journal/tests/journal_test.cpp
@@ -4,10 +4,15 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/resource.h>
+
 #include <algorithm>
+#include <csignal>
 #include <cstdint>
 #include <filesystem>
+#include <fstream>
 #include <functional>
+#include <optional>
 #include <utility>
 
 using namespace kingcupcart;
@@ -111,6 +116,29 @@
     };
 }
 
+/// While it exists, this process can write no file beyond a size.
+class file_size_limit {
+public:
+    explicit file_size_limit(rlim_t bytes) : previous_handler(std::signal(SIGXFSZ, SIG_IGN)) {
+        getrlimit(RLIMIT_FSIZE, &this->previous);
+        rlimit lowered = this->previous;
+        lowered.rlim_cur = bytes;
+        setrlimit(RLIMIT_FSIZE, &lowered);
+    }
+    ~file_size_limit() {
+        setrlimit(RLIMIT_FSIZE, &this->previous);
+        std::signal(SIGXFSZ, this->previous_handler);
+    }
+    file_size_limit(const file_size_limit&) = delete;
+    file_size_limit& operator=(const file_size_limit&) = delete;
+
+private:
+    using handler = void (*)(int);
+
+    rlimit previous{};
+    handler previous_handler;
+};
+
 bool succeeds(const std::function<outcome<void>()>& attempt) {
     return std::holds_alternative<std::monostate>(value_or_error(attempt));
 }
@@ -287,3 +315,62 @@
     CHECK(std::get<opened_journal>(opened).records == std::vector<std::string>{"kept"});
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a member that stayed out of its group for 30 s, as with a damaged journal, after
+// an error number other than ENOSPC, EDQUOT and EIO.
+SCENARIO("a refused system call is an unavailable disk, whatever its error number") {
+    std::string pattern = (std::filesystem::temp_directory_path() / "kingcupcart-XXXXXX").string();
+    const std::string folder = mkdtemp(pattern.data());
+    const auto code_of = [](const std::function<outcome<void>()>& attempt) {
+        const auto result = value_or_error(attempt);
+        const auto* problem = std::get_if<error>(&result);
+        return problem == nullptr ? std::nullopt : std::optional(problem->code);
+    };
+    GIVEN("a file that must not grow beyond a size") {
+        auto opened = value_or_error([&] { return disk_storage::open(folder); });
+        auto& disk = *std::get<std::unique_ptr<disk_storage>>(opened);
+        constexpr std::size_t size = 1000;
+        REQUIRE(succeeds([&] { return disk.append(std::string(size, 'x')); }));
+        const auto append_more = [&] { return disk.append("more"); };
+        {
+            const file_size_limit limit(size);
+            CHECK(code_of(append_more) == error_code::storage_unavailable);
+            CHECK(code_of([&] { return disk.check_writable(); }) ==
+                  error_code::storage_unavailable);
+            CHECK(code_of([&] {
+                      return disk.replace([](std::string& chunk) {
+                          chunk.assign(size + 1, 'x');
+                          return true;
+                      });
+                  }) == error_code::storage_unavailable);
+        }
+        THEN("it takes appends again once the limit is lifted, and kept its content") {
+            CHECK(succeeds(append_more));
+            const auto content = value_or_error([&] { return disk.read(0, 2 * size); });
+            CHECK(std::get<std::string>(content) == std::string(size, 'x') + "more");
+        }
+    }
+    GIVEN("a data folder whose path leads through a file") {
+        std::ofstream(folder + "/file") << "content";
+        CHECK(code_of([&]() -> outcome<void> {
+                  BOOST_LEAF_CHECK(disk_storage::open(folder + "/file/data"));
+                  return {};
+              }) == error_code::storage_unavailable);
+    }
+    GIVEN("a journal whose path is taken by a folder") {
+        std::filesystem::create_directory(folder + "/journal");
+        auto opened = value_or_error([&] { return disk_storage::open(folder); });
+        auto& disk = *std::get<std::unique_ptr<disk_storage>>(opened);
+        CHECK(code_of([&]() -> outcome<void> {
+                  BOOST_LEAF_CHECK(disk.read(0, 1));
+                  return {};
+              }) == error_code::storage_unavailable);
+        CHECK(code_of([&] { return disk.append("x"); }) == error_code::storage_unavailable);
+        CHECK(code_of([&] { return disk.replace([](std::string&) { return false; }); }) ==
+              error_code::storage_unavailable);
+        THEN("a replacement that can't be renamed leaves no file behind") {
+            CHECK_FALSE(std::filesystem::exists(folder + "/journal.new"));
+        }
+    }
+    std::filesystem::remove_all(folder);
+}
