Daemon: a write beyond the file size limit no longer ends the process

Cause: RLIMIT_FSIZE refuses a write by SIGXFSZ, whose default action ends the process before the write returns EFBIG. Nothing handled the signal.

Change: kingcupcartd ignores SIGXFSZ and SIGPIPE. The write fails with its error number, and the log is suspended as on a full disk.

--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -150,6 +150,13 @@
     int code = exit_ok;
 };
 
+/// Leaves failed writes to their callers, who get an error number: by default a write beyond the
+/// file size limit, or to a closed connection, ends the process.
+void ignore_write_signals() {
+    std::signal(SIGXFSZ, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 /// Reloads the settings on SIGHUP.
 void reload_on_hangup(daemon::settings_watcher& watcher, GMainContext* context) {
     GSource* source = g_unix_signal_source_new(SIGHUP);
@@ -205,6 +212,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    ignore_write_signals();
     const auto parsed = parse_options(argc, argv);
     if (const int* code = std::get_if<int>(&parsed)) {
         return *code;
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <sstream>
@@ -22,8 +23,8 @@
 
 } // namespace
 
-child_process::child_process(const std::vector<std::string>& command,
-                             const std::string& error_log) {
+child_process::child_process(const std::vector<std::string>& command, const std::string& error_log,
+                             rlim_t max_file_size) {
     std::array<int, 2> pipe_ends{};
     if (pipe2(pipe_ends.data(), O_CLOEXEC) != 0) {
         throw std::runtime_error("cannot create a pipe");
@@ -41,8 +42,15 @@
         arguments.push_back(const_cast<char*>(argument.c_str()));
     }
     arguments.push_back(nullptr);
+    // The child inherits the limit; this process writes no file meanwhile.
+    rlimit own_limit{};
+    getrlimit(RLIMIT_FSIZE, &own_limit);
+    rlimit child_limit = own_limit;
+    child_limit.rlim_cur = std::min(max_file_size, own_limit.rlim_max);
+    setrlimit(RLIMIT_FSIZE, &child_limit);
     const int spawn_error =
         posix_spawn(&this->pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    setrlimit(RLIMIT_FSIZE, &own_limit);
     posix_spawn_file_actions_destroy(&actions);
     close(pipe_ends[1]);
     this->output = pipe_ends[0];
@@ -110,6 +118,13 @@
     kill(this->pid, signal_number);
 }
 
+void child_process::limit_file_size(rlim_t max_file_size) const {
+    rlimit limit{};
+    prlimit(this->pid, RLIMIT_FSIZE, nullptr, &limit);
+    limit.rlim_cur = std::min(max_file_size, limit.rlim_max);
+    prlimit(this->pid, RLIMIT_FSIZE, &limit, nullptr);
+}
+
 int child_process::wait() {
     if (!this->has_exit_status) {
         int status = 0;
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #include <cstddef>
@@ -14,9 +15,10 @@
     /// Starts the program and waits for the line of its standard output that begins with `ready`;
     /// log lines may precede it where the log goes to standard output. Ends the process and throws
     /// `std::runtime_error` if its output ends, or pauses for 20 s, without that line.
-    /// Standard error is appended to the file `error_log` unless that is empty.
+    /// Standard error is appended to the file `error_log` unless that is empty. `max_file_size`
+    /// is as for `limit_file_size`, from the start of the process on.
     explicit child_process(const std::vector<std::string>& command,
-                           const std::string& error_log = "");
+                           const std::string& error_log = "", rlim_t max_file_size = RLIM_INFINITY);
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
@@ -27,6 +29,9 @@
     [[nodiscard]] std::vector<std::string> lines();
     [[nodiscard]] int id() const { return this->pid; }
     void signal(int signal_number) const;
+    /// From now on the system refuses writes of the process beyond this size of a file, in bytes,
+    /// and sends it SIGXFSZ. `RLIM_INFINITY` lifts the limit.
+    void limit_file_size(rlim_t max_file_size) const;
     /// Whether the process has exited; `wait` then returns its exit code at once.
     [[nodiscard]] bool has_exited();
     /// Waits until the process exits. Returns its exit code, or the negated signal number.
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -84,9 +84,11 @@
     }
 }
 
-child_process& deployment::add_process(const std::string& name, const std::string& settings) {
-    this->processes.push_back(std::make_unique<child_process>(std::vector<std::string>{
-        KINGCUPCARTD, "--settings", this->write_settings(name, settings)}));
+child_process& deployment::add_process(const std::string& name, const std::string& settings,
+                                       rlim_t max_file_size) {
+    this->processes.push_back(std::make_unique<child_process>(
+        std::vector<std::string>{KINGCUPCARTD, "--settings", this->write_settings(name, settings)},
+        "", max_file_size));
     return *this->processes.back();
 }
 
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -59,8 +59,10 @@
     child_process& add_service(const std::string& id, child_process& entry,
                                const std::vector<std::string>& extra_arguments = {});
 
-    /// Starts an instance with these settings; `name` names the settings file.
-    child_process& add_process(const std::string& name, const std::string& settings);
+    /// Starts an instance with these settings; `name` names the settings file. For
+    /// `max_file_size` see `child_process`.
+    child_process& add_process(const std::string& name, const std::string& settings,
+                               rlim_t max_file_size = RLIM_INFINITY);
     /// The path of a file in the deployment's temporary folder.
     [[nodiscard]] std::string path_of(const std::string& name) const;
 
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -1,7 +1,9 @@
 #include "process/fleet.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 
 namespace kingcupcart::process_tests {
 
@@ -10,14 +12,14 @@
 using nlohmann::json;
 
 constexpr const char* keeper_ip = "127.0.0.2";
-constexpr const char* store_ip = "127.0.0.3";
 constexpr const char* gateway_ip = "127.0.0.4";
 constexpr const char* replica_ip = "127.0.0.5";
+/// Version of the configuration that `wait_until_ready` sends.
+constexpr int first_version = 3;
 constexpr duration heartbeat_interval = std::chrono::milliseconds(300);
 
 json configuration(const fleet_options& options) {
     json document = json::parse(R"({
-        "version": 3,
         "routes": [
             {"name": "book", "host": "shop", "pathPrefix": "/b/", "type": "idempotent",
              "timeoutMs": 2000, "sloMs": 200, "service": "app", "maxAttempts": 2},
@@ -42,6 +44,18 @@
     return std::move(std::get<std::unique_ptr<stand_ins::platform_replica>>(opened));
 }
 
+/// The address and the identifier of the member at `index` of the group of keepers or stores; the
+/// identifier is also the prefix of its file names.
+std::string keeper_ip_at(std::size_t index) {
+    return index == 0 ? keeper_ip : "127.0.0.2" + std::to_string(index);
+}
+std::string store_ip_at(std::size_t index) {
+    return index == 0 ? "127.0.0.3" : "127.0.0.3" + std::to_string(index);
+}
+std::string member_id(const std::string& role, std::size_t index) {
+    return index == 0 ? role : role + std::to_string(index + 1);
+}
+
 std::string port_of(const std::string& address) {
     return address.substr(address.rfind(':') + 1);
 }
@@ -61,8 +75,13 @@
             open_replica({"lm" + std::to_string(i), "lm", "m", endpoint{replica_ip, 0}, keeper,
                           options.events, options.slots, options.event_interval}));
     }
-    this->keeper_process = &this->add_keeper("keeper", keeper_ip, true);
-    this->start_store();
+    for (std::size_t i = 0; i < options.group_size; ++i) {
+        this->keeper_processes.push_back(
+            &this->add_keeper(member_id("keeper", i), keeper_ip_at(i), true));
+    }
+    for (std::size_t i = 0; i < options.group_size; ++i) {
+        this->start_store(i);
+    }
     this->gateway_process = &this->test_deployment.add_process(
         "gateway", this->gateway_settings("gateway", gateway_ip, keeper_ip));
     this->send_heartbeats();
@@ -70,13 +89,14 @@
 
 child_process& fleet::add_keeper(const std::string& id, const std::string& ip, bool is_first) {
     return this->test_deployment.add_process(
-        id, this->instance_settings(id, "keeper",
-                                    "address = " + ip + ":" + this->link_port +
-                                        "\ndata = " + this->test_deployment.path_of(id + "-data") +
-                                        "\ncontrol = " + ip + ":" + this->external_port +
-                                        "\nfirst-start = " + (is_first ? "true" : "false") +
-                                        "\ntolerated-losses = 0\norder-lease = 100ms\n",
-                                    keeper_ip));
+        id, this->instance_settings(
+                id, "keeper",
+                "address = " + ip + ":" + this->link_port + "\ndata = " +
+                    this->test_deployment.path_of(id + "-data") + "\ncontrol = " + ip + ":" +
+                    this->external_port + "\nfirst-start = " + (is_first ? "true" : "false") +
+                    "\ntolerated-losses = " + std::to_string(this->tolerated_losses()) +
+                    "\norder-lease = 100ms\n",
+                keeper_ip));
 }
 
 std::string fleet::gateway_settings(const std::string& id, const std::string& ip,
@@ -88,8 +108,11 @@
 }
 
 std::string fleet::discovery_settings(const std::string& seed_ip) const {
-    return "seeds = " + seed_ip + ":" + this->external_port + "\nlink-port = " + this->link_port +
-           "\n";
+    std::string seeds = seed_ip + ":" + this->external_port;
+    for (std::size_t i = 1; seed_ip == keeper_ip && i < this->options.group_size; ++i) {
+        seeds += ", " + keeper_ip_at(i) + ":" + this->external_port;
+    }
+    return "seeds = " + seeds + "\nlink-port = " + this->link_port + "\n";
 }
 
 std::string fleet::instance_settings(const std::string& id, const std::string& role,
@@ -102,20 +125,36 @@
            "[log]\nlevel = error\n";
 }
 
-void fleet::start_store() {
-    this->store_process = &this->test_deployment.add_process(
-        "store",
-        this->instance_settings("store", "store",
-                                "address = " + std::string(store_ip) + ":" + this->link_port +
-                                    "\ndata = " + this->test_deployment.path_of("store-data") +
-                                    "\nfirst-start = true\ntolerated-losses = 0\n",
-                                keeper_ip));
+void fleet::start_store(std::size_t index, rlim_t max_file_size) {
+    const std::string id = member_id("store", index);
+    child_process& started = this->test_deployment.add_process(
+        id,
+        this->instance_settings(id, "store",
+                                "address = " + store_ip_at(index) + ":" + this->link_port +
+                                    "\ndata = " + this->test_deployment.path_of(id + "-data") +
+                                    "\nfirst-start = true\ntolerated-losses = " +
+                                    std::to_string(this->tolerated_losses()) + "\n",
+                                keeper_ip),
+        max_file_size);
+    this->store_processes.resize(std::max(this->store_processes.size(), index + 1));
+    this->store_processes[index] = &started;
+}
+
+std::size_t fleet::keeper_journal_size(std::size_t index) const {
+    return std::filesystem::file_size(
+        this->test_deployment.path_of(member_id("keeper", index) + "-data/journal"));
+}
+
+std::size_t fleet::store_journal_size(std::size_t index) const {
+    return std::filesystem::file_size(
+        this->test_deployment.path_of(member_id("store", index) + "-data/journal"));
 }
 
-void fleet::restart_keeper() {
-    this->keeper_process->signal(SIGKILL);
-    this->keeper_process->wait();
-    this->keeper_process = &this->add_keeper("keeper", keeper_ip, true);
+void fleet::restart_keeper(std::size_t index) {
+    this->keeper_processes.at(index)->signal(SIGKILL);
+    this->keeper_processes.at(index)->wait();
+    this->keeper_processes.at(index) =
+        &this->add_keeper(member_id("keeper", index), keeper_ip_at(index), true);
 }
 
 http::request fleet::deregister_service_request() const {
@@ -127,9 +166,9 @@
     return request;
 }
 
-void fleet::kill_store() {
-    this->store_process->signal(SIGKILL);
-    this->store_process->wait();
+void fleet::kill_store(std::size_t index) {
+    this->store_processes.at(index)->signal(SIGKILL);
+    this->store_processes.at(index)->wait();
 }
 
 void fleet::send_heartbeats() {
@@ -161,14 +200,9 @@
 }
 
 bool fleet::wait_until_ready() {
-    http::request put_request;
-    put_request.method = "POST";
-    put_request.url =
-        "http://" + std::string(keeper_ip) + ":" + this->external_port + "/kingcupcart/config/put";
-    put_request.content_type = "application/json";
-    put_request.body = configuration(this->options).dump();
     const auto is_accepted = [&] {
-        return this->test_deployment.call(put_request)->head.status == 200;
+        return this->test_deployment.call(this->put_configuration_request(first_version))
+                   ->head.status == 200;
     };
     const auto is_served = [&] {
         return this->test_deployment.call(this->booking_request("warm-up", ""))->head.status == 200;
@@ -192,10 +226,24 @@
     return request;
 }
 
-http::request fleet::read_configuration_request() const {
+std::string fleet::control_url(std::size_t keeper_index) const {
+    return "http://" + keeper_ip_at(keeper_index) + ":" + this->external_port;
+}
+
+http::request fleet::read_configuration_request(std::size_t keeper_index) const {
     http::request request;
-    request.url =
-        "http://" + std::string(keeper_ip) + ":" + this->external_port + "/kingcupcart/config/get";
+    request.url = this->control_url(keeper_index) + "/kingcupcart/config/get";
+    return request;
+}
+
+http::request fleet::put_configuration_request(int version, std::size_t keeper_index) const {
+    json document = configuration(this->options);
+    document["version"] = version;
+    http::request request;
+    request.method = "POST";
+    request.url = this->control_url(keeper_index) + "/kingcupcart/config/put";
+    request.content_type = "application/json";
+    request.body = document.dump();
     return request;
 }
 
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -24,10 +24,12 @@
     int events = 5;
     /// Time between the events of a stream; zero to write them all at once.
     duration event_interval{};
+    /// Number of keepers, and of stores. A group of three tolerates the loss of one member.
+    std::size_t group_size = 1;
 };
 
-/// One gateway, keeper and store as processes on loopback addresses, and stand-in replicas, in this
-/// process, that send heartbeats to the keeper. Also builds the platform's requests.
+/// One gateway, and keepers and stores, as processes on loopback addresses, and stand-in replicas,
+/// in this process, that send heartbeats to the first keeper. Also builds the platform's requests.
 class fleet {
 public:
     explicit fleet(deployment& test_deployment, fleet_options options = {});
@@ -50,22 +52,29 @@
     /// The base URL for callers of the gateway at that address.
     [[nodiscard]] std::string callers_at(const std::string& ip) const;
     child_process& gateway() { return *this->gateway_process; }
-    child_process& store() { return *this->store_process; }
+    child_process& store(std::size_t index = 0) { return *this->store_processes.at(index); }
+    child_process& keeper(std::size_t index) { return *this->keeper_processes.at(index); }
+    /// The size of the journal of a keeper or store, in bytes.
+    [[nodiscard]] std::size_t keeper_journal_size(std::size_t index) const;
+    [[nodiscard]] std::size_t store_journal_size(std::size_t index) const;
     stand_ins::platform_replica& engine() { return *this->engine_replicas.front(); }
     stand_ins::platform_replica& service() { return *this->service_replica; }
-    void kill_store();
-    /// Kills the first keeper and starts it again on the same data folder.
-    void restart_keeper();
+    void kill_store(std::size_t index = 0);
+    /// Kills a keeper and starts it again on the same data folder.
+    void restart_keeper(std::size_t index = 0);
     /// Whether the replicas send heartbeats, which they do from the start.
     void set_heartbeats(bool are_sent) { this->sends_heartbeats = are_sent; }
     /// The deregistration of the plain service's replica.
     [[nodiscard]] http::request deregister_service_request() const;
-    /// Starts or restarts the store on the same data folder.
-    void start_store();
+    /// Starts or restarts a store on the same data folder. For `max_file_size` see
+    /// `child_process`.
+    void start_store(std::size_t index = 0, rlim_t max_file_size = RLIM_INFINITY);
 
     [[nodiscard]] http::request booking_request(const std::string& name,
                                                 const std::string& body) const;
-    [[nodiscard]] http::request read_configuration_request() const;
+    [[nodiscard]] http::request read_configuration_request(std::size_t keeper_index = 0) const;
+    [[nodiscard]] http::request put_configuration_request(int version,
+                                                          std::size_t keeper_index = 0) const;
     [[nodiscard]] http::request submit_job_request(const std::string& job,
                                                    const std::vector<std::string>& items,
                                                    int required_version) const;
@@ -90,6 +99,11 @@
                                                 const std::string& role_settings,
                                                 const std::string& seed_ip) const;
     [[nodiscard]] std::string discovery_settings(const std::string& seed_ip) const;
+    [[nodiscard]] std::string control_url(std::size_t keeper_index) const;
+    /// Losses of members that a group of keepers or stores tolerates.
+    [[nodiscard]] std::size_t tolerated_losses() const {
+        return (this->options.group_size - 1) / 2;
+    }
     void send_heartbeats();
 
     deployment& test_deployment;
@@ -99,9 +113,9 @@
     std::unique_ptr<stand_ins::platform_replica> service_replica;
     std::vector<std::unique_ptr<stand_ins::platform_replica>> engine_replicas;
     bool sends_heartbeats = true;
-    child_process* keeper_process = nullptr;
+    std::vector<child_process*> keeper_processes;
     child_process* gateway_process = nullptr;
-    child_process* store_process = nullptr;
+    std::vector<child_process*> store_processes;
     task::wakeup heartbeat_timer;
 };
 
