--- a/packages/group/internal/log_suspension.cpp
+++ b/packages/group/internal/log_suspension.cpp
@@ -14,6 +14,9 @@
 /// The journal of a suspended log is tried again after these delays, each twice the one before.
 constexpr duration min_resume_delay = std::chrono::milliseconds(250);
 constexpr duration max_resume_delay = std::chrono::seconds(2);
+/// A disk that refuses a write within this time after it was usable again is tried again later each
+/// time: each attempt reads the whole journal, and has unknown outcomes for callers.
+constexpr duration relapse_time = std::chrono::seconds(10);
 /// The delay after an error that is no refused write, such as a damaged journal: each attempt reads
 /// the whole file.
 constexpr duration damaged_journal_retry_interval = std::chrono::seconds(30);
@@ -32,6 +35,7 @@
     this->last_problem = reason.message;
     if (this->file != nullptr) {
         this->trusted_size = this->file->synced_size();
+        this->refused_bytes = this->file->unsynced_bytes();
     }
     this->replica_timer.disarm();
     // Drops the messages and commands that awaited the sync. None was sent or applied yet.
@@ -51,8 +55,11 @@
         }
     }
     this->notify.suspended();
-    this->resume_delay = min_resume_delay;
-    this->resume_timer.arm(this->params.time->now() + this->resume_delay);
+    const time_point now = this->params.time->now();
+    const bool is_relapse = this->resumed_at && now < *this->resumed_at + relapse_time;
+    this->resume_delay =
+        is_relapse ? std::min(2 * this->resume_delay, max_resume_delay) : min_resume_delay;
+    this->resume_timer.arm(now + this->resume_delay);
 }
 
 void replicated_log::try_to_resume() {
@@ -92,6 +99,7 @@
         return fail(problem->code, problem->message);
     }
     this->suspended = false;
+    this->resumed_at = this->params.time->now();
     this->trusted_size = journal::journal_file::unlimited_size;
     this->start_replica();
     return {};
--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -78,7 +78,7 @@
     } else {
         BOOST_LEAF_ASSIGN(storage, journal::disk_storage::open(this->params.folder));
     }
-    BOOST_LEAF_CHECK(storage->check_writable());
+    BOOST_LEAF_CHECK(storage->check_writable(this->refused_bytes));
     return storage;
 }
 
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -148,6 +149,10 @@
     bool has_unannounced_suspension = false;
     std::uint64_t suspensions = 0;
     duration resume_delay{};
+    /// When the log last ceased to be suspended.
+    std::optional<time_point> resumed_at;
+    /// What the disk has to take before the log is read again: the bytes that it refused.
+    std::size_t refused_bytes = 0;
     /// The last error that kept the log suspended, which is logged once.
     std::string last_problem;
     /// The journal is read up to this size: beyond it the page cache may differ from the disk.
--- a/packages/group/tests/replicated_log_test.cpp
+++ b/packages/group/tests/replicated_log_test.cpp
@@ -170,6 +170,48 @@
     }
 }
 
+// Guards against a member that went in and out of its group several times a second: a probe of the
+// disk passed, and the next append was refused.
+SCENARIO("a disk that passes its probe and refuses the next append is used again later each time") {
+    shared_loop loop;
+    test_groups groups;
+    groups.push_back(std::make_unique<test_group>(5, 3));
+    test_group& group = *groups.front();
+    REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+    test_group::member* faulty = group.leader();
+    REQUIRE(faulty != nullptr);
+    constexpr duration fault_time = 4s;
+    constexpr std::size_t command_size = 2000;
+    const auto propose_for = [&](duration time) {
+        for (duration passed{}; passed < time; passed += step) {
+            group.propose(command_size);
+            loop.run_for(step);
+        }
+    };
+    GIVEN("a leader whose disk takes small appends only") {
+        faulty->disk.refuse_larger_appends(command_size / 2);
+        propose_for(fault_time);
+        THEN("it waits until the disk takes the size that it refused") {
+            CHECK(faulty->log->is_suspended());
+            CHECK(faulty->log->suspension_count() == 1);
+            faulty->disk.refuse_larger_appends(std::string::npos);
+            CHECK(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+            check_rules(groups);
+        }
+    }
+    GIVEN("a leader whose disk refuses every append, and no probe") {
+        faulty->disk.refuse_appends_unnoticed(true);
+        propose_for(fault_time);
+        THEN("it tries again after 0.25 s, 0.5 s, 1 s and 2 s") {
+            // At once, then after the delays above in turn.
+            CHECK(faulty->log->suspension_count() <= 5);
+            faulty->disk.refuse_appends_unnoticed(false);
+            CHECK(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+            check_rules(groups);
+        }
+    }
+}
+
 SCENARIO("a leader that stops hands over") {
     shared_loop loop;
     test_groups groups;
--- a/packages/group/tests/test_disk.cpp
+++ b/packages/group/tests/test_disk.cpp
@@ -16,7 +16,8 @@
 }
 
 bool test_disk::append(std::string_view bytes) {
-    const bool is_accepted = this->accepts_call();
+    const bool is_accepted =
+        this->accepts_call() && bytes.size() <= this->max_append && !this->refuses_appends;
     // A write that is refused may have been carried out in part.
     const std::string_view written =
         is_accepted ? bytes : bytes.substr(0, this->full ? 0 : this->draw(bytes.size()));
--- a/packages/group/tests/test_disk.h
+++ b/packages/group/tests/test_disk.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <random>
 #include <string>
@@ -17,6 +19,10 @@
     explicit test_disk(std::uint64_t seed) : random(seed) {}
 
     void set_full(bool full) { this->full = full; }
+    /// Refuses appends of more than `bytes` from now on.
+    void refuse_larger_appends(std::size_t bytes) { this->max_append = bytes; }
+    /// Refuses all appends, although the check for whether the disk takes writes passes.
+    void refuse_appends_unnoticed(bool refuses) { this->refuses_appends = refuses; }
     /// Refuses the call with this number, counted from 1.
     void refuse_call(std::size_t number) { this->refused_call = number; }
     [[nodiscard]] std::size_t calls() const { return this->call_count; }
@@ -28,7 +34,9 @@
     [[nodiscard]] bool sync();
     [[nodiscard]] bool truncate(std::size_t size);
     [[nodiscard]] bool replace(const std::string& content);
-    [[nodiscard]] bool check_writable() { return this->accepts_call(); }
+    [[nodiscard]] bool check_writable(std::size_t size) {
+        return this->accepts_call() && size <= this->max_append;
+    }
     [[nodiscard]] std::string_view content() const { return this->cache; }
 
     /// Writes since the last sync are present, missing or torn, each by itself.
@@ -52,6 +60,8 @@
     std::vector<range> dropped;
     std::size_t call_count = 0;
     std::optional<std::size_t> refused_call;
+    std::size_t max_append = std::numeric_limits<std::size_t>::max();
+    bool refuses_appends = false;
     bool full = false;
     bool refused = false;
 };
--- a/packages/group/tests/test_storage.h
+++ b/packages/group/tests/test_storage.h
@@ -26,7 +26,9 @@
         }
         return check(this->disk.replace(content));
     }
-    outcome<void> check_writable() override { return check(this->disk.check_writable()); }
+    outcome<void> check_writable(std::size_t size) override {
+        return check(this->disk.check_writable(size));
+    }
     outcome<void> truncate(std::size_t size) override { return check(this->disk.truncate(size)); }
 
 private:
--- a/packages/journal/disk_storage.h
+++ b/packages/journal/disk_storage.h
@@ -22,7 +22,7 @@
     outcome<void> append(std::string_view bytes) override;
     outcome<void> sync() override;
     outcome<void> replace(const source& next_chunk) override;
-    outcome<void> check_writable() override;
+    outcome<void> check_writable(std::size_t size) override;
     outcome<void> truncate(std::size_t size) override;
 
 private:
--- a/packages/journal/internal/disk_storage.cpp
+++ b/packages/journal/internal/disk_storage.cpp
@@ -5,6 +5,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
@@ -15,8 +16,11 @@
 namespace {
 
 constexpr mode_t file_mode = 0600;
-/// Bytes that `check_writable` writes: one block of common file systems.
-constexpr std::size_t probe_size = 4096;
+/// Bytes that `check_writable` appends at least: more than what is free in the last block of the
+/// file on common file systems.
+constexpr std::size_t min_probe_bytes = 4096;
+/// Bytes that `check_writable` appends in one call.
+constexpr std::size_t probe_chunk_bytes = 1UL << 20;
 
 /// The error of the system call that failed last. No error number is taken as proof of damage: a
 /// disk that is full, over its quota or its size limit, or mounted read-only may accept the same
@@ -42,6 +46,18 @@
     return true;
 }
 
+bool append_zeros(int file, std::size_t size) {
+    const std::string chunk(std::min(size, probe_chunk_bytes), '\0');
+    while (size > 0) {
+        const std::string_view next = std::string_view(chunk).substr(0, size);
+        if (!write_all(file, next)) {
+            return false;
+        }
+        size -= next.size();
+    }
+    return true;
+}
+
 } // namespace
 
 outcome<std::unique_ptr<disk_storage>> disk_storage::open(const std::string& folder) {
@@ -167,23 +183,25 @@
     return this->sync_folder();
 }
 
-outcome<void> disk_storage::check_writable() {
-    const std::string probe_path = this->folder + "/probe";
-    const int probe =
-        ::open(probe_path.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, file_mode);
-    if (probe < 0) {
-        return io_error(probe_path, "open");
+outcome<void> disk_storage::check_writable(std::size_t size) {
+    BOOST_LEAF_CHECK(this->open_file());
+    const off_t end = lseek(this->file, 0, SEEK_END);
+    if (end < 0) {
+        return io_error(this->path(), "seek");
     }
-    const bool is_written = write_all(probe, std::string(probe_size, '\0')) && fsync(probe) == 0;
+    const bool is_written =
+        append_zeros(this->file, std::max(size, min_probe_bytes)) && fdatasync(this->file) == 0;
     const int problem = errno;
-    ::close(probe);
-    // A probe that can't be removed does no harm: the next one replaces it.
-    ::unlink(probe_path.c_str());
+    // Zeros that remain, because this fails too, are a torn tail to the reader of the journal.
+    const bool is_truncated = ftruncate(this->file, end) == 0;
     if (!is_written) {
         errno = problem;
-        return io_error(probe_path, "write");
+        return io_error(this->path(), "write");
     }
-    return {};
+    if (!is_truncated) {
+        return io_error(this->path(), "truncate");
+    }
+    return this->sync();
 }
 
 outcome<void> disk_storage::truncate(std::size_t size) {
--- a/packages/journal/journal_file.h
+++ b/packages/journal/journal_file.h
@@ -3,6 +3,7 @@
 #include "base/outcome.h"
 #include "journal/storage.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <limits>
@@ -46,6 +47,11 @@
     /// The size, in bytes, up to which the file is synced. `unlimited_size` after a failed rewrite,
     /// which leaves either the old file or a new one that is synced as a whole.
     [[nodiscard]] std::size_t synced_size() const { return this->synced_bytes; }
+    /// Bytes appended since the last sync, with a record whose append failed. None during a
+    /// rewrite.
+    [[nodiscard]] std::size_t unsynced_bytes() const {
+        return this->bytes - std::min(this->bytes, this->synced_bytes);
+    }
     /// The size in bytes, which is also the position of the next record; during a rewrite, that of
     /// the new file.
     [[nodiscard]] std::size_t size() const { return this->bytes; }
--- a/packages/journal/storage.h
+++ b/packages/journal/storage.h
@@ -30,8 +30,9 @@
     /// Replaces the whole content atomically: after a crash the file holds either the old content
     /// or the new.
     [[nodiscard]] virtual outcome<void> replace(const source& next_chunk) = 0;
-    /// Writes and syncs a few bytes beside the file, to find out whether the disk takes writes.
-    [[nodiscard]] virtual outcome<void> check_writable() = 0;
+    /// Appends at least `size` zero bytes to the file, syncs and removes them, to find out whether
+    /// it takes appends of this size. After an error some of them may remain.
+    [[nodiscard]] virtual outcome<void> check_writable(std::size_t size) = 0;
     /// Truncates the file to `size` bytes and syncs it.
     [[nodiscard]] virtual outcome<void> truncate(std::size_t size) = 0;
 };
--- a/packages/journal/tests/journal_test.cpp
+++ b/packages/journal/tests/journal_test.cpp
@@ -51,7 +51,7 @@
         this->device.synced = this->device.written;
         return {};
     }
-    outcome<void> check_writable() override { return {}; }
+    outcome<void> check_writable(std::size_t) override { return {}; }
     outcome<void> replace(const source& next_chunk) override {
         if (this->device.is_full) {
             return fail(error_code::input_output, "no space left on device");
@@ -335,7 +335,7 @@
         {
             const file_size_limit limit(size);
             CHECK(code_of(append_more) == error_code::storage_unavailable);
-            CHECK(code_of([&] { return disk.check_writable(); }) ==
+            CHECK(code_of([&] { return disk.check_writable(1); }) ==
                   error_code::storage_unavailable);
             CHECK(code_of([&] {
                       return disk.replace([](std::string& chunk) {
@@ -350,6 +350,25 @@
             CHECK(std::get<std::string>(content) == std::string(size, 'x') + "more");
         }
     }
+    // A probe of a few bytes in another file passed while each append was refused.
+    GIVEN("a file that takes small appends, and refuses larger ones") {
+        auto opened = value_or_error([&] { return disk_storage::open(folder); });
+        auto& disk = *std::get<std::unique_ptr<disk_storage>>(opened);
+        constexpr std::size_t size = 10000;
+        constexpr std::size_t large = 3UL << 20;
+        REQUIRE(succeeds([&] { return disk.append(std::string(size, 'x')); }));
+        {
+            const file_size_limit limit(size + large);
+            CHECK(succeeds([&] { return disk.check_writable(1); }));
+            CHECK(succeeds([&] { return disk.check_writable(large); }));
+            CHECK(code_of([&] { return disk.check_writable(large + 1); }) ==
+                  error_code::storage_unavailable);
+        }
+        THEN("no check changes its content") {
+            const auto content = value_or_error([&] { return disk.read(0, 2 * size); });
+            CHECK(std::get<std::string>(content) == std::string(size, 'x'));
+        }
+    }
     GIVEN("a data folder whose path leads through a file") {
         std::ofstream(folder + "/file") << "content";
         CHECK(code_of([&]() -> outcome<void> {
--- a/tests/process/refused_writes_test.cpp
+++ b/tests/process/refused_writes_test.cpp
@@ -80,6 +80,16 @@
     return is_ready;
 }
 
+/// How often the replicated log of a store has been suspended; -1 if it does not say.
+int suspensions_of(deployment& test_deployment, child_process& store) {
+    http::request metrics;
+    metrics.url = "http://" + store.value("admin") + "/metrics";
+    const std::string text = test_deployment.call(metrics)->body;
+    const std::string name = "_store_log_suspensions ";
+    const auto position = text.find(name);
+    return position == std::string::npos ? -1 : std::stoi(text.substr(position + name.size()));
+}
+
 } // namespace
 
 // Guards against stores that a refused write ended or kept out of their group (review, case 3).
@@ -111,6 +121,22 @@
             }
         }
     }
+    // A probe of 4 KB in another file passed, so that the store read its journal again and again.
+    GIVEN("a store whose journal can grow by a few bytes only") {
+        constexpr rlim_t more_than_a_probe = 16384;
+        while (test_fleet.store_journal_size(0) < more_than_a_probe) {
+            REQUIRE(jobs.submit());
+        }
+        constexpr rlim_t room = 300;
+        test_fleet.store(0).limit_file_size(test_fleet.store_journal_size(0) + room);
+        REQUIRE(jobs.submit_for(3 * refusal_time));
+        THEN("it waits until there is room for what was refused") {
+            CHECK(suspensions_of(test_deployment, test_fleet.store(0)) == 1);
+            test_fleet.store(0).limit_file_size(RLIM_INFINITY);
+            REQUIRE(recovers(test_deployment, test_fleet.store(0)));
+            CHECK(jobs.are_readable());
+        }
+    }
     GIVEN("a store that is killed and started several times while its disk refuses writes") {
         for (int restart = 0; restart < 3; ++restart) {
             test_fleet.kill_store(0);
