Item scheduler: an item whose result an earlier leader recorded runs no more

Cause, read: a store that has lost its leadership forwards the results that it still holds (group::submit). The new leader opens the jobs after a read barrier, which covers what earlier leaders committed, not what is forwarded and committed later. The scheduler heard of its own results only, and went on to run, and to restart, items that had one.

Change: each recorded result is reported to the scheduler. It ends the run or takes the item from the queue, unless it has recurred in a later job.

Evidence: batch_test, "an item that has a result runs no more" (manual clock): 4 assertions fail with the mechanism out, all pass with it.

--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -110,6 +110,21 @@
     this->erase_finished_jobs();
 }
 
+void item_scheduler::state::on(const results_recorded& recorded) {
+    for (const item_id& id : recorded.items) {
+        const auto found = this->items.find(id);
+        // An item that recurs belongs to the latest job, which has no result for it yet.
+        if (found == this->items.end() || found->second.job != recorded.job) {
+            continue;
+        }
+        if (found->second.is_running()) {
+            this->cancel(found->second);
+        }
+        this->remove(id);
+    }
+    this->erase_finished_jobs();
+}
+
 void item_scheduler::state::on(const job_services_changed& updated) {
     const auto job = this->jobs.find(updated.job);
     if (job != this->jobs.end()) {
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -21,6 +21,7 @@
 
     void on(const job_opened& opened);
     void on(const job_closed& closed);
+    void on(const results_recorded& recorded);
     void on(const job_services_changed& updated);
     void on(const engine_updated& updated);
     void on(const engine_removed& removed);
--- a/packages/batch/scheduler_messages.h
+++ b/packages/batch/scheduler_messages.h
@@ -47,6 +47,13 @@
     job_id job;
 };
 
+/// These items of the job have results that no run of this scheduler completed: an earlier leader
+/// had submitted them, and they were recorded after this one had opened the job. They run no more.
+struct results_recorded {
+    job_id job;
+    std::vector<item_id> items;
+};
+
 /// The services of the job's route changed.
 struct job_services_changed {
     job_id job;
@@ -107,7 +114,8 @@
 struct timer_expired {};
 
 using scheduler_message =
-    std::variant<job_opened, job_closed, job_services_changed, engine_updated, engine_removed,
-                 run_sent, run_progressed, run_completed, run_failed, timer_expired>;
+    std::variant<job_opened, job_closed, results_recorded, job_services_changed, engine_updated,
+                 engine_removed, run_sent, run_progressed, run_completed, run_failed,
+                 timer_expired>;
 
 } // namespace kingcupcart::batch
--- a/packages/batch/tests/item_scheduler_test.cpp
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <ctime>
 #include <map>
 #include <string>
@@ -293,6 +294,58 @@
     }
 }
 
+// Guards against items that ran again after their results: a new leader opens a job, and a result
+// that the earlier leader had submitted is recorded after that.
+SCENARIO("an item that has a result runs no more") {
+    fixture test;
+    GIVEN("an engine with two slots, and a job with two running items and a waiting one") {
+        test.add_engine("e", 2);
+        test.dispatch(test.make_job("j", {{"long", 900}, {"middle", 100}, {"short", 10}}));
+        REQUIRE(test.started.size() == 2);
+        WHEN("a result of a running item is recorded") {
+            const run_id superfluous = test.run_of("long");
+            test.dispatch(results_recorded{job_id("j"), {item_id("long")}});
+            THEN("its run is cancelled, and the waiting item takes the slot") {
+                CHECK(test.cancelled == std::vector<run_id>{superfluous});
+                CHECK(test.started.back().item == item_id("short"));
+            }
+            AND_WHEN("its engine restarts, and the cancelled run reports its end") {
+                test.dispatch(engine_updated{test.engines.at("e"), true});
+                test.dispatch(run_failed{superfluous, run_failure::broken});
+                test.dispatch(run_completed{superfluous});
+                THEN("it does not start again, and is not completed twice") {
+                    CHECK(std::count_if(test.started.begin(), test.started.end(),
+                                        [](const start_run& run) {
+                                            return run.item == item_id("long");
+                                        }) == 1);
+                    CHECK(test.completed.empty());
+                }
+            }
+        }
+        WHEN("results of all items are recorded") {
+            test.dispatch(results_recorded{job_id("j"),
+                                           {item_id("long"), item_id("middle"), item_id("short")}});
+            test.now += 60s;
+            test.dispatch(timer_expired{});
+            THEN("none of them waits, runs or is given up") {
+                CHECK(test.scheduler.waiting_count() == 0);
+                CHECK(test.scheduler.running_count() == 0);
+                CHECK(test.given_up.empty());
+            }
+        }
+        WHEN("an item recurs in the next job, and its result of the first one is recorded") {
+            test.progress("long", 1, 1);
+            test.dispatch(test.make_job("k", {{"long", 900}}, 2));
+            test.dispatch(results_recorded{job_id("j"), {item_id("long")}});
+            THEN("it still runs for the next job") {
+                test.add_engine("new", 1, 2);
+                CHECK(test.started.back().item == item_id("long"));
+                CHECK(test.started.back().job == job_id("k"));
+            }
+        }
+    }
+}
+
 SCENARIO("long runs move away from slow engines") {
     fixture test;
     for (const char* id : {"e", "f", "g"}) {
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -125,6 +125,20 @@
     this->scores.close(job);
 }
 
+void item_runner::record_results(const batch::append_results& recorded) {
+    batch::results_recorded message{recorded.job, {}};
+    for (const batch::item_result& result : recorded.results) {
+        message.items.push_back(result.item);
+    }
+    const std::size_t unfinished = this->running_count() + this->waiting_count();
+    this->dispatch(message);
+    const std::size_t remaining = this->running_count() + this->waiting_count();
+    if (remaining < unfinished) {
+        spdlog::info("items have results of an earlier leader job={} items={}",
+                     recorded.job.value(), unfinished - remaining);
+    }
+}
+
 void item_runner::target_changed(const membership::directory_change& change) {
     this->scores.target_changed(change);
     if (change.event == membership::directory_event::removed) {
--- a/packages/store/internal/item_runner.h
+++ b/packages/store/internal/item_runner.h
@@ -5,6 +5,7 @@
 #include "base/location.h"
 #include "base/response_limits.h"
 #include "base/wall_clock.h"
+#include "batch/commands.h"
 #include "batch/item_scheduler.h"
 #include "batch/job_record.h"
 #include "batch/job_state_machine.h"
@@ -58,6 +59,8 @@
 
     void open(const batch::job_record& record);
     void close(const job_id& job);
+    /// Ends the runs of items that have a result now.
+    void record_results(const batch::append_results& recorded);
     void target_changed(const membership::directory_change& change);
     /// Another store is ready to carry out runs.
     void worker_connected(const instance_id& worker, const location& place) {
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -290,6 +290,9 @@
         // Engines whose weights are too old for the job have to load newer ones soon.
         this->send_report();
     } else if (const auto* append_results = std::get_if<batch::append_results>(&command)) {
+        if (this->runner) {
+            this->runner->record_results(*append_results);
+        }
         this->request_handler->job_changed(append_results->job);
     } else if (const auto* end_job = std::get_if<batch::end_job>(&command)) {
         if (this->runner) {
