--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -1,6 +1,7 @@
 #include "soak/fault_plan.h"
 
 #include <algorithm>
+#include <optional>
 #include <random>
 
 namespace kingcupcart::soak {
@@ -17,6 +18,8 @@
     /// Shortest pause between the end of one fault and the start of the next, so that a replica of
     /// a lost disk can be rebuilt, for example.
     duration min_gap;
+    /// The kind that is added where writes are to be refused.
+    std::optional<kind> refused_writes = std::nullopt;
 };
 
 const std::vector<fault_sequence>& fault_sequences() {
@@ -30,11 +33,13 @@
         {{kind::kill_store, kind::empty_store, kind::stop_store, kind::pause_store},
          milliseconds(300),
          seconds(3),
-         seconds(5)},
+         seconds(5),
+         kind::refuse_store_writes},
         {{kind::kill_keeper, kind::empty_keeper, kind::stop_keeper, kind::pause_keeper},
          milliseconds(300),
          seconds(3),
-         seconds(5)},
+         seconds(5),
+         kind::refuse_keeper_writes},
         {{kind::delay_replica, kind::stall_requests, kind::stall_responses, kind::reset_replica},
          milliseconds(200),
          seconds(3),
@@ -58,6 +63,8 @@
         return "stop store";
     case kind::pause_store:
         return "pause store";
+    case kind::refuse_store_writes:
+        return "refuse writes of store";
     case kind::kill_keeper:
         return "kill keeper";
     case kind::empty_keeper:
@@ -66,6 +73,8 @@
         return "stop keeper";
     case kind::pause_keeper:
         return "pause keeper";
+    case kind::refuse_keeper_writes:
+        return "refuse writes of keeper";
     case kind::kill_all:
         return "kill all keepers and stores";
     case kind::delay_replica:
@@ -82,7 +91,7 @@
 
 } // namespace
 
-std::vector<fault> plan_faults(std::uint64_t seed, duration length) {
+std::vector<fault> plan_faults(std::uint64_t seed, duration length, bool has_refused_writes) {
     std::mt19937_64 random(seed);
     const auto random_duration = [&](duration min, duration max) {
         std::uniform_int_distribution<duration::rep> distribution(min.count(), max.count());
@@ -90,10 +99,14 @@
     };
     std::vector<fault> plan;
     for (const fault_sequence& sequence : fault_sequences()) {
+        std::vector<kind> kinds = sequence.kinds;
+        if (has_refused_writes && sequence.refused_writes) {
+            kinds.push_back(*sequence.refused_writes);
+        }
         duration at = random_duration(std::chrono::milliseconds(200), std::chrono::seconds(3));
         while (at < length) {
             fault planned;
-            planned.fault_kind = sequence.kinds.at(random() % sequence.kinds.size());
+            planned.fault_kind = kinds.at(random() % kinds.size());
             planned.index = random();
             planned.at = at;
             planned.active_time = random_duration(sequence.min_length, sequence.max_length);
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -20,10 +20,14 @@
         empty_store,
         stop_store,
         pause_store,
+        /// The system refuses all writes to files of the process, its log included;
+        /// `refuse_keeper_writes` likewise.
+        refuse_store_writes,
         kill_keeper,
         empty_keeper,
         stop_keeper,
         pause_keeper,
+        refuse_keeper_writes,
         /// Kills all keepers and stores at once; their data folders stay.
         kill_all,
         delay_replica,
@@ -43,8 +47,10 @@
 
 /// The faults of a seed, in order of time. Faults of gateways, stores, keepers and replicas
 /// overlap. At most one store and one keeper are down or catching up at once, except for
-/// `kill_all`, which comes last.
-[[nodiscard]] std::vector<fault> plan_faults(std::uint64_t seed, duration length);
+/// `kill_all`, which comes last. `has_refused_writes` adds the faults of disks that refuse writes;
+/// without them the plan of a seed is the one of before they were introduced.
+[[nodiscard]] std::vector<fault> plan_faults(std::uint64_t seed, duration length,
+                                             bool has_refused_writes);
 
 /// One line of output: the fault's kind, and `number=`, `at_ms=` and `lasts_ms=`.
 [[nodiscard]] std::string describe(const fault& planned);
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -160,6 +160,19 @@
     }
 }
 
+void soak_fleet::refuse_writes(fleet_instance& instance) {
+    if (instance.process) {
+        constexpr rlim_t less_than_any_file = 1;
+        instance.process->limit_file_size(less_than_any_file);
+    }
+}
+
+void soak_fleet::accept_writes(fleet_instance& instance) {
+    if (instance.process) {
+        instance.process->limit_file_size(RLIM_INFINITY);
+    }
+}
+
 std::vector<std::string> soak_fleet::run_maintenance() {
     std::vector<std::string> unexpected_exits;
     for (fleet_instance& instance : this->instances) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -44,6 +44,9 @@
     void terminate(fleet_instance& instance);
     void pause(fleet_instance& instance);
     void resume(fleet_instance& instance);
+    /// The system refuses all writes of the process to files until `accept_writes`.
+    void refuse_writes(fleet_instance& instance);
+    void accept_writes(fleet_instance& instance);
     /// Restarts instances that have exited. Returns one finding for each that exited unexpectedly.
     std::vector<std::string> run_maintenance();
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -30,7 +30,7 @@
     if (fault_kind <= kind::pause_gateway) {
         return role::gateway;
     }
-    return fault_kind <= kind::pause_store ? role::store : role::keeper;
+    return fault_kind <= kind::refuse_store_writes ? role::store : role::keeper;
 }
 
 void apply_replica_fault(soak_fleet& fleet, const fault& planned, bool is_start) {
@@ -73,6 +73,14 @@
             fleet.terminate(instance);
         }
         break;
+    case kind::refuse_store_writes:
+    case kind::refuse_keeper_writes:
+        if (is_start) {
+            fleet.refuse_writes(instance);
+        } else {
+            fleet.accept_writes(instance);
+        }
+        break;
     default:
         if (is_start) {
             fleet.pause(instance);
@@ -118,7 +126,7 @@
     return schedule;
 }
 
-bool run_soak(std::uint64_t seed, duration length) {
+bool run_soak(std::uint64_t seed, duration length, bool has_refused_writes) {
     process_tests::deployment test_deployment;
     soak_fleet fleet(test_deployment);
     soak_clients clients(test_deployment, fleet, seed);
@@ -136,7 +144,7 @@
         clients.report("the fleet did not become ready");
     }
     const time_point soak_start = std::chrono::steady_clock::now();
-    for (const schedule_entry& entry : schedule_of(plan_faults(seed, length))) {
+    for (const schedule_entry& entry : schedule_of(plan_faults(seed, length, has_refused_writes))) {
         run_for(soak_start + entry.at - std::chrono::steady_clock::now());
         apply_fault(fleet, entry.planned, entry.is_start);
         if (entry.is_start) {
@@ -161,15 +169,17 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    static const std::array<option, 4> long_options{{{"seed", required_argument, nullptr, 's'},
+    static const std::array<option, 5> long_options{{{"seed", required_argument, nullptr, 's'},
                                                      {"seeds", required_argument, nullptr, 'n'},
                                                      {"seconds", required_argument, nullptr, 't'},
+                                                     {"refused-writes", no_argument, nullptr, 'w'},
                                                      {nullptr, 0, nullptr, 0}}};
     std::uint64_t seed = 1;
     std::uint64_t seeds = 1;
     long seconds = 10;
+    bool has_refused_writes = false;
     for (int option_character = 0; option_character != -1;) {
-        option_character = getopt_long(argc, argv, "s:n:t:", long_options.data(), nullptr);
+        option_character = getopt_long(argc, argv, "s:n:t:w", long_options.data(), nullptr);
         switch (option_character) {
         case -1:
             break;
@@ -182,15 +192,19 @@
         case 't':
             seconds = std::strtol(optarg, nullptr, 10);
             break;
+        case 'w':
+            has_refused_writes = true;
+            break;
         default:
-            std::fputs("usage: soak [--seed FIRST] [--seeds COUNT] [--seconds OF_FAULTS]\n",
+            std::fputs("usage: soak [--seed FIRST] [--seeds COUNT] [--seconds OF_FAULTS] "
+                       "[--refused-writes]\n",
                        stderr);
             return 2;
         }
     }
     std::uint64_t failed = 0;
     for (std::uint64_t i = 0; i < seeds; ++i) {
-        failed += run_soak(seed + i, std::chrono::seconds(seconds)) ? 0 : 1;
+        failed += run_soak(seed + i, std::chrono::seconds(seconds), has_refused_writes) ? 0 : 1;
     }
     std::printf("%llu of %llu seeds without a finding\n",
                 static_cast<unsigned long long>(seeds - failed),
