--- a/packages/group/tests/replicated_log_test.cpp
+++ b/packages/group/tests/replicated_log_test.cpp
@@ -212,6 +212,72 @@
     }
 }
 
+SCENARIO("a journal that can't be read back is no damaged one") {
+    shared_loop loop;
+    test_groups groups;
+    groups.push_back(std::make_unique<test_group>(6, 3));
+    test_group& group = *groups.front();
+    REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+    test_group::member* faulty = group.leader();
+    REQUIRE(faulty != nullptr);
+    GIVEN("a leader whose disk was full, and takes writes but refuses reads after that") {
+        faulty->disk.set_full(true);
+        group.propose();
+        loop.run_for(1s);
+        faulty->disk.set_unreadable(true);
+        faulty->disk.set_full(false);
+        loop.run_for(3s);
+        CHECK(faulty->log->is_suspended());
+        CHECK(faulty->applied.empty());
+        WHEN("the journal can be read") {
+            faulty->disk.set_unreadable(false);
+            THEN("the member takes part again within seconds") {
+                CHECK(loop.run_until([&] { return have_converged(groups); }, 5s));
+                check_rules(groups);
+            }
+        }
+    }
+}
+
+SCENARIO(
+    "a group in which two of three disks refuse writes goes on with the first that takes them") {
+    shared_loop loop;
+    test_groups groups;
+    groups.push_back(std::make_unique<test_group>(7, 3));
+    test_group& group = *groups.front();
+    REQUIRE(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+    group.propose();
+    REQUIRE(loop.run_until([&] { return !group.acknowledged().empty(); }, 5s));
+    GIVEN("a leader and a follower with full disks") {
+        test_group::member* first = group.leader();
+        REQUIRE(first != nullptr);
+        test_group::member& second = &group.at(0) == first ? group.at(1) : group.at(0);
+        first->disk.set_full(true);
+        second.disk.set_full(true);
+        for (int i = 0; i < 200; ++i) {
+            group.propose();
+            loop.run_for(step);
+        }
+        const std::size_t count = group.acknowledged().size();
+        CHECK(first->log->is_suspended());
+        CHECK(group.leader() == nullptr);
+        WHEN("the follower's disk takes writes") {
+            second.disk.set_full(false);
+            const auto is_acknowledged = [&] {
+                group.propose();
+                return group.acknowledged().size() > count;
+            };
+            THEN("commands are taken again, and the leader of before follows later") {
+                REQUIRE(loop.run_until(is_acknowledged, recovery_time));
+                CHECK(first->log->is_suspended());
+                first->disk.set_full(false);
+                CHECK(loop.run_until([&] { return have_converged(groups); }, recovery_time));
+                check_rules(groups);
+            }
+        }
+    }
+}
+
 SCENARIO("a leader that stops hands over") {
     shared_loop loop;
     test_groups groups;
--- a/packages/group/tests/test_disk.h
+++ b/packages/group/tests/test_disk.h
@@ -23,6 +23,7 @@
     void refuse_larger_appends(std::size_t bytes) { this->max_append = bytes; }
     /// Refuses all appends, although the check for whether the disk takes writes passes.
     void refuse_appends_unnoticed(bool refuses) { this->refuses_appends = refuses; }
+    void set_unreadable(bool unreadable) { this->unreadable = unreadable; }
     /// Refuses the call with this number, counted from 1.
     void refuse_call(std::size_t number) { this->refused_call = number; }
     [[nodiscard]] std::size_t calls() const { return this->call_count; }
@@ -37,6 +38,7 @@
     [[nodiscard]] bool check_writable(std::size_t size) {
         return this->accepts_call() && size <= this->max_append;
     }
+    [[nodiscard]] bool is_unreadable() const { return this->unreadable; }
     [[nodiscard]] std::string_view content() const { return this->cache; }
 
     /// Writes since the last sync are present, missing or torn, each by itself.
@@ -63,6 +65,7 @@
     std::size_t max_append = std::numeric_limits<std::size_t>::max();
     bool refuses_appends = false;
     bool full = false;
+    bool unreadable = false;
     bool refused = false;
 };
 
--- a/packages/group/tests/test_storage.h
+++ b/packages/group/tests/test_storage.h
@@ -11,6 +11,9 @@
     explicit test_storage(test_disk& disk) : disk(disk) {}
 
     outcome<std::string> read(std::size_t position, std::size_t size) override {
+        if (this->disk.is_unreadable()) {
+            return fail(error_code::storage_unavailable, "input/output error");
+        }
         const std::string_view content = this->disk.content();
         return position < content.size() ? std::string(content.substr(position, size))
                                          : std::string();
