Fleet: the limit that a target names is decoded, kept and logged

The adapter reads the header once (a number that is no positive decimal, or named twice, is malformed: counted, one log line a second, no limit changed), every response to a forwarded request, an item or a score request is looked at in one place, forwarding::observe_response, which also takes over the mark of leaving targets. A limit belongs to an incarnation; a response whose request was sent before the one that told the present limit changes nothing. Log lines when a limit begins, changes and ends, with target, rate, source and age; gauges gateway_limited_targets and gateway_target_limits_malformed. Nothing obeys the limit yet.

--- a/packages/base/units.h
+++ b/packages/base/units.h
@@ -10,5 +10,6 @@
 using tokens = quantity<struct tokens_unit, std::int64_t>;
 using bytes = quantity<struct bytes_unit, std::int64_t>;
 using tokens_per_second = quantity<struct tokens_per_second_unit, double>;
+using requests_per_second = quantity<struct requests_per_second_unit, double>;
 
 } // namespace kingcupcart
--- a/packages/engines/target_protocol.h
+++ b/packages/engines/target_protocol.h
@@ -12,6 +12,7 @@
 #include "http/request.h"
 #include "http/response_head.h"
 #include "membership/target_record.h"
+#include "permits/limit_statement.h"
 #include "rollout/planner_messages.h"
 
 #include <optional>
@@ -36,6 +37,7 @@
     { Candidate::signature_of(head) } -> std::same_as<std::optional<std::string>>;
     { Candidate::classify_response(head, text) } -> std::same_as<response_kind>;
     { Candidate::is_leaving(head) } -> std::same_as<bool>;
+    { Candidate::limit_of(head, text) } -> std::same_as<permits::limit_statement>;
     { Candidate::weight_version_of(head) } -> std::same_as<std::optional<weight_version>>;
     { Candidate::parse_event(event) } -> std::same_as<std::optional<stream_event>>;
     { Candidate::parse_load_order_result(head) } -> std::same_as<rollout::load_order_result>;
@@ -56,6 +58,10 @@
                                        std::string_view request_name) = nullptr;
     /// Whether the target says in this response, of whatever kind, that it is leaving.
     bool (*is_leaving)(const http::response_head&) = nullptr;
+    /// The rate of requests that the target takes, as the response states it. `request_name` is the
+    /// identifier that the request was sent with; empty if it had none.
+    permits::limit_statement (*limit_of)(const http::response_head&,
+                                         std::string_view request_name) = nullptr;
     /// The weight version that generates the first events of the stream; empty if the head has
     /// none.
     std::optional<weight_version> (*weight_version_of)(const http::response_head&) = nullptr;
@@ -68,18 +74,12 @@
 
 template <target_dialect Dialect>
 constexpr target_protocol make_target_protocol() {
-    return {&Dialect::forward,
-            &Dialect::run_item,
-            &Dialect::order_load,
-            &Dialect::request_report,
-            &Dialect::make_score_call,
-            &Dialect::signature_of,
-            &Dialect::classify_response,
-            &Dialect::is_leaving,
-            &Dialect::weight_version_of,
-            &Dialect::parse_event,
-            &Dialect::parse_load_order_result,
-            &Dialect::parse_report};
+    return {
+        &Dialect::forward,           &Dialect::run_item,        &Dialect::order_load,
+        &Dialect::request_report,    &Dialect::make_score_call, &Dialect::signature_of,
+        &Dialect::classify_response, &Dialect::is_leaving,      &Dialect::limit_of,
+        &Dialect::weight_version_of, &Dialect::parse_event,     &Dialect::parse_load_order_result,
+        &Dialect::parse_report};
 }
 
 } // namespace kingcupcart::engines
--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -24,6 +24,7 @@
       notify(std::move(notify)),
       directory(location{}),
       time(time),
+      known_limits(time),
       links(time, {this->notify.make_hello,
                    [this](const instance_id& keeper) {
                        spdlog::info("connected to keeper keeper={}", keeper.value());
@@ -81,6 +82,11 @@
     spdlog::info("target {} target={} backend={} incarnation={} sequence={} leaving={} from={}",
                  membership::to_string(change.event), record.id.value(), record.backend.value(),
                  record.incarnation.value(), record.sequence, record.leaving, from.value());
+    if (change.event == membership::directory_event::removed) {
+        this->known_limits.target_removed(record.id);
+    } else {
+        this->known_limits.target_changed(record.id, record.incarnation);
+    }
     this->notify.target_changed(change);
 }
 
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/ids.h"
+#include "fleet/target_limits.h"
 #include "group/member_links.h"
 #include "membership/directory.h"
 #include "membership/directory_change.h"
@@ -62,6 +63,7 @@
     /// Marks the target as leaving after it said so in a response, and notifies the keepers. The
     /// mark outlasts updates of the keepers until another incarnation of the target starts.
     void mark_leaving(const target_id& target, incarnation_id incarnation);
+    [[nodiscard]] target_limits& limits() { return this->known_limits; }
 
 private:
     void receive(const instance_id& from, const wire::message& message);
@@ -83,6 +85,7 @@
     std::map<target_id, incarnation_id> leaving_targets;
     std::vector<wire::store_address> known_stores;
     const clock& time;
+    target_limits known_limits;
     group::member_links links;
 };
 
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -35,6 +35,7 @@
     added.last_event = request.resume_after;
     added.target = target.id;
     added.incarnation = target.incarnation;
+    added.sent_at = this->params.time->now();
     this->attempts.emplace(attempt, std::move(response));
     http::request outgoing = this->params.protocol.forward(request, target);
     // The length of a stream is not limited, only that of its events.
@@ -51,8 +52,11 @@
 
 void forwarded_call::on_head(attempt_id attempt, const http::response_head& head) {
     auto found = this->attempts.find(attempt);
-    if (found != this->attempts.end() && this->params.protocol.is_leaving(head)) {
-        this->params.target_leaving(found->second->target, found->second->incarnation);
+    if (found != this->attempts.end()) {
+        const attempt_response& response = *found->second;
+        this->params.head_received(
+            {response.target, response.incarnation, this->params.call.name, response.sent_at},
+            head);
         found = this->attempts.find(attempt);
     }
     if (found == this->attempts.end()) {
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -5,6 +5,7 @@
 #include "completions/event_parser.h"
 #include "engines/target_protocol.h"
 #include "forwarding/call_parameters.h"
+#include "forwarding/response_observer.h"
 #include "http/client.h"
 #include "http/response_head.h"
 #include "membership/target_record.h"
@@ -36,8 +37,8 @@
         /// Passes a message to the dispatcher, whose actions are executed before the next event
         /// loop iteration.
         std::function<void(const requests::message&)> notify;
-        /// Called if a target says in its response that it is leaving.
-        std::function<void(const target_id&, incarnation_id)> target_leaving;
+        /// Called with the head of each response, which may say something of its target.
+        std::function<void(const observed_request&, const http::response_head&)> head_received;
     };
 
     explicit forwarded_call(parameters arguments);
@@ -69,6 +70,7 @@
         bool is_matching = false;
         target_id target;
         incarnation_id incarnation;
+        time_point sent_at{};
     };
 
     void on_head(attempt_id attempt, const http::response_head& head);
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/forwarder.h"
 
 #include "forwarding/internal/forwarded_call.h"
+#include "forwarding/response_observer.h"
 
 #include <spdlog/spdlog.h>
 
@@ -99,8 +100,9 @@
     arguments.time = this->params.time;
     arguments.client = &this->client;
     arguments.notify = [this](const requests::message& message) { this->dispatch(message); };
-    arguments.target_leaving = [this](const target_id& target, incarnation_id incarnation) {
-        this->params.fleet->mark_leaving(target, incarnation);
+    arguments.head_received = [this](const observed_request& request,
+                                     const http::response_head& head) {
+        observe_response(*this->params.fleet, this->params.protocol, request, head);
     };
     this->calls.emplace(profile.id,
                         open_call{std::make_unique<forwarded_call>(std::move(arguments)), now});
--- a/packages/forwarding/tests/forwarded_call_test.cpp
+++ b/packages/forwarding/tests/forwarded_call_test.cpp
@@ -66,7 +66,8 @@
         arguments.protocol.forward = &forward;
         arguments.protocol.classify_response = &classify;
         arguments.protocol.parse_event = &parse_event;
-        arguments.protocol.is_leaving = [](const http::response_head&) { return false; };
+        arguments.head_received = [](const forwarding::observed_request&,
+                                     const http::response_head&) {};
         arguments.deadline = this->runner.time.now() + std::chrono::seconds(10);
         arguments.is_stream = is_stream;
         arguments.max_response_bytes = response_limit;
--- a/packages/store/internal/item_run.cpp
+++ b/packages/store/internal/item_run.cpp
@@ -54,11 +54,9 @@
     if (this->is_over) {
         return;
     }
-    if (this->params.protocol.is_leaving(head)) {
-        this->params.engine_leaving();
-        if (this->is_over) {
-            return;
-        }
+    this->params.head_received(head);
+    if (this->is_over) {
+        return;
     }
     const auto kind =
         this->params.protocol.classify_response(head, this->params.action.item.value());
--- a/packages/store/internal/item_run.h
+++ b/packages/store/internal/item_run.h
@@ -26,8 +26,8 @@
         /// Whether the engine has to state the weight version that generated the text.
         bool needs_versions = false;
         partial_text* text = nullptr;
-        /// Called if the engine says in its response that it is leaving.
-        std::function<void()> engine_leaving;
+        /// Called with the head of the response, which may say something of the engine.
+        std::function<void(const http::response_head&)> head_received;
     };
     /// Called with each `run_progressed`, and once with `run_completed` or `run_failed`. The
     /// callback must not destroy the run, which is in use until the event loop's next iteration.
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -1,5 +1,7 @@
 #include "store/internal/item_runner.h"
 
+#include "forwarding/response_observer.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -259,9 +261,12 @@
     arguments.oldest_version = request.oldest_version;
     arguments.needs_versions = request.needs_versions;
     arguments.text = &text;
-    arguments.engine_leaving = [this, engine = target.id, incarnation = target.incarnation] {
-        this->params.fleet->mark_leaving(engine, incarnation);
-    };
+    arguments.head_received =
+        [this, engine = target.id, incarnation = target.incarnation, item = action.item,
+         sent_at = this->params.time->now()](const http::response_head& head) {
+            forwarding::observe_response(*this->params.fleet, this->params.protocol,
+                                         {engine, incarnation, item.value(), sent_at}, head);
+        };
     auto run = std::make_unique<item_run>(
         arguments, [this](const batch::scheduler_message& message) { this->dispatch(message); });
     item_run& added = *run;
--- a/packages/store/internal/run_worker.cpp
+++ b/packages/store/internal/run_worker.cpp
@@ -1,5 +1,7 @@
 #include "store/internal/run_worker.h"
 
+#include "forwarding/response_observer.h"
+
 #include <spdlog/spdlog.h>
 
 #include <chrono>
@@ -82,9 +84,12 @@
     arguments.oldest_version = request.oldest_version;
     arguments.needs_versions = request.needs_versions;
     arguments.text = &active->text;
-    arguments.engine_leaving = [this, engine = target->id, incarnation = target->incarnation] {
-        this->params.fleet->mark_leaving(engine, incarnation);
-    };
+    arguments.head_received =
+        [this, engine = target->id, incarnation = target->incarnation, item = request.item.id,
+         sent_at = this->params.time->now()](const http::response_head& head) {
+            forwarding::observe_response(*this->params.fleet, this->params.protocol,
+                                         {engine, incarnation, item.value(), sent_at}, head);
+        };
     active->run =
         std::make_unique<item_run>(arguments, [this, key](const batch::scheduler_message& message) {
             this->on_run_message(key, message);
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -78,6 +78,9 @@
     if (this->says_leaving) {
         exchange->add_header("Server-Leaving", "1");
     }
+    if (!this->limit.empty()) {
+        exchange->add_header("Server-Limit", this->limit);
+    }
     const std::string expected = exchange->header("X-Expect-Instance");
     if (!expected.empty() && expected != this->params.id) {
         exchange->respond(status_misdirected, "text/plain", "");
@@ -111,6 +114,7 @@
 void platform_replica::run_request(std::unique_ptr<http::exchange> exchange) {
     const std::string identifier = exchange->header("X-Request-Id");
     this->executed_requests.push_back(identifier);
+    this->arrival_times.push_back(this->time.now());
     exchange->add_header("X-Request-Id", identifier);
     exchange->add_header("X-Server-Stamp", "stamp-of-" + this->params.id);
     if (this->params.model.empty()) {
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kingcupcart::stand_ins {
@@ -75,6 +76,10 @@
     void fail_requests(int requests) { this->requests_to_fail = requests; }
     /// Adds the header of a leaving replica to all responses, and leaves the heartbeats unchanged.
     void announce_leaving_in_responses() { this->says_leaving = true; }
+    /// Sets the text of the limit header that all responses carry; none if it is empty.
+    void name_limit(std::string text) { this->limit = std::move(text); }
+    /// When each request to be run arrived, in order.
+    [[nodiscard]] const std::vector<time_point>& arrivals() const { return this->arrival_times; }
     /// Makes a plain service leave requests unanswered.
     void hold_responses(bool is_held) { this->holds_responses = is_held; }
     /// Answers the requests that were held so far.
@@ -114,6 +119,8 @@
     int requests_to_fail = 0;
     bool holds_responses = false;
     bool says_leaving = false;
+    std::string limit;
+    std::vector<time_point> arrival_times;
     std::vector<std::string> executed_requests;
     std::map<std::string, std::set<std::uint64_t>> item_versions;
     std::vector<open_stream> streams;
