--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -21,6 +21,8 @@
 /// engine's, and for the engine that the item was just moved away from.
 constexpr double old_weights_factor = 1.1;
 constexpr double avoided_engine_factor = 4;
+/// The same for an engine that takes a limited rate: its permits are for what finds no room else.
+constexpr double limited_engine_factor = 2;
 
 double seconds(duration time) {
     return std::chrono::duration<double>(time).count();
@@ -115,8 +117,13 @@
     return 1 + (ratio - 1) * std::exp(-age);
 }
 
-bool engine_pool::can_serve(const engine_state& state, const job_opened& job, time_point now) {
-    if (!state.has_slot(now)) {
+bool engine_pool::is_available(const engine_state& state, time_point now) const {
+    return state.has_slot(now) && this->permits.may_send(state.descriptor.id, now);
+}
+
+bool engine_pool::can_serve(const engine_state& state, const job_opened& job,
+                            time_point now) const {
+    if (!this->is_available(state, now)) {
         return false;
     }
     const auto& services = job.services;
@@ -166,6 +173,9 @@
         if (version != state.descriptor.versions.end() && version->second < newest) {
             score *= old_weights_factor;
         }
+        if (this->is_limited(state)) {
+            score *= limited_engine_factor;
+        }
         if (id == item.avoided_engine) {
             score *= avoided_engine_factor;
         }
@@ -211,7 +221,7 @@
 
 bool engine_pool::has_free_slot(time_point now) const {
     return std::any_of(this->engines.begin(), this->engines.end(),
-                       [&](const auto& entry) { return entry.second.has_slot(now); });
+                       [&](const auto& entry) { return this->is_available(entry.second, now); });
 }
 
 } // namespace kingcupcart::batch
--- a/packages/batch/internal/engine_pool.h
+++ b/packages/batch/internal/engine_pool.h
@@ -6,6 +6,7 @@
 #include "batch/internal/scheduled_item.h"
 #include "batch/scheduler_limits.h"
 #include "batch/scheduler_messages.h"
+#include "permits/permit_account.h"
 
 #include <map>
 #include <optional>
@@ -15,7 +16,9 @@
 /// The engines, their measured speeds, and the choice of an engine for an item.
 class engine_pool {
 public:
-    explicit engine_pool(const scheduler_limits& limits) : limits(limits) {}
+    /// `permits` has to outlive the pool.
+    engine_pool(const scheduler_limits& limits, const permits::permit_account& permits)
+        : limits(limits), permits(permits) {}
 
     /// Null if the engine is unknown.
     [[nodiscard]] engine_state* find(const target_id& id);
@@ -37,7 +40,11 @@
     /// The engine on which the item is expected to complete first; null if none has room for it.
     [[nodiscard]] engine_state* choose_engine(const scheduled_item& item, const job_opened& job,
                                               time_point now);
-    /// Whether any engine has a free slot.
+    /// Whether the engine takes a limited rate of requests.
+    [[nodiscard]] bool is_limited(const engine_state& state) const {
+        return this->permits.is_limited(state.descriptor.id);
+    }
+    /// Whether a run may start on any engine.
     [[nodiscard]] bool has_free_slot(time_point now) const;
     /// The largest item that an engine with a free slot accepts for the job; negative if no engine
     /// has a free slot.
@@ -50,14 +57,17 @@
 private:
     [[nodiscard]] duration compute_median_event_interval() const;
     [[nodiscard]] weight_version newest_version_of(const model_name& model) const;
-    [[nodiscard]] static bool can_serve(const engine_state& state, const job_opened& job,
-                                        time_point now);
+    /// Whether a run may start on the engine, whatever it is.
+    [[nodiscard]] bool is_available(const engine_state& state, time_point now) const;
+    [[nodiscard]] bool can_serve(const engine_state& state, const job_opened& job,
+                                 time_point now) const;
     /// The largest item for which the engine has memory.
     [[nodiscard]] tokens room_of(const engine_state& state) const;
     [[nodiscard]] bool can_accept(const engine_state& state, const scheduled_item& item,
                                   const job_opened& job, time_point now) const;
 
     scheduler_limits limits;
+    const permits::permit_account& permits;
     std::map<target_id, engine_state> engines;
     /// Cached median, since it is read far more often than it changes; reset by each change of an
     /// engine's event interval.
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -20,7 +20,8 @@
 
 } // namespace
 
-item_scheduler::item_scheduler(scheduler_limits limits) : impl(std::make_unique<state>(limits)) {}
+item_scheduler::item_scheduler(scheduler_limits limits, permits::permit_account* permits)
+    : impl(std::make_unique<state>(limits, permits)) {}
 
 item_scheduler::~item_scheduler() = default;
 
@@ -32,6 +33,7 @@
     if (!is_run_progress || !this->impl->output.empty()) {
         // Progress of a run frees no engine unless it caused an action.
         this->impl->start_waiting_items();
+        this->impl->update_permit_demands();
     }
     return std::exchange(this->impl->output, {});
 }
@@ -274,6 +276,21 @@
     this->waiting = std::move(still_waiting);
 }
 
+void item_scheduler::state::update_permit_demands() {
+    for (const permits::target_limit& limit : this->permits->table().limits()) {
+        const engine_state* limited = this->engines.find(limit.target);
+        if (limited == nullptr) {
+            continue;
+        }
+        const bool takes_runs =
+            !limited->descriptor.is_leaving && limited->backoff_until <= this->now;
+        const auto free_slots =
+            static_cast<std::size_t>(std::max(0, limited->descriptor.slots - limited->running()));
+        const std::size_t wanted = takes_runs ? std::min(free_slots, this->waiting.size()) : 0;
+        this->permits->set_background(limit.target, static_cast<std::uint32_t>(wanted));
+    }
+}
+
 engine_state* item_scheduler::state::choose_engine(const scheduled_item& item) {
     const job_state& job = this->jobs.at(item.job);
     engine_state* target_engine = this->engines.choose_engine(item, job.spec, this->now);
@@ -314,6 +331,7 @@
     if (!this->jobs.at(item.job).spec.is_resumable) {
         item.discard_events();
     }
+    this->permits->take(item.engine, this->now);
     this->runs.emplace(run, item.spec.id);
     const int running = target_engine.running();
     target_engine.runs.insert(run);
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -3,6 +3,7 @@
 #include "batch/internal/engine_pool.h"
 #include "batch/internal/scheduled_item.h"
 #include "batch/item_scheduler.h"
+#include "permits/permit_account.h"
 
 #include <cstdint>
 #include <deque>
@@ -17,7 +18,11 @@
 /// Implementation of the item scheduler.
 class item_scheduler::state {
 public:
-    explicit state(scheduler_limits limits) : limits(limits), engines(limits) {}
+    state(scheduler_limits limits, permits::permit_account* shared_permits)
+        : limits(limits),
+          own_permits({}, 0),
+          permits(shared_permits == nullptr ? &this->own_permits : shared_permits),
+          engines(limits, *this->permits) {}
 
     void on(const job_opened& opened);
     void on(const job_closed& closed);
@@ -29,9 +34,12 @@
     void on(const run_progressed& progressed);
     void on(const run_completed& completed);
     void on(const run_failed& failed);
+    void on(const permits_updated& /*updated*/) {}
     void on(const timer_expired& expired);
     /// Starts the waiting items for which an engine has room.
     void start_waiting_items();
+    /// Asks for the permits that waiting items could use.
+    void update_permit_demands();
 
     struct job_state {
         job_opened spec;
@@ -40,6 +48,9 @@
     };
 
     scheduler_limits limits;
+    permits::permit_account own_permits;
+    /// Never null.
+    permits::permit_account* permits;
     engine_pool engines;
     std::map<job_id, job_state> jobs;
     std::unordered_map<item_id, scheduled_item> items;
--- a/packages/batch/internal/run_checks.cpp
+++ b/packages/batch/internal/run_checks.cpp
@@ -60,7 +60,7 @@
         return;
     }
     engine_state* better = this->engines.choose_engine(item, job, this->now);
-    if (better == nullptr || better == target_engine ||
+    if (better == nullptr || better == target_engine || this->engines.is_limited(*better) ||
         this->engines.slowness(*better, this->now) > this->limits.move_to_slowness) {
         return;
     }
--- a/packages/batch/item_scheduler.h
+++ b/packages/batch/item_scheduler.h
@@ -5,6 +5,7 @@
 #include "batch/scheduler_actions.h"
 #include "batch/scheduler_limits.h"
 #include "batch/scheduler_messages.h"
+#include "permits/permit_account.h"
 
 #include <cstddef>
 #include <memory>
@@ -19,7 +20,10 @@
 /// longest items start first, since a group is complete only when its last item is.
 class item_scheduler {
 public:
-    explicit item_scheduler(scheduler_limits limits = {});
+    /// Counts the runs that it starts in `permits`, which has to outlive the scheduler; null if no
+    /// engine can be limited.
+    explicit item_scheduler(scheduler_limits limits = {},
+                            permits::permit_account* permits = nullptr);
     ~item_scheduler();
     item_scheduler(const item_scheduler&) = delete;
     item_scheduler& operator=(const item_scheduler&) = delete;
--- a/packages/batch/scheduler_messages.h
+++ b/packages/batch/scheduler_messages.h
@@ -110,12 +110,15 @@
     run_failure failure = run_failure::broken;
 };
 
+/// Permits of limited engines have arrived, or a limit has ended.
+struct permits_updated {};
+
 /// The time that `item_scheduler::next_wakeup` returned has passed.
 struct timer_expired {};
 
 using scheduler_message =
     std::variant<job_opened, job_closed, results_recorded, job_services_changed, engine_updated,
                  engine_removed, run_sent, run_progressed, run_completed, run_failed,
-                 timer_expired>;
+                 permits_updated, timer_expired>;
 
 } // namespace kingcupcart::batch
--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -30,6 +30,7 @@
     switch (action.reason) {
     case requests::refusal_reason::queue_full:
     case requests::refusal_reason::would_be_late:
+    case requests::refusal_reason::rate_limited:
         return status_too_many_requests;
     case requests::refusal_reason::deadline_passed:
         return status_gateway_timeout;
--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -1,5 +1,7 @@
 #include "fleet/keeper_client.h"
 
+#include "base/stable_hash.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -24,10 +26,13 @@
       notify(std::move(notify)),
       directory(location{}),
       time(time),
-      known_limits(time),
+      known_limits(time, stable_hash(this->notify.make_hello().instance.value()),
+                   {[this](const wire::message& message) { this->links.send_to_all(message); },
+                    [this](const target_id& target) { this->notify.permits_changed(target); }}),
       links(time, {this->notify.make_hello,
                    [this](const instance_id& keeper) {
                        spdlog::info("connected to keeper keeper={}", keeper.value());
+                       this->known_limits.keeper_connected();
                        this->notify.keeper_connected(keeper);
                    },
                    [this](const instance_id& from, const wire::message& message) {
@@ -57,6 +62,10 @@
         this->update_target(from, target->record);
     } else if (const auto* fleet = std::get_if<wire::fleet_update>(&message)) {
         this->update_fleet(*fleet);
+    } else if (const auto* limit = std::get_if<wire::limit_report>(&message)) {
+        this->known_limits.handle(*limit, from);
+    } else if (const auto* grants = std::get_if<wire::permit_grants>(&message)) {
+        this->known_limits.handle(*grants);
     } else if (const auto* initial_members = std::get_if<wire::initial_members_update>(&message)) {
         this->notify.initial_members_received(initial_members->initial_members);
     }
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -31,6 +31,8 @@
         std::function<wire::hello()> make_hello;
         std::function<void()> routes_changed;
         std::function<void(const membership::directory_change&)> target_changed;
+        /// The permits of a limited target, or the expected wait for them, have changed.
+        std::function<void(const target_id&)> permits_changed;
         std::function<void()> stores_changed;
         std::function<void(const std::vector<quorum::member>&)> initial_members_received;
         std::function<void(const instance_id& keeper)> keeper_connected;
--- a/packages/fleet/target_limits.h
+++ b/packages/fleet/target_limits.h
@@ -3,32 +3,61 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "permits/limit_statement.h"
-#include "permits/limit_table.h"
+#include "permits/permit_account.h"
+#include "task/wakeup.h"
+#include "wire/messages.h"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 
 namespace kingcupcart::fleet {
 
-/// The rates of requests that the targets of the fleet have named, as this instance knows them.
+/// The rates of requests that targets have named, and this instance's permits to send to them.
+/// Tells the keepers what responses say, and asks the leading one for permits.
 class target_limits {
 public:
-    explicit target_limits(const clock& time) : time(time) {}
+    struct callbacks {
+        std::function<void(const wire::message&)> send_to_keepers;
+        /// The target may be sent to, or the wait for its permits has changed.
+        std::function<void(const target_id&)> permits_changed;
+    };
+
+    target_limits(const clock& time, std::uint64_t seed, callbacks notify);
 
     /// Records what a response of the target says. `sent_at` is when its request was sent.
     void record(const target_id& target, incarnation_id incarnation,
                 const permits::limit_statement& statement, time_point sent_at);
+    void handle(const wire::limit_report& report, const instance_id& from);
+    void handle(const wire::permit_grants& grants);
     void target_changed(const target_id& target, incarnation_id incarnation);
     void target_removed(const target_id& target);
-
-    [[nodiscard]] const permits::limit_table& table() const { return this->known; }
+    /// Reports all limits, since the keepers may have restarted.
+    void keeper_connected();
+    /// Sends the demands for permits that have changed. Senders call it after they have taken
+    /// permits, or have work that waits for some.
+    void update_demands();
+
+    /// What every request to a target of the fleet is counted in.
+    [[nodiscard]] permits::permit_account& account() { return this->permits; }
+    [[nodiscard]] const permits::limit_table& table() const { return this->permits.table(); }
     /// Number of statements that could not be read.
     [[nodiscard]] std::uint64_t malformed_count() const { return this->malformed; }
 
 private:
+    void apply(const permits::target_limit& limit, const std::string& source);
+    void report(const target_id& target);
+    void count_malformed(const target_id& target, incarnation_id incarnation);
+    void handle_timer();
+
     const clock& time;
-    permits::limit_table known;
+    callbacks notify;
+    permits::permit_account permits;
     std::uint64_t malformed = 0;
     time_point malformed_logged_at{};
+    /// When each limit was last reported to the keepers.
+    std::map<target_id, time_point> reported_at;
+    task::wakeup demand_timer;
 };
 
 } // namespace kingcupcart::fleet
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -20,6 +20,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -63,6 +64,8 @@
     void begin_stop(time_point deadline);
     void routes_changed();
     void target_changed(const membership::directory_change& change);
+    /// The permits of a limited target, or the expected wait for them, have changed.
+    void permits_changed(const target_id& target);
 
     [[nodiscard]] std::size_t open_count() const { return this->calls.size(); }
 
@@ -78,6 +81,8 @@
     /// already.
     void dispatch(const requests::message& message);
     void process_inbox();
+    void process_unless_busy();
+    void log_rate_limited(const std::string& name, const requests::refuse_request& refused);
     void execute(const requests::actions& pending);
     void on(const requests::send_attempt& action);
     void on(const requests::select_attempt& selected);
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -29,7 +29,8 @@
 forwarder::forwarder(parameters arguments)
     : params(std::move(arguments)),
       random(this->params.seed),
-      dispatcher(this->params.place, make_limits(), this->params.seed),
+      dispatcher(this->params.place, make_limits(), this->params.seed,
+                 &this->params.fleet->limits().account()),
       client(*this->params.time, {this->params.limits, {}}),
       dispatcher_timer([this] { this->dispatch(requests::timer_expired{}); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {
@@ -59,6 +60,11 @@
     this->execute(this->dispatcher.update_target(change, this->params.time->now()));
 }
 
+void forwarder::permits_changed(const target_id& target) {
+    this->execute(this->dispatcher.update_permits(target, this->params.time->now()));
+    this->process_unless_busy();
+}
+
 backend_name forwarder::choose_service(const routes::route& route) {
     const auto total = std::accumulate(
         route.shares.begin(), route.shares.end(), std::uint64_t{0},
@@ -89,6 +95,7 @@
     profile.resumable = is_resumable;
     profile.is_streamed = is_stream;
     profile.deadline = max_wait;
+    profile.objective = route.latency_objective;
     profile.max_attempts = route.max_attempts;
 
     forwarded_call::parameters arguments;
@@ -130,6 +137,10 @@
 
 void forwarder::dispatch(const requests::message& message) {
     this->inbox.push_back(message);
+    this->process_unless_busy();
+}
+
+void forwarder::process_unless_busy() {
     if (!this->is_processing) {
         this->process_inbox();
     }
@@ -143,6 +154,7 @@
         this->execute(this->dispatcher.handle(message, this->params.time->now()));
     }
     this->is_processing = false;
+    this->params.fleet->limits().update_demands();
     if (const auto next = this->dispatcher.next_wakeup()) {
         this->dispatcher_timer.arm(*next);
     }
@@ -201,11 +213,26 @@
 void forwarder::on(const requests::refuse_request& refused) {
     const auto found = this->calls.find(refused.request);
     if (found != this->calls.end()) {
+        if (refused.reason == requests::refusal_reason::rate_limited) {
+            this->log_rate_limited(found->second.call->name(), refused);
+        }
         found->second.call->fail({refused.outcome, refused.reason, refused.retry_after});
         this->finish(refused.request, requests::to_string(refused.outcome));
     }
 }
 
+void forwarder::log_rate_limited(const std::string& name, const requests::refuse_request& refused) {
+    const target_id& target = refused.limited_target;
+    const permits::target_limit* limit = this->params.fleet->limits().table().find(target);
+    spdlog::info(
+        "request exceeds the rate of its targets request={} target={} rate={} "
+        "sent_in_4s={} retry_after_ms={}",
+        name, target.value(), limit == nullptr ? 0 : limit->rate->count(),
+        this->params.fleet->limits().account().sent_recently(target, this->params.time->now()),
+        refused.retry_after / std::chrono::milliseconds(1));
+    this->params.metrics->count("requests_rate_limited_total");
+}
+
 void forwarder::finish(request_id request, const char* outcome) {
     const auto found = this->calls.find(request);
     if (found == this->calls.end()) {
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -100,6 +100,9 @@
     keeper_callbacks.target_changed = [this](const membership::directory_change& change) {
         this->forwarder->target_changed(change);
     };
+    keeper_callbacks.permits_changed = [this](const target_id& target) {
+        this->forwarder->permits_changed(target);
+    };
     keeper_callbacks.stores_changed = [this] {
         this->stores->stores_changed(this->fleet->stores());
     };
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -22,6 +22,7 @@
     : params(std::move(arguments)),
       targets(location{}, membership::lease_scope::all_domains),
       stores(this->params.settings.tolerated_losses),
+      limits(this->make_limit_parameters()),
       orders({this->params.instance, this->params.protocol, &this->targets, this->params.time,
               this->params.limits, this->params.settings.order_lease,
               [this] {
@@ -32,6 +33,11 @@
              {[this](const target_id& target, incarnation_id incarnation) {
                   this->mark_leaving(target, incarnation);
               },
+              [this](const target_id& target) { this->limits.count_call(target); },
+              [this](const target_id& target, incarnation_id incarnation,
+                     const permits::limit_statement& statement, time_point sent_at) {
+                  this->limits.record(target, incarnation, statement, sent_at);
+              },
               [this](const target_id& target, const model_name& model, weight_version version) {
                   this->change_record(target, [&](membership::target_record& record) {
                       membership::merge_weights(record.weights, {model, version});
@@ -49,6 +55,19 @@
 
 fleet_control::~fleet_control() = default;
 
+limit_control::parameters fleet_control::make_limit_parameters() {
+    limit_control::parameters arguments;
+    arguments.time = this->params.time;
+    arguments.is_leading = [this] { return this->params.replicated_group->has_leader_lease(); };
+    arguments.send_to_instance = this->params.send_to_instance;
+    arguments.send_to_gateways_and_stores = this->params.send_to_gateways_and_stores;
+    arguments.send_to_keepers = [this](const wire::message& message) {
+        this->params.replicated_group->members().send_to_all(message);
+    };
+    arguments.count_senders = this->params.count_gateways_and_stores;
+    return arguments;
+}
+
 void fleet_control::handle(const control_call& call) {
     std::visit([this](const auto& alternative) { this->on(alternative); }, call);
 }
@@ -219,6 +238,8 @@
         }
         messages.emplace_back(std::move(initial_members));
     }
+    const std::vector<wire::message> reports = this->limits.initial_messages();
+    messages.insert(messages.end(), reports.begin(), reports.end());
     return messages;
 }
 
@@ -237,6 +258,7 @@
 }
 
 void fleet_control::instance_disconnected(const wire::hello& hello) {
+    this->limits.instance_disconnected(hello.instance);
     if (hello.role == wire::instance_role::store) {
         this->stores.disconnected(hello.instance, this->params.time->now());
     }
@@ -246,6 +268,9 @@
     for (const membership::target_record& record : this->targets.records_with_removed()) {
         this->params.replicated_group->members().send(keeper, wire::target_update{record});
     }
+    for (const wire::message& report : this->limits.initial_messages()) {
+        this->params.replicated_group->members().send(keeper, report);
+    }
 }
 
 void fleet_control::handle_message(const wire::hello& from, const wire::message& message) {
@@ -260,6 +285,10 @@
         }
     } else if (const auto* leaving = std::get_if<wire::target_leaving>(&message)) {
         this->mark_leaving(leaving->target, leaving->incarnation);
+    } else if (const auto* limit = std::get_if<wire::limit_report>(&message)) {
+        this->limits.handle(from.instance, *limit);
+    } else if (const auto* demands = std::get_if<wire::permit_demands>(&message)) {
+        this->limits.handle(from.instance, *demands);
     } else if (const auto* registration = std::get_if<wire::store_registration>(&message)) {
         this->stores.registered(from.instance, *registration, now);
         this->bootstrap_stores();
@@ -305,9 +334,11 @@
                  record.leaving);
     this->params.send_to_gateways_and_stores(wire::target_update{record});
     if (change.event == membership::directory_event::removed) {
+        this->limits.target_removed(record.id);
         this->orders.dispatch(rollout::engine_removed{record.id});
         return;
     }
+    this->limits.target_changed(record.id, record.incarnation);
     rollout::engine_updated updated_engine;
     updated_engine.state.engine = record.id;
     updated_engine.state.service = record.backend;
@@ -435,6 +466,7 @@
             this->targets.renew(record.id, this->params.settings.target_lease, now);
         }
     }
+    this->limits.leadership_changed(is_leader);
     this->orders.leadership_changed(is_leader);
 }
 
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -7,6 +7,7 @@
 #include "group/group.h"
 #include "keeper/control_calls.h"
 #include "keeper/internal/keeper_codec.h"
+#include "keeper/internal/limit_control.h"
 #include "keeper/internal/store_registry.h"
 #include "keeper/internal/weight_orders.h"
 #include "membership/directory.h"
@@ -16,6 +17,7 @@
 #include "telemetry/metric_set.h"
 #include "wire/messages.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,6 +42,9 @@
         telemetry::metric_set* metrics = nullptr;
         /// Sends a message to all gateways and stores that are linked to this keeper.
         std::function<void(const wire::message&)> send_to_gateways_and_stores;
+        std::function<void(const instance_id&, const wire::message&)> send_to_instance;
+        /// Number of gateways and stores that are linked to this keeper.
+        std::function<std::size_t()> count_gateways_and_stores;
     };
 
     explicit fleet_control(parameters arguments);
@@ -72,6 +77,7 @@
     void on(const get_retirement& call);
     void on(const malformed_call& call);
 
+    [[nodiscard]] limit_control::parameters make_limit_parameters();
     void submit(const replicated::command& command, const control_reply& reply);
     /// Sends the change to the other keepers and handles it here.
     /// Marks the target as leaving, as if a heartbeat had announced it, and notifies all instances.
@@ -102,6 +108,7 @@
     /// When this keeper received the last heartbeat of each target.
     std::map<target_id, time_point> last_heartbeats;
     store_registry stores;
+    limit_control limits;
     weight_orders orders;
     bool is_bootstrapping = false;
     time_point started_at{};
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <sstream>
@@ -146,20 +147,41 @@
     arguments.send_to_gateways_and_stores = [this](const wire::message& message) {
         this->send_to_gateways_and_stores(message);
     };
+    arguments.send_to_instance = [this](const instance_id& to, const wire::message& message) {
+        this->send_to_instance(to, message);
+    };
+    arguments.count_gateways_and_stores = [this] { return this->count_gateways_and_stores(); };
     this->fleet = std::make_unique<fleet_control>(std::move(arguments));
     this->fleet->restored();
 }
 
+bool keeper::is_gateway_or_store(const linked_instance& instance) {
+    return instance.link && (instance.hello.role == wire::instance_role::gateway ||
+                             instance.hello.role == wire::instance_role::store);
+}
+
 void keeper::send_to_gateways_and_stores(const wire::message& message) {
     for (auto& [number, instance] : this->linked_instances) {
-        const bool is_recipient = instance.hello.role == wire::instance_role::gateway ||
-                                  instance.hello.role == wire::instance_role::store;
-        if (instance.link && is_recipient) {
+        if (is_gateway_or_store(instance)) {
             instance.link->send(message);
         }
     }
 }
 
+void keeper::send_to_instance(const instance_id& to, const wire::message& message) {
+    for (auto& [number, instance] : this->linked_instances) {
+        if (instance.link && instance.hello.instance == to) {
+            instance.link->send(message);
+        }
+    }
+}
+
+std::size_t keeper::count_gateways_and_stores() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->linked_instances.begin(), this->linked_instances.end(),
+                      [](const auto& entry) { return is_gateway_or_store(entry.second); }));
+}
+
 void keeper::on(const settings::seeds_changed& changed) {
     for (const endpoint& seed : changed.links) {
         this->replicated_group->add_member(instance_id(seed.to_string()), seed);
--- a/packages/keeper/internal/keeper.h
+++ b/packages/keeper/internal/keeper.h
@@ -17,6 +17,7 @@
 #include "wire/messages.h"
 #include "wire/peer_link.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -81,7 +82,10 @@
     outcome<void> open_group();
     [[nodiscard]] keeper_group::parameters group_parameters() const;
     void open_fleet();
+    [[nodiscard]] static bool is_gateway_or_store(const linked_instance& instance);
     void send_to_gateways_and_stores(const wire::message& message);
+    void send_to_instance(const instance_id& to, const wire::message& message);
+    [[nodiscard]] std::size_t count_gateways_and_stores() const;
     void applied(const replicated::command& command);
     void leadership_changed(bool is_leader);
     [[nodiscard]] const replicated::replicated_state& state() const {
--- a/packages/keeper/internal/weight_orders.cpp
+++ b/packages/keeper/internal/weight_orders.cpp
@@ -171,15 +171,19 @@
     limited.max_response_bytes = max_response_bytes;
     const membership::target_record* target = this->params.targets->find(engine);
     const incarnation_id incarnation = target == nullptr ? incarnation_id() : target->incarnation;
+    const time_point sent_at = this->params.time->now();
+    this->notify.call_started(engine);
     call.call = this->client.start(
         limited, {[] {},
-                  [this, engine, number, incarnation](const http::response_head& head) {
+                  [this, engine, number, incarnation, sent_at](const http::response_head& head) {
                       if (open_call* open = this->find_call(engine, number)) {
                           open->head = head;
                       }
                       if (this->params.protocol.is_leaving(head)) {
                           this->notify.leaving(engine, incarnation);
                       }
+                      this->notify.limit_stated(engine, incarnation,
+                                                this->params.protocol.limit_of(head, {}), sent_at);
                   },
                   [this, engine, number](std::string_view data) {
                       if (open_call* open = this->find_call(engine, number)) {
--- a/packages/keeper/internal/weight_orders.h
+++ b/packages/keeper/internal/weight_orders.h
@@ -37,6 +37,13 @@
     struct callbacks {
         /// The engine said in a response that it is leaving.
         std::function<void(const target_id&, incarnation_id)> leaving;
+        /// A call is about to be sent.
+        std::function<void(const target_id&)> call_started;
+        /// What a response says of the rate of requests that the engine takes. The time is that at
+        /// which its call was sent.
+        std::function<void(const target_id&, incarnation_id, const permits::limit_statement&,
+                           time_point)>
+            limit_stated;
         std::function<void(const target_id&, const model_name&, weight_version)> loaded;
         std::function<void(const target_id&, bool is_loading)> loading_changed;
     };
--- a/packages/keeper/tests/weight_orders_test.cpp
+++ b/packages/keeper/tests/weight_orders_test.cpp
@@ -58,14 +58,19 @@
         arguments.protocol.request_report = &make_report_request;
         arguments.protocol.parse_report = &parse_report;
         arguments.protocol.is_leaving = [](const http::response_head&) { return false; };
+        arguments.protocol.limit_of = [](const http::response_head&, std::string_view) {
+            return permits::limit_statement{};
+        };
         arguments.targets = &this->targets;
         arguments.time = &this->time;
         arguments.fence = [] { return fencing_token(1); };
         arguments.may_order = [] { return false; };
         this->orders = std::make_unique<weight_orders>(
-            std::move(arguments), weight_orders::callbacks{[](const auto&, auto) {},
-                                                           [](const auto&, const auto&, auto) {},
-                                                           [](const auto&, bool) {}});
+            std::move(arguments),
+            weight_orders::callbacks{[](const auto&, auto) {}, [](const auto&) {},
+                                     [](const auto&, auto, const auto&, auto) {},
+                                     [](const auto&, const auto&, auto) {},
+                                     [](const auto&, bool) {}});
         rollout::service_models service;
         service.service = backend_name("llm");
         service.models.emplace_back("m");
--- a/packages/requests/actions.h
+++ b/packages/requests/actions.h
@@ -50,6 +50,8 @@
     refusal_reason reason = refusal_reason::target_failed;
     /// Delay after which a retry may succeed; zero if unknown.
     duration retry_after{};
+    /// Set if the reason is `rate_limited`: the target whose permit the request would get first.
+    target_id limited_target = target_id();
 };
 
 using action =
--- a/packages/requests/dispatcher.h
+++ b/packages/requests/dispatcher.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "membership/directory_change.h"
 #include "membership/target_load.h"
+#include "permits/permit_account.h"
 #include "requests/actions.h"
 #include "requests/dispatcher_limits.h"
 #include "requests/messages.h"
@@ -24,7 +25,10 @@
 /// whose transmission to a target started is neither sent again nor reported as not run.
 class dispatcher {
 public:
-    dispatcher(location local_location, dispatcher_limits limits, std::uint64_t seed);
+    /// Counts what it sends in `permits`, which has to outlive the dispatcher; null if no target
+    /// can be limited.
+    dispatcher(location local_location, dispatcher_limits limits, std::uint64_t seed,
+               permits::permit_account* permits = nullptr);
     ~dispatcher();
     dispatcher(dispatcher&&) noexcept;
     dispatcher& operator=(dispatcher&&) noexcept;
@@ -36,6 +40,8 @@
     /// Applies the work classes of a new configuration.
     void set_classes(const std::vector<admission::work_class>& classes);
     [[nodiscard]] actions update_target(const membership::directory_change& change, time_point now);
+    /// The permits of the target, or the expected wait for them, have changed.
+    [[nodiscard]] actions update_permits(const target_id& target, time_point now);
     void record_load(const membership::target_load& load);
     /// Records cache events of a target; they may arrive late and incompletely.
     void record_cached(const target_id& target, const std::vector<prefix_hash>& blocks,
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-dispatcher::dispatcher(location local_location, dispatcher_limits limits, std::uint64_t seed)
-    : impl(std::make_unique<state>(std::move(local_location), limits, seed)) {}
+dispatcher::dispatcher(location local_location, dispatcher_limits limits, std::uint64_t seed,
+                       permits::permit_account* permits)
+    : impl(std::make_unique<state>(std::move(local_location), limits, seed, permits)) {}
 
 dispatcher::~dispatcher() = default;
 dispatcher::dispatcher(dispatcher&&) noexcept = default;
@@ -63,6 +64,14 @@
     return std::exchange(this->impl->output, {});
 }
 
+actions dispatcher::update_permits(const target_id& target, time_point now) {
+    this->impl->now = now;
+    const backend_name backend = this->impl->router.backend_of(target);
+    this->impl->send_queued(backend);
+    this->impl->refuse_without_permit(target);
+    return std::exchange(this->impl->output, {});
+}
+
 void dispatcher::record_load(const membership::target_load& load) {
     this->impl->router.record_load_report(load.id, {load.running, load.waiting});
 }
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -14,10 +14,16 @@
 
 } // namespace
 
-dispatcher::state::state(location local_location, dispatcher_limits limits, std::uint64_t seed)
+dispatcher::state::state(location local_location, dispatcher_limits limits, std::uint64_t seed,
+                         permits::permit_account* shared_permits)
     : limits(limits),
       router(std::move(local_location), limits.routing, seed),
-      budget(limits.retry_share, limits.retry_burst) {}
+      own_permits({}, seed),
+      permits(shared_permits == nullptr ? &this->own_permits : shared_permits),
+      random(seed),
+      budget(limits.retry_share, limits.retry_burst) {
+    this->router.set_permits(this->permits);
+}
 
 void dispatcher::state::on(const request_arrived& arrived) {
     request_state request;
@@ -37,6 +43,10 @@
     request.deadline =
         this->now + (requested > duration::zero() ? requested : known_class->second.deadline);
     request.requested_deadline = request.deadline;
+    const duration objective = request.profile.objective;
+    request.permit_due = objective > duration::zero()
+                             ? std::min(request.deadline, this->now + objective)
+                             : request.deadline;
     if (!this->may_end_before_stop(request)) {
         this->refuse_for_stop(request);
         return;
@@ -171,6 +181,9 @@
                 this->refuse_for_stop(found->second);
             }
             break;
+        case timer_queue::purpose::permit:
+            this->handle_permit_due(found->second);
+            break;
         case timer_queue::purpose::hedge:
             this->hedge(found->second);
             break;
@@ -261,6 +274,9 @@
         this->refuse(request, refusal_reason::would_be_late, wait);
         return;
     }
+    if (!this->await_permit(request)) {
+        return;
+    }
     const admission::queued_request waiting{request.profile.id, request.profile.caller,
                                             request.deadline};
     if (!queue.waiting.push(waiting)) {
@@ -276,20 +292,28 @@
         this->send(request, choice, cause);
         return;
     }
-    if (choice.reason == routing::route_reason::no_room) {
+    if (choice.reason == routing::route_reason::no_room ||
+        choice.reason == routing::route_reason::no_permit) {
         this->enqueue(request);
     } else {
         this->refuse(request, refusal_reason::no_target, retry_after_no_target);
     }
 }
 
-routing::route_choice dispatcher::state::route(const request_state& request, bool allows_probe) {
+routing::route_query dispatcher::state::make_query(const request_state& request) {
     routing::route_query query;
     query.backend = request.profile.backend;
     query.kind = request.kind;
-    query.allows_probe = allows_probe;
     query.excluded = request.tried_targets;
     query.prefix = request.profile.prefix;
+    return query;
+}
+
+routing::route_choice dispatcher::state::route(const request_state& request, bool allows_probe,
+                                               bool allows_limited) {
+    routing::route_query query = make_query(request);
+    query.allows_probe = allows_probe;
+    query.allows_limited = allows_limited;
     return this->router.choose(query, this->now);
 }
 
@@ -306,6 +330,11 @@
     request.active_attempts.push_back(this->last_attempt);
     request.tried_targets.push_back(attempt.target);
     ++request.attempt_count;
+    this->stop_awaiting_permit(request);
+    this->permits->take(attempt.target, this->now);
+    for (const target_id& passed_over : choice.without_permit) {
+        this->permits->add_spare_demand(passed_over, this->now);
+    }
     this->router.record_sent(attempt.target, request.kind, this->now);
     if (!request.profile.prefix.empty()) {
         this->router.record_cached(attempt.target, request.profile.prefix, this->now);
@@ -389,6 +418,7 @@
     if (found == this->requests.end()) {
         return;
     }
+    this->stop_awaiting_permit(found->second);
     if (found->second.queued) {
         this->queues[found->second.profile.backend].remove(request);
     }
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -2,6 +2,7 @@
 
 #include "admission/duration_estimate.h"
 #include "admission/retry_budget.h"
+#include "permits/permit_account.h"
 #include "requests/dispatcher.h"
 #include "requests/internal/attempt_state.h"
 #include "requests/internal/backend_queues.h"
@@ -10,6 +11,7 @@
 #include "routing/router.h"
 
 #include <optional>
+#include <random>
 #include <unordered_map>
 
 namespace kingcupcart::requests {
@@ -17,7 +19,8 @@
 /// The dispatcher's tables, and the steps of its decisions.
 class dispatcher::state {
 public:
-    state(location local_location, dispatcher_limits limits, std::uint64_t seed);
+    state(location local_location, dispatcher_limits limits, std::uint64_t seed,
+          permits::permit_account* shared_permits);
 
     void on(const request_arrived& arrived);
     void on(const attempt_write_started& started);
@@ -29,6 +32,8 @@
     void announce_stop(time_point deadline);
     void begin_stop(time_point deadline);
 
+    /// Refuses the queued requests that no permit of the target is expected to reach in time.
+    void refuse_without_permit(const target_id& target);
     /// Sends the queued requests of the backend for which a target has room.
     void send_queued(const backend_name& backend);
 
@@ -56,7 +61,15 @@
     void preempt(attempt_id attempt);
     void enqueue(request_state& request);
     void route_and_send(request_state& request, send_cause cause);
-    [[nodiscard]] routing::route_choice route(const request_state& request, bool allows_probe);
+    /// Refuses the request, or has it wait for a permit, if all its targets are limited. Returns
+    /// false if it was refused.
+    [[nodiscard]] bool await_permit(request_state& request);
+    void stop_awaiting_permit(request_state& request);
+    void handle_permit_due(request_state& request);
+    void refuse_rate_limited(request_state& request, const target_id& target, duration wait);
+    [[nodiscard]] static routing::route_query make_query(const request_state& request);
+    [[nodiscard]] routing::route_choice route(const request_state& request, bool allows_probe,
+                                              bool allows_limited = true);
     void send(request_state& request, const routing::route_choice& choice, send_cause cause);
     void retry_or_refuse(request_state& request, attempt_failure failure, bool was_selected);
     void arm_hedge_timer(const request_state& request);
@@ -84,6 +97,10 @@
     [[nodiscard]] std::size_t max_attempts(const request_state& request) const;
     [[nodiscard]] const admission::work_class& class_of(const request_state& request) const;
 
+    permits::permit_account own_permits;
+    /// Never null.
+    permits::permit_account* permits;
+    std::mt19937_64 random;
     admission::retry_budget budget;
     std::unordered_map<backend_name, time_point> last_preemption;
     attempt_id last_attempt{0};
--- a/packages/requests/internal/dispatcher_timers.cpp
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -61,7 +61,7 @@
     if (newest.has_output || !this->budget.try_withdraw()) {
         return;
     }
-    const auto choice = this->route(request, false);
+    const auto choice = this->route(request, false, false);
     if (choice.target) {
         this->send(request, choice, send_cause::hedge);
     } else {
@@ -88,7 +88,7 @@
         !this->budget.try_withdraw()) {
         return;
     }
-    const auto choice = this->route(request, false);
+    const auto choice = this->route(request, false, false);
     if (choice.target) {
         this->send(request, choice, send_cause::resume);
     } else {
--- a/packages/requests/internal/names.cpp
+++ b/packages/requests/internal/names.cpp
@@ -26,6 +26,8 @@
         return "deadline-passed";
     case refusal_reason::no_target:
         return "no-target";
+    case refusal_reason::rate_limited:
+        return "rate-limited";
     case refusal_reason::unknown_class:
         return "unknown-class";
     case refusal_reason::target_unreachable:
--- a/packages/requests/internal/request_state.h
+++ b/packages/requests/internal/request_state.h
@@ -26,6 +26,10 @@
     /// Number of tokens that were sent to the caller.
     tokens delivered_tokens;
     time_point last_output;
+    /// Latest time for an attempt on a limited target.
+    time_point permit_due;
+    /// The limited target whose permit the request is to get; empty if it needs none.
+    std::optional<target_id> awaited_target;
     std::size_t attempt_count = 0;
     bool queued = false;
     /// Queued because its attempt was preempted on a target that short work needed.
--- a/packages/requests/internal/timer_queue.h
+++ b/packages/requests/internal/timer_queue.h
@@ -13,7 +13,7 @@
 /// receiver of an expired timer checks whether it still applies.
 class timer_queue {
 public:
-    enum class purpose { deadline, latest_send, hedge, stall };
+    enum class purpose { deadline, latest_send, permit, hedge, stall };
 
     struct timer {
         time_point due;
--- a/packages/requests/refusal_reason.h
+++ b/packages/requests/refusal_reason.h
@@ -8,6 +8,8 @@
     would_be_late,
     deadline_passed,
     no_target,
+    /// All targets are limited, and no permit is expected in time.
+    rate_limited,
     unknown_class,
     target_unreachable,
     target_failed,
--- a/packages/requests/request_profile.h
+++ b/packages/requests/request_profile.h
@@ -26,6 +26,9 @@
     std::vector<prefix_hash> prefix;
     /// Time from arrival to the complete response; zero selects the deadline of the work class.
     duration deadline{};
+    /// Time from arrival within which the response has its full value; zero if there is no such
+    /// time. A request that no permit of a limited target reaches by then is refused.
+    duration objective{};
     /// Maximum number of attempts, whatever their cause; 0 selects the dispatcher's maximum, which
     /// is also the upper bound.
     std::size_t max_attempts = 0;
--- a/packages/routing/internal/route_choice.cpp
+++ b/packages/routing/internal/route_choice.cpp
@@ -18,6 +18,8 @@
         return "only-suspects-left";
     case route_reason::no_room:
         return "no-room";
+    case route_reason::no_permit:
+        return "no-permit";
     case route_reason::no_target:
         return "no-target";
     }
--- a/packages/routing/internal/router.cpp
+++ b/packages/routing/internal/router.cpp
@@ -43,6 +43,19 @@
     this->impl->instances = std::max(1, count);
 }
 
+void router::set_permits(const permits::permit_account* permits) {
+    this->impl->permits = permits;
+}
+
+std::vector<target_id> router::find_only_limited(const route_query& query) const {
+    return this->impl->find_only_limited(query);
+}
+
+backend_name router::backend_of(const target_id& target) const {
+    const target_state* entry = this->impl->find(target);
+    return entry == nullptr ? backend_name() : entry->profile.backend;
+}
+
 route_choice router::choose(const route_query& query, time_point now) {
     return this->impl->choose(query, now);
 }
--- a/packages/routing/internal/router_state.cpp
+++ b/packages/routing/internal/router_state.cpp
@@ -138,7 +138,12 @@
     }
     route_choice result = std::move(context.result);
     if (best.target == nullptr) {
-        result.reason = context.has_full_target ? route_reason::no_room : route_reason::no_target;
+        if (context.has_full_target) {
+            result.reason = route_reason::no_room;
+        } else {
+            result.reason =
+                result.without_permit.empty() ? route_reason::no_target : route_reason::no_permit;
+        }
         return result;
     }
     if (best.reason == route_reason::probation_trial) {
@@ -191,7 +196,8 @@
 void router::state::consider_out_of_use(const target_tier& tier, choice_context& context,
                                         candidate& best) {
     for (target_state* target : tier.out_of_use) {
-        if (is_excluded(context.query, target->profile.id) || !target->has_room()) {
+        if (is_excluded(context.query, target->profile.id) || !target->has_room() ||
+            !this->check_permit(*target, context)) {
             continue;
         }
         const double score = this->score(*target, context);
@@ -222,6 +228,12 @@
     for (std::size_t i = 0; i < this->limits.sample_size; ++i) {
         this->consider(*tier[pick(this->random)], room, context, best);
     }
+    if (best.target == nullptr && !context.result.without_permit.empty()) {
+        // The sample may have missed the few targets that need no permit.
+        for (std::size_t i = range.begin; i < range.end; ++i) {
+            this->consider(*tier[i], room, context, best);
+        }
+    }
     if (context.cached) {
         target_state* cached = this->find(context.cached->target);
         if (cached != nullptr && cached->target_distance == target_distance &&
@@ -242,6 +254,9 @@
         context.has_full_target = true;
         return;
     }
+    if (!this->check_permit(target, context)) {
+        return;
+    }
     const double score = this->score(target, context);
     context.result.considered.push_back(considered_target{target.profile.id, score});
     if (best.target == nullptr || score < best.score) {
@@ -251,6 +266,39 @@
     }
 }
 
+bool router::state::check_permit(const target_state& target, choice_context& context) const {
+    const target_id& id = target.profile.id;
+    if (this->permits == nullptr || !this->permits->is_limited(id)) {
+        return true;
+    }
+    if (context.query.allows_limited && this->permits->may_send(id, context.now)) {
+        return true;
+    }
+    auto& noted = context.result.without_permit;
+    if (std::find(noted.begin(), noted.end(), id) == noted.end()) {
+        noted.push_back(id);
+    }
+    return false;
+}
+
+std::vector<target_id> router::state::find_only_limited(const route_query& query) const {
+    std::vector<target_id> limited;
+    if (this->permits == nullptr || this->permits->table().empty()) {
+        return limited;
+    }
+    for (const auto& [id, target] : this->targets) {
+        if (target->profile.backend != query.backend || target->profile.leaving ||
+            is_excluded(query, id)) {
+            continue;
+        }
+        if (!this->permits->is_limited(id)) {
+            return {};
+        }
+        limited.push_back(id);
+    }
+    return limited;
+}
+
 int router::state::local_long_work_limit(const target_state& target) const {
     const double slots = target.profile.slots * this->limits.long_work_share;
     // Instances of the target's own domain take precedence, and this instance does not know their
--- a/packages/routing/internal/router_state.h
+++ b/packages/routing/internal/router_state.h
@@ -22,6 +22,7 @@
     [[nodiscard]] target_state* find(const target_id& target);
     [[nodiscard]] target_pool& pool_of(const target_state& target);
     [[nodiscard]] route_choice choose(const route_query& query, time_point now);
+    [[nodiscard]] std::vector<target_id> find_only_limited(const route_query& query) const;
     /// Records a time to first output for the given kind of work; ejects the target if it is too
     /// slow, and completes a probe.
     void observe_first_output(target_state& target, urgency kind, time_point sent, time_point now);
@@ -34,6 +35,8 @@
     location local_location;
     router_limits limits;
     int instances = 1;
+    /// Null if no target is limited.
+    const permits::permit_account* permits = nullptr;
     std::unordered_map<target_id, std::unique_ptr<target_state>> targets;
     std::unordered_map<backend_name, target_pool> pools;
     prefix_index prefixes;
@@ -76,6 +79,9 @@
     void consider_range(distance target_distance, rank_range range, int room,
                         choice_context& context, candidate& best);
     void consider(target_state& target, int room, choice_context& context, candidate& best);
+    /// Whether the target is unlimited, or a permit is held that the request may use. Otherwise
+    /// notes the target in the result.
+    [[nodiscard]] bool check_permit(const target_state& target, choice_context& context) const;
     [[nodiscard]] double score(const target_state& target, const choice_context& context) const;
     [[nodiscard]] double slowness(const target_state& target, const choice_context& context) const;
     /// Score that the distance adds.
--- a/packages/routing/route_choice.h
+++ b/packages/routing/route_choice.h
@@ -17,6 +17,8 @@
     spilled_over,
     only_suspects_left,
     no_room,
+    /// Every target that could take the request is limited, and no permit is held.
+    no_permit,
     no_target
 };
 
@@ -34,6 +36,8 @@
     route_reason reason = route_reason::no_target;
     distance target_distance = distance::own_domain;
     std::vector<considered_target> considered;
+    /// Targets that were not considered for the lack of a permit.
+    std::vector<target_id> without_permit;
 
     /// `reason=… target=… considered=a:1.2,b:1.4`
     [[nodiscard]] std::string explain() const;
--- a/packages/routing/route_query.h
+++ b/packages/routing/route_query.h
@@ -13,6 +13,9 @@
     urgency kind = urgency::short_work;
     /// The request may serve as a probe of an ejected target, because it can be attempted again.
     bool allows_probe = false;
+    /// The request may use up a permit of a limited target. False for attempts beside a running
+    /// one, since requests without any attempt need the permits more.
+    bool allows_limited = true;
     /// Targets that the request was sent to before.
     std::vector<target_id> excluded;
     /// Chained block hashes of the prompt, shortest prefix first; empty without a prompt.
--- a/packages/routing/router.h
+++ b/packages/routing/router.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/units.h"
+#include "permits/permit_account.h"
 #include "routing/load_report.h"
 #include "routing/long_work_surplus.h"
 #include "routing/route_choice.h"
@@ -36,6 +37,8 @@
     /// Number of instances that route to this domain's targets; at least 1. The load of this
     /// instance is taken as typical of each of them.
     void set_instances(int count);
+    /// The permits that limited targets need. `permits` has to outlive the router.
+    void set_permits(const permits::permit_account* permits);
 
     [[nodiscard]] route_choice choose(const route_query& query, time_point now);
 
@@ -63,6 +66,11 @@
     [[nodiscard]] duration expected_first_output(const backend_name& backend, urgency kind) const;
     /// Median time between two tokens of a short-work stream; zero before the first observation.
     [[nodiscard]] duration expected_interval(const backend_name& backend) const;
+    /// The limited targets of the backend that could take the request with a permit. Empty if an
+    /// unlimited one could take it too, as soon as it has room.
+    [[nodiscard]] std::vector<target_id> find_only_limited(const route_query& query) const;
+    /// Empty if the target is unknown.
+    [[nodiscard]] backend_name backend_of(const target_id& target) const;
     [[nodiscard]] std::size_t target_count(const backend_name& backend) const;
     /// Number of this instance's requests that run on the target.
     [[nodiscard]] int running_on(const target_id& target) const;
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -27,6 +27,7 @@
       scores({this->params.place, this->params.time, this->params.seed, this->params.protocol,
               this->params.fleet, this->params.state_machine, this->params.metrics,
               this->params.limits, this->params.on_result}),
+      scheduler({}, &this->params.fleet->limits().account()),
       client(*this->params.time, {this->params.limits, read_interval}),
       remote({this->params.max_local_runs, this->params.send_to_store,
               [this](const batch::scheduler_message& message) { this->dispatch(message); }}),
@@ -152,6 +153,11 @@
     }
 }
 
+void item_runner::permits_changed(const target_id& target) {
+    this->scores.permits_changed(target);
+    this->dispatch(batch::permits_updated{});
+}
+
 void item_runner::routes_changed() {
     this->scores.routes_changed();
     for (const membership::target_record& record : this->params.fleet->targets().records()) {
@@ -194,6 +200,7 @@
         }
     }
     this->is_processing = false;
+    this->params.fleet->limits().update_demands();
     if (const auto next = this->scheduler.next_wakeup()) {
         this->scheduler_timer.arm(*next);
     }
--- a/packages/store/internal/item_runner.h
+++ b/packages/store/internal/item_runner.h
@@ -62,6 +62,8 @@
     /// Ends the runs of items that have a result now.
     void record_results(const batch::append_results& recorded);
     void target_changed(const membership::directory_change& change);
+    /// The permits of a limited target have changed.
+    void permits_changed(const target_id& target);
     /// Another store is ready to carry out runs.
     void worker_connected(const instance_id& worker, const location& place) {
         this->remote.worker_connected(worker, place);
--- a/packages/store/internal/score_runner.h
+++ b/packages/store/internal/score_runner.h
@@ -56,6 +56,7 @@
     std::vector<item_id> resume(const batch::job_record& record);
     void routes_changed();
     void target_changed(const membership::directory_change& change);
+    void permits_changed(const target_id& target) { this->forwarder.permits_changed(target); }
 
     [[nodiscard]] std::size_t pending_count() const { return this->scheduler.pending_count(); }
 
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -105,6 +105,11 @@
             this->runner->target_changed(change);
         }
     };
+    keeper_callbacks.permits_changed = [this](const target_id& target) {
+        if (this->runner) {
+            this->runner->permits_changed(target);
+        }
+    };
     keeper_callbacks.stores_changed = [this] { this->stores_changed(); };
     keeper_callbacks.initial_members_received =
         [this](const std::vector<quorum::member>& initial_members) {
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -47,7 +47,10 @@
     run_item_request = 26,
     cancel_item_run = 27,
     item_run_updates = 28,
-    target_leaving = 29
+    target_leaving = 29,
+    limit_report = 30,
+    permit_demands = 31,
+    permit_grants = 32
 };
 
 json number(message_number value) {
@@ -206,6 +209,12 @@
 constexpr message_number message_number_of<item_run_updates> = message_number::item_run_updates;
 template <>
 constexpr message_number message_number_of<target_leaving> = message_number::target_leaving;
+template <>
+constexpr message_number message_number_of<limit_report> = message_number::limit_report;
+template <>
+constexpr message_number message_number_of<permit_demands> = message_number::permit_demands;
+template <>
+constexpr message_number message_number_of<permit_grants> = message_number::permit_grants;
 
 template <typename Message>
 json write(const Message& outgoing) {
@@ -391,6 +400,9 @@
     {message_number::cancel_item_run, "cancel_item_run", read_serializable<cancel_item_run>},
     {message_number::item_run_updates, "item_run_updates", read_serializable<item_run_updates>},
     {message_number::target_leaving, "target_leaving", read_serializable<target_leaving>},
+    {message_number::limit_report, "limit_report", read_serializable<limit_report>},
+    {message_number::permit_demands, "permit_demands", read_serializable<permit_demands>},
+    {message_number::permit_grants, "permit_grants", read_serializable<permit_grants>},
 };
 
 } // namespace
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -125,8 +125,38 @@
 
 } // namespace kingcupcart::replicated
 
+namespace kingcupcart::permits {
+
+template <typename Archive>
+void serialize(Archive& archive, permit_demand& value) {
+    archive(value.target, value.incarnation, value.number, value.waiting, value.background);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, permit_grant& value) {
+    archive(value.target, value.incarnation, value.demand, value.permits, value.expected_wait,
+            value.senders);
+}
+
+} // namespace kingcupcart::permits
+
 namespace kingcupcart::wire {
 
+template <typename Archive>
+void serialize(Archive& archive, limit_report& value) {
+    archive(value.target, value.incarnation, value.millionths_per_second, value.age);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, permit_demands& value) {
+    archive(value.demands);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, permit_grants& value) {
+    archive(value.grants);
+}
+
 template <typename Archive>
 void serialize(Archive& /*archive*/, keepalive& /*value*/) {}
 
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -11,6 +11,7 @@
 #include "membership/model_weights.h"
 #include "membership/target_load.h"
 #include "membership/target_record.h"
+#include "permits/permit_messages.h"
 #include "quorum/messages.h"
 
 #include <chrono>
@@ -279,14 +280,33 @@
     incarnation_id incarnation;
 };
 
+/// A target has stated in a response the rate of requests that it takes from all instances
+/// together.
+struct limit_report {
+    target_id target;
+    incarnation_id incarnation;
+    /// In millionths of a request a second; zero if the target has no limit.
+    std::uint64_t millionths_per_second = 0;
+    /// Time since the request was sent whose response stated the limit.
+    duration age{};
+};
+
+/// Sent by an instance to the keepers, the leader of which issues permits.
+struct permit_demands {
+    std::vector<permits::permit_demand> demands;
+};
+
+struct permit_grants {
+    std::vector<permits::permit_grant> grants;
+};
+
 /// The order of the alternatives is that of their numbers on the wire.
-using message =
-    std::variant<hello, target_update, target_heartbeats, configuration_update,
-                 configuration_in_force, forward_call_request, forward_call_response, claim_request,
-                 claim_response, instance_update, consensus_message, forward_command, keepalive,
-                 fleet_update, routes_update, weights_update, store_registration,
-                 initial_members_update, store_report, leader_update, submit_job_request,
-                 read_results_request, item_body_request, end_job_request, batch_response,
-                 run_item_request, cancel_item_run, item_run_updates, target_leaving>;
+using message = std::variant<
+    hello, target_update, target_heartbeats, configuration_update, configuration_in_force,
+    forward_call_request, forward_call_response, claim_request, claim_response, instance_update,
+    consensus_message, forward_command, keepalive, fleet_update, routes_update, weights_update,
+    store_registration, initial_members_update, store_report, leader_update, submit_job_request,
+    read_results_request, item_body_request, end_job_request, batch_response, run_item_request,
+    cancel_item_run, item_run_updates, target_leaving, limit_report, permit_demands, permit_grants>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -85,7 +85,11 @@
         cancel_item_run{batch::run_id(4)},
         item_run_updates{
             {{batch::run_id(4), item_run_status::completed, 5, "text", {weight_version(3)}}}},
-        target_leaving{target_id("e1"), incarnation_id(7)}};
+        target_leaving{target_id("e1"), incarnation_id(7)},
+        limit_report{target_id("e1"), incarnation_id(7), 1500000, std::chrono::milliseconds(40)},
+        permit_demands{{{target_id("e1"), incarnation_id(7), 3, 2, 1}}},
+        permit_grants{
+            {{target_id("e1"), incarnation_id(7), 3, 2, std::chrono::milliseconds(40), 9}}}};
 }
 
 /// Number of fields of the first item in the encoding of a submission with two items.
