Dispatcher: requests queued when a limit begins wait for permits, too

Found while reading the change: a request that was queued for a slot when its targets became limited, or when the last unlimited one left, asked for no permit and stayed until its deadline. It waits for a permit now, or is refused. Limits of targets that are gone are not taken over from reports. Tests of the dispatcher and of the item scheduler under limits (limited_targets_test, limited_engines_test): elsewhere first, no permit for hedges, refused at once beyond the objective, sent when the limit ends. With `await_permits` taken out both scenarios of limited_targets_test fail (no permit is asked for).

--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -63,7 +63,10 @@
     } else if (const auto* fleet = std::get_if<wire::fleet_update>(&message)) {
         this->update_fleet(*fleet);
     } else if (const auto* limit = std::get_if<wire::limit_report>(&message)) {
-        this->known_limits.handle(*limit, from);
+        // Limits of targets that are gone would never be removed.
+        if (this->directory.find(limit->target) != nullptr) {
+            this->known_limits.handle(*limit, from);
+        }
     } else if (const auto* grants = std::get_if<wire::permit_grants>(&message)) {
         this->known_limits.handle(*grants);
     } else if (const auto* initial_members = std::get_if<wire::initial_members_update>(&message)) {
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -286,7 +286,10 @@
     } else if (const auto* leaving = std::get_if<wire::target_leaving>(&message)) {
         this->mark_leaving(leaving->target, leaving->incarnation);
     } else if (const auto* limit = std::get_if<wire::limit_report>(&message)) {
-        this->limits.handle(from.instance, *limit);
+        // Limits of targets that are gone would never be removed.
+        if (this->targets.find(limit->target) != nullptr) {
+            this->limits.handle(from.instance, *limit);
+        }
     } else if (const auto* demands = std::get_if<wire::permit_demands>(&message)) {
         this->limits.handle(from.instance, *demands);
     } else if (const auto* registration = std::get_if<wire::store_registration>(&message)) {
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -61,6 +61,7 @@
         return {};
     }
     this->impl->send_queued(change.record.backend);
+    this->impl->await_permits(change.record.backend);
     return std::exchange(this->impl->output, {});
 }
 
@@ -68,6 +69,7 @@
     this->impl->now = now;
     const backend_name backend = this->impl->router.backend_of(target);
     this->impl->send_queued(backend);
+    this->impl->await_permits(backend);
     this->impl->refuse_without_permit(target);
     return std::exchange(this->impl->output, {});
 }
--- a/packages/requests/internal/dispatcher_permits.cpp
+++ b/packages/requests/internal/dispatcher_permits.cpp
@@ -38,6 +38,23 @@
     return true;
 }
 
+void dispatcher::state::await_permits(const backend_name& backend) {
+    if (this->permits->table().empty()) {
+        return;
+    }
+    std::vector<request_id> queued;
+    for (const auto& [id, request] : this->requests) {
+        if (request.queued && !request.awaited_target && request.profile.backend == backend) {
+            queued.push_back(id);
+        }
+    }
+    std::sort(queued.begin(), queued.end());
+    for (const request_id id : queued) {
+        // A refused request is gone from the queue.
+        static_cast<void>(this->await_permit(this->requests.at(id)));
+    }
+}
+
 void dispatcher::state::stop_awaiting_permit(request_state& request) {
     if (request.awaited_target) {
         this->permits->remove_waiting(*request.awaited_target);
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -32,6 +32,8 @@
     void announce_stop(time_point deadline);
     void begin_stop(time_point deadline);
 
+    /// Has the queued requests of the backend wait for permits, if only limited targets are left.
+    void await_permits(const backend_name& backend);
     /// Refuses the queued requests that no permit of the target is expected to reach in time.
     void refuse_without_permit(const target_id& target);
     /// Sends the queued requests of the backend for which a target has room.
