--- a/tests/process/named_limit_test.cpp
+++ b/tests/process/named_limit_test.cpp
@@ -1,5 +1,6 @@
 #include "process/deployment.h"
 #include "process/fleet.h"
+#include "process/limit_check.h"
 
 #include <doctest/doctest.h>
 
@@ -13,36 +14,6 @@
 
 namespace kingcupcart::process_tests {
 
-namespace {
-
-/// Time after a target first named its limit from which the limit has to hold (`contactMs`).
-constexpr duration settling_time = std::chrono::seconds(4);
-constexpr duration window = std::chrono::seconds(4);
-constexpr double allowed_excess = 1.5;
-constexpr double allowed_burst = 5;
-
-/// Requests that a target with this limit may get within `window`.
-std::size_t allowed_in_window(double requests_per_second) {
-    const double window_seconds = std::chrono::duration<double>(window).count();
-    return static_cast<std::size_t>(allowed_excess * requests_per_second * window_seconds +
-                                    allowed_burst);
-}
-
-/// The most requests that arrived within `window`, of those from `begin` on.
-std::size_t most_in_window(const std::vector<time_point>& arrivals, time_point begin) {
-    std::size_t most = 0;
-    auto first = std::lower_bound(arrivals.begin(), arrivals.end(), begin);
-    for (auto last = first; last != arrivals.end(); ++last) {
-        while (*last - *first > window) {
-            ++first;
-        }
-        most = std::max(most, static_cast<std::size_t>(last - first) + 1);
-    }
-    return most;
-}
-
-} // namespace
-
 // Each gateway sent as if it were alone, so a target got several times the rate that it had named
 // for all of them together.
 SCENARIO("a target gets no more requests from all gateways than the rate that it names") {
@@ -74,10 +45,10 @@
         send_for(std::chrono::seconds(14), std::chrono::milliseconds(125));
         THEN("it gets what it named, and the others are refused at once as not run") {
             const auto& arrivals = test_fleet.service().arrivals();
-            CHECK(most_in_window(arrivals, begin + settling_time) <= allowed_in_window(1));
+            CHECK(most_in_window(arrivals, begin + limit_settling_time) <= allowed_in_window(1));
             const auto served =
                 std::count_if(arrivals.begin(), arrivals.end(), [&](const time_point& arrival) {
-                    return arrival >= begin + settling_time;
+                    return arrival >= begin + limit_settling_time;
                 });
             CHECK(served >= 8);
             for (const auto& call : calls) {
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -47,6 +47,16 @@
     return sequences;
 }
 
+std::vector<fault_sequence> sequences_of(const fault_options& options) {
+    using std::chrono::seconds;
+    std::vector<fault_sequence> sequences = fault_sequences();
+    if (options.has_named_limits) {
+        // Longer than instances have to take notice of a limit.
+        sequences.back() = {{kind::name_limit}, seconds(6), seconds(9), seconds(1)};
+    }
+    return sequences;
+}
+
 const char* name_of(kind fault_kind) {
     switch (fault_kind) {
     case kind::kill_gateway:
@@ -85,22 +95,24 @@
         return "stall responses of replica";
     case kind::reset_replica:
         return "reset replica";
+    case kind::name_limit:
+        return "replica names limit";
     }
     return "?";
 }
 
 } // namespace
 
-std::vector<fault> plan_faults(std::uint64_t seed, duration length, bool has_refused_writes) {
+std::vector<fault> plan_faults(std::uint64_t seed, duration length, const fault_options& options) {
     std::mt19937_64 random(seed);
     const auto random_duration = [&](duration min, duration max) {
         std::uniform_int_distribution<duration::rep> distribution(min.count(), max.count());
         return duration(distribution(random));
     };
     std::vector<fault> plan;
-    for (const fault_sequence& sequence : fault_sequences()) {
+    for (const fault_sequence& sequence : sequences_of(options)) {
         std::vector<kind> kinds = sequence.kinds;
-        if (has_refused_writes && sequence.refused_writes) {
+        if (options.has_refused_writes && sequence.refused_writes) {
             kinds.push_back(*sequence.refused_writes);
         }
         duration at = random_duration(std::chrono::milliseconds(200), std::chrono::seconds(3));
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -9,6 +9,15 @@
 
 namespace kingcupcart::soak {
 
+/// Faults that a plan has on request only.
+struct fault_options {
+    /// Disks that refuse writes.
+    bool has_refused_writes = false;
+    /// Replicas that name a limit of the requests that they take. Leaves out the faults of the
+    /// replicas' connections, which change when requests arrive.
+    bool has_named_limits = false;
+};
+
 /// A fault that is injected into the fleet and removed after a while.
 struct fault {
     enum class kind {
@@ -35,7 +44,9 @@
         stall_requests,
         /// No data from the replica arrives; connections stay open.
         stall_responses,
-        reset_replica
+        reset_replica,
+        /// The plain service names a limit of the requests that it takes.
+        name_limit
     };
     kind fault_kind = kind::kill_gateway;
     /// Index of the instance or replica, taken modulo their count.
@@ -47,10 +58,10 @@
 
 /// The faults of a seed, in order of time. Faults of gateways, stores, keepers and replicas
 /// overlap. At most one store and one keeper are down or catching up at once, except for
-/// `kill_all`, which comes last. `has_refused_writes` adds the faults of disks that refuse writes;
-/// without them the plan of a seed is the one of before they were introduced.
+/// `kill_all`, which comes last. Without options the plan of a seed is the one of before they were
+/// introduced.
 [[nodiscard]] std::vector<fault> plan_faults(std::uint64_t seed, duration length,
-                                             bool has_refused_writes);
+                                             const fault_options& options);
 
 /// One line of output: the fault's kind, and `number=`, `at_ms=` and `lasts_ms=`.
 [[nodiscard]] std::string describe(const fault& planned);
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak_fleet.h"
 
+#include "process/limit_check.h"
+
 #include <sys/wait.h>
 
 #include <csignal>
@@ -173,6 +175,38 @@
     }
 }
 
+void soak_fleet::begin_limit(std::size_t service, int rate) {
+    service %= this->service_replicas.size();
+    this->service_replicas[service].stand_in->name_limit(std::to_string(rate));
+    this->limited_times.push_back(
+        {service, static_cast<double>(rate), std::chrono::steady_clock::now(), {}});
+}
+
+void soak_fleet::end_limit(std::size_t service) {
+    service %= this->service_replicas.size();
+    this->service_replicas[service].stand_in->name_limit("");
+    for (limited_time& limited : this->limited_times) {
+        if (limited.service == service && limited.end == time_point{}) {
+            limited.end = std::chrono::steady_clock::now();
+        }
+    }
+}
+
+std::vector<std::string> soak_fleet::check_limits() const {
+    std::vector<std::string> findings;
+    for (const limited_time& limited : this->limited_times) {
+        const auto most = process_tests::most_in_window(
+            this->service_replicas[limited.service].stand_in->arrivals(),
+            limited.begin + process_tests::limit_settling_time, limited.end);
+        if (most > process_tests::allowed_in_window(limited.rate)) {
+            findings.push_back("app" + std::to_string(limited.service) + " named " +
+                               std::to_string(limited.rate) + " requests a second and got " +
+                               std::to_string(most) + " in 4 s");
+        }
+    }
+    return findings;
+}
+
 std::vector<std::string> soak_fleet::run_maintenance() {
     std::vector<std::string> unexpected_exits;
     for (fleet_instance& instance : this->instances) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -33,6 +33,13 @@
         std::unique_ptr<stand_ins::platform_replica> stand_in;
         std::unique_ptr<loopback_proxy> proxy;
     };
+    /// A time in which a plain service named a limit, in requests a second.
+    struct limited_time {
+        std::size_t service = 0;
+        double rate = 0;
+        time_point begin{};
+        time_point end{};
+    };
 
     explicit soak_fleet(process_tests::deployment& test_deployment);
 
@@ -47,6 +54,11 @@
     /// The system refuses all writes of the process to files until `accept_writes`.
     void refuse_writes(fleet_instance& instance);
     void accept_writes(fleet_instance& instance);
+    /// The service names the limit, in requests a second, until `end_limit`.
+    void begin_limit(std::size_t service, int rate);
+    void end_limit(std::size_t service);
+    /// One finding for each time in which a service got more than its limit allows.
+    [[nodiscard]] std::vector<std::string> check_limits() const;
     /// Restarts instances that have exited. Returns one finding for each that exited unexpectedly.
     std::vector<std::string> run_maintenance();
 
@@ -74,6 +86,7 @@
     std::vector<fleet_instance> instances;
     std::vector<replica> service_replicas;
     std::vector<replica> engine_replicas;
+    std::vector<limited_time> limited_times;
     std::size_t heartbeat_rounds = 0;
     task::wakeup heartbeat_timer;
 };
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -91,7 +91,18 @@
 }
 
 void apply_fault(soak_fleet& fleet, const fault& planned, bool is_start) {
-    if (planned.fault_kind >= kind::delay_replica) {
+    if (planned.fault_kind == kind::name_limit) {
+        constexpr std::size_t max_rate = 5;
+        const std::size_t count = planned.index % 2 == 0 ? fleet.services().size() : 1;
+        for (std::size_t i = 0; i < count; ++i) {
+            if (is_start) {
+                fleet.begin_limit(planned.index + i,
+                                  static_cast<int>(planned.index % max_rate) + 1);
+            } else {
+                fleet.end_limit(planned.index + i);
+            }
+        }
+    } else if (planned.fault_kind >= kind::delay_replica) {
         apply_replica_fault(fleet, planned, is_start);
     } else if (planned.fault_kind != kind::kill_all) {
         apply_instance_fault(fleet, planned, is_start);
@@ -126,7 +137,7 @@
     return schedule;
 }
 
-bool run_soak(std::uint64_t seed, duration length, bool has_refused_writes) {
+bool run_soak(std::uint64_t seed, duration length, const fault_options& options) {
     process_tests::deployment test_deployment;
     soak_fleet fleet(test_deployment);
     soak_clients clients(test_deployment, fleet, seed);
@@ -144,7 +155,7 @@
         clients.report("the fleet did not become ready");
     }
     const time_point soak_start = std::chrono::steady_clock::now();
-    for (const schedule_entry& entry : schedule_of(plan_faults(seed, length, has_refused_writes))) {
+    for (const schedule_entry& entry : schedule_of(plan_faults(seed, length, options))) {
         run_for(soak_start + entry.at - std::chrono::steady_clock::now());
         apply_fault(fleet, entry.planned, entry.is_start);
         if (entry.is_start) {
@@ -153,6 +164,9 @@
     }
     run_for(std::chrono::seconds(3));
     clients.check_final_state();
+    for (const std::string& finding : fleet.check_limits()) {
+        clients.report(finding);
+    }
     std::printf("seed=%llu %s findings=%zu\n", static_cast<unsigned long long>(seed),
                 clients.summary().c_str(), clients.reported_findings().size());
     for (const std::string& finding : clients.reported_findings()) {
@@ -169,17 +183,18 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    static const std::array<option, 5> long_options{{{"seed", required_argument, nullptr, 's'},
+    static const std::array<option, 6> long_options{{{"seed", required_argument, nullptr, 's'},
                                                      {"seeds", required_argument, nullptr, 'n'},
                                                      {"seconds", required_argument, nullptr, 't'},
                                                      {"refused-writes", no_argument, nullptr, 'w'},
+                                                     {"named-limits", no_argument, nullptr, 'l'},
                                                      {nullptr, 0, nullptr, 0}}};
     std::uint64_t seed = 1;
     std::uint64_t seeds = 1;
     long seconds = 10;
-    bool has_refused_writes = false;
+    fault_options options;
     for (int option_character = 0; option_character != -1;) {
-        option_character = getopt_long(argc, argv, "s:n:t:w", long_options.data(), nullptr);
+        option_character = getopt_long(argc, argv, "s:n:t:wl", long_options.data(), nullptr);
         switch (option_character) {
         case -1:
             break;
@@ -193,18 +208,21 @@
             seconds = std::strtol(optarg, nullptr, 10);
             break;
         case 'w':
-            has_refused_writes = true;
+            options.has_refused_writes = true;
+            break;
+        case 'l':
+            options.has_named_limits = true;
             break;
         default:
             std::fputs("usage: soak [--seed FIRST] [--seeds COUNT] [--seconds OF_FAULTS] "
-                       "[--refused-writes]\n",
+                       "[--refused-writes] [--named-limits]\n",
                        stderr);
             return 2;
         }
     }
     std::uint64_t failed = 0;
     for (std::uint64_t i = 0; i < seeds; ++i) {
-        failed += run_soak(seed + i, std::chrono::seconds(seconds), has_refused_writes) ? 0 : 1;
+        failed += run_soak(seed + i, std::chrono::seconds(seconds), options) ? 0 : 1;
     }
     std::printf("%llu of %llu seeds without a finding\n",
                 static_cast<unsigned long long>(seeds - failed),
