--- a/packages/fleet/internal/target_limits.cpp
+++ b/packages/fleet/internal/target_limits.cpp
@@ -134,6 +134,27 @@
     }
 }
 
+void target_limits::export_metrics(telemetry::metric_set& metrics) {
+    const time_point now = this->time.now();
+    const auto set = [&](const std::string& name, const target_id& target, double value) {
+        metrics.set(name + "{target=\"" + target.value() + "\"}", value);
+    };
+    for (const target_id& target : std::exchange(this->exported, {})) {
+        set("target_limit_per_second", target, 0);
+        set("target_permits_held", target, 0);
+        set("target_requests_in_4_seconds", target, 0);
+    }
+    for (const permits::target_limit& limit : this->table().limits()) {
+        const target_id& target = limit.target;
+        set("target_limit_per_second", target, limit.rate->count());
+        set("target_permits_held", target, static_cast<double>(this->permits.held(target, now)));
+        set("target_requests_in_4_seconds", target,
+            static_cast<double>(this->permits.sent_recently(target, now)));
+        this->exported.insert(target);
+    }
+    metrics.set("target_limits_malformed", static_cast<double>(this->malformed));
+}
+
 void target_limits::handle_timer() {
     for (const target_id& target : this->permits.available_targets(this->time.now())) {
         this->notify.permits_changed(target);
--- a/packages/fleet/target_limits.h
+++ b/packages/fleet/target_limits.h
@@ -5,11 +5,14 @@
 #include "permits/limit_statement.h"
 #include "permits/permit_account.h"
 #include "task/wakeup.h"
+#include "telemetry/metric_set.h"
 #include "wire/messages.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
+#include <string>
 
 namespace kingcupcart::fleet {
 
@@ -41,8 +44,9 @@
     /// What every request to a target of the fleet is counted in.
     [[nodiscard]] permits::permit_account& account() { return this->permits; }
     [[nodiscard]] const permits::limit_table& table() const { return this->permits.table(); }
-    /// Number of statements that could not be read.
-    [[nodiscard]] std::uint64_t malformed_count() const { return this->malformed; }
+    /// Sets a gauge for the limit of each target, the permits held and the requests sent against
+    /// it.
+    void export_metrics(telemetry::metric_set& metrics);
 
 private:
     void apply(const permits::target_limit& limit, const std::string& source);
@@ -57,6 +61,8 @@
     time_point malformed_logged_at{};
     /// When each limit was last reported to the keepers.
     std::map<target_id, time_point> reported_at;
+    /// Targets whose gauges are set to other values than zero.
+    std::set<target_id> exported;
     task::wakeup demand_timer;
 };
 
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -294,10 +294,7 @@
     status["open_batch_calls"] = this->stores->open_count();
     this->metrics.set("gateway_open_requests", static_cast<double>(this->forwarder->open_count()));
     this->metrics.set("gateway_targets", static_cast<double>(this->fleet->targets().size()));
-    this->metrics.set("gateway_limited_targets",
-                      static_cast<double>(this->fleet->limits().table().limits().size()));
-    this->metrics.set("gateway_target_limits_malformed",
-                      static_cast<double>(this->fleet->limits().malformed_count()));
+    this->fleet->limits().export_metrics(this->metrics);
     admin::report report;
     report.component = "gateway";
     report.status = status.dump() + "\n";
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -367,6 +367,7 @@
     const group::replicated_log& log = this->replicated_group->consensus();
     this->metrics.set("store_log_suspended", log.is_suspended() ? 1 : 0);
     this->metrics.set("store_log_suspensions", static_cast<double>(log.suspension_count()));
+    this->fleet->limits().export_metrics(this->metrics);
     admin::report report;
     report.component = "store";
     report.status = status.dump() + "\n";
