--- a/packages/fleet/internal/target_limits.cpp
+++ b/packages/fleet/internal/target_limits.cpp
@@ -26,21 +26,12 @@
 
 void target_limits::record(const target_id& target, incarnation_id incarnation,
                            const permits::limit_statement& statement, time_point sent_at) {
-    using permits::limit_statement;
-    if (statement.says == limit_statement::kind::unknown) {
-        return;
-    }
-    if (statement.says == limit_statement::kind::malformed) {
+    if (statement.says == permits::limit_statement::kind::malformed) {
         this->count_malformed(target, incarnation);
-        return;
     }
-    permits::target_limit limit{target, incarnation, {}, sent_at};
-    if (statement.says == limit_statement::kind::limited) {
-        limit.rate = statement.rate;
-    } else if (!this->permits.is_limited(target)) {
-        return;
+    if (const auto stated = this->table().read(target, incarnation, statement, sent_at)) {
+        this->apply(*stated, "response");
     }
-    this->apply(limit, "response");
 }
 
 void target_limits::count_malformed(const target_id& target, incarnation_id incarnation) {
--- a/packages/keeper/internal/limit_control.cpp
+++ b/packages/keeper/internal/limit_control.cpp
@@ -16,18 +16,9 @@
 
 void limit_control::record(const target_id& target, incarnation_id incarnation,
                            const permits::limit_statement& statement, time_point sent_at) {
-    using permits::limit_statement;
-    const bool is_limited = statement.says == limit_statement::kind::limited;
-    const bool is_end =
-        statement.says == limit_statement::kind::unlimited && this->table.find(target) != nullptr;
-    if (!is_limited && !is_end) {
-        return;
-    }
-    permits::target_limit limit{target, incarnation, {}, sent_at};
-    if (is_limited) {
-        limit.rate = statement.rate;
+    if (const auto stated = this->table.read(target, incarnation, statement, sent_at)) {
+        this->apply(*stated, "response");
     }
-    this->apply(limit, "response");
 }
 
 void limit_control::handle(const instance_id& from, const wire::limit_report& report) {
--- a/packages/permits/internal/limit_table.cpp
+++ b/packages/permits/internal/limit_table.cpp
@@ -43,6 +43,20 @@
     return stated.rate ? limit_change::changed : limit_change::ended;
 }
 
+std::optional<target_limit> limit_table::read(const target_id& target, incarnation_id incarnation,
+                                              const limit_statement& statement,
+                                              time_point sent_at) const {
+    target_limit stated{target, incarnation, {}, sent_at};
+    if (statement.says == limit_statement::kind::limited) {
+        stated.rate = statement.rate;
+        return stated;
+    }
+    // Most targets never name a limit, and then there is none that could end.
+    const bool is_end =
+        statement.says == limit_statement::kind::unlimited && this->find(target) != nullptr;
+    return is_end ? std::optional(stated) : std::nullopt;
+}
+
 void limit_table::set_incarnation(const target_id& target, incarnation_id incarnation) {
     const auto found = this->entries.find(target);
     if (found != this->entries.end() && found->second.incarnation < incarnation) {
--- a/packages/permits/internal/permit_account.cpp
+++ b/packages/permits/internal/permit_account.cpp
@@ -1,5 +1,7 @@
 #include "permits/permit_account.h"
 
+#include "permits/internal/seconds.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -10,14 +12,6 @@
 /// Time over which `sent_recently` counts.
 constexpr duration counting_window = std::chrono::seconds(4);
 
-double seconds(duration time) {
-    return std::chrono::duration<double>(time).count();
-}
-
-duration from_seconds(double time) {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(time));
-}
-
 std::uint32_t difference(std::uint32_t larger, std::uint32_t smaller) {
     return larger > smaller ? larger - smaller : 0;
 }
@@ -86,7 +80,7 @@
 
 double permit_account::own_permits(const entry& account, const target_limit& limit,
                                    time_point now) const {
-    const double elapsed = seconds(std::max(duration::zero(), now - account.own_permits_at));
+    const double elapsed = to_seconds(std::max(duration::zero(), now - account.own_permits_at));
     return std::min(1.0, account.own_permits + elapsed * this->own_rate(account, limit));
 }
 
--- a/packages/permits/internal/permit_issuer.cpp
+++ b/packages/permits/internal/permit_issuer.cpp
@@ -1,22 +1,12 @@
 #include "permits/permit_issuer.h"
 
+#include "permits/internal/seconds.h"
+
 #include <algorithm>
 #include <chrono>
 
 namespace kingcupcart::permits {
 
-namespace {
-
-double seconds(duration time) {
-    return std::chrono::duration<double>(time).count();
-}
-
-duration from_seconds(double time) {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(time));
-}
-
-} // namespace
-
 void permit_issuer::set_authority(bool authorized) {
     if (authorized != this->is_authorized) {
         this->states.clear();
@@ -45,8 +35,8 @@
         return &state;
     }
     const double rate = limit->rate->count();
-    const double most = 1 + rate * seconds(this->limits.saving_time);
-    state.permits = std::min(most, state.permits + rate * seconds(now - state.updated_at));
+    const double most = 1 + rate * to_seconds(this->limits.saving_time);
+    state.permits = std::min(most, state.permits + rate * to_seconds(now - state.updated_at));
     state.updated_at = now;
     std::erase_if(state.demands, [&](const auto& entry) {
         return now - entry.second.received_at >= this->limits.demand_timeout;
--- a/packages/permits/limit_table.h
+++ b/packages/permits/limit_table.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "base/ids.h"
+#include "permits/limit_statement.h"
 #include "permits/target_limit.h"
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace kingcupcart::permits {
@@ -20,6 +22,12 @@
 public:
     /// Ignores statements that are older than the known one.
     limit_change apply(const target_limit& stated);
+    /// What a response states of the target's limit; empty if the response changes nothing.
+    /// `sent_at` is when its request was sent.
+    [[nodiscard]] std::optional<target_limit> read(const target_id& target,
+                                                   incarnation_id incarnation,
+                                                   const limit_statement& statement,
+                                                   time_point sent_at) const;
     /// Drops what another incarnation of the target has stated.
     void set_incarnation(const target_id& target, incarnation_id incarnation);
     void remove(const target_id& target) { this->entries.erase(target); }
