Fleet: the last of several limits that follow each other closely is reported, too

Found in the read-through: a limit whose number changed within 250 ms of the last report was never reported, so the keeper that issues permits could keep an older number. The instance remembers what the keepers know and reports the difference with the next response. Names of the account and comments reworded; addressed_grant stands with the other messages.

--- a/packages/fleet/internal/target_limits.cpp
+++ b/packages/fleet/internal/target_limits.cpp
@@ -31,6 +31,7 @@
     }
     if (const auto stated = this->table().read(target, incarnation, statement, sent_at)) {
         this->apply(*stated, "response");
+        this->report_change(target);
     }
 }
 
@@ -59,16 +60,12 @@
                  permits::to_string(change), limit.target.value(), limit.incarnation.value(),
                  limit.rate ? limit.rate->count() : 0, source,
                  (now - limit.stated_at) / std::chrono::milliseconds(1));
-    const bool is_own = source == "response";
-    const bool may_wait =
-        change == limit_change::changed && now - this->reported_at[limit.target] < report_interval;
-    if (is_own && !may_wait) {
-        this->reported_at[limit.target] = now;
+    if (source != "response") {
+        this->known_to_keepers[limit.target].rate = limit.rate;
+    } else if (change != limit_change::changed) {
+        this->known_to_keepers[limit.target] = {limit.rate, now};
         this->notify.send_to_keepers(wire::make_limit_report(limit, now));
     }
-    if (change == limit_change::ended) {
-        this->reported_at.erase(limit.target);
-    }
     this->notify.permits_changed(limit.target);
 }
 
@@ -78,6 +75,17 @@
     }
 }
 
+void target_limits::report_change(const target_id& target) {
+    const permits::target_limit* limit = this->table().find(target);
+    known_rate& known = this->known_to_keepers[target];
+    const time_point now = this->time.now();
+    if (limit != nullptr && limit->rate != known.rate &&
+        now - known.reported_at >= report_interval) {
+        known = {limit->rate, now};
+        this->report(target);
+    }
+}
+
 void target_limits::handle(const wire::permit_grants& grants) {
     const time_point now = this->time.now();
     for (const permits::permit_grant& grant : grants.grants) {
@@ -95,7 +103,7 @@
 
 void target_limits::target_removed(const target_id& target) {
     this->permits.remove(target);
-    this->reported_at.erase(target);
+    this->known_to_keepers.erase(target);
 }
 
 void target_limits::keeper_connected() {
--- a/packages/fleet/target_limits.h
+++ b/packages/fleet/target_limits.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -49,8 +50,15 @@
     void export_metrics(telemetry::metric_set& metrics);
 
 private:
+    struct known_rate {
+        std::optional<requests_per_second> rate;
+        time_point reported_at{};
+    };
+
     void apply(const permits::target_limit& limit, const std::string& source);
     void report(const target_id& target);
+    /// Reports the limit if the keepers know another number, but not for each response.
+    void report_change(const target_id& target);
     void count_malformed(const target_id& target, incarnation_id incarnation);
     void handle_timer();
 
@@ -59,8 +67,8 @@
     permits::permit_account permits;
     std::uint64_t malformed = 0;
     time_point malformed_logged_at{};
-    /// When each limit was last reported to the keepers.
-    std::map<target_id, time_point> reported_at;
+    /// What the keepers know of each limit.
+    std::map<target_id, known_rate> known_to_keepers;
     /// Targets whose gauges are set to other values than zero.
     std::set<target_id> exported;
     task::wakeup demand_timer;
--- a/packages/permits/internal/limit_table.cpp
+++ b/packages/permits/internal/limit_table.cpp
@@ -1,7 +1,17 @@
 #include "permits/limit_table.h"
 
+#include <cmath>
+
 namespace kingcupcart::permits {
 
+namespace {
+
+/// Limits are kept in millionths, as instances report them to each other: otherwise a reported
+/// limit would differ from the one in the next response.
+constexpr double precision = 1e6;
+
+} // namespace
+
 const char* to_string(limit_change change) {
     switch (change) {
     case limit_change::none:
@@ -48,7 +58,8 @@
                                               time_point sent_at) const {
     target_limit stated{target, incarnation, {}, sent_at};
     if (statement.says == limit_statement::kind::limited) {
-        stated.rate = statement.rate;
+        stated.rate =
+            requests_per_second(std::round(statement.rate.count() * precision) / precision);
         return stated;
     }
     // Most targets never name a limit, and then there is none that could end.
--- a/packages/permits/internal/permit_account.cpp
+++ b/packages/permits/internal/permit_account.cpp
@@ -153,12 +153,12 @@
         const double missing = 1 + account->waiting - this->own_permits(*account, *limit, now);
         return from_seconds(missing / this->own_rate(*account, *limit));
     }
-    if (now - account->told_at >= this->limits.lifetime) {
+    if (now - account->answered_at >= this->limits.lifetime) {
         return duration::zero();
     }
-    const std::uint32_t added = difference(account->waiting, account->waiting_when_told);
-    const duration told = account->told_wait + from_seconds(added / limit->rate->count());
-    return std::max(duration::zero(), told - (now - account->told_at));
+    const std::uint32_t added = difference(account->waiting, account->waiting_when_answered);
+    const duration expected = account->answered_wait + from_seconds(added / limit->rate->count());
+    return std::max(duration::zero(), expected - (now - account->answered_at));
 }
 
 void permit_account::handle(const permit_grant& grant, time_point now) {
@@ -177,9 +177,9 @@
         return;
     }
     account.unanswered_since.reset();
-    account.told_wait = grant.expected_wait;
-    account.told_at = now;
-    account.waiting_when_told = account.waiting;
+    account.answered_wait = grant.expected_wait;
+    account.answered_at = now;
+    account.waiting_when_answered = account.waiting;
     account.senders = grant.senders;
     account.permits.insert(account.permits.end(), grant.permits,
                            demand->sent_at + this->limits.lifetime);
@@ -207,8 +207,8 @@
 bool permit_account::is_demand_due(const entry& account, const permit_demand& demand,
                                    time_point now) const {
     const std::uint32_t wanted = demand.waiting + demand.background;
-    const std::uint32_t told = account.demand.waiting + account.demand.background;
-    if (demand.waiting > account.demand.waiting || (wanted == 0) != (told == 0)) {
+    const std::uint32_t sent = account.demand.waiting + account.demand.background;
+    if (demand.waiting > account.demand.waiting || (wanted == 0) != (sent == 0)) {
         return true;
     }
     return wanted > 0 && now - account.demanded_at >= this->limits.demand_interval;
--- a/packages/permits/permit_account.h
+++ b/packages/permits/permit_account.h
@@ -85,10 +85,10 @@
         std::deque<sent_demand> sent_demands;
         /// When the first demand was sent that is not answered yet.
         std::optional<time_point> unanswered_since;
-        /// What the issuer told last, and when.
-        duration told_wait{};
-        time_point told_at{};
-        std::uint32_t waiting_when_told = 0;
+        /// The expected wait in the issuer's latest answer, and when that arrived.
+        duration answered_wait{};
+        time_point answered_at{};
+        std::uint32_t waiting_when_answered = 0;
         std::size_t senders = 0;
         /// Permits without issuer: their number at a time, from which they accrue.
         double own_permits = 0;
--- a/packages/permits/permit_issuer.h
+++ b/packages/permits/permit_issuer.h
@@ -13,17 +13,12 @@
 
 namespace kingcupcart::permits {
 
-struct addressed_grant {
-    instance_id sender;
-    permit_grant grant;
-};
-
 /// Issues the permits for all limited targets, at the rates that the targets name, to the senders
 /// that ask for them. Only one issuer of a deployment may have authority at a time.
 ///
 /// Answers this load pattern: a dozen to some hundred senders, each with a request now and then,
-/// before a target that takes one request a second. Equal shares of that rate would serve nobody,
-/// while a permit on demand goes to whoever has a request.
+/// before a target that takes one request a second. An equal share for each would
+/// leave most of that rate unused, while a permit on demand goes to whoever has a request.
 class permit_issuer {
 public:
     /// `table` has to outlive this object.
--- a/packages/permits/permit_limits.h
+++ b/packages/permits/permit_limits.h
@@ -22,7 +22,8 @@
     duration issuer_timeout = std::chrono::milliseconds(1500);
     /// Part of the rate that all senders together use while the issuer is lost.
     double share_without_issuer = 0.5;
-    /// Number of senders, until the issuer has told it. An upper limit keeps the sum small.
+    /// Number of senders assumed before the issuer's first answer; large, so that their sum stays
+    /// small.
     std::size_t assumed_senders = 256;
     /// How long a sender asks for a permit after a request went elsewhere for the lack of one. Such
     /// requests tell whether the limit still holds.
--- a/packages/permits/permit_messages.h
+++ b/packages/permits/permit_messages.h
@@ -34,4 +34,10 @@
     std::uint32_t senders = 0;
 };
 
+/// A grant, and the sender that gets it.
+struct addressed_grant {
+    instance_id sender;
+    permit_grant grant;
+};
+
 } // namespace kingcupcart::permits
--- a/packages/permits/tests/permits_test.cpp
+++ b/packages/permits/tests/permits_test.cpp
@@ -166,6 +166,15 @@
             CHECK(table.find(target_id("t")) == nullptr);
         }
     }
+    GIVEN("a number with many digits") {
+        const limit_statement statement{limit_statement::kind::limited,
+                                        requests_per_second(1.23456789)};
+        THEN("it is kept as instances report it") {
+            const auto stated = table.read(target_id("t"), incarnation_id(1), statement, start);
+            REQUIRE(stated);
+            CHECK(stated->rate == requests_per_second(1.234568));
+        }
+    }
     GIVEN("another incarnation of the target") {
         table.set_incarnation(target_id("t"), incarnation_id(2));
         THEN("the limit is gone, and a late response of the earlier one restores it for no one") {
--- a/packages/requests/internal/dispatcher_permits.cpp
+++ b/packages/requests/internal/dispatcher_permits.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// Shortest and longest delay that a refused caller is told. One that is told a longer delay would
-/// not return.
+/// Shortest and longest delay after which a refused caller is asked to return.
 constexpr duration retry_after_rate_limited = std::chrono::milliseconds(200);
 constexpr duration max_retry_after = std::chrono::seconds(30);
 
@@ -66,9 +65,9 @@
                                             duration wait) {
     // Callers that are refused together must not return together.
     std::uniform_real_distribution<double> spread(1, 2);
-    const duration told = std::clamp(wait, retry_after_rate_limited, max_retry_after);
+    const duration delay = std::clamp(wait, retry_after_rate_limited, max_retry_after);
     const auto spread_out =
-        static_cast<duration::rep>(static_cast<double>(told.count()) * spread(this->random));
+        static_cast<duration::rep>(static_cast<double>(delay.count()) * spread(this->random));
     const auto outcome = request.write_started ? outcome_kind::unknown : outcome_kind::not_run;
     this->output.push_back(refuse_request{request.profile.id, outcome, refusal_reason::rate_limited,
                                           duration(spread_out), target});
