Listener: takes the connections of a whole fleet at once

Cause: GLib's listeners queue 10 connections. About 70 instances connect to the three seeds, and then to each store, at the same moment; the rest of the opening packets are dropped and sent again after a second, and each attempt is given up after 2 s and begun again 0.3 s later. In the stores' logs the first link to a keeper stands at 27.83, 28.81, 31.13 or 32.43 s (start: 27.82 s), and the leader is elected 4 s after the last of them, after the stores' own links were up (these are not logged).

Why it works: the queue holds 1,024 connections, more than a fleet of 249.

--- a/packages/wire/internal/listener.cpp
+++ b/packages/wire/internal/listener.cpp
@@ -6,10 +6,20 @@
 
 namespace kingcupcart::wire {
 
+namespace {
+
+/// Connections that the kernel completes before they are accepted. After a loss of power all
+/// instances of a fleet connect to the same few at once, and one that finds the queue full tries
+/// again only after a second or more. The kernel reduces it to `net.core.somaxconn`.
+constexpr int accept_queue_length = 1024;
+
+} // namespace
+
 outcome<std::unique_ptr<listener>> listener::open(const endpoint& address, handler on_connection) {
     const task::g_pointer<GSocketAddress> requested_address(
         g_inet_socket_address_new_from_string(address.address.c_str(), address.port));
     task::g_pointer<GSocketService> service(g_socket_service_new());
+    g_socket_listener_set_backlog(G_SOCKET_LISTENER(service.get()), accept_queue_length);
     GSocketAddress* effective_address = nullptr;
     GError* problem = nullptr;
     const gboolean is_bound = g_socket_listener_add_address(
