--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <chrono>
 #include <random>
 #include <type_traits>
 #include <utility>
@@ -34,6 +35,45 @@
     };
 }
 
+std::string_view name_of(quorum::voters_change_reason reason) {
+    switch (reason) {
+    case quorum::voters_change_reason::bootstrap:
+        return "bootstrap";
+    case quorum::voters_change_reason::joined:
+        return "joined";
+    case quorum::voters_change_reason::standby_added:
+        return "standby_added";
+    case quorum::voters_change_reason::absent_or_leaving_removed:
+        return "absent_or_leaving_removed";
+    case quorum::voters_change_reason::surplus_removed:
+        return "surplus_removed";
+    case quorum::voters_change_reason::disk_replaced:
+        return "disk_replaced";
+    case quorum::voters_change_reason::replacement_finished:
+        return "replacement_finished";
+    }
+    return "unknown";
+}
+
+std::string_view name_of(quorum::snapshot_progress::phase_kind phase) {
+    switch (phase) {
+    case quorum::snapshot_progress::phase_kind::begun:
+        return "begun";
+    case quorum::snapshot_progress::phase_kind::in_progress:
+        return "in_progress";
+    case quorum::snapshot_progress::phase_kind::ended:
+        return "ended";
+    }
+    return "unknown";
+}
+
+void log_progress(const quorum::snapshot_progress& progress) {
+    spdlog::info("snapshot to member instance={} index={} phase={} pieces={} of={} bytes={} ms={}",
+                 progress.to.value(), progress.index.value(), name_of(progress.phase),
+                 progress.pieces_received, progress.piece_count, progress.bytes_received,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(progress.elapsed).count());
+}
+
 } // namespace
 
 outcome<std::unique_ptr<replicated_log>> replicated_log::open(const parameters& arguments,
@@ -147,12 +187,14 @@
         this->stored.snapshot_term = snapshot->index_term;
         this->stored.snapshot_voters = snapshot->voters;
         this->stored.entries.clear();
+        this->stored.snapshot_piece_bytes.clear();
         this->piece_positions.clear();
         this->notify.clear_state();
     } else {
         const auto& piece = std::get<wire::snapshot_piece>(record);
         this->snapshot_bytes += piece.data.size();
         this->piece_positions.push_back(position);
+        this->stored.snapshot_piece_bytes.push_back(piece.data.size());
         BOOST_LEAF_CHECK(this->notify.load_piece(piece.data));
     }
     return {};
@@ -237,12 +279,36 @@
     this->replica_timer.arm(this->replica->next_wakeup());
 }
 
+void replicated_log::log_change(const quorum::voters_changed& change) const {
+    std::string voters;
+    for (const quorum::member& voter : change.changed.voters) {
+        voters += (voters.empty() ? "" : ",") + voter.id.value();
+    }
+    spdlog::info("voters changed index={} term={} reason={} voters={} joining={}",
+                 change.index.value(), this->replica->term().value(), name_of(change.reason),
+                 voters, change.changed.joining.value());
+}
+
+void replicated_log::log_bearable_losses() {
+    const auto losses = this->replica->bearable_losses(this->params.time->now());
+    if (losses == this->logged_losses) {
+        return;
+    }
+    this->logged_losses = losses;
+    if (losses) {
+        spdlog::info("bearable losses changed losses={} voters={} standbys={} term={}", *losses,
+                     this->replica->voters().voters.size(), this->replica->standby_count(),
+                     this->replica->term().value());
+    }
+}
+
 void replicated_log::execute(const quorum::actions& actions) {
     const auto persisted = value_or_error([&] { return this->persist(actions); });
     if (const auto* problem = std::get_if<error>(&persisted)) {
         this->suspend(*problem);
         return;
     }
+    this->log_bearable_losses();
     if (!this->deferred.empty()) {
         this->flush_wakeup.arm_now();
     }
@@ -262,6 +328,14 @@
         } else if (const auto* entries = std::get_if<quorum::persist_entries>(&actions[i])) {
             BOOST_LEAF_CHECK(this->file->append(wire::encode_record(*entries)));
             this->needs_sync = true;
+        } else if (const auto* voters = std::get_if<quorum::voters_changed>(&actions[i])) {
+            this->log_change(*voters);
+        } else if (const auto* lost = std::get_if<quorum::disk_lost>(&actions[i])) {
+            spdlog::warn("disk counts as lost instance={} counted={} returned={} term={}",
+                         lost->counted.id.value(), lost->counted.disk.value(),
+                         lost->returned.disk.value(), this->replica->term().value());
+        } else if (const auto* sent = std::get_if<quorum::snapshot_progress>(&actions[i])) {
+            log_progress(*sent);
         } else {
             this->deferred.push_back(actions[i]);
         }
@@ -273,6 +347,7 @@
                                                const quorum::persist_entries& entries) {
     const state_source state =
         snapshot.data != nullptr ? source_of(snapshot.data) : this->notify.save();
+    std::vector<std::size_t> piece_bytes;
     std::size_t records_written = 0;
     bool has_entries = false;
     this->piece_positions.clear();
@@ -288,6 +363,7 @@
             record = wire::encode_record(
                 wire::snapshot_header{snapshot.index, snapshot.index_term, snapshot.voters});
         } else if (state(piece)) {
+            piece_bytes.push_back(piece.size());
             record = wire::encode_record(wire::snapshot_piece{std::move(piece)});
             this->piece_positions.push_back(this->file->size());
         } else if (!has_entries) {
@@ -300,6 +376,7 @@
         return true;
     }));
     this->compact_after = {};
+    this->replica->set_snapshot_pieces(std::move(piece_bytes));
     this->snapshot_bytes = this->file->size();
     spdlog::info("snapshot persisted index={} bytes={}", snapshot.index.value(),
                  this->snapshot_bytes);
@@ -370,11 +447,7 @@
         return {};
     }
     quorum::install_snapshot_request request = action.content;
-    request.piece_count = this->piece_positions.size();
     if (!this->piece_positions.empty()) {
-        // A follower that has all pieces receives the last one again, and responds that it has the
-        // state.
-        request.piece = std::min<std::uint64_t>(request.piece, this->piece_positions.size() - 1);
         BOOST_LEAF_AUTO(bytes, this->file->read(this->piece_positions.at(request.piece)));
         BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
         request.data = std::get<wire::snapshot_piece>(record).data;
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -120,6 +120,8 @@
     [[nodiscard]] outcome<void> load_record(std::string_view record, std::size_t position);
     [[nodiscard]] outcome<void> restore(const quorum::restore_state& action);
     [[nodiscard]] outcome<void> send(const quorum::send_snapshot_piece& action);
+    void log_change(const quorum::voters_changed& change) const;
+    void log_bearable_losses();
     void arm();
     /// Notifications follow in the next event loop iteration, since the caller may be in the middle
     /// of a change.
@@ -160,6 +162,7 @@
     /// No snapshot is attempted before, after the disk had no room for one.
     time_point compact_after{};
     std::uint64_t syncs = 0;
+    std::optional<int> logged_losses;
     std::vector<quorum::member> adopted_members;
     std::set<instance_id> leaving;
     /// Actions that are executed after the next sync: messages to send and commands to apply.
--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -29,6 +29,7 @@
       snapshot_index(stored.snapshot_index),
       snapshot_term(stored.snapshot_term),
       snapshot_voters(stored.snapshot_voters),
+      snapshot_piece_bytes(stored.snapshot_piece_bytes),
       log(stored.entries),
       commit_index(stored.snapshot_index),
       applied_index(stored.snapshot_index),
@@ -82,6 +83,8 @@
     first.term = this->current_term;
     first.change = membership{{this->local_member}, instance_id()};
     this->append(first);
+    this->output.push_back(
+        voters_changed{this->last_index(), *first.change, voters_change_reason::bootstrap});
     this->become_leader();
     this->advance_commit();
     return std::exchange(this->output, {});
@@ -242,6 +245,7 @@
     }
     state.match = std::max(state.match, response.match);
     state.next = std::max(state.next, after(state.match));
+    this->end_transfer(response.follower.id, state);
     this->advance_commit();
     this->adjust_membership();
     // adjust_membership() may have removed this follower.
@@ -260,13 +264,17 @@
         return;
     }
     const auto& voters = this->latest_membership.voters;
-    const bool replaces_disk = std::any_of(voters.begin(), voters.end(), [&](const member& voter) {
+    const auto replaced = std::find_if(voters.begin(), voters.end(), [&](const member& voter) {
         return voter.id == request.joining.id;
     });
+    const bool replaces_disk = replaced != voters.end();
+    if (replaces_disk) {
+        this->output.push_back(disk_lost{*replaced, request.joining});
+    }
     const bool is_needed =
         this->limits.desired_voters == 0 || replaces_disk || !this->has_enough_standbys();
     this->learners.insert_or_assign(request.joining.id, request.joining);
-    progress initial_progress{after(this->last_index()), log_index(0), this->now};
+    progress initial_progress{after(this->last_index()), log_index(0), this->now, {}, {}, {}};
     initial_progress.is_observer = !is_needed;
     this->followers.insert_or_assign(request.joining.id, initial_progress);
     this->replicate_to(request.joining.id);
@@ -308,6 +316,17 @@
     return std::nullopt;
 }
 
+membership replica::committed_membership() const {
+    membership committed = this->snapshot_voters;
+    for (log_index index = after(this->snapshot_index); index <= this->commit_index;
+         index = after(index)) {
+        if (const auto& change = this->entry_at(index).change) {
+            committed = *change;
+        }
+    }
+    return committed;
+}
+
 bool replica::has_majority(const std::set<instance_id>& supporters, const membership& among) const {
     const auto count =
         std::count_if(among.voters.begin(), among.voters.end(),
--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -16,7 +16,7 @@
     for (const member& voter : this->latest_membership.voters) {
         if (voter.id != this->local_member.id) {
             this->followers[voter.id] =
-                progress{after(this->last_index()), {}, this->votes_requested_at};
+                progress{after(this->last_index()), {}, this->votes_requested_at, {}, {}, {}};
         }
     }
     this->output.push_back(leadership_changed{true});
@@ -47,7 +47,8 @@
     }
     log_index previous = before(state.next);
     const bool is_behind_log = previous < this->snapshot_index;
-    if (is_behind_log && this->now - state.piece_sent_at >= this->limits.snapshot_piece_timeout) {
+    if (is_behind_log && (!state.transfer || this->now - state.transfer->piece_sent_at >=
+                                                 this->limits.snapshot_piece_timeout)) {
         this->send_next_piece(to, state);
         return;
     }
@@ -101,7 +102,7 @@
             return;
         }
         if (state.is_observer && !this->is_absent_or_leaving(id)) {
-            state = progress{after(this->last_index()), log_index(0), this->now};
+            state = progress{after(this->last_index()), log_index(0), this->now, {}, {}, {}};
         }
     }
 }
@@ -158,11 +159,8 @@
     if (this->latest_membership.joining.value().empty() || this->uncommitted_membership()) {
         return;
     }
-    log_entry entry;
-    entry.term = this->current_term;
-    entry.change = membership{this->latest_membership.voters, instance_id()};
-    this->append(entry);
-    this->replicate_to_all();
+    this->change_membership({this->latest_membership.voters, instance_id()},
+                            voters_change_reason::replacement_finished);
 }
 
 bool replica::is_caught_up(const instance_id& id) const {
@@ -187,11 +185,12 @@
         }));
 }
 
-void replica::change_membership(membership changed) {
+void replica::change_membership(membership changed, voters_change_reason reason) {
     log_entry entry;
     entry.term = this->current_term;
     entry.change = std::move(changed);
     this->append(entry);
+    this->output.push_back(voters_changed{this->last_index(), *entry.change, reason});
     this->replicate_to_all();
 }
 
@@ -208,7 +207,7 @@
         *voter = item->second;
         changed.joining = id;
         this->learners.erase(item);
-        this->change_membership(std::move(changed));
+        this->change_membership(std::move(changed), voters_change_reason::disk_replaced);
         return true;
     }
     return false;
@@ -234,7 +233,9 @@
         changed.voters.push_back(item->second);
         changed.joining = instance_id();
         this->learners.erase(item);
-        this->change_membership(std::move(changed));
+        this->change_membership(std::move(changed), has_voter_to_replace
+                                                        ? voters_change_reason::standby_added
+                                                        : voters_change_reason::joined);
         return true;
     }
     return false;
@@ -249,7 +250,8 @@
     auto removed =
         std::find_if(changed.voters.begin(), changed.voters.end(),
                      [this](const member& voter) { return this->is_absent_or_leaving(voter.id); });
-    if (removed == changed.voters.end()) {
+    const bool is_surplus = removed == changed.voters.end();
+    if (is_surplus) {
         // The absent voter has returned, so the newest voter becomes a standby again.
         removed = std::prev(changed.voters.end());
         if (removed->id == this->local_member.id) {
@@ -259,7 +261,9 @@
     const instance_id removed_id = removed->id;
     changed.voters.erase(removed);
     changed.joining = instance_id();
-    this->change_membership(std::move(changed));
+    this->change_membership(std::move(changed),
+                            is_surplus ? voters_change_reason::surplus_removed
+                                       : voters_change_reason::absent_or_leaving_removed);
     this->followers.erase(removed_id);
     return true;
 }
@@ -296,6 +300,30 @@
            this->has_majority_contact(this->limits.min_election_timeout, moment);
 }
 
+int replica::bearable_losses_among(const membership& among, time_point moment) const {
+    const auto responding =
+        std::count_if(among.voters.begin(), among.voters.end(), [&](const member& voter) {
+            if (voter.id == this->local_member.id) {
+                return true;
+            }
+            const auto follower = this->followers.find(voter.id);
+            return follower != this->followers.end() && !this->learners.contains(voter.id) &&
+                   voter.id != this->latest_membership.joining &&
+                   moment - follower->second.last_contact < this->limits.max_election_timeout;
+        });
+    return static_cast<int>(responding) - (static_cast<int>(among.voters.size()) / 2 + 1);
+}
+
+std::optional<int> replica::bearable_losses(time_point moment) const {
+    if (!this->is_leader()) {
+        return std::nullopt;
+    }
+    const int latest = this->bearable_losses_among(this->latest_membership, moment);
+    return this->uncommitted_membership()
+               ? std::min(latest, this->bearable_losses_among(this->committed_membership(), moment))
+               : latest;
+}
+
 void replica::step_down_without_majority() {
     if (!this->has_majority_contact(this->limits.max_election_timeout, this->now)) {
         this->become_follower(this->current_term);
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -2,6 +2,8 @@
 #include "quorum/replica.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <numeric>
 #include <utility>
 
 /// Snapshots: compacts the log, and sends the state piece by piece to followers that need entries
@@ -22,17 +24,43 @@
     this->snapshot_term = this->term_at(index);
     this->log.erase(this->log.begin(), this->log.begin() + dropped);
     this->snapshot_index = index;
+    this->snapshot_piece_bytes.clear();
     this->output.push_back(persist_snapshot{index, this->snapshot_term, this->snapshot_voters, {}});
     this->output.push_back(persist_entries{after(index), this->log});
     return std::exchange(this->output, {});
 }
 
+void replica::report_progress(const instance_id& to, snapshot_transfer& transfer,
+                              snapshot_progress::phase_kind phase) {
+    const auto received =
+        std::min<std::size_t>(transfer.pieces_received, this->snapshot_piece_bytes.size());
+    const auto begin = this->snapshot_piece_bytes.begin();
+    transfer.reported_at = this->now;
+    this->output.push_back(snapshot_progress{
+        to, transfer.index, phase, transfer.pieces_received, this->snapshot_piece_bytes.size(),
+        std::accumulate(begin, begin + static_cast<std::ptrdiff_t>(received), std::size_t{0}),
+        this->now - transfer.started_at});
+}
+
+void replica::end_transfer(const instance_id& to, progress& state) {
+    if (!state.transfer || state.match < state.transfer->index) {
+        return;
+    }
+    if (state.transfer->index == this->snapshot_index) {
+        state.transfer->pieces_received = this->snapshot_piece_bytes.size();
+    }
+    this->report_progress(to, *state.transfer, snapshot_progress::phase_kind::ended);
+    state.transfer.reset();
+}
+
 void replica::send_next_piece(const instance_id& to, progress& state) {
-    if (state.snapshot_index != this->snapshot_index) {
-        state.snapshot_index = this->snapshot_index;
-        state.pieces_received = 0;
+    if (!state.transfer || state.transfer->index != this->snapshot_index) {
+        state.transfer = snapshot_transfer{this->snapshot_index, 0, this->now, {}, {}};
+        this->report_progress(to, *state.transfer, snapshot_progress::phase_kind::begun);
+    } else if (this->now - state.transfer->reported_at >= this->limits.progress_report_interval) {
+        this->report_progress(to, *state.transfer, snapshot_progress::phase_kind::in_progress);
     }
-    state.piece_sent_at = this->now;
+    state.transfer->piece_sent_at = this->now;
     install_snapshot_request next;
     next.term = this->current_term;
     next.leader = this->local_member;
@@ -40,18 +68,23 @@
     next.index = this->snapshot_index;
     next.index_term = this->snapshot_term;
     next.voters = this->snapshot_voters;
-    next.piece = state.pieces_received;
+    next.piece_count = this->snapshot_piece_bytes.size();
+    // A follower that has all pieces receives the last one again, and responds that it has the
+    // state.
+    next.piece =
+        std::min(state.transfer->pieces_received, std::max<std::uint64_t>(next.piece_count, 1) - 1);
     this->output.push_back(send_snapshot_piece{to, std::move(next)});
 }
 
 void replica::on(const install_snapshot_response& response) {
     progress* state =
         this->record_contact(response.follower, response.term, response.request_sent_at);
-    if (state == nullptr || response.index != this->snapshot_index ||
+    if (state == nullptr || !state->transfer || response.index != this->snapshot_index ||
+        state->transfer->index != this->snapshot_index ||
         before(state->next) >= this->snapshot_index) {
         return;
     }
-    state->pieces_received = response.pieces_received;
+    state->transfer->pieces_received = response.pieces_received;
     this->send_next_piece(response.follower.id, *state);
 }
 
@@ -92,6 +125,10 @@
     this->snapshot_index = last.index;
     this->snapshot_term = last.index_term;
     this->snapshot_voters = last.voters;
+    this->snapshot_piece_bytes.clear();
+    for (const std::string& piece : this->incoming_snapshot.pieces) {
+        this->snapshot_piece_bytes.push_back(piece.size());
+    }
     this->log.clear();
     this->commit_index = last.index;
     this->applied_index = last.index;
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -7,12 +7,14 @@
 #include "quorum/replica_limits.h"
 #include "quorum/stored_state.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kingcupcart::quorum {
@@ -49,6 +51,10 @@
     /// Takes a snapshot of the state machine, which has applied the log up to `index`, and drops
     /// that part of the log.
     [[nodiscard]] actions compact(log_index index);
+    /// To be called once a snapshot is stored, with the sizes of its pieces in bytes.
+    void set_snapshot_pieces(std::vector<std::size_t> bytes) {
+        this->snapshot_piece_bytes = std::move(bytes);
+    }
     /// The index of the last entry that the snapshot covers.
     [[nodiscard]] log_index compacted() const { return this->snapshot_index; }
 
@@ -83,9 +89,21 @@
     [[nodiscard]] std::size_t learner_count() const { return this->learners.size(); }
     /// Number of learners that hold all committed entries and could replace a voter.
     [[nodiscard]] std::size_t standby_count() const;
+    /// How many of the voters that respond to this leader may lose their disks while the rest is
+    /// still a majority that holds all committed entries; negative without a majority, and empty
+    /// unless this replica is the leader. While a change of the voters is not committed, the lower
+    /// number of both memberships.
+    [[nodiscard]] std::optional<int> bearable_losses(time_point now) const;
 
 private:
     enum class role_kind { follower, pre_candidate, candidate, leader };
+    struct snapshot_transfer {
+        log_index index;
+        std::uint64_t pieces_received = 0;
+        time_point started_at{};
+        time_point piece_sent_at{};
+        time_point reported_at{};
+    };
     struct progress {
         log_index next{1};
         log_index match;
@@ -94,11 +112,8 @@
         /// The leader is searching for the last index at which the logs match, and sends no entries
         /// meanwhile.
         bool is_probing = false;
-        /// When a snapshot piece was last sent to the follower.
-        time_point piece_sent_at{};
-        /// The snapshot that is being sent, and how many of its pieces the follower has received.
-        log_index snapshot_index{};
-        std::uint64_t pieces_received = 0;
+        /// The snapshot that is being sent, if any.
+        std::optional<snapshot_transfer> transfer;
         /// Receives heartbeats, which name the leader, but no entries.
         bool is_observer = false;
     };
@@ -150,7 +165,13 @@
     void install_snapshot(const install_snapshot_request& last);
     [[nodiscard]] bool is_caught_up(const instance_id& id) const;
     [[nodiscard]] bool is_absent_or_leaving(const instance_id& id) const;
-    void change_membership(membership changed);
+    void change_membership(membership changed, voters_change_reason reason);
+    [[nodiscard]] int bearable_losses_among(const membership& among, time_point moment) const;
+    /// The membership before the uncommitted one.
+    [[nodiscard]] membership committed_membership() const;
+    void report_progress(const instance_id& to, snapshot_transfer& transfer,
+                         snapshot_progress::phase_kind phase);
+    void end_transfer(const instance_id& to, progress& state);
     void step_down_without_majority();
     [[nodiscard]] bool has_majority_contact(duration within, time_point moment) const;
     void refresh_membership();
@@ -177,6 +198,7 @@
     log_index snapshot_index;
     term_number snapshot_term;
     membership snapshot_voters;
+    std::vector<std::size_t> snapshot_piece_bytes;
     /// The snapshot that is being received.
     struct {
         instance_id leader;
--- a/packages/quorum/replica_limits.h
+++ b/packages/quorum/replica_limits.h
@@ -28,6 +28,8 @@
     std::size_t max_message_bytes = 512UL * 1024;
     /// A snapshot piece that the follower has not acknowledged within this time is sent again.
     duration snapshot_piece_timeout = std::chrono::seconds(1);
+    /// How often the progress of a snapshot to a follower is reported at most.
+    duration progress_report_interval = std::chrono::seconds(1);
     /// The number of voters to maintain; 0 makes every member that asks to join a voter.
     std::size_t desired_voters = 0;
     /// The number of learners that receive the log, so that they can replace a voter; further
--- a/packages/quorum/stored_state.h
+++ b/packages/quorum/stored_state.h
@@ -3,6 +3,7 @@
 #include "quorum/log_entry.h"
 #include "quorum/member.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace kingcupcart::quorum {
@@ -14,6 +15,8 @@
     log_index snapshot_index;
     term_number snapshot_term;
     membership snapshot_voters;
+    /// Sizes of the snapshot's pieces, in bytes.
+    std::vector<std::size_t> snapshot_piece_bytes;
     /// The entries after the snapshot.
     std::vector<log_entry> entries;
 };
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -206,6 +206,8 @@
     std::map<instance_id, std::size_t> entries_sent_to;
     std::map<instance_id, std::size_t> bytes_sent_to;
     bool is_ordered = false;
+    /// Size of the pieces of a snapshot; by default, a few commands each.
+    std::size_t piece_bytes = 40;
     /// Whether messages to a frozen member wait for it, as in the buffers of its sockets.
     bool keeps_backlog = false;
 
@@ -265,6 +267,12 @@
             snapshot.data == nullptr ? this->nodes[id].applied : join(snapshot.data);
         this->nodes[id].applied_index = snapshot.index;
         stored.entries.clear();
+        stored.snapshot_piece_bytes.clear();
+        const std::string& state = this->nodes[id].saved;
+        for (std::size_t at = 0; at == 0 || at < state.size(); at += this->piece_bytes) {
+            stored.snapshot_piece_bytes.push_back(std::min(this->piece_bytes, state.size() - at));
+        }
+        this->nodes[id].raft->set_snapshot_pieces(stored.snapshot_piece_bytes);
     }
     void execute(const instance_id& id, const send_message& sent) {
         if (const auto* entries = std::get_if<append_entries_request>(&sent.content)) {
@@ -297,22 +305,14 @@
         this->nodes[id].applied = join(restored.data);
     }
     void execute(const instance_id& id, const send_snapshot_piece& piece_to_send) {
-        const snapshot_pieces pieces = split(this->nodes[id].saved);
         install_snapshot_request sent = piece_to_send.content;
-        sent.piece_count = pieces->size();
-        sent.piece = std::min<std::uint64_t>(sent.piece, sent.piece_count - 1);
-        sent.data = pieces->at(sent.piece);
+        sent.data = this->nodes[id].saved.substr(sent.piece * this->piece_bytes, this->piece_bytes);
         this->execute(id, send_message{piece_to_send.to, sent});
     }
-    /// Splits a state into pieces of a few commands each.
-    static snapshot_pieces split(const std::string& state) {
-        constexpr std::size_t size = 40;
-        std::vector<std::string> pieces;
-        for (std::size_t at = 0; at == 0 || at < state.size(); at += size) {
-            pieces.push_back(state.substr(at, size));
-        }
-        return std::make_shared<const std::vector<std::string>>(std::move(pieces));
-    }
+    /// An observation for the log; it has no effect.
+    void execute(const instance_id&, const voters_changed&) {}
+    void execute(const instance_id&, const disk_lost&) {}
+    void execute(const instance_id&, const snapshot_progress&) {}
     static std::string join(const snapshot_pieces& pieces) {
         std::string state;
         for (const std::string& piece : *pieces) {
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -365,6 +365,12 @@
     this->metrics.set("store_journal_bytes",
                       static_cast<double>(this->replicated_group->consensus().journal_bytes()));
     const group::replicated_log& log = this->replicated_group->consensus();
+    if (const auto losses = replica.bearable_losses(this->params.time->now())) {
+        status["bearable_losses"] = *losses;
+        this->metrics.set("store_bearable_losses", *losses);
+    }
+    this->metrics.set("store_voters", static_cast<double>(replica.voters().voters.size()));
+    this->metrics.set("store_standbys", static_cast<double>(replica.standby_count()));
     this->metrics.set("store_log_suspended", log.is_suspended() ? 1 : 0);
     this->metrics.set("store_log_suspensions", static_cast<double>(log.suspension_count()));
     this->fleet->limits().export_metrics(this->metrics);
