Tests of the repair after lost disks, which fail

Callers saw accepted jobs that could not be read after a final fault. Two scenarios use it: redundancy within 2 s of the return of two lost disks (25 MB of state, 30 ms one way, 600 Mbit/s, about 3 MB/s of appends), and closings at any moment of a change of the voters.

--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -16,10 +16,6 @@
 
 namespace {
 
-/// A snapshot is written once the journal has grown by this size since the last snapshot, or by
-/// half the size of that snapshot where that is more. The log since the snapshot is held in memory,
-/// which limits the growth; rewriting a large state too often would stall the group.
-constexpr std::size_t snapshot_growth_bytes = 12UL * 1024 * 1024;
 /// Delay before the next snapshot after one that failed.
 constexpr duration compaction_retry_interval = std::chrono::seconds(10);
 /// Disk identity of each initial member where the configuration lists only the members' names.
@@ -432,10 +428,10 @@
 }
 
 void replicated_log::compact_if_large() {
-    const std::size_t growth = std::max(snapshot_growth_bytes, this->snapshot_bytes / 2);
     // The snapshot covers all committed entries, so they must have been applied to the state.
-    if (!this->suspended && this->deferred.empty() &&
-        this->file->size() > this->snapshot_bytes + growth &&
+    if (!this->suspended && this->deferred.empty() && this->file->size() > this->snapshot_bytes &&
+        this->replica->is_compaction_due(this->file->size() - this->snapshot_bytes,
+                                         this->snapshot_bytes) &&
         this->params.time->now() >= this->compact_after) {
         this->execute(this->replica->compact(this->replica->committed()));
     }
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -10,6 +10,10 @@
 /// which are no longer in the log.
 namespace kingcupcart::quorum {
 
+bool replica::is_compaction_due(std::size_t log_bytes, std::size_t snapshot_bytes) const {
+    return log_bytes > std::max(this->limits.snapshot_growth_bytes, snapshot_bytes / 2);
+}
+
 actions replica::compact(log_index index) {
     if (index <= this->snapshot_index || index > this->applied_index) {
         return {};
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -51,6 +51,9 @@
     /// Takes a snapshot of the state machine, which has applied the log up to `index`, and drops
     /// that part of the log.
     [[nodiscard]] actions compact(log_index index);
+    /// Whether a snapshot should be taken, given the size of the log since the latest snapshot and
+    /// the size of that snapshot, in bytes.
+    [[nodiscard]] bool is_compaction_due(std::size_t log_bytes, std::size_t snapshot_bytes) const;
     /// To be called once a snapshot is stored, with the sizes of its pieces in bytes.
     void set_snapshot_pieces(std::vector<std::size_t> bytes) {
         this->snapshot_piece_bytes = std::move(bytes);
--- a/packages/quorum/replica_limits.h
+++ b/packages/quorum/replica_limits.h
@@ -26,6 +26,10 @@
     /// Bytes of commands in one message; no command is added once it is reached, so that a single
     /// larger command can still be sent.
     std::size_t max_message_bytes = 512UL * 1024;
+    /// A snapshot is taken once the log has grown by this size since the last one, or by half the
+    /// size of that snapshot where that is more. The log since the snapshot is held in memory,
+    /// which limits the growth; rewriting a large state too often would stall the group.
+    std::size_t snapshot_growth_bytes = 12UL * 1024 * 1024;
     /// A snapshot piece that the follower has not acknowledged within this time is sent again.
     duration snapshot_piece_timeout = std::chrono::seconds(1);
     /// How often the progress of a snapshot to a follower is reported at most.
--- /dev/null
+++ b/packages/quorum/tests/repair_test.cpp
@@ -0,0 +1,182 @@
+#include "quorum/tests/cluster.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace kingcupcart;
+using namespace kingcupcart::quorum;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// State and network of the largest deployment: pieces and link of its stores, regions 30 ms apart.
+struct repair_setting {
+    std::size_t members = 0;
+    std::size_t state_bytes = 0;
+};
+
+/// Five voters hold a state and a log that is about to be compacted, and two of them lose their
+/// disks. Returns the time from their return until the group can lose two voters again, at most 20
+/// s.
+duration time_to_redundancy(std::uint64_t seed, const repair_setting& setting) {
+    cluster group(seed, static_cast<int>(setting.members), cluster::initial_group{5});
+    group.is_ordered = true;
+    group.delay = 30ms;
+    group.link_bytes_per_second = 75'000'000;
+    group.piece_bytes = 256UL * 1024;
+    group.advance(4s);
+    while (group.applied(group.leader().value()).size() < setting.state_bytes) {
+        group.propose(64UL * 1024);
+        group.advance(10ms);
+    }
+    group.advance(3s);
+    REQUIRE(group.bearable_losses() == 2);
+    for (const instance_id& id : group.ids) {
+        group.compact(id);
+    }
+    group.compacts_by_growth = true;
+    // About 3 MB/s; the log reaches the size at which it is compacted while the disks are replaced.
+    const auto append_for = [&](duration time) {
+        for (const time_point end = group.time() + time; group.time() < end;) {
+            group.propose(16UL * 1024);
+            group.advance(5ms);
+        }
+    };
+    append_for(2s);
+    const instance_id leader = group.leader().value();
+    std::vector<instance_id> lost;
+    for (const instance_id& id : group.ids) {
+        if (id != leader && lost.size() < 2 && group.is_voter(id)) {
+            lost.push_back(id);
+        }
+    }
+    for (const instance_id& id : lost) {
+        group.stop(id);
+        group.erase_disk(id);
+    }
+    append_for(2s);
+    for (const instance_id& id : lost) {
+        group.start(id);
+    }
+    const time_point returned_at = group.time();
+    while (group.bearable_losses() != 2 && group.time() < returned_at + 20s) {
+        append_for(10ms);
+    }
+    return group.time() - returned_at;
+}
+
+constexpr duration redundancy_target = 2s;
+constexpr std::size_t megabyte = 1'000'000;
+
+} // namespace
+
+// Guards against accepted jobs that could not be read after a second loss of disks, since the disks
+// of the first were not replaced in time.
+SCENARIO("redundancy is restored within 2 s after two voters lost their disks") {
+    std::size_t members = 0;
+    SUBCASE("no standby is left") {
+        members = 5;
+    }
+    SUBCASE("one standby is left") {
+        members = 6;
+    }
+    SUBCASE("two standbys are left") {
+        members = 7;
+    }
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        CAPTURE(seed);
+        CHECK(time_to_redundancy(seed, {members, 25 * megabyte}) <= redundancy_target);
+    }
+}
+
+SCENARIO("the time to redundancy is reported for larger states" * doctest::skip()) {
+    for (const std::size_t megabytes : {12, 25, 50}) {
+        for (const std::size_t members : {5, 6, 7}) {
+            const duration time = time_to_redundancy(1, {members, megabytes * megabyte});
+            MESSAGE("state MB: ", megabytes, ", standbys: ", members - 5,
+                    ", ms: ", std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+        }
+    }
+}
+
+// Guards against a state of the membership in which the loss of as many disks as the group bears
+// then, and the power of all others, takes away what was accepted.
+SCENARIO("what is accepted survives closings at any moment of a change of the voters") {
+    std::size_t closings = 0;
+    std::size_t with_lost_disks = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        const int voters = seed % 2 == 0 ? 3 : 5;
+        cluster group(seed, voters + static_cast<int>(seed % 4), cluster::initial_group{voters});
+        group.advance(4s);
+        for (int round = 0; round < 4; ++round) {
+            CAPTURE(round);
+            for (std::uint64_t step = 0; step < 4 + group.random() % 12; ++step) {
+                const instance_id id = group.ids[group.random() % group.ids.size()];
+                switch (group.random() % 8) {
+                case 0:
+                    if (group.spare_voters() >= 1) {
+                        group.stop(id);
+                        group.erase_disk(id);
+                        group.advance(duration(100ms) * static_cast<int>(group.random() % 30));
+                        group.start(id);
+                    }
+                    break;
+                case 1:
+                    group.stop(id);
+                    break;
+                case 2:
+                    if (!group.is_running(id)) {
+                        group.start(id);
+                    }
+                    break;
+                case 3:
+                    group.set_leaving(id);
+                    break;
+                case 4:
+                    group.compact(id);
+                    break;
+                case 5:
+                    group.isolate(id);
+                    break;
+                default:
+                    group.propose();
+                    break;
+                }
+                group.advance(duration(5ms) * static_cast<int>(group.random() % 120));
+            }
+            group.propose();
+            group.advance(duration(5ms) * static_cast<int>(group.random() % 40));
+            const int spare = std::max(group.spare_voters(), 0);
+            std::vector<instance_id> order = group.ids;
+            std::shuffle(order.begin(), order.end(), group.random);
+            order.resize(group.random() % (static_cast<std::size_t>(spare) + 1));
+            const std::string accepted = group.accepted_commands();
+            for (const instance_id& id : group.ids) {
+                group.stop(id);
+            }
+            for (const instance_id& id : order) {
+                group.erase_disk(id);
+            }
+            group.heal();
+            group.set_leaving(instance_id());
+            for (const instance_id& id : group.ids) {
+                group.start(id);
+            }
+            group.advance(8s);
+            INFO("disks lost at the closing: ", order.size(), " of ", spare);
+            REQUIRE(group.leader());
+            CHECK(group.applied(*group.leader()).starts_with(accepted));
+            ++closings;
+            with_lost_disks += order.empty() ? 0 : 1;
+            group.advance(4s);
+        }
+    }
+    MESSAGE("closings: ", closings, ", with lost disks: ", with_lost_disks);
+    CHECK(with_lost_disks >= closings / 4);
+}
