Daemon: its tasks end before its log is closed

The supervisor counted an end by itself.

Cause: main closed the log while the daemon's tasks still ran, since the daemon was destroyed when run() returned. The next line that a task logged used a logger that was gone. The window is as long as the log takes to be written: up to 500 ms where its reader is slow.

Evidence: the new process test, a keeper whose log nobody reads and whose peers break the protocol, ended by signal 11 in 15 of 15 stops on the code before, in 0 of 15 with the daemon destroyed first.

The gateways that ended by signal 11 when all keepers and stores were killed were not stopping: this change does not explain them.

--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -187,7 +187,7 @@
         spdlog::critical("cannot start: {}", problem->message);
         return close_log_for_exit(exit_failed);
     }
-    const auto& instance = std::get<std::unique_ptr<daemon::daemon>>(started);
+    auto instance = std::get<std::unique_ptr<daemon::daemon>>(std::move(started));
     task::event_loop loop;
     loop.enter();
     int code = exit_ok;
@@ -205,6 +205,8 @@
         code = stop.exit_code();
     }
     loop.leave();
+    // Its tasks must not log once the log is closed.
+    instance.reset();
     spdlog::info("stopped");
     return close_log_for_exit(code);
 }
