Timers: the queue lives while it calls the last timer

What could happen: a process ends by signal 11 or uses freed memory when the callback of a loop's only timer destroys that timer, as links do that are lost and dialled again.

Cause: the timers own their queue. When the callback destroyed the last one, the queue was freed and went on to arm its wakeup.

Evidence: the new case of task_test found the queue destroyed inside the callback on the code before; it holds now.

--- a/packages/task/internal/timer_queue.cpp
+++ b/packages/task/internal/timer_queue.cpp
@@ -32,6 +32,8 @@
 }
 
 void timer_queue::call_due_timers() {
+    // A callback may destroy the last timer, and with it the last other owner of this queue.
+    const std::shared_ptr<timer_queue> self = this->shared_from_this();
     const time_point now = std::chrono::steady_clock::now();
     while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
         timer& due = *this->timers.begin()->second;
--- a/packages/task/internal/timer_queue.h
+++ b/packages/task/internal/timer_queue.h
@@ -13,7 +13,7 @@
 class timer;
 
 /// The armed timers of one event loop, with the wakeup that they share.
-class timer_queue {
+class timer_queue : public std::enable_shared_from_this<timer_queue> {
 public:
     /// The queue of the calling thread's event loop; created if there is none.
     static std::shared_ptr<timer_queue> current();
--- a/packages/task/tests/task_test.cpp
+++ b/packages/task/tests/task_test.cpp
@@ -1,5 +1,6 @@
 #include "base/system_clock.h"
 #include "task/event_loop.h"
+#include "task/internal/timer_queue.h"
 #include "task/socket_watch.h"
 #include "task/task.h"
 #include "task/timer.h"
@@ -223,5 +224,26 @@
             }
         }
     }
+    GIVEN("a single timer whose callback destroys it") {
+        std::unique_ptr<task::timer> single;
+        std::weak_ptr<task::timer_queue> queue;
+        bool has_fired = false;
+        bool had_queue = false;
+        single = std::make_unique<task::timer>([&] {
+            single.reset();
+            had_queue = !queue.expired();
+            has_fired = true;
+        });
+        queue = task::timer_queue::current();
+        single->arm(std::chrono::steady_clock::now());
+        WHEN("its time passes") {
+            while (!has_fired) {
+                g_main_context_iteration(loop.context(), TRUE);
+            }
+            THEN("the queue that calls it lives until the callback has returned") {
+                CHECK(had_queue);
+            }
+        }
+    }
     loop.leave();
 }
