--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -47,13 +47,14 @@
     }
     log_index previous = before(state.next);
     const bool is_behind_log = previous < this->snapshot_index;
-    if (is_behind_log && (!state.transfer || this->now - state.transfer->piece_sent_at >=
-                                                 this->limits.snapshot_piece_timeout)) {
-        this->send_next_piece(to, state);
+    if (is_behind_log &&
+        (!state.transfer || state.transfer->index != this->snapshot_index ||
+         this->now - state.transfer->active_at >= this->limits.snapshot_piece_timeout)) {
+        this->send_pieces(to, state);
         return;
     }
     if (is_behind_log) {
-        // A snapshot piece is in flight: sends only a heartbeat.
+        // Snapshot pieces are in flight: sends only a heartbeat.
         previous = this->snapshot_index;
     }
     append_entries_request request;
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -11,7 +11,18 @@
 namespace kingcupcart::quorum {
 
 bool replica::is_compaction_due(std::size_t log_bytes, std::size_t snapshot_bytes) const {
-    return log_bytes > std::max(this->limits.snapshot_growth_bytes, snapshot_bytes / 2);
+    const std::size_t growth = std::max(this->limits.snapshot_growth_bytes, snapshot_bytes / 2);
+    const bool is_postponed =
+        log_bytes <= growth + this->limits.postponed_growth_bytes &&
+        std::any_of(this->followers.begin(), this->followers.end(),
+                    [this](const auto& item) { return this->is_catching_up(item.second); });
+    return log_bytes > growth && !is_postponed;
+}
+
+bool replica::is_catching_up(const progress& state) const {
+    return !state.is_observer && this->now - state.last_contact <= this->limits.absence_timeout &&
+           (state.transfer || state.match == log_index(0) ||
+            before(state.next) < this->commit_index);
 }
 
 actions replica::compact(log_index index) {
@@ -57,14 +68,39 @@
     state.transfer.reset();
 }
 
-void replica::send_next_piece(const instance_id& to, progress& state) {
+void replica::send_pieces(const instance_id& to, progress& state) {
     if (!state.transfer || state.transfer->index != this->snapshot_index) {
-        state.transfer = snapshot_transfer{this->snapshot_index, 0, this->now, {}, {}};
+        state.transfer =
+            snapshot_transfer{this->snapshot_index, 0, 0, this->now, this->now, {}, {}};
         this->report_progress(to, *state.transfer, snapshot_progress::phase_kind::begun);
     } else if (this->now - state.transfer->reported_at >= this->limits.progress_report_interval) {
         this->report_progress(to, *state.transfer, snapshot_progress::phase_kind::in_progress);
     }
-    state.transfer->piece_sent_at = this->now;
+    snapshot_transfer& transfer = *state.transfer;
+    const std::uint64_t count = this->snapshot_piece_bytes.size();
+    if (count == 0 || this->now - transfer.active_at >= this->limits.snapshot_piece_timeout) {
+        // One piece only, since the follower may not be reading. One that has all pieces receives
+        // the last one again, and responds that it has the state.
+        transfer.pieces_sent =
+            std::min(transfer.pieces_received, std::max<std::uint64_t>(count, 1) - 1);
+        this->send_piece(to, transfer);
+        return;
+    }
+    while (transfer.pieces_sent < count &&
+           this->bytes_in_flight(transfer) < this->limits.max_snapshot_bytes_in_flight) {
+        this->send_piece(to, transfer);
+    }
+}
+
+std::size_t replica::bytes_in_flight(const snapshot_transfer& transfer) const {
+    const auto begin = this->snapshot_piece_bytes.begin();
+    return std::accumulate(begin + static_cast<std::ptrdiff_t>(transfer.pieces_received),
+                           begin + static_cast<std::ptrdiff_t>(transfer.pieces_sent),
+                           std::size_t{0});
+}
+
+void replica::send_piece(const instance_id& to, snapshot_transfer& transfer) {
+    transfer.active_at = this->now;
     install_snapshot_request next;
     next.term = this->current_term;
     next.leader = this->local_member;
@@ -73,10 +109,7 @@
     next.index_term = this->snapshot_term;
     next.voters = this->snapshot_voters;
     next.piece_count = this->snapshot_piece_bytes.size();
-    // A follower that has all pieces receives the last one again, and responds that it has the
-    // state.
-    next.piece =
-        std::min(state.transfer->pieces_received, std::max<std::uint64_t>(next.piece_count, 1) - 1);
+    next.piece = transfer.pieces_sent++;
     this->output.push_back(send_snapshot_piece{to, std::move(next)});
 }
 
@@ -85,11 +118,26 @@
         this->record_contact(response.follower, response.term, response.request_sent_at);
     if (state == nullptr || !state->transfer || response.index != this->snapshot_index ||
         state->transfer->index != this->snapshot_index ||
+        response.pieces_received > this->snapshot_piece_bytes.size() ||
         before(state->next) >= this->snapshot_index) {
         return;
     }
-    state->transfer->pieces_received = response.pieces_received;
-    this->send_next_piece(response.follower.id, *state);
+    snapshot_transfer& transfer = *state->transfer;
+    if (response.pieces_received < transfer.pieces_received) {
+        if (response.request_sent_at <= transfer.acknowledged_request_at) {
+            // A stale response, sent before the follower received further pieces.
+            return;
+        }
+        // The follower has restarted, and has lost the pieces that it had.
+        transfer.pieces_sent = response.pieces_received;
+        transfer.acknowledged_request_at = this->now;
+    }
+    transfer.pieces_received = response.pieces_received;
+    transfer.pieces_sent = std::max(transfer.pieces_sent, response.pieces_received);
+    transfer.acknowledged_request_at =
+        std::max(transfer.acknowledged_request_at, response.request_sent_at);
+    transfer.active_at = this->now;
+    this->send_pieces(response.follower.id, *state);
 }
 
 void replica::on(const install_snapshot_request& request) {
@@ -105,17 +153,23 @@
     if (request.index > this->commit_index) {
         if (this->incoming_snapshot.leader != request.leader.id ||
             this->incoming_snapshot.index != request.index) {
-            this->incoming_snapshot = {request.leader.id, request.index, {}};
+            this->incoming_snapshot = {request.leader.id, request.index,
+                                       std::vector<std::string>(request.piece_count),
+                                       std::vector<bool>(request.piece_count), 0};
+        }
+        auto& incoming = this->incoming_snapshot;
+        if (request.piece < incoming.pieces.size() && !incoming.is_received[request.piece]) {
+            incoming.pieces[request.piece] = request.data;
+            incoming.is_received[request.piece] = true;
         }
-        if (request.piece < request.piece_count &&
-            request.piece == this->incoming_snapshot.pieces.size()) {
-            this->incoming_snapshot.pieces.push_back(request.data);
+        while (incoming.first_missing < incoming.pieces.size() &&
+               incoming.is_received[incoming.first_missing]) {
+            ++incoming.first_missing;
         }
-        if (this->incoming_snapshot.pieces.size() < request.piece_count) {
-            this->send(
-                request.leader.id,
-                install_snapshot_response{this->current_term, this->local_member, request.index,
-                                          this->incoming_snapshot.pieces.size(), request.sent_at});
+        if (incoming.first_missing < incoming.pieces.size()) {
+            this->send(request.leader.id, install_snapshot_response{
+                                              this->current_term, this->local_member, request.index,
+                                              incoming.first_missing, request.sent_at});
             return;
         }
         this->install_snapshot(request);
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -103,8 +103,12 @@
     struct snapshot_transfer {
         log_index index;
         std::uint64_t pieces_received = 0;
+        std::uint64_t pieces_sent = 0;
         time_point started_at{};
-        time_point piece_sent_at{};
+        /// When a piece was last sent or acknowledged.
+        time_point active_at{};
+        /// When the newest request was sent that the follower has responded to.
+        time_point acknowledged_request_at{};
         time_point reported_at{};
     };
     struct progress {
@@ -164,7 +168,12 @@
     void recruit_standbys();
     [[nodiscard]] bool has_enough_standbys() const;
     void send_heartbeat(const instance_id& to);
-    void send_next_piece(const instance_id& to, progress& state);
+    /// Sends the snapshot pieces that may be in flight to the follower.
+    void send_pieces(const instance_id& to, progress& state);
+    void send_piece(const instance_id& to, snapshot_transfer& transfer);
+    [[nodiscard]] std::size_t bytes_in_flight(const snapshot_transfer& transfer) const;
+    /// Whether the follower still needs entries that a snapshot would drop from the log.
+    [[nodiscard]] bool is_catching_up(const progress& state) const;
     void install_snapshot(const install_snapshot_request& last);
     [[nodiscard]] bool is_caught_up(const instance_id& id) const;
     [[nodiscard]] bool is_absent_or_leaving(const instance_id& id) const;
@@ -207,6 +216,9 @@
         instance_id leader;
         log_index index;
         std::vector<std::string> pieces;
+        std::vector<bool> is_received;
+        /// The number of pieces before the first one that is missing.
+        std::uint64_t first_missing = 0;
     } incoming_snapshot;
     std::vector<log_entry> log;
     membership latest_membership;
