Votes of members that a change of the voters makes voters

Callers would see accepted jobs that can't be read after a final fault: no member leads any more, although no more disks were lost than the group could bear.

A member now votes regardless of whether it or the candidate is a voter by its own log, as Raft asks for (Ongaro's thesis, 4.2.2); the candidate counts only voters by its log, with the disks that are counted, and the check of the longer log stays. So a group with one voter too many bears as many losses as before.

--- a/packages/quorum/internal/replica_election.cpp
+++ b/packages/quorum/internal/replica_election.cpp
@@ -20,8 +20,8 @@
     reply.voter = this->local_member;
     reply.is_pre_vote = request.is_pre_vote;
     if (request.is_pre_vote) {
-        reply.is_granted = this->is_voter() && !has_leader_contact &&
-                           request.term > this->current_term && this->is_up_to_date(request);
+        reply.is_granted = !has_leader_contact && request.term > this->current_term &&
+                           this->is_up_to_date(request);
         reply.term = reply.is_granted ? request.term : this->current_term;
         this->send(request.candidate.id, reply);
         return;
@@ -36,8 +36,10 @@
     }
     const bool is_free = this->voted_for.value().empty() || this->voted_for == request.candidate.id;
     reply.term = this->current_term;
-    reply.is_granted = request.term == this->current_term && is_free && this->is_voter() &&
-                       this->is_known_voter(request.candidate) && this->is_up_to_date(request);
+    // This replica or the candidate may be a voter by an entry that is not in the local log yet.
+    // The candidate counts only votes of those that are voters by its own log.
+    reply.is_granted =
+        request.term == this->current_term && is_free && this->is_up_to_date(request);
     if (reply.is_granted) {
         this->voted_for = request.candidate.id;
         this->persist_current_vote();
--- a/packages/quorum/tests/cluster.h
+++ b/packages/quorum/tests/cluster.h
@@ -166,6 +166,25 @@
         }
         return spare;
     }
+    /// The members' terms, logs and voters, for the message of a failed check.
+    [[nodiscard]] std::string describe() {
+        std::string text;
+        for (const auto& [id, member_node] : this->nodes) {
+            text += id.value() + ":";
+            if (member_node.raft) {
+                text += " term " + std::to_string(member_node.raft->term().value()) + " last " +
+                        std::to_string(member_node.raft->last_index().value()) + " committed " +
+                        std::to_string(member_node.raft->committed().value()) + " voters";
+                for (const member& voter : member_node.raft->voters().voters) {
+                    text += " " + voter.id.value() +
+                            (this->nodes[voter.id].disk == voter.disk ? "" : "(lost)");
+                }
+                text += " joining " + member_node.raft->voters().joining.value();
+            }
+            text += "\n";
+        }
+        return text;
+    }
     /// Every accepted command, in order.
     [[nodiscard]] std::string accepted_commands() const {
         std::string commands;
--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -170,6 +170,7 @@
             }
             group.advance(8s);
             INFO("disks lost at the closing: ", order.size(), " of ", spare);
+            INFO(group.describe());
             REQUIRE(group.leader());
             CHECK(group.applied(*group.leader()).starts_with(accepted));
             ++closings;
