A voter's new disk is noticed at its first message

Callers saw accepted jobs that could not be read after a final fault. A store that returned with an empty disk first waited 0.5 to 1 s before it asked to join, and its rejections of the leader's entries, which name the new disk, were dropped.

A member that is no voter asks to join when it starts and when a link opens, and the leader takes any response that names another disk for a request to join, unless it answers a request from before the latest change of the voters. While a member with a new disk is known, responses in the name of the lost one are dropped: they counted as progress of the new disk, which then could replace the lost one without holding the log.

--- a/packages/group/group.h
+++ b/packages/group/group.h
@@ -145,7 +145,10 @@
           notify(std::move(notify)),
           links(*this->params.log.time,
                 {this->params.greeting,
-                 [this](const instance_id& member) { this->notify.connected(member); },
+                 [this](const instance_id& member) {
+                     this->log->handle_connected(member);
+                     this->notify.connected(member);
+                 },
                  [this](const instance_id& from, const wire::message& message) {
                      this->notify.received(from, message);
                  },
--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -244,6 +244,12 @@
     }
 }
 
+void replicated_log::handle_connected(const instance_id& member) {
+    if (!this->suspended) {
+        this->execute(this->replica->handle_connected(member, this->params.time->now()));
+    }
+}
+
 bool replicated_log::propose(const std::string& command) {
     if (this->suspended) {
         return false;
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -80,6 +80,8 @@
     replicated_log& operator=(const replicated_log&) = delete;
 
     void handle(const quorum::message& message);
+    /// Messages to the member can be sent from now on.
+    void handle_connected(const instance_id& member);
     /// Uses these members, with their disk identities, as the group's voters if the log is empty
     /// and no voter is known.
     void adopt_initial_members(const std::vector<quorum::member>& initial_members);
--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -36,6 +36,9 @@
       now(now) {
     this->refresh_membership();
     this->reset_election_timer();
+    if (!this->is_voter()) {
+        this->wakeup = now;
+    }
 }
 
 log_index replica::last_index() const {
@@ -131,6 +134,14 @@
     return std::exchange(this->output, {});
 }
 
+actions replica::handle_connected(const instance_id& peer, time_point moment) {
+    this->now = moment;
+    if (!this->is_voter()) {
+        this->send(peer, join_request{this->local_member});
+    }
+    return std::exchange(this->output, {});
+}
+
 replica::proposal replica::propose(const std::string& command, time_point moment) {
     this->now = moment;
     if (!this->is_leader()) {
@@ -210,9 +221,14 @@
         return nullptr;
     }
     const auto learner = this->learners.find(follower.id);
-    const bool is_known_disk = this->is_known_voter(follower) ||
-                               (learner != this->learners.end() && learner->second == follower);
-    if (!is_known_disk) {
+    if (learner != this->learners.end() && learner->second != follower) {
+        // Sent before the disk was lost. It must not count for the disk that replaces it.
+        return nullptr;
+    }
+    if (learner == this->learners.end() && !this->is_known_voter(follower)) {
+        if (request_sent_at >= this->voters_changed_at) {
+            this->on(join_request{follower});
+        }
         return nullptr;
     }
     time_point& last_contact = known->second.last_contact;
--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -11,6 +11,7 @@
 void replica::become_leader() {
     this->role = role_kind::leader;
     this->known_leader = this->local_member.id;
+    this->voters_changed_at = this->now;
     this->followers.clear();
     this->learners.clear();
     for (const member& voter : this->latest_membership.voters) {
@@ -191,6 +192,7 @@
     entry.term = this->current_term;
     entry.change = std::move(changed);
     this->append(entry);
+    this->voters_changed_at = this->now;
     this->output.push_back(voters_changed{this->last_index(), *entry.change, reason});
     this->replicate_to_all();
 }
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -37,6 +37,9 @@
     [[nodiscard]] actions handle(const message& incoming, time_point now);
     /// To be called when `next_wakeup` is reached; does nothing before.
     [[nodiscard]] actions handle_timer(time_point now);
+    /// To be called when messages to the peer can be sent. Asks it to join at once while this
+    /// replica is not a voter.
+    [[nodiscard]] actions handle_connected(const instance_id& peer, time_point now);
     struct proposal {
         /// Index of the command in the log; empty if this replica is not the leader.
         std::optional<log_index> index;
@@ -230,6 +233,8 @@
     /// Members that asked to join and are not voters yet, by instance.
     std::map<instance_id, member> learners;
     std::set<instance_id> leaving;
+    /// When this leader last changed the voters.
+    time_point voters_changed_at{};
     time_point now{};
     time_point wakeup{};
     actions output;
