A voter whose disk is lost is replaced by a standby at once

Callers saw accepted jobs that could not be read after a final fault. A voter that was back with an empty disk stayed in the membership until that disk held the whole state, so it counted for the size of the majority and could not acknowledge, while standbys that hold the log waited for 2.5 s of absence.

Any member that has caught up now takes the place of the lost disk: the new disk if it has, else a standby. It is the same single change as before, whose newcomer does not count until the change is committed; a majority without the newcomer and without the lost disk meets every majority that the lost disk can have been part of. Adding first and removing then would ask for four of six meanwhile. With one voter too many, the one whose disk is lost is the first to go.

The newcomer's vote and its contact don't count until then either: with them, a candidate that holds the uncommitted change could win a term in which the lost disk had already voted for another one, and a leader could take itself for the only one.

A follower counts as caught up once all entries are sent to it: under steady appends a distant one never held the last committed entry at the moment of a check.

--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -294,6 +294,9 @@
     initial_progress.is_observer = !is_needed;
     this->followers.insert_or_assign(request.joining.id, initial_progress);
     this->replicate_to(request.joining.id);
+    if (replaces_disk) {
+        this->adjust_membership();
+    }
 }
 
 void replica::become_follower(term_number term) {
--- a/packages/quorum/internal/replica_election.cpp
+++ b/packages/quorum/internal/replica_election.cpp
@@ -1,6 +1,7 @@
 #include "quorum/internal/log_arithmetic.h"
 #include "quorum/replica.h"
 
+#include <set>
 #include <utility>
 
 /// Leader election: the replica's vote, its candidacy, and the pre-vote before it.
@@ -109,7 +110,9 @@
 }
 
 void replica::count_votes() {
-    if (!this->has_majority(this->votes, this->latest_membership)) {
+    std::set<instance_id> counted = this->votes;
+    counted.erase(this->latest_membership.joining);
+    if (!this->has_majority(counted, this->latest_membership)) {
         return;
     }
     if (this->role == role_kind::pre_candidate) {
--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -168,7 +168,9 @@
 bool replica::is_caught_up(const instance_id& id) const {
     const auto follower = this->followers.find(id);
     return follower != this->followers.end() && !follower->second.is_observer &&
-           follower->second.match >= this->commit_index;
+           !follower->second.is_probing && !follower->second.transfer &&
+           follower->second.match > log_index(0) &&
+           before(follower->second.next) >= this->commit_index;
 }
 
 bool replica::is_absent_or_leaving(const instance_id& id) const {
@@ -197,23 +199,39 @@
     this->replicate_to_all();
 }
 
-bool replica::replace_disk() {
-    for (auto item = this->learners.begin(); item != this->learners.end(); ++item) {
-        const instance_id id = item->first;
-        membership changed = this->latest_membership;
-        const auto voter =
-            std::find_if(changed.voters.begin(), changed.voters.end(),
-                         [&](const member& candidate) { return candidate.id == id; });
-        if (voter == changed.voters.end() || !this->is_caught_up(id)) {
-            continue;
-        }
-        *voter = item->second;
-        changed.joining = id;
-        this->learners.erase(item);
-        this->change_membership(std::move(changed), voters_change_reason::disk_replaced);
-        return true;
+bool replica::is_disk_lost(const member& voter) const {
+    return this->learners.contains(voter.id);
+}
+
+bool replica::replace_lost_voter() {
+    membership changed = this->latest_membership;
+    const auto lost =
+        std::find_if(changed.voters.begin(), changed.voters.end(),
+                     [this](const member& voter) { return this->is_disk_lost(voter); });
+    if (lost == changed.voters.end()) {
+        return false;
     }
-    return false;
+    const auto is_voter_id = [this](const instance_id& id) {
+        const auto& voters = this->latest_membership.voters;
+        return std::any_of(voters.begin(), voters.end(),
+                           [&](const member& voter) { return voter.id == id; });
+    };
+    auto replacement = this->learners.find(lost->id);
+    if (!this->is_caught_up(replacement->first)) {
+        replacement =
+            std::find_if(this->learners.begin(), this->learners.end(), [&](const auto& item) {
+                return !is_voter_id(item.first) && this->is_caught_up(item.first) &&
+                       !this->is_absent_or_leaving(item.first);
+            });
+    }
+    if (replacement == this->learners.end()) {
+        return false;
+    }
+    *lost = replacement->second;
+    changed.joining = replacement->first;
+    this->learners.erase(replacement);
+    this->change_membership(std::move(changed), voters_change_reason::disk_replaced);
+    return true;
 }
 
 bool replica::promote_standby() {
@@ -229,7 +247,11 @@
         return false;
     }
     for (auto item = this->learners.begin(); item != this->learners.end(); ++item) {
-        if (!this->is_caught_up(item->first) || this->is_absent_or_leaving(item->first)) {
+        const bool replaces_disk =
+            std::any_of(voters.begin(), voters.end(),
+                        [&](const member& voter) { return voter.id == item->first; });
+        if (replaces_disk || !this->is_caught_up(item->first) ||
+            this->is_absent_or_leaving(item->first)) {
             continue;
         }
         membership changed = this->latest_membership;
@@ -250,9 +272,14 @@
     if (desired == 0 || changed.voters.size() <= desired) {
         return false;
     }
-    auto removed =
-        std::find_if(changed.voters.begin(), changed.voters.end(),
-                     [this](const member& voter) { return this->is_absent_or_leaving(voter.id); });
+    auto removed = std::find_if(changed.voters.begin(), changed.voters.end(),
+                                [this](const member& voter) { return this->is_disk_lost(voter); });
+    if (removed == changed.voters.end()) {
+        removed =
+            std::find_if(changed.voters.begin(), changed.voters.end(), [this](const member& voter) {
+                return this->is_absent_or_leaving(voter.id);
+            });
+    }
     const bool is_surplus = removed == changed.voters.end();
     if (is_surplus) {
         // The absent voter has returned, so the newest voter becomes a standby again.
@@ -267,7 +294,9 @@
     this->change_membership(std::move(changed),
                             is_surplus ? voters_change_reason::surplus_removed
                                        : voters_change_reason::absent_or_leaving_removed);
-    this->followers.erase(removed_id);
+    if (!this->learners.contains(removed_id)) {
+        this->followers.erase(removed_id);
+    }
     return true;
 }
 
@@ -282,7 +311,7 @@
         this->become_follower(this->current_term);
         return;
     }
-    if (this->replace_disk() || this->remove_surplus_voter()) {
+    if (this->remove_surplus_voter() || this->replace_lost_voter()) {
         return;
     }
     static_cast<void>(this->promote_standby());
@@ -295,6 +324,7 @@
             contacts.insert(id);
         }
     }
+    contacts.erase(this->latest_membership.joining);
     return this->has_majority(contacts, this->latest_membership);
 }
 
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -87,7 +87,7 @@
         return;
     }
     while (transfer.pieces_sent < count &&
-           this->bytes_in_flight(transfer) < this->limits.max_snapshot_bytes_in_flight) {
+           this->bytes_in_flight(transfer) < this->limits.max_catch_up_bytes_in_flight) {
         this->send_piece(to, transfer);
     }
 }
--- a/packages/quorum/log_entry.h
+++ b/packages/quorum/log_entry.h
@@ -12,9 +12,9 @@
 /// The voters of the group, in effect from the log entry that holds it on, committed or not.
 struct membership {
     std::vector<member> voters;
-    /// The voter whose disk this change replaces; empty if none. Its acknowledgement does not count
-    /// towards the majority that commits the change, since the old disk may have voted for another
-    /// candidate, and that vote is lost.
+    /// The voter that takes the place of a lost disk by this change; empty if none. Its
+    /// acknowledgements and votes do not count until the change is committed, since the lost disk
+    /// may have voted for another candidate, and that vote is lost.
     instance_id joining;
 
     friend bool operator==(const membership&, const membership&) = default;
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -164,7 +164,11 @@
     /// Promotes learners that have caught up and removes voters that are absent or leaving, one
     /// change at a time.
     void adjust_membership();
-    [[nodiscard]] bool replace_disk();
+    /// Lets a member that has caught up take the place of a voter whose disk is lost: the one with
+    /// the new disk, or else a standby.
+    [[nodiscard]] bool replace_lost_voter();
+    /// Whether the voter has returned with another disk.
+    [[nodiscard]] bool is_disk_lost(const member& voter) const;
     [[nodiscard]] bool promote_standby();
     [[nodiscard]] bool remove_surplus_voter();
     /// Turns observers into learners that receive the log while there are too few standbys.
--- a/packages/quorum/replica_limits.h
+++ b/packages/quorum/replica_limits.h
@@ -33,9 +33,9 @@
     /// While a follower catches up, the next snapshot waits until the log has grown by this much
     /// more, since the follower would have to start anew. Beyond it the follower does.
     std::size_t postponed_growth_bytes = 12UL * 1024 * 1024;
-    /// The limit of unacknowledged bytes of a snapshot to one follower, as for entries. Sending
-    /// stops once it is reached. At 60 ms for the way there and back it allows 35 MB/s.
-    std::size_t max_snapshot_bytes_in_flight = 2UL * 1024 * 1024;
+    /// The limit of unacknowledged bytes to one follower that receives a snapshot, or to a learner.
+    /// Sending stops once it is reached. At 60 ms for the way there and back it allows 35 MB/s.
+    std::size_t max_catch_up_bytes_in_flight = 2UL * 1024 * 1024;
     /// If a follower has acknowledged no snapshot piece for this time, the first one that it lacks
     /// is sent again.
     duration snapshot_piece_timeout = std::chrono::seconds(1);
