--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -11,6 +11,7 @@
 void replica::become_leader() {
     this->role = role_kind::leader;
     this->known_leader = this->local_member.id;
+    this->voters_changed_at = this->now;
     this->followers.clear();
     this->learners.clear();
     for (const member& voter : this->latest_membership.voters) {
@@ -47,13 +48,14 @@
     }
     log_index previous = before(state.next);
     const bool is_behind_log = previous < this->snapshot_index;
-    if (is_behind_log && (!state.transfer || this->now - state.transfer->piece_sent_at >=
-                                                 this->limits.snapshot_piece_timeout)) {
-        this->send_next_piece(to, state);
+    if (is_behind_log &&
+        (!state.transfer || state.transfer->index != this->snapshot_index ||
+         this->now - state.transfer->active_at >= this->limits.snapshot_piece_timeout)) {
+        this->send_pieces(to, state);
         return;
     }
     if (is_behind_log) {
-        // A snapshot piece is in flight: sends only a heartbeat.
+        // Snapshot pieces are in flight: sends only a heartbeat.
         previous = this->snapshot_index;
     }
     append_entries_request request;
@@ -65,8 +67,11 @@
     request.committed = this->commit_index;
     std::size_t size = 0;
     const std::size_t in_flight = this->bytes_in_flight(state);
+    const std::size_t max_in_flight = this->learners.contains(to)
+                                          ? this->limits.max_catch_up_bytes_in_flight
+                                          : this->limits.max_bytes_in_flight;
     for (log_index index = after(previous);
-         !is_behind_log && in_flight + size < this->limits.max_bytes_in_flight &&
+         !is_behind_log && in_flight + size < max_in_flight &&
          this->may_send(state, index, request.entries.size(), size);
          index = after(index)) {
         request.entries.push_back(this->entry_at(index));
@@ -166,7 +171,9 @@
 bool replica::is_caught_up(const instance_id& id) const {
     const auto follower = this->followers.find(id);
     return follower != this->followers.end() && !follower->second.is_observer &&
-           follower->second.match >= this->commit_index;
+           !follower->second.is_probing && !follower->second.transfer &&
+           follower->second.match > log_index(0) &&
+           before(follower->second.next) >= this->commit_index;
 }
 
 bool replica::is_absent_or_leaving(const instance_id& id) const {
@@ -190,27 +197,44 @@
     entry.term = this->current_term;
     entry.change = std::move(changed);
     this->append(entry);
+    this->voters_changed_at = this->now;
     this->output.push_back(voters_changed{this->last_index(), *entry.change, reason});
     this->replicate_to_all();
 }
 
-bool replica::replace_disk() {
-    for (auto item = this->learners.begin(); item != this->learners.end(); ++item) {
-        const instance_id id = item->first;
-        membership changed = this->latest_membership;
-        const auto voter =
-            std::find_if(changed.voters.begin(), changed.voters.end(),
-                         [&](const member& candidate) { return candidate.id == id; });
-        if (voter == changed.voters.end() || !this->is_caught_up(id)) {
-            continue;
-        }
-        *voter = item->second;
-        changed.joining = id;
-        this->learners.erase(item);
-        this->change_membership(std::move(changed), voters_change_reason::disk_replaced);
-        return true;
+bool replica::is_disk_lost(const member& voter) const {
+    return this->learners.contains(voter.id);
+}
+
+bool replica::replace_lost_voter() {
+    membership changed = this->latest_membership;
+    const auto lost =
+        std::find_if(changed.voters.begin(), changed.voters.end(),
+                     [this](const member& voter) { return this->is_disk_lost(voter); });
+    if (lost == changed.voters.end()) {
+        return false;
     }
-    return false;
+    const auto is_voter_id = [this](const instance_id& id) {
+        const auto& voters = this->latest_membership.voters;
+        return std::any_of(voters.begin(), voters.end(),
+                           [&](const member& voter) { return voter.id == id; });
+    };
+    auto replacement = this->learners.find(lost->id);
+    if (!this->is_caught_up(replacement->first)) {
+        replacement =
+            std::find_if(this->learners.begin(), this->learners.end(), [&](const auto& item) {
+                return !is_voter_id(item.first) && this->is_caught_up(item.first) &&
+                       !this->is_absent_or_leaving(item.first);
+            });
+    }
+    if (replacement == this->learners.end()) {
+        return false;
+    }
+    *lost = replacement->second;
+    changed.joining = replacement->first;
+    this->learners.erase(replacement);
+    this->change_membership(std::move(changed), voters_change_reason::disk_replaced);
+    return true;
 }
 
 bool replica::promote_standby() {
@@ -226,7 +250,11 @@
         return false;
     }
     for (auto item = this->learners.begin(); item != this->learners.end(); ++item) {
-        if (!this->is_caught_up(item->first) || this->is_absent_or_leaving(item->first)) {
+        const bool replaces_disk =
+            std::any_of(voters.begin(), voters.end(),
+                        [&](const member& voter) { return voter.id == item->first; });
+        if (replaces_disk || !this->is_caught_up(item->first) ||
+            this->is_absent_or_leaving(item->first)) {
             continue;
         }
         membership changed = this->latest_membership;
@@ -247,9 +275,14 @@
     if (desired == 0 || changed.voters.size() <= desired) {
         return false;
     }
-    auto removed =
-        std::find_if(changed.voters.begin(), changed.voters.end(),
-                     [this](const member& voter) { return this->is_absent_or_leaving(voter.id); });
+    auto removed = std::find_if(changed.voters.begin(), changed.voters.end(),
+                                [this](const member& voter) { return this->is_disk_lost(voter); });
+    if (removed == changed.voters.end()) {
+        removed =
+            std::find_if(changed.voters.begin(), changed.voters.end(), [this](const member& voter) {
+                return this->is_absent_or_leaving(voter.id);
+            });
+    }
     const bool is_surplus = removed == changed.voters.end();
     if (is_surplus) {
         // The absent voter has returned, so the newest voter becomes a standby again.
@@ -264,7 +297,9 @@
     this->change_membership(std::move(changed),
                             is_surplus ? voters_change_reason::surplus_removed
                                        : voters_change_reason::absent_or_leaving_removed);
-    this->followers.erase(removed_id);
+    if (!this->learners.contains(removed_id)) {
+        this->followers.erase(removed_id);
+    }
     return true;
 }
 
@@ -279,7 +314,7 @@
         this->become_follower(this->current_term);
         return;
     }
-    if (this->replace_disk() || this->remove_surplus_voter()) {
+    if (this->remove_surplus_voter() || this->replace_lost_voter()) {
         return;
     }
     static_cast<void>(this->promote_standby());
@@ -292,6 +327,7 @@
             contacts.insert(id);
         }
     }
+    contacts.erase(this->latest_membership.joining);
     return this->has_majority(contacts, this->latest_membership);
 }
 
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -37,6 +37,9 @@
     [[nodiscard]] actions handle(const message& incoming, time_point now);
     /// To be called when `next_wakeup` is reached; does nothing before.
     [[nodiscard]] actions handle_timer(time_point now);
+    /// To be called when messages to the peer can be sent. Asks it to join at once while this
+    /// replica is not a voter.
+    [[nodiscard]] actions handle_connected(const instance_id& peer, time_point now);
     struct proposal {
         /// Index of the command in the log; empty if this replica is not the leader.
         std::optional<log_index> index;
@@ -103,8 +106,12 @@
     struct snapshot_transfer {
         log_index index;
         std::uint64_t pieces_received = 0;
+        std::uint64_t pieces_sent = 0;
         time_point started_at{};
-        time_point piece_sent_at{};
+        /// When a piece was last sent or acknowledged.
+        time_point active_at{};
+        /// When the newest request was sent that the follower has responded to.
+        time_point acknowledged_request_at{};
         time_point reported_at{};
     };
     struct progress {
@@ -157,14 +164,23 @@
     /// Promotes learners that have caught up and removes voters that are absent or leaving, one
     /// change at a time.
     void adjust_membership();
-    [[nodiscard]] bool replace_disk();
+    /// Lets a member that has caught up take the place of a voter whose disk is lost: the one with
+    /// the new disk, or else a standby.
+    [[nodiscard]] bool replace_lost_voter();
+    /// Whether the voter has returned with another disk.
+    [[nodiscard]] bool is_disk_lost(const member& voter) const;
     [[nodiscard]] bool promote_standby();
     [[nodiscard]] bool remove_surplus_voter();
     /// Turns observers into learners that receive the log while there are too few standbys.
     void recruit_standbys();
     [[nodiscard]] bool has_enough_standbys() const;
     void send_heartbeat(const instance_id& to);
-    void send_next_piece(const instance_id& to, progress& state);
+    /// Sends the snapshot pieces that may be in flight to the follower.
+    void send_pieces(const instance_id& to, progress& state);
+    void send_piece(const instance_id& to, snapshot_transfer& transfer);
+    [[nodiscard]] std::size_t bytes_in_flight(const snapshot_transfer& transfer) const;
+    /// Whether the follower still needs entries that a snapshot would drop from the log.
+    [[nodiscard]] bool is_catching_up(const progress& state) const;
     void install_snapshot(const install_snapshot_request& last);
     [[nodiscard]] bool is_caught_up(const instance_id& id) const;
     [[nodiscard]] bool is_absent_or_leaving(const instance_id& id) const;
@@ -207,6 +223,9 @@
         instance_id leader;
         log_index index;
         std::vector<std::string> pieces;
+        std::vector<bool> is_received;
+        /// The number of pieces before the first one that is missing.
+        std::uint64_t first_missing = 0;
     } incoming_snapshot;
     std::vector<log_entry> log;
     membership latest_membership;
@@ -218,6 +237,8 @@
     /// Members that asked to join and are not voters yet, by instance.
     std::map<instance_id, member> learners;
     std::set<instance_id> leaving;
+    /// When this leader last changed the voters.
+    time_point voters_changed_at{};
     time_point now{};
     time_point wakeup{};
     actions output;
