--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -265,8 +265,7 @@
 }
 
 void replica::adjust_membership() {
-    const bool has_committed_in_term = this->commit_index > this->snapshot_index &&
-                                       this->term_at(this->commit_index) == this->current_term;
+    const bool has_committed_in_term = this->term_at(this->commit_index) == this->current_term;
     if (!has_committed_in_term || this->uncommitted_membership()) {
         return;
     }
--- a/packages/quorum/tests/closing_test.cpp
+++ b/packages/quorum/tests/closing_test.cpp
@@ -654,3 +654,35 @@
     }
     MESSAGE("commands acknowledged over all seeds: ", acknowledged);
 }
+
+// Guards against a group without traffic that never restored its redundancy: the leader took the
+// snapshot for a lack of committed entries of its own term.
+SCENARIO("a lost disk is replaced while no commands are proposed") {
+    GIVEN("a leader whose log ends with its snapshot") {
+        changing_group group(1);
+        group.advance(3s);
+        group.is_idle = true;
+        group.advance(1s);
+        const instance_id leader = group.leader().value();
+        group.compact(leader);
+        group.advance(100ms);
+        const replica& leading = *group.nodes.at(leader).raft;
+        REQUIRE(leading.compacted() == leading.last_index());
+        WHEN("another voter loses its disk and returns") {
+            const auto& voters = leading.voters().voters;
+            const instance_id lost =
+                std::find_if(voters.begin(), voters.end(), [&](const member& voter) {
+                    return voter.id != leader;
+                })->id;
+            group.lose_disk(lost);
+            group.return_after(lost, 1s);
+            group.advance(1s + catch_up_time);
+            THEN("its new disk is that of a voter") {
+                REQUIRE(group.leader() == leader);
+                CHECK(std::count(voters.begin(), voters.end(),
+                                 member{lost, group.nodes.at(lost).disk}) == 1);
+                CHECK(leading.is_committed_voter());
+            }
+        }
+    }
+}
