--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -262,6 +262,9 @@
         } else if (const auto* entries = std::get_if<quorum::persist_entries>(&actions[i])) {
             BOOST_LEAF_CHECK(this->file->append(wire::encode_record(*entries)));
             this->needs_sync = true;
+        } else if (std::holds_alternative<quorum::restore_state>(actions[i])) {
+            // The state is read from the journal: there is no memory for the pieces beside it.
+            this->deferred.emplace_back(quorum::restore_state{});
         } else {
             this->deferred.push_back(actions[i]);
         }
@@ -306,9 +309,16 @@
     return {};
 }
 
-outcome<void> replicated_log::restore(const quorum::restore_state& action) {
+outcome<std::string> replicated_log::read_piece(std::size_t position) const {
+    BOOST_LEAF_AUTO(bytes, this->file->read(position));
+    BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
+    return std::move(std::get<wire::snapshot_piece>(record).data);
+}
+
+outcome<void> replicated_log::restore() {
     this->notify.clear_state();
-    for (const std::string& piece : *action.data) {
+    for (const std::size_t position : this->piece_positions) {
+        BOOST_LEAF_AUTO(piece, this->read_piece(position));
         BOOST_LEAF_CHECK(this->notify.load_piece(piece));
     }
     this->notify.restored();
@@ -335,8 +345,8 @@
             this->notify.send(outgoing->to, outgoing->content);
         } else if (const auto* committed = std::get_if<quorum::apply_command>(&action)) {
             this->notify.apply(committed->command);
-        } else if (const auto* restored = std::get_if<quorum::restore_state>(&action)) {
-            const auto loaded = value_or_error([&] { return this->restore(*restored); });
+        } else if (std::holds_alternative<quorum::restore_state>(action)) {
+            const auto loaded = value_or_error([&] { return this->restore(); });
             if (const auto* problem = std::get_if<error>(&loaded)) {
                 this->suspend({problem->code, "snapshot can't be read: " + problem->message});
                 return;
@@ -375,9 +385,7 @@
         // A follower that has all pieces receives the last one again, and responds that it has the
         // state.
         request.piece = std::min<std::uint64_t>(request.piece, this->piece_positions.size() - 1);
-        BOOST_LEAF_AUTO(bytes, this->file->read(this->piece_positions.at(request.piece)));
-        BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
-        request.data = std::get<wire::snapshot_piece>(record).data;
+        BOOST_LEAF_ASSIGN(request.data, this->read_piece(this->piece_positions.at(request.piece)));
     }
     this->notify.send(action.to, request);
     return {};
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -118,7 +118,9 @@
     void flush();
     void compact_if_large();
     [[nodiscard]] outcome<void> load_record(std::string_view record, std::size_t position);
-    [[nodiscard]] outcome<void> restore(const quorum::restore_state& action);
+    /// Replaces the state by that of the newest snapshot in the journal.
+    [[nodiscard]] outcome<void> restore();
+    [[nodiscard]] outcome<std::string> read_piece(std::size_t position) const;
     [[nodiscard]] outcome<void> send(const quorum::send_snapshot_piece& action);
     void arm();
     /// Notifications follow in the next event loop iteration, since the caller may be in the middle
