Group: a member that starts again holds its log once

That this alone brings a leader over its limit is not shown.

Why it works: the copy is released once the replica is started.

--- a/packages/group/internal/log_suspension.cpp
+++ b/packages/group/internal/log_suspension.cpp
@@ -75,8 +75,8 @@
         this->resume_timer.arm(this->params.time->now() + this->resume_delay);
         return;
     }
-    spdlog::info("replicated log resumed term={} entries={} bytes={}", this->stored.term.value(),
-                 this->stored.entries.size(), this->file->size());
+    spdlog::info("replicated log resumed term={} entries={} bytes={}",
+                 this->replica->term().value(), this->replica->log_size(), this->file->size());
     this->notify.resumed();
 }
 
--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -117,6 +117,8 @@
     this->replica = std::make_unique<quorum::replica>(
         quorum::member{this->params.local_id, this->disk}, this->params.peers, this->stored, limits,
         this->params.seed, now);
+    // The replica has its own copy of the log.
+    this->stored = {};
     this->replica->set_leaving(this->leaving);
     if (this->file == nullptr) {
         return;
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -139,6 +139,7 @@
     std::unique_ptr<quorum::replica> replica;
     quorum::disk_id disk;
     quorum::persist_vote vote;
+    /// What is read from the journal, until the replica is started with it.
     quorum::stored_state stored;
     bool folder_was_empty = false;
     /// Size of the journal just after the newest snapshot was written, in bytes.
--- a/packages/group/tests/restore_test.cpp
+++ b/packages/group/tests/restore_test.cpp
@@ -104,3 +104,51 @@
     }
     loop.leave();
 }
+
+// Guards against a member that ends by its memory limit some time after a restart: it held the log
+// that it had read at its start beside the replica's.
+SCENARIO("a member that starts again holds its log once") {
+    constexpr std::size_t command_count = 40;
+    constexpr std::size_t command_size = 256UL * 1024;
+    const temporary_folder folder;
+    const system_clock time;
+    task::event_loop loop;
+    loop.enter();
+    GIVEN("a journal with commands of 10 MB in all") {
+        replicated_log::parameters arguments;
+        arguments.local_id = instance_id("a");
+        arguments.folder = folder.path();
+        arguments.may_bootstrap = true;
+        arguments.time = &time;
+        std::size_t applied = 0;
+        task::wakeup end([&] { loop.quit(); });
+        replicated_log::callbacks notify;
+        notify.clear_state = [] {};
+        notify.leadership_changed = [](bool) {};
+        notify.apply = [&](const std::string&) {
+            if (++applied == command_count) {
+                end.arm_now();
+            }
+        };
+        {
+            auto opened = value_or_error([&] { return replicated_log::open(arguments, notify); });
+            REQUIRE(std::holds_alternative<std::unique_ptr<replicated_log>>(opened));
+            for (std::size_t i = 0; i < command_count; ++i) {
+                const std::string command(command_size, 'c');
+                REQUIRE(std::get<std::unique_ptr<replicated_log>>(opened)->propose(command));
+            }
+            loop.run();
+        }
+        WHEN("the member starts again") {
+            const std::size_t allocated_before = allocated_bytes();
+            auto opened = value_or_error([&] { return replicated_log::open(arguments, notify); });
+            REQUIRE(std::holds_alternative<std::unique_ptr<replicated_log>>(opened));
+            THEN("it holds every command, and no second copy") {
+                const auto& log = std::get<std::unique_ptr<replicated_log>>(opened);
+                CHECK(log->state().log_size() > command_count);
+                CHECK(allocated_bytes() < allocated_before + command_count * command_size * 5 / 4);
+            }
+        }
+    }
+    loop.leave();
+}
