--- a/packages/group/internal/replicated_log.cpp
+++ b/packages/group/internal/replicated_log.cpp
@@ -153,6 +153,8 @@
     this->replica = std::make_unique<quorum::replica>(
         quorum::member{this->params.local_id, this->disk}, this->params.peers, this->stored, limits,
         this->params.seed, now);
+    // The replica has its own copy of the log.
+    this->stored = {};
     this->replica->set_leaving(this->leaving);
     if (this->file == nullptr) {
         return;
@@ -338,6 +340,9 @@
                          lost->returned.disk.value(), this->replica->term().value());
         } else if (const auto* sent = std::get_if<quorum::snapshot_progress>(&actions[i])) {
             log_progress(*sent);
+        } else if (std::holds_alternative<quorum::restore_state>(actions[i])) {
+            // The state is read from the journal: there is no memory for the pieces beside it.
+            this->deferred.emplace_back(quorum::restore_state{});
         } else {
             this->deferred.push_back(actions[i]);
         }
@@ -385,9 +390,16 @@
     return {};
 }
 
-outcome<void> replicated_log::restore(const quorum::restore_state& action) {
+outcome<std::string> replicated_log::read_piece(std::size_t position) const {
+    BOOST_LEAF_AUTO(bytes, this->file->read(position));
+    BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
+    return std::move(std::get<wire::snapshot_piece>(record).data);
+}
+
+outcome<void> replicated_log::restore() {
     this->notify.clear_state();
-    for (const std::string& piece : *action.data) {
+    for (const std::size_t position : this->piece_positions) {
+        BOOST_LEAF_AUTO(piece, this->read_piece(position));
         BOOST_LEAF_CHECK(this->notify.load_piece(piece));
     }
     this->notify.restored();
@@ -414,8 +426,8 @@
             this->notify.send(outgoing->to, outgoing->content);
         } else if (const auto* committed = std::get_if<quorum::apply_command>(&action)) {
             this->notify.apply(committed->command);
-        } else if (const auto* restored = std::get_if<quorum::restore_state>(&action)) {
-            const auto loaded = value_or_error([&] { return this->restore(*restored); });
+        } else if (std::holds_alternative<quorum::restore_state>(action)) {
+            const auto loaded = value_or_error([&] { return this->restore(); });
             if (const auto* problem = std::get_if<error>(&loaded)) {
                 this->suspend({problem->code, "snapshot can't be read: " + problem->message});
                 return;
@@ -450,9 +462,7 @@
     }
     quorum::install_snapshot_request request = action.content;
     if (!this->piece_positions.empty()) {
-        BOOST_LEAF_AUTO(bytes, this->file->read(this->piece_positions.at(request.piece)));
-        BOOST_LEAF_AUTO(record, wire::decode_record(bytes));
-        request.data = std::get<wire::snapshot_piece>(record).data;
+        BOOST_LEAF_ASSIGN(request.data, this->read_piece(this->piece_positions.at(request.piece)));
     }
     this->notify.send(action.to, request);
     return {};
--- a/packages/group/replicated_log.h
+++ b/packages/group/replicated_log.h
@@ -120,7 +120,9 @@
     void flush();
     void compact_if_large();
     [[nodiscard]] outcome<void> load_record(std::string_view record, std::size_t position);
-    [[nodiscard]] outcome<void> restore(const quorum::restore_state& action);
+    /// Replaces the state by that of the newest snapshot in the journal.
+    [[nodiscard]] outcome<void> restore();
+    [[nodiscard]] outcome<std::string> read_piece(std::size_t position) const;
     [[nodiscard]] outcome<void> send(const quorum::send_snapshot_piece& action);
     void log_change(const quorum::voters_changed& change) const;
     void log_bearable_losses();
@@ -141,6 +143,7 @@
     std::unique_ptr<quorum::replica> replica;
     quorum::disk_id disk;
     quorum::persist_vote vote;
+    /// What is read from the journal, until the replica is started with it.
     quorum::stored_state stored;
     bool folder_was_empty = false;
     /// Size of the journal just after the newest snapshot was written, in bytes.
