--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -67,8 +67,11 @@
     request.committed = this->commit_index;
     std::size_t size = 0;
     const std::size_t in_flight = this->bytes_in_flight(state);
+    const std::size_t max_in_flight = this->learners.contains(to)
+                                          ? this->limits.max_catch_up_bytes_in_flight
+                                          : this->limits.max_bytes_in_flight;
     for (log_index index = after(previous);
-         !is_behind_log && in_flight + size < this->limits.max_bytes_in_flight &&
+         !is_behind_log && in_flight + size < max_in_flight &&
          this->may_send(state, index, request.entries.size(), size);
          index = after(index)) {
         request.entries.push_back(this->entry_at(index));
