--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -95,6 +95,40 @@
     }
 }
 
+// Guards against a lost disk that stays unreplaced, although its new one holds everything, because
+// another lost one comes first and has not caught up.
+SCENARIO("each of two lost disks is replaced as soon as its new one has caught up") {
+    for (const std::size_t unresponsive : {0, 1}) {
+        CAPTURE(unresponsive);
+        cluster group(1, 5, cluster::initial_group{5});
+        group.is_ordered = true;
+        group.advance(4s);
+        for (int i = 0; i < 10; ++i) {
+            group.propose();
+            group.advance(50ms);
+        }
+        std::vector<instance_id> lost;
+        for (const instance_id& id : group.ids) {
+            if (id != group.leader() && lost.size() < 2) {
+                lost.push_back(id);
+            }
+        }
+        for (const instance_id& id : lost) {
+            group.stop(id);
+            group.erase_disk(id);
+        }
+        group.advance(1s);
+        for (const instance_id& id : lost) {
+            group.start(id);
+        }
+        // Time to ask to join, and not to receive anything.
+        group.advance(10ms);
+        group.freeze(lost[unresponsive], true);
+        group.advance(1s);
+        CHECK(group.bearable_losses() == 1);
+    }
+}
+
 SCENARIO("the time to redundancy is reported for larger states" * doctest::skip()) {
     for (const std::size_t megabytes : {12, 25, 50}) {
         for (const std::size_t members : {5, 6, 7}) {
