A member that returns is dialled again at once

Callers saw accepted jobs that could not be read after a final fault.

A greeting shows that the instance accepts links: its member link is dialled anew if it is not open, and without delay when an open one turns out to be lost. The same holds for the keepers' group.

--- a/packages/group/internal/member_links.cpp
+++ b/packages/group/internal/member_links.cpp
@@ -42,6 +42,22 @@
     }
 }
 
+void member_links::reconnect(const instance_id& id) {
+    const auto found = this->peers.find(id);
+    if (found == this->peers.end()) {
+        return;
+    }
+    peer_state& peer = found->second;
+    if (peer.is_open) {
+        peer.is_reachable = true;
+        return;
+    }
+    // A dial that began while the instance was down may take seconds to fail.
+    this->close(peer);
+    peer.retry_at = this->time.now();
+    this->dial_timer.arm_now();
+}
+
 void member_links::close(peer_state& peer) {
     peer.is_open = false;
     if (peer.link) {
@@ -120,7 +136,9 @@
              peer_state& lost = this->peers.at(id);
              const bool was_open = lost.is_open;
              this->close(lost);
-             lost.retry_at = this->time.now() + retry_interval;
+             lost.retry_at = std::exchange(lost.is_reachable, false)
+                                 ? this->time.now()
+                                 : this->time.now() + retry_interval;
              this->dial_timer.arm(lost.retry_at);
              if (was_open) {
                  spdlog::info("link lost instance={} reason=\"{}\"", id.value(), reason);
--- a/packages/group/member_links.h
+++ b/packages/group/member_links.h
@@ -35,6 +35,9 @@
     /// link to the old address.
     void add(const instance_id& id, const endpoint& address);
     void remove(const instance_id& id);
+    /// The instance is known to accept links. Dials it at once if the link is not open, or as soon
+    /// as the open one is found to be lost.
+    void reconnect(const instance_id& id);
     /// Returns false, and drops the message, where the link is not open.
     bool send(const instance_id& to, const wire::message& message);
     void send_to_all(const wire::message& message);
@@ -49,6 +52,8 @@
         std::unique_ptr<wire::peer_link> link;
         bool is_open = false;
         time_point retry_at{};
+        /// Whether the next lost link is dialled again without delay.
+        bool is_reachable = false;
     };
 
     void dial(const instance_id& id);
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -272,6 +272,11 @@
     }
     if (const auto* greeting = std::get_if<wire::hello>(&incoming)) {
         from.hello = *greeting;
+        if (greeting->role == wire::instance_role::keeper) {
+            this->replicated_group->members().reconnect(
+                this->params.settings.keeper->control ? instance_id(greeting->address.to_string())
+                                                      : greeting->instance);
+        }
         this->send_initial_messages(from);
     } else if (const auto* update = std::get_if<wire::target_update>(&incoming)) {
         this->relay(number, update->record);
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -200,6 +200,9 @@
     if (const auto* hello = std::get_if<wire::hello>(&incoming)) {
         sender.hello = *hello;
         const instance_id member(hello->address.to_string());
+        if (hello->role == wire::instance_role::store) {
+            this->replicated_group->members().reconnect(member);
+        }
         if (this->runner && hello->role == wire::instance_role::store &&
             this->replicated_group->members().is_open(member)) {
             this->runner->worker_connected(member, hello->place);
