--- a/packages/quorum/tests/closing_test.cpp
+++ b/packages/quorum/tests/closing_test.cpp
@@ -342,7 +342,9 @@
             }
         }
         if (!current.sync_ends) {
-            current.sync_ends = this->now + this->draw_time(0ms, 10ms);
+            // Some syncs take longer than a round trip, so that what depends on them shows.
+            current.sync_ends =
+                this->now + this->draw_time(0ms, this->draw(10) == 0 ? 200ms : 10ms);
         }
     }
     static void persist(node::content& disk, const action& change) {
