Responses in progress: bytes held as gauges, a line for each response that is cut

Neither a log line nor a metric told how much of the responses in progress a process holds. A response budget, one for all clients of a task, counts it: what the parser has not passed on, and what the owner of the call has not given back (call::set_held_bytes). Gauges response_bytes_held, response_bytes_held_peak, response_bytes_limit and responses_cut.

The setting [instance] memory names the memory of the machine, from which the limit follows: a fifth of it, 32 MiB without the setting. The limit is not enforced yet. A cancelled attempt frees its body at once, not with its call.

--- a/packages/base/response_limits.h
+++ b/packages/base/response_limits.h
@@ -4,7 +4,7 @@
 
 namespace kingcupcart {
 
-/// Limits on the parts of an HTTP response that are not its body. A response beyond one of them
+/// Limits on HTTP responses, apart from the length of one body. A response beyond one of them
 /// counts as broken, so that a faulty server can neither exhaust the memory nor hold the
 /// connection.
 struct response_limits {
@@ -15,6 +15,8 @@
     /// All chunk extensions of one response together, in bytes. The size line of a chunk, and the
     /// trailer section, each have the same limit.
     std::size_t chunk_extension_bytes = 16UL * 1024;
+    /// Memory that all responses in progress of a task take up together, in bytes.
+    std::size_t budget_bytes = 32UL * 1024 * 1024;
 };
 
 } // namespace kingcupcart
--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -4,6 +4,7 @@
 #include "entry/internal/call.h"
 #include "entry/internal/peer_sink.h"
 #include "http/exchange.h"
+#include "http/response_budget.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
@@ -294,6 +295,7 @@
 void frontend::on(const admin::report_request& request) {
     this->metrics.set("open_requests", static_cast<double>(this->dispatcher.open_requests()));
     this->metrics.set("queued_requests", static_cast<double>(this->dispatcher.queued_requests()));
+    this->client.budget().export_metrics(this->metrics);
     this->metrics.set("targets", static_cast<double>(this->directory.size()));
     this->metrics.set("configuration_version", static_cast<double>(this->in_force.value()));
     admin::report report;
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -8,6 +8,7 @@
 #include "fleet/keeper_client.h"
 #include "forwarding/call_parameters.h"
 #include "http/client.h"
+#include "http/response_budget.h"
 #include "membership/directory_change.h"
 #include "requests/dispatcher.h"
 #include "routes/route.h"
@@ -45,6 +46,8 @@
         std::size_t max_response_bytes = 0;
         /// Called after each call that ended.
         std::function<void()> on_call_ended;
+        /// Memory of the responses, shared with the other clients of the task.
+        std::shared_ptr<http::response_budget> budget = nullptr;
     };
 
     explicit forwarder(parameters arguments);
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -128,6 +128,9 @@
     const std::size_t events_size = end + 2;
     this->params.call.notify.on_stream_data(std::string_view(response.body).substr(0, events_size));
     response.body.erase(0, events_size);
+    if (response.call) {
+        response.call->set_held_bytes(response.body.size());
+    }
 }
 
 void forwarded_call::on_end(attempt_id attempt, http::call_result completion,
@@ -180,6 +183,9 @@
         return;
     }
     found->second->call.reset();
+    // The object stays until the call ends, which later attempts may delay for long.
+    found->second->body = std::string();
+    found->second->parser = {};
     this->pending_deletion.push_back(std::move(found->second));
     this->attempts.erase(found);
 }
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -31,7 +31,7 @@
       random(this->params.seed),
       dispatcher(this->params.place, make_limits(), this->params.seed,
                  &this->params.fleet->limits().account()),
-      client(*this->params.time, {this->params.limits, {}}),
+      client(*this->params.time, {this->params.limits, {}, this->params.budget}),
       dispatcher_timer([this] { this->dispatch(requests::timer_expired{}); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {
     if (this->params.fleet->routes() != nullptr) {
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -68,7 +68,10 @@
     return created;
 }
 
-gateway::gateway(parameters arguments) : params(std::move(arguments)) {}
+gateway::gateway(parameters arguments)
+    : params(std::move(arguments)),
+      responses(
+          std::make_shared<http::response_budget>(this->params.settings.responses.budget_bytes)) {}
 
 gateway::~gateway() = default;
 
@@ -125,6 +128,7 @@
     arguments.max_response_bytes =
         static_cast<std::size_t>(this->params.settings.gateway->response_limit);
     arguments.on_call_ended = [this] { this->check_drained(); };
+    arguments.budget = this->responses;
     this->forwarder = std::make_unique<forwarding::forwarder>(std::move(arguments));
 }
 
@@ -295,6 +299,7 @@
     this->metrics.set("gateway_open_requests", static_cast<double>(this->forwarder->open_count()));
     this->metrics.set("gateway_targets", static_cast<double>(this->fleet->targets().size()));
     this->fleet->limits().export_metrics(this->metrics);
+    this->responses->export_metrics(this->metrics);
     admin::report report;
     report.component = "gateway";
     report.status = status.dump() + "\n";
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/caller_protocol.h"
 #include "gateway/internal/gateway_message.h"
 #include "gateway/internal/store_client.h"
+#include "http/response_budget.h"
 #include "http/server.h"
 #include "settings/process_settings.h"
 #include "telemetry/metric_set.h"
@@ -66,6 +67,7 @@
 
     parameters params;
     telemetry::metric_set metrics;
+    std::shared_ptr<http::response_budget> responses;
     /// Readiness is withdrawn.
     bool is_stopping = false;
     /// New requests are refused.
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -24,6 +24,8 @@
     broken
 };
 
+class response_budget;
+
 /// An HTTP client that runs on the event loop of the thread that created it.
 ///
 /// It writes a request to one connection at most, and never a second time: whether to send it again
@@ -35,6 +37,8 @@
         /// With a zero interval the client reads response data as it arrives. Otherwise it reads
         /// once per interval, which costs less if many long responses arrive in small parts.
         duration read_interval{};
+        /// Shared by the clients of a task. A client without one has its own.
+        std::shared_ptr<response_budget> budget = nullptr;
     };
 
     struct callbacks {
@@ -58,6 +62,11 @@
         /// connection if the rest is longer than 64 KiB or takes more than 5 s.
         void drain();
 
+        /// Says that of what was received so far, the caller holds this many bytes only. Until the
+        /// first use of this function, and for what is received after the last one, it counts as
+        /// holding everything.
+        void set_held_bytes(std::size_t bytes);
+
     private:
         friend class client;
         class state;
@@ -76,6 +85,8 @@
     /// it ends as `unreachable`, before this function returns.
     [[nodiscard]] std::unique_ptr<call> start(const request& outgoing, callbacks notify);
 
+    [[nodiscard]] const response_budget& budget() const;
+
 private:
     class shared_state;
     std::shared_ptr<shared_state> impl;
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -17,6 +17,10 @@
     this->impl->drain();
 }
 
+void client::call::set_held_bytes(std::size_t bytes) {
+    this->impl->set_held_bytes(bytes);
+}
+
 client::client(const clock& time) : client(time, parameters()) {}
 
 client::client(const clock& time, const parameters& settings)
@@ -26,6 +30,10 @@
     this->impl->close();
 }
 
+const response_budget& client::budget() const {
+    return *this->impl->budget;
+}
+
 std::unique_ptr<client::call> client::start(const request& outgoing, callbacks notify) {
     auto encoded = value_or_error([&] { return encode(outgoing); });
     auto created = std::make_shared<call::state>(outgoing, std::move(notify), this->impl);
--- a/packages/http/internal/client_state.h
+++ b/packages/http/internal/client_state.h
@@ -3,6 +3,7 @@
 #include "http/client.h"
 #include "http/internal/connection_pool.h"
 #include "http/internal/read_coalescer.h"
+#include "http/response_budget.h"
 #include "task/wakeup.h"
 
 #include <memory>
@@ -26,6 +27,7 @@
 
     const clock& time;
     response_limits limits;
+    std::shared_ptr<response_budget> budget;
     connection_pool idle_connections;
     /// Null if responses are read as data arrives.
     std::shared_ptr<read_coalescer> coalescer;
--- a/packages/http/internal/pending_call.cpp
+++ b/packages/http/internal/pending_call.cpp
@@ -2,6 +2,8 @@
 
 #include "http/internal/client_state.h"
 
+#include <spdlog/spdlog.h>
+
 #include <chrono>
 #include <utility>
 
@@ -23,6 +25,7 @@
     : owner(std::move(owner)),
       notify(std::move(notify)),
       parser(this->owner->limits, outgoing.method == "HEAD"),
+      budget_share(this->owner->budget),
       drain_timer([this] { this->abort(); }),
       max_response_bytes(outgoing.max_response_bytes),
       is_repeatable(outgoing.repeatable) {}
@@ -132,6 +135,7 @@
 }
 
 void client::call::state::process_response() {
+    this->count_held();
     if (this->parser.has_head() && !std::exchange(this->has_delivered_head, true) &&
         !this->is_over) {
         this->notify.on_head(this->parser.head());
@@ -140,7 +144,9 @@
     if (!this->link) {
         return;
     }
-    if (!this->parser.failure().empty()) {
+    if (this->parser.is_over_limit()) {
+        this->cut(this->parser.failure());
+    } else if (!this->parser.failure().empty()) {
         this->finish(call_result::broken, this->parser.failure());
     } else if (this->parser.is_complete()) {
         this->complete();
@@ -163,8 +169,13 @@
     }
     this->received_bytes += body.size();
     if (this->max_response_bytes > 0 && this->received_bytes > this->max_response_bytes) {
-        this->finish(call_result::broken, "the response is longer than " +
-                                              std::to_string(this->max_response_bytes) + " bytes");
+        this->cut("the response is longer than " + std::to_string(this->max_response_bytes) +
+                  " bytes");
+        return;
+    }
+    this->owner_bytes += body.size();
+    this->count_held();
+    if (!this->link) {
         return;
     }
     this->notify.on_data(body);
@@ -179,6 +190,24 @@
     this->finish(call_result::complete, "");
 }
 
+void client::call::state::cut(const std::string& reason) {
+    this->owner->budget->count_cut();
+    spdlog::warn("response cut target={} received_bytes={} held_bytes={} all_held_bytes={} "
+                 "reason=\"{}\"",
+                 this->outgoing.server.to_string(), this->received_bytes,
+                 this->budget_share.bytes(), this->owner->budget->held_bytes(), reason);
+    this->finish(call_result::broken, reason);
+}
+
+void client::call::state::count_held() {
+    this->budget_share.set(this->owner_bytes + this->parser.buffered_bytes());
+}
+
+void client::call::state::set_held_bytes(std::size_t bytes) {
+    this->owner_bytes = bytes;
+    this->count_held();
+}
+
 void client::call::state::finish(call_result result, const std::string& reason) {
     const auto self = this->shared_from_this();
     this->close_connection();
@@ -197,11 +226,13 @@
 void client::call::state::abort() {
     this->is_over = true;
     this->close_connection();
+    this->budget_share.set(0);
 }
 
 void client::call::state::drain() {
     this->is_draining = !this->is_over;
     this->is_over = true;
+    this->owner_bytes = 0;
     if (this->is_draining) {
         this->drain_timer.arm(this->owner->time.now() + drain_limit_time);
     }
--- a/packages/http/internal/pending_call.h
+++ b/packages/http/internal/pending_call.h
@@ -4,6 +4,7 @@
 #include "http/internal/connection.h"
 #include "http/internal/request_encoder.h"
 #include "http/internal/response_parser.h"
+#include "http/response_budget.h"
 #include "task/timer.h"
 
 #include <cstddef>
@@ -29,6 +30,7 @@
     /// Closes the connection; calls none of the callbacks.
     void abort();
     void drain();
+    void set_held_bytes(std::size_t bytes);
     /// Ends the call and notifies the owner, unless it has cancelled the call.
     void finish(call_result result, const std::string& reason);
 
@@ -44,17 +46,24 @@
     void process_response();
     void deliver_body();
     void complete();
+    /// Ends the call as broken because its response exceeds a limit.
+    void cut(const std::string& reason);
+    /// Updates the call's share of the budget.
+    void count_held();
     void close_connection();
 
     std::shared_ptr<shared_state> owner;
     callbacks notify;
     encoded_request outgoing;
     response_parser parser;
+    response_budget::share budget_share;
     task::timer drain_timer;
     std::unique_ptr<connection> link;
     std::size_t max_response_bytes;
     std::size_t written_bytes = 0;
     std::size_t received_bytes = 0;
+    /// Part of the body that the owner holds.
+    std::size_t owner_bytes = 0;
     std::size_t drained_bytes = 0;
     bool is_repeatable;
     bool is_connecting = false;
--- a/packages/http/internal/response_parser.cpp
+++ b/packages/http/internal/response_parser.cpp
@@ -35,8 +35,11 @@
     }
 
     response_head head;
+    /// Memory of `head`, in bytes.
+    std::size_t head_bytes = 0;
     std::string body;
     unsigned status = 0;
+    bool is_over_limit = false;
 
 private:
     void on_request_impl(beast::http::verb /*method*/, beast::string_view /*method_text*/,
@@ -61,6 +64,7 @@
             this->head.content_type = std::string(value);
         }
         this->head.headers.push_back({std::string(name_text), std::string(value)});
+        this->head_bytes += sizeof(header_field) + name_text.size() + value.size();
     }
 
     void on_header_impl(error_code& /*problem*/) override { this->has_fields = true; }
@@ -77,6 +81,7 @@
                               error_code& problem) override {
         this->extension_bytes += extensions.size();
         if (this->extension_bytes > this->max_extension_bytes) {
+            this->is_over_limit = true;
             problem = beast::http::error::bad_chunk_extension;
         }
     }
@@ -159,6 +164,7 @@
 
     std::optional<message_parser> parser;
     std::string failure;
+    bool is_over_limit = false;
     /// Received, but not parsed: an incomplete line, or bytes that follow the response.
     std::string unparsed;
     bool is_complete = false;
@@ -180,6 +186,8 @@
         }
         if (problem) {
             this->failure = "malformed response: " + problem.message();
+            this->is_over_limit =
+                problem == beast::http::error::header_limit || this->parser->is_over_limit;
             return false;
         }
         if (!this->parser->is_done()) {
@@ -198,6 +206,7 @@
         if (this->parser->status == status_switching_protocols) {
             this->failure = "the peer switches to another protocol";
         } else if (this->interim_bytes > this->limits.interim_bytes) {
+            this->is_over_limit = true;
             this->failure = "the interim responses are longer than " +
                             std::to_string(this->limits.interim_bytes) + " bytes";
         } else {
@@ -209,6 +218,7 @@
         const bool is_in_chunks = this->parser->is_header_done() && this->parser->chunked();
         if (!this->is_complete && is_in_chunks &&
             this->unparsed.size() > this->limits.chunk_extension_bytes) {
+            this->is_over_limit = true;
             this->failure = "a chunk's size line or the trailer section is longer than " +
                             std::to_string(this->limits.chunk_extension_bytes) + " bytes";
         }
@@ -252,6 +262,14 @@
     return this->impl->failure;
 }
 
+bool response_parser::is_over_limit() const {
+    return this->impl->is_over_limit;
+}
+
+std::size_t response_parser::buffered_bytes() const {
+    return this->impl->parser->head_bytes + this->impl->unparsed.size();
+}
+
 bool response_parser::can_reuse_connection() const {
     return this->impl->is_complete && this->impl->unparsed.empty() &&
            this->impl->parser->keep_alive();
--- a/packages/http/internal/response_parser.h
+++ b/packages/http/internal/response_parser.h
@@ -35,6 +35,10 @@
     [[nodiscard]] bool is_complete() const;
     /// Why the bytes are no response within the limits; empty unless parsing has failed.
     [[nodiscard]] const std::string& failure() const;
+    /// Whether `failure` is a limit that the response exceeds.
+    [[nodiscard]] bool is_over_limit() const;
+    /// Memory of the head, and of what was received and is neither parsed nor taken, in bytes.
+    [[nodiscard]] std::size_t buffered_bytes() const;
     /// Whether another request may follow on the connection: the response is complete, no bytes
     /// followed it, and the peer does not close.
     [[nodiscard]] bool can_reuse_connection() const;
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -57,6 +57,7 @@
     [[nodiscard]] std::vector<wire::message> initial_messages() const;
     void instance_connected(const wire::hello& hello);
     void instance_disconnected(const wire::hello& hello);
+    void export_metrics() const { this->orders.responses().export_metrics(*this->params.metrics); }
     [[nodiscard]] std::size_t target_count() const { return this->targets.size(); }
     /// Sends all target records over the link that was opened to another keeper, which has missed
     /// earlier updates.
--- a/packages/keeper/internal/weight_orders.h
+++ b/packages/keeper/internal/weight_orders.h
@@ -5,6 +5,7 @@
 #include "base/response_limits.h"
 #include "engines/target_protocol.h"
 #include "http/client.h"
+#include "http/response_budget.h"
 #include "membership/directory.h"
 #include "rollout/load_planner.h"
 #include "task/wakeup.h"
@@ -56,6 +57,8 @@
     /// Hands the message to the planner and executes its actions.
     void dispatch(const rollout::planner_message& message);
     void leadership_changed(bool is_leader);
+    /// Memory of the responses to its calls.
+    [[nodiscard]] const http::response_budget& responses() const { return this->client.budget(); }
 
 private:
     struct open_call {
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -4,6 +4,9 @@
 #include "settings/ini_section.h"
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <system_error>
 
 namespace kingcupcart::settings {
 
@@ -17,6 +20,13 @@
 constexpr int stop_grace_share = 3;
 /// A planned stop ends this long before the process would be killed.
 constexpr duration kill_margin = std::chrono::milliseconds(500);
+/// Bounds of the memory that a process may use, in megabytes.
+constexpr double min_memory_mb = 16;
+constexpr double max_memory_mb = 1024.0 * 1024;
+constexpr double bytes_per_megabyte = 1000.0 * 1000;
+/// The responses in progress take up at most one part in `response_memory_share` of the memory: a
+/// buffer that grows needs up to three times its content, and the rest of the process its own.
+constexpr double response_memory_share = 5;
 constexpr std::int64_t max_body_limit = std::int64_t{1024} * 1024 * 1024;
 
 outcome<entry_settings> read_entry(const ini_document& document) {
@@ -166,6 +176,23 @@
     return static_cast<std::size_t>(size);
 }
 
+/// The memory that the process may use, in bytes; empty if the settings don't name it.
+outcome<std::optional<double>> read_memory(ini_section& section) {
+    BOOST_LEAF_AUTO(text, section.text_or("memory", ""));
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    double megabytes = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), megabytes);
+    const std::string_view unit(end, static_cast<std::size_t>(text.data() + text.size() - end));
+    const bool is_allowed = megabytes >= min_memory_mb && megabytes <= max_memory_mb;
+    if (status != std::errc{} || unit != "MB" || !is_allowed) {
+        return section.fail_at("memory",
+                               "'" + text + "' is not a number of megabytes, such as 88MB");
+    }
+    return std::optional(megabytes * bytes_per_megabyte);
+}
+
 outcome<response_limits> read_responses(const ini_document& document) {
     ini_section section(document, "responses");
     response_limits limits;
@@ -201,6 +228,7 @@
                       instance.duration_or("kill-after", settings.kill_after,
                                            {duration::zero(), std::chrono::hours(24)}));
     fit_stop_times(settings);
+    BOOST_LEAF_AUTO(memory_bytes, read_memory(instance));
     BOOST_LEAF_AUTO(roles, instance.list("roles"));
     for (const std::string& role : roles) {
         if (role == "entry") {
@@ -230,6 +258,10 @@
     }
     BOOST_LEAF_CHECK(instance.check_unknown_keys());
     BOOST_LEAF_ASSIGN(settings.responses, read_responses(document));
+    if (memory_bytes) {
+        settings.responses.budget_bytes =
+            static_cast<std::size_t>(*memory_bytes / response_memory_share);
+    }
     BOOST_LEAF_CHECK(read_log(document, settings));
     return settings;
 }
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -130,3 +130,33 @@
               std::string::npos);
     }
 }
+
+SCENARIO("the memory that a process may use bounds the responses in progress") {
+    const auto with_memory = [](const std::string& line) {
+        return replace_once("admin = 127.0.0.1:7002\n", "admin = 127.0.0.1:7002\n" + line + "\n");
+    };
+    const auto budget_for = [&](const std::string& line) {
+        const auto result = read_settings(with_memory(line));
+        REQUIRE(std::holds_alternative<process_settings>(result));
+        return std::get<process_settings>(result).responses.budget_bytes;
+    };
+    GIVEN("settings that name the memory") {
+        THEN("the responses may take up a fifth of it") {
+            CHECK(budget_for("memory = 88MB") == 17'600'000);
+            CHECK(budget_for("memory = 140.5MB") == 28'100'000);
+        }
+    }
+    GIVEN("settings that do not name it") {
+        THEN("a default applies") {
+            CHECK(budget_for("") == 32UL * 1024 * 1024);
+        }
+    }
+    GIVEN("anything else") {
+        for (const char* line : {"memory = 88", "memory = 88 GB", "memory = MB", "memory = 1MB"}) {
+            THEN((std::string("'") + line + "' is rejected").c_str()) {
+                CHECK(message_for(with_memory(line)).find("[instance] memory") !=
+                      std::string::npos);
+            }
+        }
+    }
+}
--- a/packages/store/internal/item_runner.h
+++ b/packages/store/internal/item_runner.h
@@ -12,6 +12,7 @@
 #include "engines/target_protocol.h"
 #include "fleet/keeper_client.h"
 #include "http/client.h"
+#include "http/response_budget.h"
 #include "store/internal/item_run.h"
 #include "store/internal/partial_text.h"
 #include "store/internal/remote_runs.h"
@@ -50,6 +51,8 @@
         std::function<void(const job_id&, batch::item_result)> on_result;
         /// Sends a message to another store; returns false if the link is not open.
         std::function<bool(const instance_id&, const wire::message&)> send_to_store;
+        /// Memory of the responses, shared with the other clients of the task.
+        std::shared_ptr<http::response_budget> budget = nullptr;
     };
 
     explicit item_runner(parameters arguments);
--- a/packages/store/internal/run_worker.cpp
+++ b/packages/store/internal/run_worker.cpp
@@ -36,7 +36,7 @@
 
 run_worker::run_worker(parameters arguments)
     : params(std::move(arguments)),
-      client(*this->params.time, {this->params.limits, read_interval}),
+      client(*this->params.time, {this->params.limits, read_interval, this->params.budget}),
       report_timer([this] { this->report_progress(); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {}
 
--- a/packages/store/internal/run_worker.h
+++ b/packages/store/internal/run_worker.h
@@ -7,6 +7,7 @@
 #include "engines/target_protocol.h"
 #include "fleet/keeper_client.h"
 #include "http/client.h"
+#include "http/response_budget.h"
 #include "store/internal/item_run.h"
 #include "store/internal/partial_text.h"
 #include "task/wakeup.h"
@@ -36,6 +37,8 @@
         response_limits limits;
         /// Sends a message over a link that the leader opened.
         std::function<void(std::uint64_t link, const wire::message&)> send;
+        /// Memory of the responses, shared with the other clients of the task.
+        std::shared_ptr<http::response_budget> budget = nullptr;
     };
 
     explicit run_worker(parameters arguments);
--- a/packages/store/internal/score_runner.cpp
+++ b/packages/store/internal/score_runner.cpp
@@ -33,7 +33,7 @@
     : params(std::move(arguments)),
       forwarder({this->params.place, this->params.time, this->params.seed, this->params.protocol,
                  this->params.fleet, this->params.metrics, this->params.limits, max_response_bytes,
-                 [] {}}),
+                 [] {}, this->params.budget}),
       scheduler_timer([this] { this->dispatch(batch::timer_expired{}); }) {}
 
 score_runner::~score_runner() = default;
--- a/packages/store/internal/score_runner.h
+++ b/packages/store/internal/score_runner.h
@@ -12,6 +12,7 @@
 #include "engines/target_protocol.h"
 #include "fleet/keeper_client.h"
 #include "forwarding/forwarder.h"
+#include "http/response_budget.h"
 #include "task/wakeup.h"
 #include "telemetry/metric_set.h"
 
@@ -39,6 +40,8 @@
         response_limits limits;
         /// Receives each result with its score, and those of items that were given up.
         std::function<void(const job_id&, batch::item_result)> on_result;
+        /// Memory of the responses, shared with the other clients of the task.
+        std::shared_ptr<http::response_budget> budget = nullptr;
     };
 
     explicit score_runner(parameters arguments);
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -31,6 +31,8 @@
 
 store::store(parameters arguments)
     : params(std::move(arguments)),
+      responses(
+          std::make_shared<http::response_budget>(this->params.settings.responses.budget_bytes)),
       buffered_results([this](const batch::append_results& command) {
           this->replicated_group->submit(command, [](const auto&) {});
       }),
@@ -136,6 +138,7 @@
             found->second.link->send(message);
         }
     };
+    arguments.budget = this->responses;
     this->worker = std::make_unique<run_worker>(std::move(arguments));
 }
 
@@ -275,6 +278,7 @@
     arguments.send_to_store = [this](const instance_id& member, const wire::message& message) {
         return this->replicated_group->members().send(member, message);
     };
+    arguments.budget = this->responses;
     this->runner = std::make_unique<item_runner>(std::move(arguments));
     for (const instance_id& member : this->replicated_group->members().ids()) {
         if (this->replicated_group->members().is_open(member)) {
@@ -368,6 +372,7 @@
     this->metrics.set("store_log_suspended", log.is_suspended() ? 1 : 0);
     this->metrics.set("store_log_suspensions", static_cast<double>(log.suspension_count()));
     this->fleet->limits().export_metrics(this->metrics);
+    this->responses->export_metrics(this->metrics);
     admin::report report;
     report.component = "store";
     report.status = status.dump() + "\n";
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -9,6 +9,7 @@
 #include "fleet/keeper_client.h"
 #include "group/group.h"
 #include "group/stop_started.h"
+#include "http/response_budget.h"
 #include "routes/route_table_parser.h"
 #include "settings/process_settings.h"
 #include "settings/seeds_changed.h"
@@ -92,6 +93,7 @@
 
     parameters params;
     telemetry::metric_set metrics;
+    std::shared_ptr<http::response_budget> responses;
     std::unique_ptr<store_group> replicated_group;
     std::unique_ptr<fleet::keeper_client> fleet;
     std::unique_ptr<job_request_handler> request_handler;
