Responses in progress: all of a task together keep to one budget

What callers of similar systems saw: a faulty replica sent bytes without end, the machine that had called it kept them all, ran out of memory, and the requests of all its clients ended with it. Here each response had a limit (16 MiB), all of them together had none: twelve calls at once are 200 MB, on machines with 88 MB.

The budget of a task's responses is enforced now. While it is exceeded, the call that holds most ends as broken and its connection is closed, so a small response never gives way to a large one. A complete response still counts, but isn't ended.

Evidence, endless_responses_test: ten servers that flood at once, by eight kinds (no response, heads, interim heads, bodies with and without a length, chunks), against a budget of 4 MiB, two clients, calls with a limit of their own and without.

--- a/packages/http/internal/pending_call.cpp
+++ b/packages/http/internal/pending_call.cpp
@@ -25,7 +25,7 @@
     : owner(std::move(owner)),
       notify(std::move(notify)),
       parser(this->owner->limits, outgoing.method == "HEAD"),
-      budget_share(this->owner->budget),
+      budget_share(this->owner->budget, [this](const std::string& reason) { this->cut(reason); }),
       drain_timer([this] { this->abort(); }),
       max_response_bytes(outgoing.max_response_bytes),
       is_repeatable(outgoing.repeatable) {}
@@ -136,6 +136,9 @@
 
 void client::call::state::process_response() {
     this->count_held();
+    if (!this->link) {
+        return;
+    }
     if (this->parser.has_head() && !std::exchange(this->has_delivered_head, true) &&
         !this->is_over) {
         this->notify.on_head(this->parser.head());
@@ -211,6 +214,11 @@
 void client::call::state::finish(call_result result, const std::string& reason) {
     const auto self = this->shared_from_this();
     this->close_connection();
+    if (result == call_result::complete) {
+        this->budget_share.complete();
+    } else {
+        this->budget_share.set(0);
+    }
     if (!std::exchange(this->is_over, true)) {
         const auto on_complete = std::move(this->notify.on_complete);
         on_complete(result, reason);
