Events: the fields of an event without end count toward its limit

An event parser kept each field of an event that has no data, without a limit: two bytes of a stream ("a" and a line feed) took up 64 bytes and more, so 16 MiB of a replica's response became over 500 MB at a gateway or store. The limit of an event, 1 MiB, only counted its data. It counts the memory of all fields now. forwarded_call and item_run end an attempt as broken as soon as an event exceeds it; until now they read on, up to the limit of the response.

A run of an item gives back what it does not keep: the call holds the text and the partial event.

Seen failing before, completions_test "the event parser accepts a stream that is split at any byte": 1 MiB of lines "a" or "data:" is no event over the limit.

--- a/packages/completions/event_parser.h
+++ b/packages/completions/event_parser.h
@@ -21,6 +21,11 @@
         return this->line.empty() && this->current.is_empty();
     }
 
+    /// Memory of the partial event, in bytes.
+    [[nodiscard]] std::size_t buffered_bytes() const {
+        return this->line.size() + this->current_bytes;
+    }
+
     /// Whether an event exceeded `max_event_bytes`; all later input is ignored.
     [[nodiscard]] bool is_over_limit() const { return this->over_limit; }
 
@@ -31,6 +36,8 @@
 
     std::string line;
     server_sent_event current;
+    /// Memory of `current`, in bytes.
+    std::size_t current_bytes = 0;
     /// The current event has a `data` line, which may be empty.
     bool has_data_line = false;
     bool over_limit = false;
--- a/packages/completions/internal/event_parser.cpp
+++ b/packages/completions/internal/event_parser.cpp
@@ -19,7 +19,7 @@
     while (!input.empty() && !this->over_limit) {
         const auto end = input.find('\n');
         this->line += input.substr(0, end);
-        if (this->line.size() + this->current.data.size() > max_event_bytes) {
+        if (this->buffered_bytes() > max_event_bytes) {
             this->over_limit = true;
             break;
         }
@@ -41,6 +41,7 @@
         if (!this->current.is_empty()) {
             events.push_back(std::exchange(this->current, {}));
         }
+        this->current_bytes = 0;
         this->has_data_line = false;
         return;
     }
@@ -51,6 +52,7 @@
     if (value.starts_with(' ')) {
         value.remove_prefix(1);
     }
+    this->current_bytes += field.size();
     if (name == "data") {
         this->current.data += std::exchange(this->has_data_line, true) ? "\n" : "";
         this->current.data += value;
@@ -58,6 +60,7 @@
         this->current.id = value;
     } else if (!name.empty()) {
         this->current.other_fields.push_back({std::string(name), std::string(value)});
+        this->current_bytes += sizeof(header_field);
     }
 }
 
--- a/packages/completions/tests/completions_test.cpp
+++ b/packages/completions/tests/completions_test.cpp
@@ -94,6 +94,19 @@
         CHECK(parser.feed("data: " + std::string(event_parser::max_event_bytes, 'x')).empty());
         CHECK(parser.is_over_limit());
     }
+    // Each field takes up far more memory than its two bytes.
+    for (const std::string& line : {std::string("a\n"), std::string("data:\n")}) {
+        const std::string name = "Given: an event without end, of lines '" + line + "'";
+        SUBCASE(name.c_str()) {
+            event_parser parser;
+            std::string lines;
+            while (lines.size() < event_parser::max_event_bytes) {
+                lines += line;
+            }
+            CHECK(parser.feed(lines).empty());
+            CHECK(parser.is_over_limit());
+        }
+    }
 }
 
 SCENARIO("a response lists the weight versions that produced it") {
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -111,6 +111,11 @@
         }
         response.last_event = event->number;
     }
+    if (response.parser.is_over_limit()) {
+        this->fail_attempt(attempt, requests::attempt_failure::broken,
+                           "a stream event is larger than the limit");
+        return;
+    }
     // Forwards complete events only, so that another target can resume after the last one.
     const auto end = response.body.rfind("\n\n");
     if (response.last_event == before || end == std::string::npos) {
--- a/packages/store/internal/item_run.cpp
+++ b/packages/store/internal/item_run.cpp
@@ -104,7 +104,12 @@
         }
         has_events = true;
     }
-    if (has_events) {
+    if (this->parser.is_over_limit()) {
+        this->fail(batch::run_failure::broken, "a stream event is larger than the limit");
+        return;
+    }
+    this->call->set_held_bytes(this->params.text->text.size() + this->parser.buffered_bytes());
+    if (!this->is_over && has_events) {
         const auto& versions = this->params.text->versions;
         this->notify(batch::run_progressed{this->params.action.run, this->params.text->last_event,
                                            *versions.begin(), *versions.rbegin()});
