Streams: a target waits while the caller reads slowly

A stream was written to its caller's connection as it came. What a slow caller hadn't read stayed in the gateway's memory, without a bound until the route's timeout; a faulty replica that sends events without end filled it within seconds.

The exchange counts the bytes that libsoup has not passed to the system yet (wrote-body-data). While more than 64 KiB of a stream are unsent, forwarded_call pauses the selected attempt: nothing watches its connection, the kernel's window closes, and the target waits; it goes on when half of that is sent. No timer and no polling. The unsent part counts for the response budget. The dispatcher is told, so that a paused stream is no stall that resumes elsewhere, and the pause counts as no target's time between two outputs. A caller that reads nothing ends with the route's timeout, as before; one that is gone is noticed as before, since the caller's connection stays watched.

Evidence: forwarding_test "a stream without end is held in memory up to a limit", a flooding target and a caller that reads nothing for 0.5 s.

--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -60,6 +60,8 @@
     request_id start(const routes::route& route, call_parameters call);
     /// Aborts the call because its caller has disconnected. None of its callbacks is called again.
     void cancel(request_id request);
+    /// A part of the stream was sent to the caller.
+    void stream_sent(request_id request);
     /// See `requests::dispatcher::announce_stop`.
     void announce_stop(time_point deadline);
     /// Refuses new requests from now on. Those that are open get their final response by
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// A target has to wait while more than this of its stream is not sent to the caller yet, until
+/// half of it is.
+constexpr std::size_t max_unsent_bytes = 64UL * 1024;
 constexpr int status_ok = 200;
 constexpr int status_multiple_choices = 300;
 
@@ -133,11 +136,35 @@
     const std::size_t events_size = end + 2;
     this->params.call.notify.on_stream_data(std::string_view(response.body).substr(0, events_size));
     response.body.erase(0, events_size);
+    this->control_flow();
+}
+
+void forwarded_call::control_flow() {
+    const auto found = this->attempts.find(this->selected_attempt);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    const auto& unsent_bytes = this->params.call.notify.unsent_bytes;
+    const std::size_t unsent = unsent_bytes ? unsent_bytes() : 0;
+    const attempt_response& response = *found->second;
+    if (!this->is_paused && unsent > max_unsent_bytes) {
+        this->set_paused(true);
+    } else if (this->is_paused && unsent <= max_unsent_bytes / 2) {
+        this->set_paused(false);
+    }
+    // Last, because it may end the attempt.
     if (response.call) {
-        response.call->set_held_bytes(response.body.size());
+        response.call->set_held_bytes(response.body.size() + response.parser.buffered_bytes() +
+                                      unsent);
     }
 }
 
+void forwarded_call::set_paused(bool pauses) {
+    this->is_paused = pauses;
+    this->attempts.at(this->selected_attempt)->call->set_paused(pauses);
+    this->params.notify(requests::attempt_paused{this->selected_attempt, pauses});
+}
+
 void forwarded_call::on_end(attempt_id attempt, http::call_result completion,
                             const std::string& reason) {
     const auto found = this->attempts.find(attempt);
@@ -173,6 +200,7 @@
 
 void forwarded_call::select_attempt(attempt_id attempt) {
     const bool is_first = this->selected_attempt == attempt_id();
+    const bool is_other = !is_first && this->selected_attempt != attempt;
     this->selected_attempt = attempt;
     const attempt_response& response = *this->attempts.at(attempt);
     if (this->params.is_stream && is_first && is_success(response.head.status)) {
@@ -180,6 +208,10 @@
         this->response_status = response.head.status;
         this->params.call.notify.on_stream_started(response.head);
     }
+    if (is_other) {
+        this->is_paused = false;
+        this->control_flow();
+    }
 }
 
 void forwarded_call::cancel(attempt_id attempt) {
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -51,6 +51,8 @@
     /// Sends this attempt's response to the caller; its stream begins at once.
     void select_attempt(attempt_id attempt);
     void cancel(attempt_id attempt);
+    /// A part of the stream was sent to the caller.
+    void stream_sent() { this->control_flow(); }
     /// Sends the rest of the selected attempt's response.
     void complete();
     void fail(const call_failure& failure);
@@ -76,6 +78,9 @@
     void on_head(attempt_id attempt, const http::response_head& head);
     void on_data(attempt_id attempt, std::string_view data);
     void on_stream_data(attempt_id attempt, attempt_response& response, std::string_view data);
+    /// Pauses the selected attempt while much of the stream is unsent.
+    void control_flow();
+    void set_paused(bool pauses);
     void on_end(attempt_id attempt, http::call_result completion, const std::string& reason);
     void fail_attempt(attempt_id attempt, requests::attempt_failure failure,
                       const std::string& reason);
@@ -88,6 +93,8 @@
     attempt_id selected_attempt;
     int response_status = 0;
     bool is_streaming = false;
+    /// The caller reads more slowly than the target sends.
+    bool is_paused = false;
 };
 
 } // namespace kingcupcart::forwarding
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -125,6 +125,13 @@
     this->finish(request, "abandoned");
 }
 
+void forwarder::stream_sent(request_id request) {
+    const auto found = this->calls.find(request);
+    if (found != this->calls.end()) {
+        found->second.call->stream_sent();
+    }
+}
+
 void forwarder::announce_stop(time_point deadline) {
     this->execute(this->dispatcher.announce_stop(deadline, this->params.time->now()));
     this->dispatch(requests::timer_expired{});
--- a/packages/forwarding/response_callbacks.h
+++ b/packages/forwarding/response_callbacks.h
@@ -3,6 +3,7 @@
 #include "forwarding/call_failure.h"
 #include "http/response_head.h"
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 
@@ -16,6 +17,9 @@
     std::function<void(const http::response_head&)> on_stream_started;
     std::function<void(std::string_view)> on_stream_data;
     std::function<void()> on_stream_ended;
+    /// Returns the bytes passed to `on_stream_data` that were not sent to the caller yet. May be
+    /// null if the caller is never slow.
+    std::function<std::size_t()> unsent_bytes;
     std::function<void(const call_failure&)> on_failure;
 };
 
--- a/packages/forwarding/tests/forwarded_call_test.cpp
+++ b/packages/forwarding/tests/forwarded_call_test.cpp
@@ -1,10 +1,15 @@
 #include "forwarding/internal/forwarded_call.h"
+#include "http/response_budget.h"
+#include "http/tests/flooding_server.h"
 #include "http/tests/raw_caller.h"
 #include "http/tests/scripted_server.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <charconv>
+#include <chrono>
+#include <limits>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -45,6 +50,9 @@
     bool has_ended = false;
     bool has_response = false;
     std::optional<requests::message> outcome;
+    /// Of what was delivered, the part that the caller has read.
+    std::size_t read_bytes = 0;
+    bool is_paused = false;
 
     explicit streamed_call(bool is_stream = true) {
         forwarded_call::parameters arguments;
@@ -62,6 +70,9 @@
         arguments.call.notify.on_stream_data = [this](std::string_view data) {
             this->delivered += data;
         };
+        arguments.call.notify.unsent_bytes = [this] {
+            return this->delivered.size() - std::min(this->read_bytes, this->delivered.size());
+        };
         arguments.call.notify.on_stream_ended = [this] { this->has_ended = true; };
         arguments.protocol.forward = &forward;
         arguments.protocol.classify_response = &classify;
@@ -88,6 +99,8 @@
             this->call->complete();
             this->outcome = message;
             this->runner.loop.quit();
+        } else if (const auto* paused = std::get_if<requests::attempt_paused>(&message)) {
+            this->is_paused = paused->is_paused;
         } else if (std::holds_alternative<requests::attempt_failed>(message)) {
             this->outcome = message;
             this->runner.loop.quit();
@@ -96,14 +109,20 @@
 
     /// Runs an attempt at the server to its end.
     void attempt(std::uint64_t number, const http::scripted_server& server, int resume_after) {
+        this->attempt(number, server.address(), resume_after, http::raw_caller::max_time);
+    }
+
+    /// Runs an attempt at the server, at most for `max_wait`.
+    void attempt(std::uint64_t number, const endpoint& server, int resume_after,
+                 duration max_wait) {
         this->outcome.reset();
         membership::target_record target;
-        target.address = server.address();
+        target.address = server;
         requests::send_attempt action;
         action.attempt = attempt_id(number);
         action.resume_after = tokens(resume_after);
         this->call->start_attempt(action, target);
-        this->runner.pause_for(http::raw_caller::max_time);
+        this->runner.pause_for(max_wait);
     }
 
     [[nodiscard]] bool has_failed() const {
@@ -208,3 +227,85 @@
         }
     }
 }
+
+// A target that sends faster than its caller reads, or without end, must not fill the memory.
+SCENARIO("a stream without end is held in memory up to a limit") {
+    const std::string endless_head = stream_head + "\r\n";
+    GIVEN("events without end") {
+        constexpr std::size_t events_per_part = 100;
+        const http::flooding_server server(endless_head, [](std::size_t part) {
+            std::string events;
+            for (std::size_t i = 1; i <= events_per_part; ++i) {
+                events += "id: " + std::to_string(part * events_per_part + i) +
+                          "\ndata: " + std::string(100, 'x') + "\n\n";
+            }
+            return events;
+        });
+        constexpr duration reading_time = std::chrono::milliseconds(500);
+        /// The limit of what is unsent, and one read beyond it.
+        constexpr std::size_t most_unsent = 128UL * 1024;
+        streamed_call stream;
+        WHEN("the caller reads nothing") {
+            stream.attempt(1, server.address(), 0, reading_time);
+            THEN("the target has to wait, and its attempt goes on") {
+                CHECK(stream.is_paused);
+                CHECK(stream.delivered.size() > 0);
+                CHECK(stream.delivered.size() <= most_unsent);
+                CHECK(stream.runner.http_client->budget().peak_bytes() <= 2 * most_unsent);
+                CHECK_FALSE(stream.outcome);
+                CHECK(server.open_count() == 1);
+            }
+            AND_WHEN("it reads what it got") {
+                const std::size_t before = stream.delivered.size();
+                stream.read_bytes = before;
+                stream.call->stream_sent();
+                CHECK_FALSE(stream.is_paused);
+                stream.runner.pause_for(reading_time);
+                THEN("it gets more, in order, up to the same limit") {
+                    CHECK(stream.delivered.size() > before);
+                    CHECK(stream.delivered.size() <= before + most_unsent);
+                    CHECK(stream.is_paused);
+                    CHECK_FALSE(stream.outcome);
+                }
+            }
+            AND_WHEN("the attempt is cancelled") {
+                stream.call->cancel(attempt_id(1));
+                stream.runner.pause_for(reading_time);
+                THEN("the target's connection is closed, and nothing is held") {
+                    CHECK(server.open_count() == 0);
+                    CHECK(stream.runner.http_client->budget().held_bytes() == 0);
+                }
+            }
+        }
+        WHEN("the caller reads at once") {
+            stream.read_bytes = std::numeric_limits<std::size_t>::max();
+            stream.attempt(1, server.address(), 0, reading_time);
+            THEN("the target never waits") {
+                CHECK_FALSE(stream.is_paused);
+                CHECK(stream.delivered.size() > most_unsent);
+                CHECK(stream.runner.http_client->budget().peak_bytes() <= 2 * most_unsent);
+            }
+        }
+    }
+    for (const std::string& part : {std::string("data: "), std::string("x\n"),
+                                    std::string("data:\n"), std::string("id: 1\n")}) {
+        SUBCASE(("Given: an event without end, of '" + part + "'").c_str()) {
+            constexpr std::size_t part_bytes = 64UL * 1024;
+            std::string filler;
+            while (filler.size() < part_bytes) {
+                filler += part;
+            }
+            const http::flooding_server server(endless_head, filler);
+            streamed_call stream;
+            stream.attempt(1, server.address(), 0, http::raw_caller::max_time);
+            THEN("the attempt has failed, its connection is closed, and nothing is held") {
+                CHECK(stream.has_failed());
+                stream.runner.pause_for(std::chrono::milliseconds(100));
+                CHECK(server.open_count() == 0);
+                constexpr std::size_t event_limit = 1024UL * 1024;
+                CHECK(stream.runner.http_client->budget().peak_bytes() <= 3 * event_limit);
+                CHECK(stream.runner.http_client->budget().held_bytes() == 0);
+            }
+        }
+    }
+}
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -262,6 +262,7 @@
     forwarded.notify = this->respond_to(exchange, call.request_name);
     const request_id request = this->forwarder->start(route, std::move(forwarded));
     exchange->on_disconnect([this, request] { this->forwarder->cancel(request); });
+    exchange->on_sent([this, request] { this->forwarder->stream_sent(request); });
 }
 
 forwarding::response_callbacks gateway::respond_to(const std::shared_ptr<http::exchange>& exchange,
@@ -276,6 +277,7 @@
         exchange->begin_stream(head.status, head.content_type);
     };
     callbacks.on_stream_data = [exchange](std::string_view data) { exchange->write(data); };
+    callbacks.unsent_bytes = [exchange] { return exchange->unsent_bytes(); };
     callbacks.on_stream_ended = [exchange] { exchange->end_stream(); };
     callbacks.on_failure = [this, exchange, name](const forwarding::call_failure& failure) {
         // The exchange closes a stream without its last chunk, so that it does not look complete.
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -67,6 +67,10 @@
         /// holding everything.
         void set_held_bytes(std::size_t bytes);
 
+        /// While the call is paused, nothing more is read of its response, and its server has to
+        /// wait. What was read already may still be delivered.
+        void set_paused(bool is_paused);
+
     private:
         friend class client;
         class state;
--- a/packages/http/exchange.h
+++ b/packages/http/exchange.h
@@ -4,6 +4,7 @@
 
 #include <libsoup/soup.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,6 +44,10 @@
     void begin_stream(int status, const std::string& content_type);
     void write(std::string_view part);
     void end_stream();
+    /// Bytes written by `write` that were not passed to the system yet.
+    [[nodiscard]] std::size_t unsent_bytes() const;
+    /// Sets the callback for bytes of a stream that were passed to the system.
+    void on_sent(std::function<void()> callback);
 
     [[nodiscard]] bool is_streaming() const;
 
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -21,6 +21,10 @@
     this->impl->set_held_bytes(bytes);
 }
 
+void client::call::set_paused(bool is_paused) {
+    this->impl->set_paused(is_paused);
+}
+
 client::client(const clock& time) : client(time, parameters()) {}
 
 client::client(const clock& time, const parameters& settings)
--- a/packages/http/internal/connection.cpp
+++ b/packages/http/internal/connection.cpp
@@ -92,6 +92,14 @@
         this->coalescer->add(this->descriptor, [this] { this->call_handler(); });
 }
 
+void connection::stop_reading() {
+    this->watch.reset();
+    if (this->coalescer) {
+        this->coalescer->remove(this->descriptor, this->coalesced_number);
+        this->coalescer.reset();
+    }
+}
+
 void connection::read_at_once() {
     if (this->coalescer) {
         this->coalescer->remove(this->descriptor, this->coalesced_number);
--- a/packages/http/internal/connection.h
+++ b/packages/http/internal/connection.h
@@ -49,8 +49,10 @@
     /// From now on the handler is called once per interval of the coalescer while the socket is
     /// readable.
     void coalesce_reads(std::shared_ptr<read_coalescer> reads);
-    /// Ends `coalesce_reads`.
+    /// Ends `coalesce_reads` and `stop_reading`.
     void read_at_once();
+    /// Calls the handler no more, so that the kernel's buffer fills up and the peer has to wait.
+    void stop_reading();
 
     /// Fails if the connection could not be established.
     [[nodiscard]] outcome<void> finish_connecting();
@@ -69,7 +71,7 @@
     int descriptor;
     /// Shared, because the handler may be replaced while it runs.
     std::shared_ptr<const std::function<void()>> handler;
-    /// Empty while the coalescer watches the socket.
+    /// Empty while the coalescer watches the socket, or nothing does.
     std::optional<task::socket_watch> watch;
     std::shared_ptr<read_coalescer> coalescer;
     std::uint64_t coalesced_number = 0;
--- a/packages/http/internal/exchange.cpp
+++ b/packages/http/internal/exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace kingcupcart::http {
@@ -15,6 +16,8 @@
     explicit state(SoupServerMessage* server_message)
         : message(task::g_pointer<SoupServerMessage>::share(server_message)) {
         g_signal_connect(server_message, "finished", G_CALLBACK(&state::finished), this);
+        g_signal_connect(server_message, "wrote-body-data", G_CALLBACK(&state::wrote_body_data),
+                         this);
         this->start_watching();
     }
 
@@ -32,6 +35,7 @@
         this->is_responded = true;
         this->stop_watching();
         this->disconnect_callback = nullptr;
+        this->sent_callback = nullptr;
     }
 
     void resume() {
@@ -42,6 +46,8 @@
 
     task::g_pointer<SoupServerMessage> message;
     std::function<void()> disconnect_callback;
+    std::function<void()> sent_callback;
+    std::size_t unsent_bytes = 0;
     bool is_streaming = false;
     bool is_responded = false;
     bool is_finished = false;
@@ -102,6 +108,16 @@
         }
     }
 
+    static void wrote_body_data(SoupServerMessage* /*message*/, guint size, gpointer data) {
+        auto* exchange_state = static_cast<state*>(data);
+        exchange_state->unsent_bytes -=
+            std::min(exchange_state->unsent_bytes, static_cast<std::size_t>(size));
+        // The callback may destroy the exchange, and with it the function.
+        if (const auto callback = exchange_state->sent_callback) {
+            callback();
+        }
+    }
+
     GSource* source = nullptr;
 };
 
@@ -193,6 +209,7 @@
         return;
     }
     SoupMessageBody* body = soup_server_message_get_response_body(this->impl->message.get());
+    this->impl->unsent_bytes += part.size();
     soup_message_body_append(body, SOUP_MEMORY_COPY, part.data(), part.size());
     this->impl->resume();
 }
@@ -203,6 +220,14 @@
     this->impl->resume();
 }
 
+std::size_t exchange::unsent_bytes() const {
+    return this->impl->unsent_bytes;
+}
+
+void exchange::on_sent(std::function<void()> callback) {
+    this->impl->sent_callback = std::move(callback);
+}
+
 bool exchange::is_streaming() const {
     return this->impl->is_streaming;
 }
--- a/packages/http/internal/pending_call.cpp
+++ b/packages/http/internal/pending_call.cpp
@@ -83,6 +83,9 @@
     if (is_written) {
         this->outgoing.bytes = std::string();
         this->written_bytes = 0;
+        if (this->is_paused) {
+            this->link->stop_reading();
+        }
     }
 }
 
@@ -131,7 +134,7 @@
     }
     const bool may_have_more = received.data.size() == connection::read_buffer_bytes;
     this->process_response();
-    return may_have_more && this->link;
+    return may_have_more && this->link && !this->is_paused;
 }
 
 void client::call::state::process_response() {
@@ -153,7 +156,8 @@
         this->finish(call_result::broken, this->parser.failure());
     } else if (this->parser.is_complete()) {
         this->complete();
-    } else if (this->has_delivered_head && this->owner->coalescer && this->outgoing.bytes.empty()) {
+    } else if (this->has_delivered_head && this->owner->coalescer && this->outgoing.bytes.empty() &&
+               !this->is_paused) {
         this->link->coalesce_reads(this->owner->coalescer);
     }
 }
@@ -211,6 +215,17 @@
     this->count_held();
 }
 
+void client::call::state::set_paused(bool paused) {
+    if (paused == std::exchange(this->is_paused, paused) || !this->link || this->is_connecting) {
+        return;
+    }
+    if (!paused) {
+        this->link->read_at_once();
+    } else if (this->outgoing.bytes.empty()) {
+        this->link->stop_reading();
+    }
+}
+
 void client::call::state::finish(call_result result, const std::string& reason) {
     const auto self = this->shared_from_this();
     this->close_connection();
@@ -241,6 +256,7 @@
     this->is_draining = !this->is_over;
     this->is_over = true;
     this->owner_bytes = 0;
+    this->set_paused(false);
     if (this->is_draining) {
         this->drain_timer.arm(this->owner->time.now() + drain_limit_time);
     }
--- a/packages/http/internal/pending_call.h
+++ b/packages/http/internal/pending_call.h
@@ -31,6 +31,7 @@
     void abort();
     void drain();
     void set_held_bytes(std::size_t bytes);
+    void set_paused(bool is_paused);
     /// Ends the call and notifies the owner, unless it has cancelled the call.
     void finish(call_result result, const std::string& reason);
 
@@ -72,6 +73,7 @@
     /// The owner receives no callback any more.
     bool is_over = false;
     bool is_draining = false;
+    bool is_paused = false;
 };
 
 } // namespace kingcupcart::http
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -103,6 +103,20 @@
     request.last_output = this->now;
 }
 
+void dispatcher::state::on(const attempt_paused& paused) {
+    const auto found = this->attempts.find(paused.attempt);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    request_state& request = this->requests.at(found->second.request);
+    request.is_paused = paused.is_paused;
+    if (!paused.is_paused) {
+        // The target is not responsible for the pause.
+        found->second.last_output = this->now;
+        request.last_output = this->now;
+    }
+}
+
 void dispatcher::state::on(const attempt_completed& completed) {
     const auto found = this->attempts.find(completed.attempt);
     if (found == this->attempts.end()) {
@@ -327,6 +341,7 @@
     attempt.sent = this->now;
     attempt.resume_after = request.delivered_tokens;
     this->attempts.emplace(this->last_attempt, attempt);
+    request.is_paused = false;
     request.active_attempts.push_back(this->last_attempt);
     request.tried_targets.push_back(attempt.target);
     ++request.attempt_count;
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -25,6 +25,7 @@
     void on(const request_arrived& arrived);
     void on(const attempt_write_started& started);
     void on(const attempt_progressed& progressed);
+    void on(const attempt_paused& paused);
     void on(const attempt_completed& completed);
     void on(const attempt_failed& failed);
     void on(const caller_disconnected& disconnected);
--- a/packages/requests/internal/dispatcher_timers.cpp
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -71,8 +71,8 @@
 
 void dispatcher::state::check_stall(request_state& request) {
     const duration delay = this->stall_delay(request);
-    if (!request.selected) {
-        // Before its first output a stream is covered by hedges.
+    if (!request.selected || request.is_paused) {
+        // Before its first output a stream is covered by hedges, and a paused one is not silent.
         this->timers.add({this->now + delay, timer_queue::purpose::stall, request.profile.id});
         return;
     }
--- a/packages/requests/internal/request_state.h
+++ b/packages/requests/internal/request_state.h
@@ -26,6 +26,8 @@
     /// Number of tokens that were sent to the caller.
     tokens delivered_tokens;
     time_point last_output;
+    /// The caller reads the stream slowly, so that the target has to wait.
+    bool is_paused = false;
     /// Latest time for an attempt on a limited target.
     time_point permit_due;
     /// The limited target whose permit the request is to get; empty if it needs none.
--- a/packages/requests/messages.h
+++ b/packages/requests/messages.h
@@ -26,6 +26,12 @@
     tokens produced;
 };
 
+/// The attempt has to wait, or need not wait any more, because the caller reads its stream slowly.
+struct attempt_paused {
+    attempt_id attempt;
+    bool is_paused = false;
+};
+
 /// The attempt's response is complete.
 struct attempt_completed {
     attempt_id attempt;
@@ -53,7 +59,8 @@
 /// The time that `dispatcher::next_wakeup` returned has passed.
 struct timer_expired {};
 
-using message = std::variant<request_arrived, attempt_write_started, attempt_progressed,
-                             attempt_completed, attempt_failed, caller_disconnected, timer_expired>;
+using message =
+    std::variant<request_arrived, attempt_write_started, attempt_progressed, attempt_paused,
+                 attempt_completed, attempt_failed, caller_disconnected, timer_expired>;
 
 } // namespace kingcupcart::requests
