Heads: the memory of many small fields has a limit

A head of 64 KiB may hold 16,384 fields of four bytes, which take up 1.1 MB, at once: more than the budget of all responses can foresee when it reads. The fields of a head take up at most twice the limit of its bytes now; a head beyond it ends as broken, like any head over its limit. A hundred fields add 6.4 KB, so sound heads are far from it.

A call that drains its response holds nothing, whatever its owner says.

--- a/packages/http/internal/pending_call.cpp
+++ b/packages/http/internal/pending_call.cpp
@@ -211,6 +211,9 @@
 }
 
 void client::call::state::set_held_bytes(std::size_t bytes) {
+    if (this->is_draining) {
+        return;
+    }
     this->owner_bytes = bytes;
     this->count_held();
 }
--- a/packages/http/internal/response_parser.cpp
+++ b/packages/http/internal/response_parser.cpp
@@ -17,12 +17,16 @@
 
 constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned first_final_status = 200;
+/// The fields of a head take up at most so many times the limit of its bytes; fields of a few bytes
+/// would take up far more.
+constexpr std::size_t head_memory_factor = 2;
 
 /// Beast's parser for a single message, interim or final.
 class message_parser final : public beast::http::basic_parser<false> {
 public:
     message_parser(const response_limits& limits, bool is_head_request)
-        : max_extension_bytes(limits.chunk_extension_bytes) {
+        : max_head_memory(head_memory_factor * limits.head_bytes),
+          max_extension_bytes(limits.chunk_extension_bytes) {
         this->eager(true);
         this->skip(is_head_request);
         this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
@@ -55,7 +59,7 @@
     }
 
     void on_field_impl(beast::http::field name, beast::string_view name_text,
-                       beast::string_view value, error_code& /*problem*/) override {
+                       beast::string_view value, error_code& problem) override {
         if (this->has_fields) {
             // A trailer field.
             return;
@@ -65,6 +69,10 @@
         }
         this->head.headers.push_back({std::string(name_text), std::string(value)});
         this->head_bytes += sizeof(header_field) + name_text.size() + value.size();
+        if (this->head_bytes > this->max_head_memory) {
+            this->is_over_limit = true;
+            problem = beast::http::error::header_limit;
+        }
     }
 
     void on_header_impl(error_code& /*problem*/) override { this->has_fields = true; }
@@ -94,6 +102,7 @@
 
     void on_finish_impl(error_code& /*problem*/) override {}
 
+    std::size_t max_head_memory;
     std::size_t max_extension_bytes;
     std::size_t extension_bytes = 0;
     bool has_fields = false;
