Events test: lines "a:b" instead of "data:"

A mistake in the test of: empty data lines take up one byte each, so 1 MiB of them is no event over the limit, and the check failed also with the fix (181 of 182). Fields of another name are what took up far more than their bytes. After: completions_test passes.

--- a/packages/completions/tests/completions_test.cpp
+++ b/packages/completions/tests/completions_test.cpp
@@ -95,7 +95,7 @@
         CHECK(parser.is_over_limit());
     }
     // Each field takes up far more memory than its two bytes.
-    for (const std::string& line : {std::string("a\n"), std::string("data:\n")}) {
+    for (const std::string& line : {std::string("a\n"), std::string("a:b\n")}) {
         const std::string name = "Given: an event without end, of lines '" + line + "'";
         SUBCASE(name.c_str()) {
             event_parser parser;
