Completions: a call holds its text and a partial event, not all bytes of its stream

For the response budget, a call counts as holding all that it received until its owner says otherwise. engine_call keeps the text, the partial event and what is not sent to its caller; the bytes of the events around a token are many times that, and would have cut long sound streams. entry_test passes, 11 of 11.

--- a/packages/entry/internal/engine_call.cpp
+++ b/packages/entry/internal/engine_call.cpp
@@ -74,6 +74,7 @@
     attempt_stream& stream = *this->attempts.at(attempt);
     if (stream.status != status_ok) {
         stream.error_body += data.substr(0, max_error_body_bytes - stream.error_body.size());
+        stream.call->set_held_bytes(stream.error_body.size());
         return;
     }
     for (const std::string& event : stream.parser.feed(data)) {
@@ -84,7 +85,13 @@
     }
     if (stream.parser.is_over_limit()) {
         this->fail_attempt(attempt, requests::attempt_failure::broken);
+        return;
+    }
+    std::size_t held_bytes = stream.parser.buffered_bytes();
+    if (this->selected_attempt == attempt) {
+        held_bytes += this->response.text.size() + this->exchange->unsent_bytes();
     }
+    stream.call->set_held_bytes(held_bytes);
 }
 
 void engine_call::handle_event(attempt_id attempt, attempt_stream& stream,
