--- a/packages/requests/tests/requests_test.cpp
+++ b/packages/requests/tests/requests_test.cpp
@@ -210,6 +210,25 @@
             CHECK(resumed->resume_after == tokens(3));
         }
     }
+    GIVEN("a stream that waits for its caller after three tokens") {
+        fixture.dispatch(attempt_progressed{first, tokens(3)});
+        fixture.dispatch(attempt_paused{first, true});
+        fixture.now += 2s;
+        fixture.dispatch(timer_expired{});
+        THEN("it does not count as stalled") {
+            CHECK(fixture.find<send_attempt>() == nullptr);
+        }
+        WHEN("the caller reads on, and the target stays silent") {
+            fixture.dispatch(attempt_paused{first, false});
+            fixture.dispatch(timer_expired{});
+            CHECK(fixture.find<send_attempt>() == nullptr);
+            fixture.now += 2s;
+            fixture.dispatch(timer_expired{});
+            THEN("it resumes on the other target") {
+                CHECK(fixture.find<send_attempt>()->resume_after == tokens(3));
+            }
+        }
+    }
     GIVEN("a stream that stalls after three tokens") {
         fixture.dispatch(attempt_progressed{first, tokens(3)});
         fixture.now += 2s;
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -153,7 +153,8 @@
     }
     GIVEN("anything else") {
         for (const char* line : {"memory = 88", "memory = 88 GB", "memory = MB", "memory = 1MB"}) {
-            THEN((std::string("'") + line + "' is rejected").c_str()) {
+            const std::string name = std::string("Then: '") + line + "' is rejected";
+            SUBCASE(name.c_str()) {
                 CHECK(message_for(with_memory(line)).find("[instance] memory") !=
                       std::string::npos);
             }
