--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -8,6 +8,7 @@
 #include "fleet/keeper_client.h"
 #include "forwarding/call_parameters.h"
 #include "http/client.h"
+#include "http/response_budget.h"
 #include "membership/directory_change.h"
 #include "requests/dispatcher.h"
 #include "routes/route.h"
@@ -45,6 +46,8 @@
         std::size_t max_response_bytes = 0;
         /// Called after each call that ended.
         std::function<void()> on_call_ended;
+        /// Memory of the responses, shared with the other clients of the task.
+        std::shared_ptr<http::response_budget> budget = nullptr;
     };
 
     explicit forwarder(parameters arguments);
@@ -57,6 +60,8 @@
     request_id start(const routes::route& route, call_parameters call);
     /// Aborts the call because its caller has disconnected. None of its callbacks is called again.
     void cancel(request_id request);
+    /// A part of the stream was sent to the caller.
+    void stream_sent(request_id request);
     /// See `requests::dispatcher::announce_stop`.
     void announce_stop(time_point deadline);
     /// Refuses new requests from now on. Those that are open get their final response by
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -31,7 +31,7 @@
       random(this->params.seed),
       dispatcher(this->params.place, make_limits(), this->params.seed,
                  &this->params.fleet->limits().account()),
-      client(*this->params.time, {this->params.limits, {}}),
+      client(*this->params.time, {this->params.limits, {}, this->params.budget}),
       dispatcher_timer([this] { this->dispatch(requests::timer_expired{}); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {
     if (this->params.fleet->routes() != nullptr) {
@@ -125,6 +125,13 @@
     this->finish(request, "abandoned");
 }
 
+void forwarder::stream_sent(request_id request) {
+    const auto found = this->calls.find(request);
+    if (found != this->calls.end()) {
+        found->second.call->stream_sent();
+    }
+}
+
 void forwarder::announce_stop(time_point deadline) {
     this->execute(this->dispatcher.announce_stop(deadline, this->params.time->now()));
     this->dispatch(requests::timer_expired{});
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -68,7 +68,10 @@
     return created;
 }
 
-gateway::gateway(parameters arguments) : params(std::move(arguments)) {}
+gateway::gateway(parameters arguments)
+    : params(std::move(arguments)),
+      responses(
+          std::make_shared<http::response_budget>(this->params.settings.responses.budget_bytes)) {}
 
 gateway::~gateway() = default;
 
@@ -125,6 +128,7 @@
     arguments.max_response_bytes =
         static_cast<std::size_t>(this->params.settings.gateway->response_limit);
     arguments.on_call_ended = [this] { this->check_drained(); };
+    arguments.budget = this->responses;
     this->forwarder = std::make_unique<forwarding::forwarder>(std::move(arguments));
 }
 
@@ -258,6 +262,7 @@
     forwarded.notify = this->respond_to(exchange, call.request_name);
     const request_id request = this->forwarder->start(route, std::move(forwarded));
     exchange->on_disconnect([this, request] { this->forwarder->cancel(request); });
+    exchange->on_sent([this, request] { this->forwarder->stream_sent(request); });
 }
 
 forwarding::response_callbacks gateway::respond_to(const std::shared_ptr<http::exchange>& exchange,
@@ -272,6 +277,7 @@
         exchange->begin_stream(head.status, head.content_type);
     };
     callbacks.on_stream_data = [exchange](std::string_view data) { exchange->write(data); };
+    callbacks.unsent_bytes = [exchange] { return exchange->unsent_bytes(); };
     callbacks.on_stream_ended = [exchange] { exchange->end_stream(); };
     callbacks.on_failure = [this, exchange, name](const forwarding::call_failure& failure) {
         // The exchange closes a stream without its last chunk, so that it does not look complete.
@@ -295,6 +301,7 @@
     this->metrics.set("gateway_open_requests", static_cast<double>(this->forwarder->open_count()));
     this->metrics.set("gateway_targets", static_cast<double>(this->fleet->targets().size()));
     this->fleet->limits().export_metrics(this->metrics);
+    this->responses->export_metrics(this->metrics);
     admin::report report;
     report.component = "gateway";
     report.status = status.dump() + "\n";
--- a/packages/http/internal/pending_call.cpp
+++ b/packages/http/internal/pending_call.cpp
@@ -2,6 +2,8 @@
 
 #include "http/internal/client_state.h"
 
+#include <spdlog/spdlog.h>
+
 #include <chrono>
 #include <utility>
 
@@ -23,6 +25,7 @@
     : owner(std::move(owner)),
       notify(std::move(notify)),
       parser(this->owner->limits, outgoing.method == "HEAD"),
+      budget_share(this->owner->budget, [this](const std::string& reason) { this->cut(reason); }),
       drain_timer([this] { this->abort(); }),
       max_response_bytes(outgoing.max_response_bytes),
       is_repeatable(outgoing.repeatable) {}
@@ -80,6 +83,9 @@
     if (is_written) {
         this->outgoing.bytes = std::string();
         this->written_bytes = 0;
+        if (this->is_paused) {
+            this->link->stop_reading();
+        }
     }
 }
 
@@ -128,10 +134,14 @@
     }
     const bool may_have_more = received.data.size() == connection::read_buffer_bytes;
     this->process_response();
-    return may_have_more && this->link;
+    return may_have_more && this->link && !this->is_paused;
 }
 
 void client::call::state::process_response() {
+    this->count_held();
+    if (!this->link) {
+        return;
+    }
     if (this->parser.has_head() && !std::exchange(this->has_delivered_head, true) &&
         !this->is_over) {
         this->notify.on_head(this->parser.head());
@@ -140,11 +150,14 @@
     if (!this->link) {
         return;
     }
-    if (!this->parser.failure().empty()) {
+    if (this->parser.is_over_limit()) {
+        this->cut(this->parser.failure());
+    } else if (!this->parser.failure().empty()) {
         this->finish(call_result::broken, this->parser.failure());
     } else if (this->parser.is_complete()) {
         this->complete();
-    } else if (this->has_delivered_head && this->owner->coalescer && this->outgoing.bytes.empty()) {
+    } else if (this->has_delivered_head && this->owner->coalescer && this->outgoing.bytes.empty() &&
+               !this->is_paused) {
         this->link->coalesce_reads(this->owner->coalescer);
     }
 }
@@ -163,8 +176,13 @@
     }
     this->received_bytes += body.size();
     if (this->max_response_bytes > 0 && this->received_bytes > this->max_response_bytes) {
-        this->finish(call_result::broken, "the response is longer than " +
-                                              std::to_string(this->max_response_bytes) + " bytes");
+        this->cut("the response is longer than " + std::to_string(this->max_response_bytes) +
+                  " bytes");
+        return;
+    }
+    this->owner_bytes += body.size();
+    this->count_held();
+    if (!this->link) {
         return;
     }
     this->notify.on_data(body);
@@ -179,9 +197,46 @@
     this->finish(call_result::complete, "");
 }
 
+void client::call::state::cut(const std::string& reason) {
+    this->owner->budget->count_cut();
+    spdlog::warn("response cut target={} received_bytes={} held_bytes={} all_held_bytes={} "
+                 "reason=\"{}\"",
+                 this->outgoing.server.to_string(), this->received_bytes,
+                 this->budget_share.bytes(), this->owner->budget->held_bytes(), reason);
+    this->finish(call_result::broken, reason);
+}
+
+void client::call::state::count_held() {
+    this->budget_share.set(this->owner_bytes + this->parser.buffered_bytes());
+}
+
+void client::call::state::set_held_bytes(std::size_t bytes) {
+    if (this->is_draining) {
+        return;
+    }
+    this->owner_bytes = bytes;
+    this->count_held();
+}
+
+void client::call::state::set_paused(bool paused) {
+    if (paused == std::exchange(this->is_paused, paused) || !this->link || this->is_connecting) {
+        return;
+    }
+    if (!paused) {
+        this->link->read_at_once();
+    } else if (this->outgoing.bytes.empty()) {
+        this->link->stop_reading();
+    }
+}
+
 void client::call::state::finish(call_result result, const std::string& reason) {
     const auto self = this->shared_from_this();
     this->close_connection();
+    if (result == call_result::complete) {
+        this->budget_share.complete();
+    } else {
+        this->budget_share.set(0);
+    }
     if (!std::exchange(this->is_over, true)) {
         const auto on_complete = std::move(this->notify.on_complete);
         on_complete(result, reason);
@@ -197,11 +252,14 @@
 void client::call::state::abort() {
     this->is_over = true;
     this->close_connection();
+    this->budget_share.set(0);
 }
 
 void client::call::state::drain() {
     this->is_draining = !this->is_over;
     this->is_over = true;
+    this->owner_bytes = 0;
+    this->set_paused(false);
     if (this->is_draining) {
         this->drain_timer.arm(this->owner->time.now() + drain_limit_time);
     }
--- a/packages/http/internal/response_parser.cpp
+++ b/packages/http/internal/response_parser.cpp
@@ -17,12 +17,16 @@
 
 constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned first_final_status = 200;
+/// The fields of a head take up at most so many times the limit of its bytes; fields of a few bytes
+/// would take up far more.
+constexpr std::size_t head_memory_factor = 2;
 
 /// Beast's parser for a single message, interim or final.
 class message_parser final : public beast::http::basic_parser<false> {
 public:
     message_parser(const response_limits& limits, bool is_head_request)
-        : max_extension_bytes(limits.chunk_extension_bytes) {
+        : max_head_memory(head_memory_factor * limits.head_bytes),
+          max_extension_bytes(limits.chunk_extension_bytes) {
         this->eager(true);
         this->skip(is_head_request);
         this->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
@@ -35,8 +39,11 @@
     }
 
     response_head head;
+    /// Memory of `head`, in bytes.
+    std::size_t head_bytes = 0;
     std::string body;
     unsigned status = 0;
+    bool is_over_limit = false;
 
 private:
     void on_request_impl(beast::http::verb /*method*/, beast::string_view /*method_text*/,
@@ -52,7 +59,7 @@
     }
 
     void on_field_impl(beast::http::field name, beast::string_view name_text,
-                       beast::string_view value, error_code& /*problem*/) override {
+                       beast::string_view value, error_code& problem) override {
         if (this->has_fields) {
             // A trailer field.
             return;
@@ -61,6 +68,11 @@
             this->head.content_type = std::string(value);
         }
         this->head.headers.push_back({std::string(name_text), std::string(value)});
+        this->head_bytes += sizeof(header_field) + name_text.size() + value.size();
+        if (this->head_bytes > this->max_head_memory) {
+            this->is_over_limit = true;
+            problem = beast::http::error::header_limit;
+        }
     }
 
     void on_header_impl(error_code& /*problem*/) override { this->has_fields = true; }
@@ -77,6 +89,7 @@
                               error_code& problem) override {
         this->extension_bytes += extensions.size();
         if (this->extension_bytes > this->max_extension_bytes) {
+            this->is_over_limit = true;
             problem = beast::http::error::bad_chunk_extension;
         }
     }
@@ -89,6 +102,7 @@
 
     void on_finish_impl(error_code& /*problem*/) override {}
 
+    std::size_t max_head_memory;
     std::size_t max_extension_bytes;
     std::size_t extension_bytes = 0;
     bool has_fields = false;
@@ -159,6 +173,7 @@
 
     std::optional<message_parser> parser;
     std::string failure;
+    bool is_over_limit = false;
     /// Received, but not parsed: an incomplete line, or bytes that follow the response.
     std::string unparsed;
     bool is_complete = false;
@@ -180,6 +195,8 @@
         }
         if (problem) {
             this->failure = "malformed response: " + problem.message();
+            this->is_over_limit =
+                problem == beast::http::error::header_limit || this->parser->is_over_limit;
             return false;
         }
         if (!this->parser->is_done()) {
@@ -198,6 +215,7 @@
         if (this->parser->status == status_switching_protocols) {
             this->failure = "the peer switches to another protocol";
         } else if (this->interim_bytes > this->limits.interim_bytes) {
+            this->is_over_limit = true;
             this->failure = "the interim responses are longer than " +
                             std::to_string(this->limits.interim_bytes) + " bytes";
         } else {
@@ -209,6 +227,7 @@
         const bool is_in_chunks = this->parser->is_header_done() && this->parser->chunked();
         if (!this->is_complete && is_in_chunks &&
             this->unparsed.size() > this->limits.chunk_extension_bytes) {
+            this->is_over_limit = true;
             this->failure = "a chunk's size line or the trailer section is longer than " +
                             std::to_string(this->limits.chunk_extension_bytes) + " bytes";
         }
@@ -252,6 +271,14 @@
     return this->impl->failure;
 }
 
+bool response_parser::is_over_limit() const {
+    return this->impl->is_over_limit;
+}
+
+std::size_t response_parser::buffered_bytes() const {
+    return this->impl->parser->head_bytes + this->impl->unparsed.size();
+}
+
 bool response_parser::can_reuse_connection() const {
     return this->impl->is_complete && this->impl->unparsed.empty() &&
            this->impl->parser->keep_alive();
