Quarantine: headers of the account, the registry and their messages

The surface that the inner protocol, keepers and gateways use: a fingerprint of 128 bits of what makes two requests the same, the messages between senders and keepers, the account of a sender, the registry of a keeper, and the dispatcher's new failure, refusal and profile field. The account and the registry have no implementation yet; the dispatcher ignores the fingerprint.

--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -42,6 +42,9 @@
     case requests::refusal_reason::target_unreachable:
     case requests::refusal_reason::target_failed:
         return status_bad_gateway;
+    case requests::refusal_reason::quarantined:
+        return action.outcome == requests::outcome_kind::not_run ? status_unavailable
+                                                                 : status_bad_gateway;
     }
     return status_bad_gateway;
 }
--- /dev/null
+++ b/packages/quarantine/crash_account.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/request_fingerprint.h"
+#include "quarantine/checked_target.h"
+#include "quarantine/crash_history.h"
+#include "quarantine/crash_messages.h"
+#include "quarantine/quarantine_limits.h"
+#include "quarantine/send_decision.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcupcart::quarantine {
+
+/// How an attempt ended, as far as it tells whether the request crashed its target.
+enum class attempt_end {
+    /// A whole response, whatever its status.
+    completed,
+    /// The connection broke after the request was written, without a whole response.
+    disconnected,
+    /// Anything else: cancelled, unreachable, declined, malformed, or the target was leaving.
+    unclear
+};
+
+/// What one sending instance knows of requests that crash their targets, and whether it may send
+/// them. Requests under no suspicion are sent freely and cause no messages.
+///
+/// Counted is what this instance saw and what the leading keeper tells; both are kept while no
+/// keeper can be reached, and reported to each keeper that the instance connects to.
+class crash_account {
+public:
+    explicit crash_account(quarantine_limits limits = {}) : limits(limits) {}
+
+    [[nodiscard]] send_decision decide(const request_fingerprint& fingerprint,
+                                       time_point now) const;
+    /// Whether more copies of a running request, such as a hedge, may be sent beside it.
+    [[nodiscard]] bool is_free(const request_fingerprint& fingerprint, time_point now) const;
+
+    /// A request waits until it may be sent, or no longer does.
+    void add_waiting(const request_fingerprint& fingerprint, time_point now);
+    void remove_waiting(const request_fingerprint& fingerprint);
+
+    /// An attempt is sent. Uses the granted trial, if there is one.
+    void begin(attempt_id attempt, const request_fingerprint& fingerprint, const target_id& target,
+               incarnation_id incarnation, time_point now);
+    /// Unknown attempts are ignored.
+    void end(attempt_id attempt, attempt_end how, time_point now);
+
+    /// This incarnation of the target refuses connections, or the target has another one: it has
+    /// ended.
+    void record_target_ended(const target_id& target, incarnation_id incarnation, time_point now);
+    /// This incarnation of the target has responded, or accepted a connection, after one broke.
+    void record_target_alive(const target_id& target, incarnation_id incarnation, time_point now);
+    /// Targets of which it isn't known yet whether they ended.
+    [[nodiscard]] std::vector<checked_target> unproven_targets() const;
+
+    void handle(const suspect_update& update, time_point now);
+    void handle(const trial_decision& decision, time_point now);
+
+    /// Messages to send to all connected keepers now.
+    [[nodiscard]] std::vector<account_message> collect(time_point now);
+    /// What a keeper has to be told to which a connection was just established.
+    [[nodiscard]] std::vector<account_message> initial_messages(time_point now) const;
+    /// When `collect` and `take_changed` have to be called again.
+    [[nodiscard]] std::optional<time_point> next_wakeup() const;
+    /// Requests for which `decide` may return something else than before, since the last call.
+    [[nodiscard]] std::vector<request_fingerprint> take_changed(time_point now);
+
+    [[nodiscard]] std::size_t suspects() const { return this->entries.size(); }
+    [[nodiscard]] std::size_t quarantined(time_point now) const;
+    /// Number of crashes that count, as far as this instance knows.
+    [[nodiscard]] std::size_t crashes(const request_fingerprint& fingerprint) const;
+
+private:
+    struct grant {
+        std::uint64_t number = 0;
+        time_point expires{};
+        /// The attempt that uses it.
+        std::optional<attempt_id> attempt;
+        /// Taken without the leading keeper.
+        bool is_own = false;
+    };
+    struct entry {
+        crash_history history;
+        /// As the leading keeper sees it, until its next update.
+        suspect_state state = suspect_state::suspected;
+        std::uint32_t late_trials = 0;
+        std::optional<time_point> last_trial_at;
+        time_point next_trial_at{};
+        std::optional<grant> trial;
+        /// Attempts that were sent alone.
+        std::set<attempt_id> lone;
+        /// Attempts from before the suspicion.
+        std::set<attempt_id> copies;
+        std::uint32_t reported_copies = 0;
+        std::uint32_t waiting = 0;
+        std::optional<trial_demand> demand;
+        time_point demanded_at{};
+        /// When the oldest demand was sent that is not answered.
+        std::optional<time_point> unanswered_since;
+        bool used_own_trial = false;
+    };
+    struct running_attempt {
+        request_fingerprint fingerprint;
+        target_id target;
+        incarnation_id incarnation;
+        time_point began{};
+        bool is_trial = false;
+    };
+    struct sent_demand {
+        std::uint64_t number = 0;
+        time_point sent_at{};
+    };
+
+    [[nodiscard]] const entry* find(const request_fingerprint& fingerprint) const;
+    entry& suspect(const request_fingerprint& fingerprint, time_point now);
+    [[nodiscard]] suspect_state state_of(const entry& known) const;
+    [[nodiscard]] bool has_lost_leader(const entry& known, time_point now) const;
+    [[nodiscard]] bool has_grant(const entry& known, time_point now) const;
+    [[nodiscard]] bool may_take_own_trial(const entry& known, time_point now) const;
+    [[nodiscard]] suspect_update make_update(const request_fingerprint& fingerprint,
+                                             const entry& known, time_point now) const;
+    void end_trial(const request_fingerprint& fingerprint, entry& known, trial_outcome outcome);
+    void clear(const request_fingerprint& fingerprint, entry& known, time_point completed_at);
+    void remember_completion(const request_fingerprint& fingerprint, time_point now);
+    void set_status(const target_id& target, incarnation_id incarnation, crash_status status,
+                    time_point now);
+    void report_copies(const request_fingerprint& fingerprint, entry& known);
+    void update_demand(const request_fingerprint& fingerprint, entry& known, time_point now);
+    void expire(time_point now);
+    void drop_surplus();
+    void erase_if_idle(const request_fingerprint& fingerprint);
+    void push(account_message message);
+
+    quarantine_limits limits;
+    std::map<request_fingerprint, entry> entries;
+    std::unordered_map<attempt_id, running_attempt> attempts;
+    /// Running attempts of each request that is subject to quarantine.
+    std::unordered_map<request_fingerprint, std::set<attempt_id>> running;
+    /// When requests under no suspicion were answered.
+    std::unordered_map<request_fingerprint, time_point> completions;
+    std::deque<std::pair<time_point, request_fingerprint>> completions_by_age;
+    std::deque<account_message> outgoing;
+    std::set<request_fingerprint> changed;
+    std::uint64_t last_demand = 0;
+    double message_tokens = 0;
+    std::optional<time_point> tokens_at;
+};
+
+} // namespace kingcupcart::quarantine
--- /dev/null
+++ b/packages/quarantine/quarantine_limits.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+
+namespace kingcupcart::quarantine {
+
+/// Number of crashes from which on each send needs a trial.
+inline constexpr std::size_t crashes_until_trials = 2;
+/// Number of crashes from which on a request is quarantined.
+inline constexpr std::size_t crashes_until_quarantine = 3;
+/// Number of trials of a quarantined request within `quarantine_limits::crash_lifetime`.
+inline constexpr std::size_t max_late_trials = 3;
+
+/// Parameters of the quarantine of requests that crash their targets.
+struct quarantine_limits {
+    /// How long a proven crash counts, and a quarantine lasts.
+    duration crash_lifetime = std::chrono::hours(24);
+    /// How long a lost connection counts as a crash without proof that the target ended.
+    duration suspicion_lifetime = std::chrono::seconds(5);
+    /// How long a cleared request is remembered, so that late reports can't accuse it again.
+    duration cleared_lifetime = std::chrono::minutes(10);
+    /// How long an account remembers that a request was answered that nobody suspects yet.
+    duration completion_lifetime = std::chrono::minutes(1);
+    /// Time from a confirmed third crash, or from the end of the latest trial, to the next one.
+    std::array<duration, max_late_trials> trial_delays{
+        std::chrono::seconds(30), std::chrono::minutes(30), std::chrono::hours(6)};
+    /// Trials that are granted this soon after the third crash don't count among the late ones.
+    duration free_trial_time = std::chrono::seconds(2);
+    /// How long after its demand a sender may begin a trial; bounds what late messages add.
+    duration grant_lifetime = std::chrono::seconds(1);
+    /// A trial without an end for this time counts as used, with an unclear outcome.
+    duration trial_lease = std::chrono::seconds(30);
+    /// A sender repeats its demand at this interval while requests wait.
+    duration demand_interval = std::chrono::milliseconds(300);
+    /// The registry drops a demand that was not repeated for this time.
+    duration demand_timeout = std::chrono::milliseconds(1000);
+    /// Without an answer for this time, a sender takes the leading keeper for lost.
+    duration leader_timeout = std::chrono::milliseconds(1500);
+    /// A new leader grants no trials for this time, in which senders report what they know.
+    duration settle_time = std::chrono::seconds(1);
+    /// A running copy that was reported keeps a request from quarantine for this time at most.
+    duration copy_lease = std::chrono::seconds(30);
+    /// Longest delay that a refused caller is asked to wait; a later trial is no reason to return.
+    duration max_retry_after = std::chrono::minutes(1);
+    /// Number of requests under suspicion that an account or a registry keeps.
+    std::size_t max_entries = 4096;
+    /// Number of answered requests that an account remembers.
+    std::size_t max_completions = 4096;
+    /// Number of crashes that are kept of a request; later ones change nothing.
+    std::size_t max_crashes = 16;
+    /// Number of targets that an update names, which bounds its size.
+    std::size_t max_reported_crashes = 4;
+    /// Rate and burst of the updates that a registry sends to all senders.
+    double updates_per_second = 20;
+    double update_burst = 40;
+    /// Rate and burst of the messages that an account sends to each keeper.
+    double messages_per_second = 100;
+    double message_burst = 200;
+};
+
+} // namespace kingcupcart::quarantine
--- a/packages/requests/dispatcher.h
+++ b/packages/requests/dispatcher.h
@@ -3,9 +3,11 @@
 #include "admission/work_class.h"
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/request_fingerprint.h"
 #include "membership/directory_change.h"
 #include "membership/target_load.h"
 #include "permits/permit_account.h"
+#include "quarantine/crash_account.h"
 #include "requests/actions.h"
 #include "requests/dispatcher_limits.h"
 #include "requests/messages.h"
@@ -25,10 +27,12 @@
 /// whose transmission to a target started is neither sent again nor reported as not run.
 class dispatcher {
 public:
-    /// Counts what it sends in `permits`, which has to outlive the dispatcher; null if no target
-    /// can be limited.
+    /// Counts what it sends in `permits`, and reports the requests under which connections break to
+    /// `crashes`; both have to outlive the dispatcher. `permits` is null if no target can be
+    /// limited, `crashes` if no request is subject to quarantine.
     dispatcher(location local_location, dispatcher_limits limits, std::uint64_t seed,
-               permits::permit_account* permits = nullptr);
+               permits::permit_account* permits = nullptr,
+               quarantine::crash_account* crashes = nullptr);
     ~dispatcher();
     dispatcher(dispatcher&&) noexcept;
     dispatcher& operator=(dispatcher&&) noexcept;
@@ -42,6 +46,9 @@
     [[nodiscard]] actions update_target(const membership::directory_change& change, time_point now);
     /// The permits of the target, or the expected wait for them, have changed.
     [[nodiscard]] actions update_permits(const target_id& target, time_point now);
+    /// What the crash account decides on these requests has changed: sends or refuses those that
+    /// wait.
+    [[nodiscard]] actions update_suspect(const request_fingerprint& fingerprint, time_point now);
     void record_load(const membership::target_load& load);
     /// Records cache events of a target; they may arrive late and incompletely.
     void record_cached(const target_id& target, const std::vector<prefix_hash>& blocks,
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -21,8 +21,8 @@
 } // namespace
 
 dispatcher::dispatcher(location local_location, dispatcher_limits limits, std::uint64_t seed,
-                       permits::permit_account* permits)
-    : impl(std::make_unique<state>(std::move(local_location), limits, seed, permits)) {}
+                       permits::permit_account* permits, quarantine::crash_account* crashes)
+    : impl(std::make_unique<state>(std::move(local_location), limits, seed, permits, crashes)) {}
 
 dispatcher::~dispatcher() = default;
 dispatcher::dispatcher(dispatcher&&) noexcept = default;
@@ -74,6 +74,12 @@
     return std::exchange(this->impl->output, {});
 }
 
+actions dispatcher::update_suspect(const request_fingerprint& fingerprint, time_point now) {
+    this->impl->now = now;
+    this->impl->update_suspect(fingerprint);
+    return std::exchange(this->impl->output, {});
+}
+
 void dispatcher::record_load(const membership::target_load& load) {
     this->impl->router.record_load_report(load.id, {load.running, load.waiting});
 }
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -15,11 +15,13 @@
 } // namespace
 
 dispatcher::state::state(location local_location, dispatcher_limits limits, std::uint64_t seed,
-                         permits::permit_account* shared_permits)
+                         permits::permit_account* shared_permits,
+                         quarantine::crash_account* shared_crashes)
     : limits(limits),
       router(std::move(local_location), limits.routing, seed),
       own_permits({}, seed),
       permits(shared_permits == nullptr ? &this->own_permits : shared_permits),
+      crashes(shared_crashes),
       random(seed),
       budget(limits.retry_share, limits.retry_burst) {
     this->router.set_permits(this->permits);
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -20,7 +20,7 @@
 class dispatcher::state {
 public:
     state(location local_location, dispatcher_limits limits, std::uint64_t seed,
-          permits::permit_account* shared_permits);
+          permits::permit_account* shared_permits, quarantine::crash_account* shared_crashes);
 
     void on(const request_arrived& arrived);
     void on(const attempt_write_started& started);
@@ -36,6 +36,8 @@
     void await_permits(const backend_name& backend);
     /// Refuses the queued requests that no permit of the target is expected to reach in time.
     void refuse_without_permit(const target_id& target);
+    /// Sends or refuses the requests with this fingerprint that wait.
+    void update_suspect(const request_fingerprint& fingerprint);
     /// Sends the queued requests of the backend for which a target has room.
     void send_queued(const backend_name& backend);
 
@@ -102,6 +104,8 @@
     permits::permit_account own_permits;
     /// Never null.
     permits::permit_account* permits;
+    /// Null if no request is subject to quarantine.
+    quarantine::crash_account* crashes;
     std::mt19937_64 random;
     admission::retry_budget budget;
     std::unordered_map<backend_name, time_point> last_preemption;
--- a/packages/requests/internal/names.cpp
+++ b/packages/requests/internal/names.cpp
@@ -36,6 +36,8 @@
         return "target-failed";
     case refusal_reason::stopping:
         return "stopping";
+    case refusal_reason::quarantined:
+        return "quarantined";
     }
     return "?";
 }
--- a/packages/requests/messages.h
+++ b/packages/requests/messages.h
@@ -37,8 +37,11 @@
     unreachable,
     /// The target reported that it did not run the request.
     declined,
-    /// The connection broke, or the response was truncated or malformed.
-    broken
+    /// The response was malformed, or the attempt failed in another way after it was sent.
+    broken,
+    /// The connection broke after the request was written, without a whole response; the target may
+    /// have ended.
+    disconnected
 };
 
 struct attempt_failed {
--- a/packages/requests/refusal_reason.h
+++ b/packages/requests/refusal_reason.h
@@ -13,7 +13,9 @@
     unknown_class,
     target_unreachable,
     target_failed,
-    stopping
+    stopping,
+    /// Targets have ended under this request.
+    quarantined
 };
 
 [[nodiscard]] const char* to_string(refusal_reason reason);
--- a/packages/requests/request_profile.h
+++ b/packages/requests/request_profile.h
@@ -2,9 +2,11 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/request_fingerprint.h"
 #include "base/units.h"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace kingcupcart::requests {
@@ -32,6 +34,9 @@
     /// Maximum number of attempts, whatever their cause; 0 selects the dispatcher's maximum, which
     /// is also the upper bound.
     std::size_t max_attempts = 0;
+    /// What makes this request the same as another; empty if the request is not subject to
+    /// quarantine, as items of batch jobs, score requests and load orders.
+    std::optional<request_fingerprint> fingerprint;
 };
 
 } // namespace kingcupcart::requests
