Quarantine: who counts the crashes under a request, and who may send it

Each gateway decided by one client attempt alone, and nothing was remembered of the targets that had ended.

crash_account is what one sender knows: a request under no suspicion is sent freely and costs no message; with one crash it is sent alone, with two or more it needs a trial. crash_registry is what each keeper knows; the leading one grants trials, one at a time for each request, and after three crashes at most three more in 24 h (30 s, 30 min, 6 h after the latest crash or trial). Three crashes that none of the request's trials confirms, as in a herd kill, don't quarantine it: a trial is granted at once, and a whole answer anywhere clears it everywhere.

--- a/packages/quarantine/crash_account.h
+++ b/packages/quarantine/crash_account.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace kingcupcart::quarantine {
@@ -45,7 +46,7 @@
     [[nodiscard]] bool is_free(const request_fingerprint& fingerprint, time_point now) const;
 
     /// A request waits until it may be sent, or no longer does.
-    void add_waiting(const request_fingerprint& fingerprint, time_point now);
+    void add_waiting(const request_fingerprint& fingerprint);
     void remove_waiting(const request_fingerprint& fingerprint);
 
     /// An attempt is sent. Uses the granted trial, if there is one.
@@ -80,6 +81,10 @@
     [[nodiscard]] std::size_t crashes(const request_fingerprint& fingerprint) const;
 
 private:
+    struct sent_demand {
+        std::uint64_t number = 0;
+        time_point sent_at{};
+    };
     struct grant {
         std::uint64_t number = 0;
         time_point expires{};
@@ -90,8 +95,10 @@
     };
     struct entry {
         crash_history history;
-        /// As the leading keeper sees it, until its next update.
-        suspect_state state = suspect_state::suspected;
+        /// The leading keeper's latest update, and the number of crashes known here after it.
+        suspect_state state = suspect_state::cleared;
+        std::size_t updated_crashes = 0;
+        std::size_t known_at_update = 0;
         std::uint32_t late_trials = 0;
         std::optional<time_point> last_trial_at;
         time_point next_trial_at{};
@@ -102,8 +109,9 @@
         std::set<attempt_id> copies;
         std::uint32_t reported_copies = 0;
         std::uint32_t waiting = 0;
-        std::optional<trial_demand> demand;
-        time_point demanded_at{};
+        /// Demands that may still be granted, the oldest first.
+        std::deque<sent_demand> sent_demands;
+        bool has_demand = false;
         /// When the oldest demand was sent that is not answered.
         std::optional<time_point> unanswered_since;
         bool used_own_trial = false;
@@ -115,14 +123,11 @@
         time_point began{};
         bool is_trial = false;
     };
-    struct sent_demand {
-        std::uint64_t number = 0;
-        time_point sent_at{};
-    };
-
     [[nodiscard]] const entry* find(const request_fingerprint& fingerprint) const;
-    entry& suspect(const request_fingerprint& fingerprint, time_point now);
-    [[nodiscard]] suspect_state state_of(const entry& known) const;
+    entry& suspect(const request_fingerprint& fingerprint);
+    /// Number of crashes that count: those of the latest update, and what changed here since.
+    [[nodiscard]] static std::size_t crashes_of(const entry& known);
+    [[nodiscard]] static suspect_state state_of(const entry& known);
     [[nodiscard]] bool has_lost_leader(const entry& known, time_point now) const;
     [[nodiscard]] bool has_grant(const entry& known, time_point now) const;
     [[nodiscard]] bool may_take_own_trial(const entry& known, time_point now) const;
@@ -131,25 +136,42 @@
     void end_trial(const request_fingerprint& fingerprint, entry& known, trial_outcome outcome);
     void clear(const request_fingerprint& fingerprint, entry& known, time_point completed_at);
     void remember_completion(const request_fingerprint& fingerprint, time_point now);
+    /// Reports the remembered response, if it came after a crash.
+    void apply_completion(const request_fingerprint& fingerprint, entry& known, time_point now);
+    void note_change(const request_fingerprint& fingerprint, const entry& known);
     void set_status(const target_id& target, incarnation_id incarnation, crash_status status,
                     time_point now);
     void report_copies(const request_fingerprint& fingerprint, entry& known);
-    void update_demand(const request_fingerprint& fingerprint, entry& known, time_point now);
+    [[nodiscard]] bool is_demand_due(const entry& known, time_point now) const;
+    [[nodiscard]] bool wants_trial(const entry& known, time_point now) const;
+    void collect_demand(const request_fingerprint& fingerprint, entry& known, time_point now,
+                        std::vector<account_message>& messages);
+    [[nodiscard]] bool take_token(time_point now);
     void expire(time_point now);
     void drop_surplus();
     void erase_if_idle(const request_fingerprint& fingerprint);
-    void push(account_message message);
+
+    using target_key = std::pair<target_id, incarnation_id>;
+    struct unproven_state {
+        time_point since{};
+        std::set<request_fingerprint> suspects;
+    };
 
     quarantine_limits limits;
     std::map<request_fingerprint, entry> entries;
     std::unordered_map<attempt_id, running_attempt> attempts;
     /// Running attempts of each request that is subject to quarantine.
     std::unordered_map<request_fingerprint, std::set<attempt_id>> running;
+    /// Targets that may have ended under this instance's requests.
+    std::map<target_key, unproven_state> unproven;
     /// When requests under no suspicion were answered.
     std::unordered_map<request_fingerprint, time_point> completions;
     std::deque<std::pair<time_point, request_fingerprint>> completions_by_age;
     std::deque<account_message> outgoing;
     std::set<request_fingerprint> changed;
+    /// Requests that wait, or whose demand isn't withdrawn yet.
+    std::set<request_fingerprint> awaited;
+    std::optional<time_point> expired_at;
     std::uint64_t last_demand = 0;
     double message_tokens = 0;
     std::optional<time_point> tokens_at;
--- a/packages/quarantine/crash_registry.h
+++ b/packages/quarantine/crash_registry.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace kingcupcart::quarantine {
@@ -53,6 +54,7 @@
         std::uint64_t number = 0;
         time_point granted_at{};
         bool is_late = false;
+        std::optional<time_point> previous_trial_at;
     };
     struct entry {
         crash_history history;
@@ -64,7 +66,9 @@
         std::map<instance_id, time_point> copies;
         suspect_state state = suspect_state::cleared;
         std::size_t known_crashes = 0;
-        time_point changed_at{};
+        std::optional<time_point> suspected_at;
+        /// A demand was refused since the state last changed.
+        bool has_refused = false;
     };
 
     void on(const instance_id& sender, const crash_report& report, time_point now);
@@ -77,32 +81,38 @@
     entry& find_or_add(const request_fingerprint& fingerprint, time_point now);
     [[nodiscard]] suspect_state evaluate(const request_fingerprint& fingerprint,
                                          const entry& known) const;
-    /// Number of crashes that no quarantined request explains.
-    [[nodiscard]] std::size_t counted_crashes(const request_fingerprint& fingerprint,
-                                              const entry& known) const;
     /// Whether a trial crashed under circumstances that leave no other request to blame.
     [[nodiscard]] bool is_confirmed(const request_fingerprint& fingerprint,
                                     const entry& known) const;
     /// Whether another suspect that crashed the same targets has a trial.
     [[nodiscard]] bool shares_targets_with_trial(const request_fingerprint& fingerprint,
-                                                 const entry& known) const;
+                                                 const entry& known, time_point now) const;
+    /// Other suspects that crashed a target of this one.
+    [[nodiscard]] std::set<request_fingerprint> related(const request_fingerprint& fingerprint,
+                                                        const entry& known) const;
     void refresh(const request_fingerprint& fingerprint, entry& known, const instance_id& source,
                  time_point now);
     /// Refreshes the requests that crashed the same targets.
-    void refresh_related(const request_fingerprint& fingerprint, time_point now);
+    void refresh_related(const request_fingerprint& fingerprint, const instance_id& source,
+                         time_point now);
     void expire(time_point now);
     void drop_surplus(time_point now);
     [[nodiscard]] time_point next_trial_at(const entry& known) const;
-    void grant_trials(time_point now);
-    void answer(const request_fingerprint& fingerprint, entry& known, const instance_id& sender,
-                time_point now);
+    [[nodiscard]] bool may_grant(const request_fingerprint& fingerprint, const entry& known,
+                                 time_point now) const;
+    [[nodiscard]] std::vector<addressed_message> grant_trials(time_point now);
+    void merge(const request_fingerprint& fingerprint, entry& known, const crash_record& crash,
+               time_point now);
+    void index(const request_fingerprint& fingerprint, const entry& known);
     [[nodiscard]] suspect_update make_update(const request_fingerprint& fingerprint,
                                              const entry& known, time_point now) const;
-    void send_updates(time_point now);
+    void send_updates(time_point now, std::vector<addressed_message>& messages);
     void add_event(quarantine_transition transition, const request_fingerprint& fingerprint,
                    const entry& known, std::size_t crashes, const instance_id& source,
                    time_point now);
 
+    void erase(const request_fingerprint& fingerprint);
+
     using target_key = std::pair<target_id, incarnation_id>;
 
     quarantine_limits limits;
@@ -111,12 +121,16 @@
     std::map<request_fingerprint, entry> entries;
     /// The suspects of each target that may have ended.
     std::map<target_key, std::set<request_fingerprint>> by_target;
+    /// Requests with demands.
+    std::set<request_fingerprint> demanded;
     /// Suspects of which senders have to be told.
     std::set<request_fingerprint> unsent;
     std::vector<addressed_message> outgoing;
     std::vector<quarantine_event> events;
     double update_tokens = 0;
     std::optional<time_point> tokens_at;
+    time_point collected_at{};
+    std::set<target_key> ended_targets;
     std::size_t targets_ended = 0;
     std::size_t trials = 0;
 };
--- a/packages/quarantine/quarantine_limits.h
+++ b/packages/quarantine/quarantine_limits.h
@@ -42,6 +42,11 @@
     duration leader_timeout = std::chrono::milliseconds(1500);
     /// A new leader grants no trials for this time, in which senders report what they know.
     duration settle_time = std::chrono::seconds(1);
+    /// How long other suspects that crashed the same targets wait for a trial that has begun, so
+    /// that a crash under it has one cause.
+    duration isolation_time = std::chrono::seconds(1);
+    /// How long a trial is held back for copies that still run.
+    duration copy_wait = std::chrono::seconds(2);
     /// A running copy that was reported keeps a request from quarantine for this time at most.
     duration copy_lease = std::chrono::seconds(30);
     /// Longest delay that a refused caller is asked to wait; a later trial is no reason to return.
@@ -54,6 +59,8 @@
     std::size_t max_crashes = 16;
     /// Number of targets that an update names, which bounds its size.
     std::size_t max_reported_crashes = 4;
+    /// Number of suspects of which a newly connected sender or keeper is told.
+    std::size_t max_initial_messages = 512;
     /// Rate and burst of the updates that a registry sends to all senders.
     double updates_per_second = 20;
     double update_burst = 40;
