Requests: hold back, or refuse, a request under which targets ended

Each client attempt ended as many targets as its route allows, whatever had happened before: the dispatcher knew of no other attempt with the same content.

A request with a fingerprint is now sent as the crash account permits: one copy at a time without hedge or parallel resume after a first broken connection, held until a trial is granted after two, and refused at once while quarantined: as not run if it was never written to a target, as unknown otherwise. A held request is bounded by its deadline and doesn't stop those behind it in the queue. Broken connections to a target that leaves, and all other failures, raise no suspicion. Requests without fingerprint (items, score requests, load orders) and dispatchers without an account behave as before.

--- a/packages/quarantine/crash_account.h
+++ b/packages/quarantine/crash_account.h
@@ -75,7 +75,7 @@
     /// Requests for which `decide` may return something else than before, since the last call.
     [[nodiscard]] std::vector<request_fingerprint> take_changed(time_point now);
 
-    [[nodiscard]] std::size_t suspects() const { return this->entries.size(); }
+    [[nodiscard]] std::size_t suspects() const;
     [[nodiscard]] std::size_t quarantined(time_point now) const;
     /// Number of crashes that count, as far as this instance knows.
     [[nodiscard]] std::size_t crashes(const request_fingerprint& fingerprint) const;
--- a/packages/quarantine/internal/crash_account.cpp
+++ b/packages/quarantine/internal/crash_account.cpp
@@ -48,6 +48,12 @@
     return known == nullptr ? 0 : crashes_of(*known);
 }
 
+std::size_t crash_account::suspects() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->entries.begin(), this->entries.end(),
+                      [](const auto& known) { return crashes_of(known.second) > 0; }));
+}
+
 std::size_t crash_account::quarantined(time_point now) const {
     return static_cast<std::size_t>(
         std::count_if(this->entries.begin(), this->entries.end(), [&](const auto& known) {
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -44,6 +44,7 @@
 actions dispatcher::update_target(const membership::directory_change& change, time_point now) {
     using membership::directory_event;
     this->impl->now = now;
+    this->impl->record_target(change);
     switch (change.event) {
     case directory_event::removed:
         this->impl->router.remove_target(change.record.id);
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -59,6 +59,9 @@
     if (this->stop_deadline) {
         this->limit_by_stop(stored);
     }
+    if (!this->pass_quarantine(stored, send_cause::first)) {
+        return;
+    }
     // A request must not overtake queued requests of the same class.
     const auto& waiting =
         this->queues[stored.profile.backend].queue_for(known_class->second).waiting;
@@ -122,7 +125,7 @@
     // An attempt that was to resume this one after a stall may still be running.
     this->cancel_others(request, completed.attempt);
     this->run_times[request.profile.work_class].observe(this->now - attempt.sent);
-    this->end_attempt(request, completed.attempt);
+    this->end_attempt(request, completed.attempt, quarantine::attempt_end::completed);
     this->output.push_back(complete_request{request.profile.id});
     const backend_name backend = request.profile.backend;
     this->erase_request(request.profile.id);
@@ -141,7 +144,12 @@
     if (was_selected) {
         request.selected.reset();
     }
-    this->end_attempt(request, failed.attempt);
+    const auto known_target = this->targets.find(target);
+    const bool is_leaving = known_target != this->targets.end() && known_target->second.leaving;
+    const bool is_suspicious = failed.failure == attempt_failure::disconnected && !is_leaving;
+    this->end_attempt(request, failed.attempt,
+                      is_suspicious ? quarantine::attempt_end::disconnected
+                                    : quarantine::attempt_end::unclear);
     if (failed.failure != attempt_failure::declined) {
         this->router.record_failed(target, this->now);
     }
@@ -179,7 +187,7 @@
             this->handle_deadline(found->second);
             break;
         case timer_queue::purpose::latest_send:
-            if (found->second.queued) {
+            if (found->second.queued || found->second.held) {
                 this->refuse_for_stop(found->second);
             }
             break;
@@ -208,6 +216,11 @@
                 this->refuse_for_stop(request);
                 continue;
             }
+            send_cause cause = request.attempt_count == 0 ? send_cause::first : send_cause::retry;
+            cause = request.preempted ? send_cause::moved : cause;
+            if (!this->pass_quarantine(request, cause)) {
+                continue;
+            }
             const auto choice = this->route(request, request.profile.repeatable);
             if (!choice.target) {
                 break;
@@ -217,8 +230,7 @@
                 queue.drain.observe_departure(this->now);
             }
             request.queued = false;
-            send_cause cause = request.attempt_count == 0 ? send_cause::first : send_cause::retry;
-            cause = std::exchange(request.preempted, false) ? send_cause::moved : cause;
+            request.preempted = false;
             this->send(request, choice, cause);
         }
     }
@@ -289,6 +301,9 @@
 }
 
 void dispatcher::state::route_and_send(request_state& request, send_cause cause) {
+    if (!this->pass_quarantine(request, cause)) {
+        return;
+    }
     const auto choice = this->route(request, request.profile.repeatable);
     if (choice.target) {
         this->send(request, choice, cause);
@@ -337,6 +352,7 @@
     for (const target_id& passed_over : choice.without_permit) {
         this->permits->add_spare_demand(passed_over, this->now);
     }
+    this->record_begin(request, this->last_attempt);
     this->router.record_sent(attempt.target, request.kind, this->now);
     if (!request.profile.prefix.empty()) {
         this->router.record_cached(attempt.target, request.profile.prefix, this->now);
@@ -396,11 +412,15 @@
                                          this->now);
         this->attempts.at(attempt).has_output = true;
     }
-    this->end_attempt(request, attempt);
+    this->end_attempt(request, attempt, quarantine::attempt_end::unclear);
     this->output.push_back(cancel_attempt{attempt});
 }
 
-void dispatcher::state::end_attempt(request_state& request, attempt_id attempt) {
+void dispatcher::state::end_attempt(request_state& request, attempt_id attempt,
+                                    quarantine::attempt_end how) {
+    if (this->crashes != nullptr) {
+        this->crashes->end(attempt, how, this->now);
+    }
     const attempt_state& finished = this->attempts.at(attempt);
     this->router.record_finished(finished.target, finished.kind, finished.sent, finished.has_output,
                                  this->now);
@@ -421,6 +441,7 @@
         return;
     }
     this->stop_awaiting_permit(found->second);
+    this->stop_holding(found->second);
     if (found->second.queued) {
         this->queues[found->second.profile.backend].remove(request);
     }
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -3,6 +3,7 @@
 #include "admission/duration_estimate.h"
 #include "admission/retry_budget.h"
 #include "permits/permit_account.h"
+#include "quarantine/crash_account.h"
 #include "requests/dispatcher.h"
 #include "requests/internal/attempt_state.h"
 #include "requests/internal/backend_queues.h"
@@ -36,8 +37,10 @@
     void await_permits(const backend_name& backend);
     /// Refuses the queued requests that no permit of the target is expected to reach in time.
     void refuse_without_permit(const target_id& target);
-    /// Sends or refuses the requests with this fingerprint that wait.
+    /// Sends or refuses the requests with this fingerprint that are held.
     void update_suspect(const request_fingerprint& fingerprint);
+    /// Keeps what crash records of the target need.
+    void record_target(const membership::directory_change& change);
     /// Sends the queued requests of the backend for which a target has room.
     void send_queued(const backend_name& backend);
 
@@ -71,6 +74,13 @@
     void stop_awaiting_permit(request_state& request);
     void handle_permit_due(request_state& request);
     void refuse_rate_limited(request_state& request, const target_id& target, duration wait);
+    /// Whether the request may be sent now, as far as crashes under it are concerned. Otherwise it
+    /// is held, with the cause of its next attempt, or refused.
+    [[nodiscard]] bool pass_quarantine(request_state& request, send_cause cause);
+    /// Whether another copy may be sent beside a running attempt of the request.
+    [[nodiscard]] bool may_send_copy(const request_state& request) const;
+    void stop_holding(request_state& request);
+    void record_begin(const request_state& request, attempt_id attempt);
     [[nodiscard]] static routing::route_query make_query(const request_state& request);
     [[nodiscard]] routing::route_choice route(const request_state& request, bool allows_probe,
                                               bool allows_limited = true);
@@ -95,7 +105,7 @@
     bool select(request_state& request, attempt_id attempt);
     void cancel_others(request_state& request, attempt_id selected_attempt);
     void cancel(request_state& request, attempt_id attempt);
-    void end_attempt(request_state& request, attempt_id attempt);
+    void end_attempt(request_state& request, attempt_id attempt, quarantine::attempt_end how);
     void refuse(request_state& request, refusal_reason reason, duration retry_after = {});
     void erase_request(request_id request);
     [[nodiscard]] std::size_t max_attempts(const request_state& request) const;
@@ -106,6 +116,11 @@
     permits::permit_account* permits;
     /// Null if no request is subject to quarantine.
     quarantine::crash_account* crashes;
+    struct known_target {
+        incarnation_id incarnation;
+        bool leaving = false;
+    };
+    std::unordered_map<target_id, known_target> targets;
     std::mt19937_64 random;
     admission::retry_budget budget;
     std::unordered_map<backend_name, time_point> last_preemption;
--- a/packages/requests/internal/dispatcher_stop.cpp
+++ b/packages/requests/internal/dispatcher_stop.cpp
@@ -17,7 +17,7 @@
     std::vector<request_id> late;
     for (auto& [id, request] : this->requests) {
         this->limit_by_stop(request);
-        if (request.queued && !this->may_end_before_stop(request)) {
+        if ((request.queued || request.held) && !this->may_end_before_stop(request)) {
             late.push_back(id);
         }
     }
--- a/packages/requests/internal/dispatcher_timers.cpp
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -58,7 +58,7 @@
         return;
     }
     const attempt_state& newest = this->attempts.at(request.active_attempts.back());
-    if (newest.has_output || !this->budget.try_withdraw()) {
+    if (newest.has_output || !this->may_send_copy(request) || !this->budget.try_withdraw()) {
         return;
     }
     const auto choice = this->route(request, false, false);
@@ -84,8 +84,8 @@
     }
     this->timers.add({this->now + delay, timer_queue::purpose::stall, request.profile.id});
     const bool is_alone = request.active_attempts.size() == 1;
-    if (!is_alone || request.attempt_count >= this->max_attempts(request) ||
-        !this->budget.try_withdraw()) {
+    if (!is_alone || !this->may_send_copy(request) ||
+        request.attempt_count >= this->max_attempts(request) || !this->budget.try_withdraw()) {
         return;
     }
     const auto choice = this->route(request, false, false);
@@ -98,7 +98,8 @@
 
 void dispatcher::state::handle_deadline(request_state& request) {
     const bool is_orphan = this->now >= request.deadline + this->limits.orphan_time;
-    if (request.profile.continues_after_disconnect && request.write_started && !is_orphan) {
+    if (request.profile.continues_after_disconnect && request.write_started && !is_orphan &&
+        !request.held) {
         if (!request.reported_unknown) {
             request.reported_unknown = true;
             this->output.push_back(refuse_request{
--- a/packages/requests/internal/request_state.h
+++ b/packages/requests/internal/request_state.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "base/units.h"
 #include "base/urgency.h"
+#include "requests/actions.h"
 #include "requests/request_profile.h"
 
 #include <optional>
@@ -30,6 +31,8 @@
     time_point permit_due;
     /// The limited target whose permit the request is to get; empty if it needs none.
     std::optional<target_id> awaited_target;
+    /// The cause of the attempt that is held until the crash account permits it; empty if none is.
+    std::optional<send_cause> held;
     std::size_t attempt_count = 0;
     bool queued = false;
     /// Queued because its attempt was preempted on a target that short work needed.
