--- a/packages/base/tests/base_test.cpp
+++ b/packages/base/tests/base_test.cpp
@@ -1,4 +1,5 @@
 #include "base/endpoint.h"
+#include "base/request_fingerprint.h"
 #include "base/stable_hash.h"
 
 #include <doctest/doctest.h>
@@ -36,3 +37,26 @@
     CHECK(stable_hash("a") != stable_hash("b"));
     CHECK(stable_hash("a", 1) != stable_hash("a", 2));
 }
+
+SCENARIO("a request's fingerprint depends on each of its parts") {
+    const request_fingerprint known = make_fingerprint({"POST", "service", "/a", "caller", "body"});
+    THEN("the same parts give the same fingerprint, on every machine") {
+        CHECK(known == make_fingerprint({"POST", "service", "/a", "caller", "body"}));
+        CHECK(known.to_string() == "7b83c94472d554ae3022b733595cde49");
+    }
+    THEN("another part gives another one") {
+        CHECK(known != make_fingerprint({"POST", "service", "/b", "caller", "body"}));
+        CHECK(known != make_fingerprint({"POST", "service", "/a", "other", "body"}));
+        CHECK(known != make_fingerprint({"POST", "service", "/a", "caller", "bodies"}));
+    }
+    THEN("a byte that moves to the next part gives another one") {
+        CHECK(known != make_fingerprint({"POST", "service", "/", "acaller", "body"}));
+        CHECK(known != make_fingerprint({"POST", "service", "/a", "callerbody", ""}));
+    }
+    THEN("it is read as it was written") {
+        CHECK(request_fingerprint::parse(known.to_string()) == known);
+        CHECK_FALSE(request_fingerprint::parse("12"));
+        CHECK_FALSE(request_fingerprint::parse(std::string(32, 'g')));
+        CHECK(request_fingerprint(1, 0xABC).to_string() == "00000000000000010000000000000abc");
+    }
+}
