Quarantine: crashes under a request that was answered lately count less

A request that was answered within the minute before its first crash is not one that crashes each target: crashes within 500 ms of each other then count once, and the first two such moments don't count. Updates tell how long ago the latest answer was. A request that is never answered counts as before. Suspects that crashed the same targets wait for a trial for 300 ms instead of 1 s.

An account whose memory of answers is empty no longer reads its oldest entry.

--- a/packages/quarantine/crash_account.h
+++ b/packages/quarantine/crash_account.h
@@ -115,6 +115,8 @@
         /// When the oldest demand was sent that is not answered.
         std::optional<time_point> unanswered_since;
         bool used_own_trial = false;
+        /// The remembered response that keepers were told of.
+        std::optional<time_point> reported_completion;
     };
     struct running_attempt {
         request_fingerprint fingerprint;
@@ -135,6 +137,8 @@
                                              const entry& known, time_point now) const;
     void end_trial(const request_fingerprint& fingerprint, entry& known, trial_outcome outcome);
     void clear(const request_fingerprint& fingerprint, entry& known, time_point completed_at);
+    /// Forgets what depended on crashes, if none counts any longer.
+    void apply_clearance(const request_fingerprint& fingerprint, entry& known);
     void remember_completion(const request_fingerprint& fingerprint, time_point now);
     /// Reports the remembered response, if it came after a crash.
     void apply_completion(const request_fingerprint& fingerprint, entry& known, time_point now);
--- a/packages/quarantine/crash_history.h
+++ b/packages/quarantine/crash_history.h
@@ -26,8 +26,11 @@
     /// Merges what is known of a target. Returns whether that changed anything. Ignores what is
     /// older than the latest whole response to the request.
     bool record(const crash_record& reported, time_point now, const quarantine_limits& limits);
-    /// The request got a whole response at this time: no earlier crash counts.
+    /// The request got a whole response at this time: no earlier crash counts, and the next ones
+    /// count less.
     void clear(time_point completed_at);
+    /// Forgets all crashes.
+    void forget() { this->entries.clear(); }
     /// Drops crashes that no longer count. Returns whether there were any.
     bool expire(time_point now, const quarantine_limits& limits);
     /// Changes the status of each crash of this incarnation of the target that is suspected.
@@ -35,6 +38,8 @@
 
     /// Number of crashes that count.
     [[nodiscard]] std::size_t count() const;
+    /// Time since the latest whole response; empty if there was none lately.
+    [[nodiscard]] std::optional<duration> answered_age(time_point now) const;
     [[nodiscard]] bool contains(const target_id& target, incarnation_id incarnation) const;
     /// All crashes, withdrawn ones included, the earliest first.
     [[nodiscard]] const std::vector<crash>& crashes() const { return this->entries; }
--- a/packages/quarantine/crash_messages.h
+++ b/packages/quarantine/crash_messages.h
@@ -128,6 +128,8 @@
     std::optional<duration> last_trial_age;
     /// Time until the next trial may be asked for.
     duration next_trial_in{};
+    /// Time since the latest whole response that is known; empty if there was none lately.
+    std::optional<duration> answered_age;
 };
 
 /// What an account sends to keepers.
--- a/packages/quarantine/internal/crash_account.cpp
+++ b/packages/quarantine/internal/crash_account.cpp
@@ -197,6 +197,7 @@
         target.since = target.suspects.empty() ? now : target.since;
         target.suspects.insert(fingerprint);
         this->outgoing.emplace_back(crash_report{fingerprint, crash});
+        this->apply_completion(fingerprint, known, now);
     }
     const auto found = this->entries.find(fingerprint);
     if (found == this->entries.end()) {
@@ -237,6 +238,10 @@
 void crash_account::clear(const request_fingerprint& fingerprint, entry& known,
                           time_point completed_at) {
     known.history.clear(completed_at);
+    this->apply_clearance(fingerprint, known);
+}
+
+void crash_account::apply_clearance(const request_fingerprint& fingerprint, entry& known) {
     known.updated_crashes = known.history.count();
     known.known_at_update = known.updated_crashes;
     if (known.updated_crashes > 0) {
@@ -264,8 +269,9 @@
 void crash_account::remember_completion(const request_fingerprint& fingerprint, time_point now) {
     this->completions.insert_or_assign(fingerprint, now);
     this->completions_by_age.emplace_back(now, fingerprint);
-    while (this->completions_by_age.size() > this->limits.max_completions ||
-           this->completions_by_age.front().first + this->limits.completion_lifetime <= now) {
+    while (!this->completions_by_age.empty() &&
+           (this->completions_by_age.size() > this->limits.max_completions ||
+            this->completions_by_age.front().first + answered_lifetime <= now)) {
         const auto [at, oldest] = this->completions_by_age.front();
         this->completions_by_age.pop_front();
         const auto known = this->completions.find(oldest);
@@ -279,10 +285,12 @@
                                      time_point now) {
     const auto completion = this->completions.find(fingerprint);
     const auto first = known.history.first_at();
-    if (completion == this->completions.end() || !first || completion->second <= *first ||
-        completion->second + this->limits.completion_lifetime <= now) {
+    if (completion == this->completions.end() || !first ||
+        *first - completion->second > answered_lifetime ||
+        known.reported_completion == completion->second) {
         return;
     }
+    known.reported_completion = completion->second;
     this->outgoing.emplace_back(completion_report{fingerprint, now - completion->second});
     this->clear(fingerprint, known, completion->second);
 }
@@ -333,12 +341,20 @@
     if (update.state == suspect_state::cleared) {
         const auto found = this->entries.find(update.fingerprint);
         if (found != this->entries.end()) {
-            this->clear(update.fingerprint, found->second, now);
+            entry& known = found->second;
+            known.history.forget();
+            if (update.answered_age) {
+                known.history.clear(now - *update.answered_age);
+            }
+            this->apply_clearance(update.fingerprint, known);
             this->erase_if_idle(update.fingerprint);
         }
         return;
     }
     entry& known = this->suspect(update.fingerprint);
+    if (update.answered_age) {
+        known.history.clear(now - *update.answered_age);
+    }
     for (const crash_record& crash : update.latest) {
         known.history.record(crash, now, this->limits);
     }
@@ -430,6 +446,7 @@
         update.last_trial_age = now - *known.last_trial_at;
     }
     update.next_trial_in = std::max(duration::zero(), known.next_trial_at - now);
+    update.answered_age = known.history.answered_age(now);
     return update;
 }
 
--- a/packages/quarantine/internal/crash_history.cpp
+++ b/packages/quarantine/internal/crash_history.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/crash_history.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace kingcupcart::quarantine {
 
@@ -90,8 +91,27 @@
 }
 
 std::size_t crash_history::count() const {
-    return static_cast<std::size_t>(
-        std::count_if(this->entries.begin(), this->entries.end(), counts));
+    const auto first = this->first_at();
+    if (!first || !this->completed_at || *first - *this->completed_at > answered_lifetime) {
+        return static_cast<std::size_t>(
+            std::count_if(this->entries.begin(), this->entries.end(), counts));
+    }
+    std::size_t moments = 0;
+    std::optional<time_point> last;
+    for (const crash& entry : this->entries) {
+        if (counts(entry)) {
+            moments += last && entry.at - *last <= same_moment ? 0 : 1;
+            last = entry.at;
+        }
+    }
+    return moments > answered_credit ? moments - answered_credit : 0;
+}
+
+std::optional<duration> crash_history::answered_age(time_point now) const {
+    if (!this->completed_at || now - *this->completed_at > answered_lifetime) {
+        return std::nullopt;
+    }
+    return now - *this->completed_at;
 }
 
 bool crash_history::contains(const target_id& target, incarnation_id incarnation) const {
@@ -102,13 +122,13 @@
 
 std::vector<crash_record> crash_history::latest(std::size_t limit, time_point now) const {
     std::vector<crash_record> records;
-    for (auto entry = this->entries.rbegin(); entry != this->entries.rend(); ++entry) {
+    for (const crash& entry : std::views::reverse(this->entries)) {
         if (records.size() == limit) {
             break;
         }
-        if (counts(*entry)) {
-            records.push_back({entry->target, entry->incarnation, entry->status, entry->is_trial,
-                               std::max(duration::zero(), now - entry->at)});
+        if (counts(entry)) {
+            records.push_back({entry.target, entry.incarnation, entry.status, entry.is_trial,
+                               std::max(duration::zero(), now - entry.at)});
         }
     }
     return records;
--- a/packages/quarantine/internal/crash_registry.cpp
+++ b/packages/quarantine/internal/crash_registry.cpp
@@ -221,6 +221,9 @@
 
 void crash_registry::on(const instance_id& sender, const suspect_update& update, time_point now) {
     entry& known = this->find_or_add(update.fingerprint, now);
+    if (update.answered_age) {
+        known.history.clear(now - *update.answered_age);
+    }
     for (const crash_record& crash : update.latest) {
         this->merge(update.fingerprint, known, crash, now);
     }
@@ -435,6 +438,7 @@
     update.next_trial_in = due == time_point::max()
                                ? this->limits.crash_lifetime
                                : std::max(duration::zero(), std::max(due, now) - now);
+    update.answered_age = known.history.answered_age(now);
     return update;
 }
 
--- a/packages/quarantine/quarantine_limits.h
+++ b/packages/quarantine/quarantine_limits.h
@@ -15,6 +15,14 @@
 /// Number of trials of a quarantined request within `quarantine_limits::crash_lifetime`.
 inline constexpr std::size_t max_late_trials = 3;
 
+/// A request that was answered this short a time before its first crash is not one that crashes
+/// each target, so that crashes at the same moment count once, and the first ones don't count.
+inline constexpr duration answered_lifetime = std::chrono::minutes(1);
+/// Crashes of which each follows another one within this time are at the same moment.
+inline constexpr duration same_moment = std::chrono::milliseconds(500);
+/// Number of moments that don't count after an answer.
+inline constexpr std::size_t answered_credit = 2;
+
 /// Parameters of the quarantine of requests that crash their targets.
 struct quarantine_limits {
     /// How long a proven crash counts, and a quarantine lasts.
@@ -23,8 +31,6 @@
     duration suspicion_lifetime = std::chrono::seconds(5);
     /// How long a cleared request is remembered, so that late reports can't accuse it again.
     duration cleared_lifetime = std::chrono::minutes(10);
-    /// How long an account remembers that a request was answered that nobody suspects yet.
-    duration completion_lifetime = std::chrono::minutes(1);
     /// Time from a confirmed third crash, or from the end of the latest trial, to the next one.
     std::array<duration, max_late_trials> trial_delays{
         std::chrono::seconds(30), std::chrono::minutes(30), std::chrono::hours(6)};
@@ -44,7 +50,7 @@
     duration settle_time = std::chrono::seconds(1);
     /// How long other suspects that crashed the same targets wait for a trial that has begun, so
     /// that a crash under it has one cause.
-    duration isolation_time = std::chrono::seconds(1);
+    duration isolation_time = std::chrono::milliseconds(300);
     /// How long a trial is held back for copies that still run.
     duration copy_wait = std::chrono::seconds(2);
     /// A running copy that was reported keeps a request from quarantine for this time at most.
--- a/packages/quarantine/tests/quarantine_test.cpp
+++ b/packages/quarantine/tests/quarantine_test.cpp
@@ -171,6 +171,33 @@
     }
 }
 
+SCENARIO("a request that crashes its targets comes to a service of three targets") {
+    GIVEN("innocent requests beside it") {
+        THEN("few targets end, and each other request is served") {
+            for (const std::uint64_t seed : {1, 2, 3, 4}) {
+                CAPTURE(seed);
+                simulated_fleet::settings settings;
+                settings.targets = 3;
+                settings.seed = seed;
+                simulated_fleet fleet(settings);
+                fleet.run(seconds(5));
+                std::uint64_t number = 0;
+                for (std::size_t i = 0; i < 60; ++i) {
+                    fleet.arrive(i % 3, culprit());
+                    for (std::size_t j = 0; j < 7; ++j) {
+                        fleet.arrive((i + j) % 3, innocent(++number, milliseconds(200)));
+                        fleet.run(milliseconds(100));
+                    }
+                }
+                fleet.run(seconds(7));
+                CHECK(fleet.targets_ended(culprit_fingerprint) <= allowed_targets_ended);
+                CHECK(fleet.late_sends(culprit_fingerprint) <= allowed_late_sends);
+                CHECK(fleet.other_outcomes(culprit_fingerprint).served == number);
+            }
+        }
+    }
+}
+
 // Without marked requests three of four targets were killed three times, and 272 of 273 served.
 SCENARIO("many targets end at once under requests that did nothing") {
     const auto kill_three_times = [](simulated_fleet& fleet, auto make_request) {
@@ -198,6 +225,43 @@
             }
         }
     }
+    GIVEN("requests that are all alike and take almost as long as the targets stay up") {
+        THEN("all are served") {
+            for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+                CAPTURE(seed);
+                simulated_fleet::settings settings;
+                settings.targets = 4;
+                settings.seed = seed;
+                simulated_fleet fleet(settings);
+                fleet.run(seconds(5));
+                simulated_request request = innocent(1, seconds(4));
+                request.deadline = seconds(12);
+                for (std::size_t i = 0; i < 300; ++i) {
+                    fleet.arrive(i % 3, request);
+                    fleet.run(milliseconds(60));
+                    if (i == 50 || i == 130 || i == 210) {
+                        fleet.kill_targets(0.75);
+                    }
+                }
+                fleet.run(seconds(14));
+                CHECK(fleet.outcomes(request.fingerprint).served == 300);
+            }
+        }
+    }
+    GIVEN("copies of a request that was never answered, under which all targets go dark") {
+        THEN("a trial is granted at once, and all are served") {
+            for_each_fleet([](simulated_fleet& fleet, std::size_t senders) {
+                for (std::size_t i = 0; i < 9; ++i) {
+                    fleet.arrive(i % senders, innocent(1, seconds(1)));
+                }
+                fleet.run(milliseconds(300));
+                fleet.kill_targets(1);
+                fleet.run(seconds(8));
+                CHECK(fleet.outcomes(innocent(1).fingerprint).refused == 0);
+                CHECK(fleet.outcomes(innocent(1).fingerprint).served == 9);
+            });
+        }
+    }
     GIVEN("slow requests that differ") {
         THEN("none is refused") {
             for_each_fleet([&](simulated_fleet& fleet, std::size_t /*senders*/) {
@@ -212,6 +276,46 @@
     }
 }
 
+SCENARIO("a request that was answered lately has crashes at the same moment") {
+    const quarantine_limits limits;
+    const time_point now{hours(1)};
+    crash_history history;
+    const auto crash = [&](std::uint64_t number, duration age) {
+        history.record({target_id("t"), incarnation_id(number), crash_status::proven, false, age},
+                       now, limits);
+    };
+    GIVEN("three at a moment, and three 5 s later") {
+        const auto crash_all = [&] {
+            for (std::uint64_t i = 0; i < 3; ++i) {
+                crash(i, seconds(10) + milliseconds(50 * i));
+                crash(3 + i, seconds(5) + milliseconds(50 * i));
+            }
+        };
+        THEN("each counts if it was not answered") {
+            crash_all();
+            CHECK(history.count() == 6);
+        }
+        THEN("each counts if it was answered long before") {
+            history.clear(now - minutes(5));
+            crash_all();
+            CHECK(history.count() == 6);
+        }
+        THEN("none counts if it was answered shortly before") {
+            history.clear(now - seconds(20));
+            crash_all();
+            CHECK(history.count() == 0);
+            AND_WHEN("more moments follow") {
+                crash(10, seconds(3));
+                crash(11, seconds(2));
+                crash(12, seconds(1));
+                THEN("those count") {
+                    CHECK(history.count() == 3);
+                }
+            }
+        }
+    }
+}
+
 SCENARIO("a broken connection is no crash where the target goes on") {
     simulated_fleet fleet = make_fleet(3);
     fleet.run(seconds(5));
