--- a/packages/quarantine/internal/crash_history.cpp
+++ b/packages/quarantine/internal/crash_history.cpp
@@ -1,7 +1,6 @@
 #include "quarantine/crash_history.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace kingcupcart::quarantine {
 
@@ -122,15 +121,14 @@
 
 std::vector<crash_record> crash_history::latest(std::size_t limit, time_point now) const {
     std::vector<crash_record> records;
-    for (const crash& entry : std::views::reverse(this->entries)) {
-        if (records.size() == limit) {
-            break;
-        }
+    for (const crash& entry : this->entries) {
         if (counts(entry)) {
             records.push_back({entry.target, entry.incarnation, entry.status, entry.is_trial,
                                std::max(duration::zero(), now - entry.at)});
         }
     }
+    std::reverse(records.begin(), records.end());
+    records.resize(std::min(records.size(), limit));
     return records;
 }
 
