--- a/packages/quarantine/internal/crash_account.cpp
+++ b/packages/quarantine/internal/crash_account.cpp
@@ -361,7 +361,7 @@
     known.state = update.state;
     known.updated_crashes = update.crashes;
     known.known_at_update = known.history.count();
-    known.late_trials = std::max(known.late_trials, update.late_trials);
+    known.late_trials = update.late_trials;
     if (update.last_trial_age) {
         known.last_trial_at = now - *update.last_trial_age;
     }
--- a/packages/quarantine/tests/quarantine_test.cpp
+++ b/packages/quarantine/tests/quarantine_test.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <optional>
+#include <random>
 #include <variant>
 #include <vector>
 
@@ -171,6 +173,50 @@
     }
 }
 
+SCENARIO("faults of all kinds happen at random while such a request comes again") {
+    for (const std::size_t senders : {std::size_t{3}, std::size_t{9}}) {
+        for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+            CAPTURE(senders);
+            CAPTURE(seed);
+            simulated_fleet fleet = make_fleet(senders, seed);
+            fleet.run(seconds(5));
+            std::mt19937_64 random(seed);
+            const auto happens_in = [&](std::uint64_t one_of) { return random() % one_of == 0; };
+            std::uint64_t number = 0;
+            for (int i = 0; i < 900; ++i) {
+                fleet.run(milliseconds(100));
+                if (happens_in(7)) {
+                    const std::size_t copies = happens_in(10) ? 5 : 1;
+                    for (std::size_t j = 0; j < copies; ++j) {
+                        fleet.arrive(random() % senders, culprit());
+                    }
+                }
+                if (happens_in(2)) {
+                    fleet.arrive(random() % senders,
+                                 innocent(++number, milliseconds(50 + random() % 800)));
+                }
+                if (happens_in(150)) {
+                    fleet.lose_leader(milliseconds(200 + random() % 4000));
+                }
+                if (happens_in(150)) {
+                    fleet.cut_sender(random() % senders, milliseconds(200 + random() % 10000));
+                }
+                if (happens_in(200)) {
+                    fleet.restart_sender(random() % senders);
+                }
+                if (happens_in(150)) {
+                    fleet.kill_targets(0.6);
+                }
+                if (happens_in(60)) {
+                    fleet.reset_connections();
+                }
+            }
+            CHECK(fleet.late_sends(culprit_fingerprint) <= allowed_late_sends);
+            CHECK(fleet.other_outcomes(culprit_fingerprint).refused == 0);
+        }
+    }
+}
+
 SCENARIO("a request that crashes its targets comes to a service of three targets") {
     GIVEN("innocent requests beside it") {
         THEN("few targets end, and each other request is served") {
--- a/packages/quarantine/tests/simulated_fleet.cpp
+++ b/packages/quarantine/tests/simulated_fleet.cpp
@@ -338,8 +338,7 @@
             if (!this->senders[i].is_cut) {
                 for (const account_message& content :
                      this->senders[i].account->initial_messages(this->now)) {
-                    this->keepers[1 - this->leading]->handle(this->senders[i].id, content,
-                                                             this->now);
+                    this->to_keepers.push_back({this->now + message_time, i, content});
                 }
             }
         }
