HTTP client: a connection that the server ends is told apart from a faulty response

What operators saw: one kind of failure, whether a target had ended under an attempt, had sent garbled bytes or had gone over a limit; the reason alone, free text, differed.

Change: call_result::disconnected where the server closes or resets the connection before the response is whole and what had arrived was well-formed; broken remains for malformed bytes, limits and other failures of the connection. The first bytes of a status line are checked here, since the parser looks at whole lines. Dialling fails with not_found where nobody listens. The line of a failed attempt names the kind, the target, its incarnation and the time that the attempt took. Nothing decides by the new kind yet.

--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -12,6 +12,8 @@
 
 constexpr int status_ok = 200;
 constexpr int status_multiple_choices = 300;
+/// Kind of failure, in the log, of a response that is faulty in itself.
+constexpr const char* broken_kind = "broken";
 
 bool is_success(int status) {
     return status >= status_ok && status < status_multiple_choices;
@@ -68,17 +70,17 @@
         found->second->is_matching = true;
         if (this->is_streaming && !is_success(head.status)) {
             // The caller already has a part of another response.
-            this->fail_attempt(attempt, requests::attempt_failure::broken,
+            this->fail_attempt(attempt, requests::attempt_failure::broken, broken_kind,
                                "error response with status " + std::to_string(head.status) +
                                    " to the rest of a stream");
         }
         break;
     case engines::response_kind::not_run:
-        this->fail_attempt(attempt, requests::attempt_failure::declined,
+        this->fail_attempt(attempt, requests::attempt_failure::declined, "not_run",
                            "the target did not run the request");
         break;
     case engines::response_kind::mismatched:
-        this->fail_attempt(attempt, requests::attempt_failure::broken,
+        this->fail_attempt(attempt, requests::attempt_failure::broken, broken_kind,
                            "the response belongs to another request");
         break;
     }
@@ -105,7 +107,7 @@
          response.parser.feed_events(data)) {
         const auto event = this->params.protocol.parse_event(server_sent_event);
         if (!event || event->number != response.last_event + 1) {
-            this->fail_attempt(attempt, requests::attempt_failure::broken,
+            this->fail_attempt(attempt, requests::attempt_failure::broken, broken_kind,
                                "a stream event is malformed or out of order");
             return;
         }
@@ -115,7 +117,7 @@
     const auto end = response.body.rfind("\n\n");
     if (response.last_event == before || end == std::string::npos) {
         if (response.body.size() > this->params.max_response_bytes) {
-            this->fail_attempt(attempt, requests::attempt_failure::broken,
+            this->fail_attempt(attempt, requests::attempt_failure::broken, broken_kind,
                                "a stream event is larger than the limit");
         }
         return;
@@ -140,7 +142,7 @@
     const bool ends_in_event = this->params.is_stream && is_success(response.head.status) &&
                                !response.parser.is_between_events();
     if (completion == http::call_result::complete && ends_in_event) {
-        this->fail_attempt(attempt, requests::attempt_failure::broken,
+        this->fail_attempt(attempt, requests::attempt_failure::broken, broken_kind,
                            "the stream ends within an event");
         return;
     }
@@ -152,13 +154,23 @@
                        completion == http::call_result::unreachable
                            ? requests::attempt_failure::unreachable
                            : requests::attempt_failure::broken,
-                       reason);
+                       http::to_string(completion), reason);
 }
 
 void forwarded_call::fail_attempt(attempt_id attempt, requests::attempt_failure failure,
-                                  const std::string& reason) {
-    spdlog::warn("attempt failed request={} attempt={} reason=\"{}\"", this->params.call.name,
-                 attempt.value(), reason);
+                                  const char* kind, const std::string& reason) {
+    const auto found = this->attempts.find(attempt);
+    const attempt_response* response =
+        found == this->attempts.end() ? nullptr : found->second.get();
+    spdlog::warn("attempt failed request={} attempt={} kind={} target={} incarnation={} "
+                 "took_ms={} reason=\"{}\"",
+                 this->params.call.name, attempt.value(), kind,
+                 response == nullptr ? "" : response->target.value(),
+                 response == nullptr ? 0 : response->incarnation.value(),
+                 response == nullptr ? 0
+                                     : (this->params.time->now() - response->sent_at) /
+                                           std::chrono::milliseconds(1),
+                 reason);
     this->cancel(attempt);
     this->params.notify(requests::attempt_failed{attempt, failure});
 }
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -77,7 +77,8 @@
     void on_data(attempt_id attempt, std::string_view data);
     void on_stream_data(attempt_id attempt, attempt_response& response, std::string_view data);
     void on_end(attempt_id attempt, http::call_result completion, const std::string& reason);
-    void fail_attempt(attempt_id attempt, requests::attempt_failure failure,
+    /// `kind` and `reason` are for the log.
+    void fail_attempt(attempt_id attempt, requests::attempt_failure failure, const char* kind,
                       const std::string& reason);
 
     parameters params;
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -19,11 +19,17 @@
     complete,
     /// No connection could be opened; no part of the request was written to a socket.
     unreachable,
-    /// The connection failed, or the response was truncated, malformed or over a limit. The server
-    /// may have executed the request.
+    /// The server closed or reset the connection after the request was written to it and before the
+    /// response was whole; what had arrived was well-formed. The server may have executed the
+    /// request, or ended while it did.
+    disconnected,
+    /// The connection failed in another way, or the response was malformed or over a limit. The
+    /// server may have executed the request.
     broken
 };
 
+[[nodiscard]] const char* to_string(call_result result);
+
 /// An HTTP client that runs on the event loop of the thread that created it.
 ///
 /// It writes a request to one connection at most, and never a second time: whether to send it again
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -7,6 +7,20 @@
 
 namespace kingcupcart::http {
 
+const char* to_string(call_result result) {
+    switch (result) {
+    case call_result::complete:
+        return "complete";
+    case call_result::unreachable:
+        return "unreachable";
+    case call_result::disconnected:
+        return "disconnected";
+    case call_result::broken:
+        return "broken";
+    }
+    return "?";
+}
+
 client::call::call(std::shared_ptr<state> new_state) : impl(std::move(new_state)) {}
 
 client::call::~call() {
--- a/packages/http/internal/connection.h
+++ b/packages/http/internal/connection.h
@@ -23,7 +23,7 @@
 /// thread that created it.
 class connection {
 public:
-    enum class read_status { data, would_block, closed_by_peer, failed };
+    enum class read_status { data, would_block, closed_by_peer, reset_by_peer, failed };
     struct read_result {
         read_status status = read_status::would_block;
         /// Valid until this thread reads again, from any connection.
@@ -34,7 +34,8 @@
     /// Bytes of one read at most.
     static constexpr std::size_t read_buffer_bytes = 64UL * 1024;
 
-    /// Starts to connect; the connection becomes ready once that has succeeded or failed.
+    /// Starts to connect; the connection becomes ready once that has succeeded or failed. Fails
+    /// with `not_found` if nobody listens at the address.
     static outcome<std::unique_ptr<connection>> dial(const endpoint& peer);
     ~connection();
     connection(const connection&) = delete;
@@ -52,7 +53,8 @@
     /// Ends `coalesce_reads`.
     void read_at_once();
 
-    /// Fails if the connection could not be established.
+    /// Fails if the connection could not be established, with `not_found` if nobody listens at the
+    /// address.
     [[nodiscard]] outcome<void> finish_connecting();
     [[nodiscard]] read_result read();
     /// Returns the number of bytes that the socket accepted. Fails if it accepts none any more.
--- a/packages/http/internal/pending_call.cpp
+++ b/packages/http/internal/pending_call.cpp
@@ -113,11 +113,18 @@
     case connection::read_status::failed:
         this->finish(call_result::broken, received.problem);
         return false;
+    case connection::read_status::reset_by_peer:
+        this->finish(this->parser.is_well_formed() ? call_result::disconnected
+                                                   : call_result::broken,
+                     received.problem);
+        return false;
     case connection::read_status::closed_by_peer:
         if (this->has_write_failed) {
             // The failed write has reported a reset, which would otherwise look like an orderly
             // end.
-            this->finish(call_result::broken, "the connection failed during the request");
+            this->finish(this->parser.is_well_formed() ? call_result::disconnected
+                                                       : call_result::broken,
+                         "the connection failed during the request");
             return false;
         }
         this->parser.finish();
@@ -141,7 +148,8 @@
         return;
     }
     if (!this->parser.failure().empty()) {
-        this->finish(call_result::broken, this->parser.failure());
+        this->finish(this->parser.is_cut_short() ? call_result::disconnected : call_result::broken,
+                     this->parser.failure());
     } else if (this->parser.is_complete()) {
         this->complete();
     } else if (this->has_delivered_head && this->owner->coalescer && this->outgoing.bytes.empty()) {
--- a/packages/http/internal/response_parser.cpp
+++ b/packages/http/internal/response_parser.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <utility>
@@ -17,6 +18,8 @@
 
 constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned first_final_status = 200;
+/// What each response begins with.
+constexpr std::string_view version_prefix = "HTTP/1.";
 
 /// Beast's parser for a single message, interim or final.
 class message_parser final : public beast::http::basic_parser<false> {
@@ -144,24 +147,36 @@
         if (this->is_complete || !this->failure.empty()) {
             return;
         }
+        const bool was_well_formed = this->is_well_formed();
         if (!this->parser->got_some()) {
             this->failure = "the connection was closed without a response";
+            this->is_cut_short = was_well_formed;
             return;
         }
         error_code problem;
         this->parser->put_eof(problem);
         if (problem) {
             this->failure = "the connection was closed before the end of the response";
+            this->is_cut_short = was_well_formed;
         } else {
             this->is_complete = true;
         }
     }
 
+    /// The first bytes of a status line are checked here, since the parser looks at whole lines.
+    [[nodiscard]] bool is_well_formed() const {
+        const std::size_t size = std::min(this->unparsed.size(), version_prefix.size());
+        return this->failure.empty() &&
+               (this->parser->status != 0 ||
+                std::string_view(this->unparsed).substr(0, size) == version_prefix.substr(0, size));
+    }
+
     std::optional<message_parser> parser;
     std::string failure;
     /// Received, but not parsed: an incomplete line, or bytes that follow the response.
     std::string unparsed;
     bool is_complete = false;
+    bool is_cut_short = false;
 
 private:
     void start_message() { this->parser.emplace(this->limits, this->is_head_request); }
@@ -257,6 +272,14 @@
            this->impl->parser->keep_alive();
 }
 
+bool response_parser::is_well_formed() const {
+    return this->impl->is_well_formed();
+}
+
+bool response_parser::is_cut_short() const {
+    return this->impl->is_cut_short;
+}
+
 std::optional<duration> response_parser::keep_alive_time() const {
     return parse_keep_alive_time(this->impl->parser->head);
 }
--- a/packages/http/internal/response_parser.h
+++ b/packages/http/internal/response_parser.h
@@ -35,6 +35,10 @@
     [[nodiscard]] bool is_complete() const;
     /// Why the bytes are no response within the limits; empty unless parsing has failed.
     [[nodiscard]] const std::string& failure() const;
+    /// Whether the bytes so far begin a response, or there are none.
+    [[nodiscard]] bool is_well_formed() const;
+    /// Whether parsing has failed only because the peer closed the connection too early.
+    [[nodiscard]] bool is_cut_short() const;
     /// Whether another request may follow on the connection: the response is complete, no bytes
     /// followed it, and the peer does not close.
     [[nodiscard]] bool can_reuse_connection() const;
