Process test: a request under which targets ended is not sent on and on (fails)

The bounds are the platform's: contactMs and three retries.

The other case guards what must not be lost: three of four replicas killed three times under slow requests that are all alike; none may be refused as quarantined and 99 of 100 are served.

--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -32,6 +32,7 @@
 platform_replica::platform_replica(parameters arguments)
     : params(std::move(arguments)),
       write_timer([this] { this->write_events(); }),
+      response_timer([this] { this->answer_due_requests(); }),
       client(this->time) {}
 
 outcome<std::unique_ptr<platform_replica>> platform_replica::open(const parameters& arguments) {
@@ -54,7 +55,7 @@
               {"slots", this->params.slots},
               {"state", state},
               {"coldLeftMs", 0},
-              {"born", start_time_ms},
+              {"born", this->params.started_at_ms},
               {"seq", ++this->heartbeats_sent}};
     if (!this->params.model.empty()) {
         body["models"] =
@@ -144,16 +145,36 @@
 }
 
 void platform_replica::run_service_request(std::unique_ptr<http::exchange> exchange) {
-    if (this->holds_responses) {
+    const std::string& fatal_text = this->params.fatal_text;
+    if (!fatal_text.empty() && exchange->body().find(fatal_text) != std::string::npos) {
+        this->held_exchanges.push_back(std::move(exchange));
+        this->params.on_fatal_run();
+    } else if (this->holds_responses) {
         this->held_exchanges.push_back(std::move(exchange));
     } else if (this->requests_to_fail > 0) {
         --this->requests_to_fail;
         exchange->respond(status_server_error, "text/plain", "failed");
+    } else if (this->params.response_time > duration::zero()) {
+        this->running_exchanges.emplace_back(this->time.now() + this->params.response_time,
+                                             std::move(exchange));
+        this->response_timer.arm(this->running_exchanges.front().first);
     } else {
         exchange->respond(status_ok, "text/plain", "ran " + exchange->body());
     }
 }
 
+void platform_replica::answer_due_requests() {
+    while (!this->running_exchanges.empty() &&
+           this->running_exchanges.front().first <= this->time.now()) {
+        const auto due = std::move(this->running_exchanges.front().second);
+        this->running_exchanges.pop_front();
+        due->respond(status_ok, "text/plain", "ran " + due->body());
+    }
+    if (!this->running_exchanges.empty()) {
+        this->response_timer.arm(this->running_exchanges.front().first);
+    }
+}
+
 std::uint64_t platform_replica::start_time() {
     return start_time_ms;
 }
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -10,6 +10,8 @@
 #include "task/wakeup.h"
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -38,6 +40,15 @@
         int slots = 4;
         /// Time between the events of a stream; zero to write them all at once.
         duration event_interval{};
+        /// Start time that heartbeats state, in milliseconds since 1970.
+        std::uint64_t started_at_ms = start_time();
+        /// Time from the arrival of a request to a plain service to its response.
+        duration response_time{};
+        /// A request to a plain service whose body contains this text gets no response; none does
+        /// if it is empty.
+        std::string fatal_text = {};
+        /// Called when a run of such a request begins.
+        std::function<void()> on_fatal_run = {};
     };
 
     /// Fails if it can't listen.
@@ -59,7 +70,8 @@
     [[nodiscard]] const std::set<std::uint64_t>& item_weight_versions(const std::string& item) {
         return this->item_versions[item];
     }
-    /// The start time that heartbeats state, in milliseconds since 1970.
+    /// The start time that heartbeats state unless the parameters name another one, in milliseconds
+    /// since 1970.
     [[nodiscard]] static std::uint64_t start_time();
     /// Identifiers of the requests that this replica has run, in order of arrival.
     [[nodiscard]] const std::vector<std::string>& executed_request_ids() const {
@@ -106,6 +118,7 @@
     void run_request(std::unique_ptr<http::exchange> exchange);
     void run_service_request(std::unique_ptr<http::exchange> exchange);
     void write_events();
+    void answer_due_requests();
     /// Writes the stream's next event. Returns false once no event is left.
     static bool write_event(open_stream& stream);
 
@@ -125,12 +138,15 @@
     std::map<std::string, std::set<std::uint64_t>> item_versions;
     std::vector<open_stream> streams;
     task::wakeup write_timer;
+    task::wakeup response_timer;
     system_clock time;
     http::client client;
     std::vector<std::unique_ptr<http::client::call>> heartbeat_calls;
     std::unique_ptr<http::server> server;
     /// Destroyed before the server, which owns their connections.
     std::vector<std::unique_ptr<http::exchange>> held_exchanges;
+    /// Requests that are answered at a time, in its order.
+    std::deque<std::pair<time_point, std::unique_ptr<http::exchange>>> running_exchanges;
 };
 
 /// Data of event `number` (from 1) in the stream of an item.
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -23,6 +23,8 @@
         "routes": [
             {"name": "book", "host": "shop", "pathPrefix": "/b/", "type": "idempotent",
              "timeoutMs": 2000, "sloMs": 200, "service": "app", "maxAttempts": 2},
+            {"name": "plain", "host": "shop", "pathPrefix": "/p/", "type": "idempotent",
+             "timeoutMs": 4000, "sloMs": 2500, "service": "plain", "maxAttempts": 2},
             {"name": "slow", "host": "shop", "pathPrefix": "/s/", "type": "non_idempotent",
              "timeoutMs": 20000, "sloMs": 200, "service": "app", "maxAttempts": 1},
             {"name": "drafts", "host": "shop", "pathPrefix": "/d/", "type": "rollout",
@@ -30,11 +32,12 @@
              "dueMs": 7500, "resumable": true}],
         "services": [
             {"name": "app", "maxConns": 10},
+            {"name": "plain", "maxConns": 10},
             {"name": "lm", "maxConns": 10,
              "engine": {"slots": 4, "kvCapacity": 10000, "stride": 1, "models": [{"name": "m"}]}}],
         "limits": {}})");
-    document["services"][1]["engine"]["slots"] = options.slots;
-    document["services"][1]["maxConns"] = 2 * options.slots;
+    document["services"][2]["engine"]["slots"] = options.slots;
+    document["services"][2]["maxConns"] = 2 * options.slots;
     return document;
 }
 
@@ -181,6 +184,29 @@
     this->heartbeat_timer.arm(std::chrono::steady_clock::now() + heartbeat_interval);
 }
 
+std::unique_ptr<stand_ins::crashing_replica>
+fleet::add_plain_replica(const std::string& name, const std::string& fatal_text,
+                         duration response_time) const {
+    stand_ins::crashing_replica::parameters arguments;
+    arguments.name = name;
+    arguments.service = "plain";
+    arguments.address = endpoint{replica_ip, 0};
+    arguments.keeper =
+        endpoint{keeper_ip, static_cast<std::uint16_t>(std::stoi(this->external_port))};
+    arguments.response_time = response_time;
+    arguments.fatal_text = fatal_text;
+    auto opened = value_or_error([&] { return stand_ins::crashing_replica::open(arguments); });
+    return std::move(std::get<std::unique_ptr<stand_ins::crashing_replica>>(opened));
+}
+
+http::request fleet::plain_request(const std::string& ip, const std::string& name,
+                                   const std::string& body) const {
+    http::request request = this->booking_request(name, body);
+    request.url = this->callers_at(ip) + "/p/1";
+    request.headers.back().value = "4000";
+    return request;
+}
+
 std::string fleet::callers() const {
     return this->callers_at(gateway_ip);
 }
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -4,6 +4,7 @@
 #include "http/request.h"
 #include "process/child_process.h"
 #include "process/deployment.h"
+#include "stand_ins/crashing_replica.h"
 #include "stand_ins/platform_replica.h"
 #include "task/wakeup.h"
 
@@ -70,6 +71,14 @@
     /// `child_process`.
     void start_store(std::size_t index = 0, rlim_t max_file_size = RLIM_INFINITY);
 
+    /// Starts a replica of the service "plain", which has no other ones. Its requests take
+    /// `response_time`; those whose body contains `fatal_text` crash it.
+    [[nodiscard]] std::unique_ptr<stand_ins::crashing_replica>
+    add_plain_replica(const std::string& name, const std::string& fatal_text,
+                      duration response_time = duration::zero()) const;
+    /// A request to that service, for the gateway at the address.
+    [[nodiscard]] http::request plain_request(const std::string& ip, const std::string& name,
+                                              const std::string& body) const;
     [[nodiscard]] http::request booking_request(const std::string& name,
                                                 const std::string& body) const;
     [[nodiscard]] http::request read_configuration_request(std::size_t keeper_index = 0) const;
