Wire: messages about requests that crash their targets

Crash and completion reports, demands, decisions and ends of trials, copies that run, and what is known of a suspect, with numbers at the end of the list. A fingerprint is two numbers. wire_test (826 assertions): each is decoded as it was sent, and rejected where its encoding is truncated at any position.

--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -50,7 +50,14 @@
     target_leaving = 29,
     limit_report = 30,
     permit_demands = 31,
-    permit_grants = 32
+    permit_grants = 32,
+    crash_report = 33,
+    completion_report = 34,
+    trial_demand = 35,
+    trial_end = 36,
+    copy_report = 37,
+    suspect_update = 38,
+    trial_decision = 39
 };
 
 json number(message_number value) {
@@ -215,6 +222,23 @@
 constexpr message_number message_number_of<permit_demands> = message_number::permit_demands;
 template <>
 constexpr message_number message_number_of<permit_grants> = message_number::permit_grants;
+template <>
+constexpr message_number message_number_of<quarantine::crash_report> = message_number::crash_report;
+template <>
+constexpr message_number message_number_of<quarantine::completion_report> =
+    message_number::completion_report;
+template <>
+constexpr message_number message_number_of<quarantine::trial_demand> = message_number::trial_demand;
+template <>
+constexpr message_number message_number_of<quarantine::trial_end> = message_number::trial_end;
+template <>
+constexpr message_number message_number_of<quarantine::copy_report> = message_number::copy_report;
+template <>
+constexpr message_number message_number_of<quarantine::suspect_update> =
+    message_number::suspect_update;
+template <>
+constexpr message_number message_number_of<quarantine::trial_decision> =
+    message_number::trial_decision;
 
 template <typename Message>
 json write(const Message& outgoing) {
@@ -403,6 +427,16 @@
     {message_number::limit_report, "limit_report", read_serializable<limit_report>},
     {message_number::permit_demands, "permit_demands", read_serializable<permit_demands>},
     {message_number::permit_grants, "permit_grants", read_serializable<permit_grants>},
+    {message_number::crash_report, "crash_report", read_serializable<quarantine::crash_report>},
+    {message_number::completion_report, "completion_report",
+     read_serializable<quarantine::completion_report>},
+    {message_number::trial_demand, "trial_demand", read_serializable<quarantine::trial_demand>},
+    {message_number::trial_end, "trial_end", read_serializable<quarantine::trial_end>},
+    {message_number::copy_report, "copy_report", read_serializable<quarantine::copy_report>},
+    {message_number::suspect_update, "suspect_update",
+     read_serializable<quarantine::suspect_update>},
+    {message_number::trial_decision, "trial_decision",
+     read_serializable<quarantine::trial_decision>},
 };
 
 } // namespace
--- a/packages/wire/internal/input_archive.h
+++ b/packages/wire/internal/input_archive.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "base/quantity.h"
+#include "base/request_fingerprint.h"
 #include "base/strong_id.h"
 #include "wire/internal/field_reader.h"
 
@@ -61,6 +62,10 @@
         this->load(value);
         time = std::chrono::duration<Rep, Period>(value);
     }
+    void load(request_fingerprint& value) {
+        const std::uint64_t high = this->fields.number();
+        value = request_fingerprint(high, this->fields.number());
+    }
     template <typename Clock, typename Duration>
     void load(std::chrono::time_point<Clock, Duration>& moment) {
         Duration since_epoch{};
--- a/packages/wire/internal/output_archive.h
+++ b/packages/wire/internal/output_archive.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "base/quantity.h"
+#include "base/request_fingerprint.h"
 #include "base/strong_id.h"
 #include "wire/internal/quorum_fields.h"
 
@@ -60,6 +61,10 @@
     void save(const std::chrono::duration<Rep, Period>& time) {
         this->save(time.count());
     }
+    void save(const request_fingerprint& value) {
+        this->save(value.high());
+        this->save(value.low());
+    }
     template <typename Clock, typename Duration>
     void save(const std::chrono::time_point<Clock, Duration>& moment) {
         this->save(moment.time_since_epoch());
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -140,6 +140,51 @@
 
 } // namespace kingcupcart::permits
 
+namespace kingcupcart::quarantine {
+
+template <typename Archive>
+void serialize(Archive& archive, crash_record& value) {
+    archive(value.target, value.incarnation, value.status, value.is_trial, value.age);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, crash_report& value) {
+    archive(value.fingerprint, value.crash);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, completion_report& value) {
+    archive(value.fingerprint, value.age);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, trial_demand& value) {
+    archive(value.fingerprint, value.number, value.is_withdrawn);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, trial_decision& value) {
+    archive(value.fingerprint, value.demand, value.verdict, value.retry_after);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, trial_end& value) {
+    archive(value.fingerprint, value.number, value.outcome);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, copy_report& value) {
+    archive(value.fingerprint, value.running);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, suspect_update& value) {
+    archive(value.fingerprint, value.state, value.crashes, value.latest, value.late_trials,
+            value.last_trial_age, value.next_trial_in, value.answered_age);
+}
+
+} // namespace kingcupcart::quarantine
+
 namespace kingcupcart::wire {
 
 template <typename Archive>
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -12,6 +12,7 @@
 #include "membership/target_load.h"
 #include "membership/target_record.h"
 #include "permits/permit_messages.h"
+#include "quarantine/crash_messages.h"
 #include "quorum/messages.h"
 
 #include <chrono>
@@ -301,12 +302,16 @@
 };
 
 /// The order of the alternatives is that of their numbers on the wire.
-using message = std::variant<
-    hello, target_update, target_heartbeats, configuration_update, configuration_in_force,
-    forward_call_request, forward_call_response, claim_request, claim_response, instance_update,
-    consensus_message, forward_command, keepalive, fleet_update, routes_update, weights_update,
-    store_registration, initial_members_update, store_report, leader_update, submit_job_request,
-    read_results_request, item_body_request, end_job_request, batch_response, run_item_request,
-    cancel_item_run, item_run_updates, target_leaving, limit_report, permit_demands, permit_grants>;
+using message =
+    std::variant<hello, target_update, target_heartbeats, configuration_update,
+                 configuration_in_force, forward_call_request, forward_call_response, claim_request,
+                 claim_response, instance_update, consensus_message, forward_command, keepalive,
+                 fleet_update, routes_update, weights_update, store_registration,
+                 initial_members_update, store_report, leader_update, submit_job_request,
+                 read_results_request, item_body_request, end_job_request, batch_response,
+                 run_item_request, cancel_item_run, item_run_updates, target_leaving, limit_report,
+                 permit_demands, permit_grants, quarantine::crash_report,
+                 quarantine::completion_report, quarantine::trial_demand, quarantine::trial_end,
+                 quarantine::copy_report, quarantine::suspect_update, quarantine::trial_decision>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -55,6 +55,24 @@
     return example;
 }
 
+constexpr request_fingerprint example_fingerprint(0xfedcba9876543210, 0x8000000000000001);
+
+quarantine::crash_record example_crash() {
+    return {target_id("e1"), incarnation_id(7), quarantine::crash_status::proven, true,
+            std::chrono::milliseconds(40)};
+}
+
+quarantine::suspect_update example_suspect() {
+    return {example_fingerprint,
+            quarantine::suspect_state::quarantined,
+            3,
+            {example_crash(), example_crash()},
+            2,
+            std::chrono::seconds(1),
+            std::chrono::seconds(29),
+            std::chrono::seconds(3)};
+}
+
 std::vector<message> example_messages() {
     target_update target;
     target.record.id = target_id("e1");
@@ -89,7 +107,16 @@
         limit_report{target_id("e1"), incarnation_id(7), 1500000, std::chrono::milliseconds(40)},
         permit_demands{{{target_id("e1"), incarnation_id(7), 3, 2, 1}}},
         permit_grants{
-            {{target_id("e1"), incarnation_id(7), 3, 2, std::chrono::milliseconds(40), 9}}}};
+            {{target_id("e1"), incarnation_id(7), 3, 2, std::chrono::milliseconds(40), 9}}},
+        quarantine::crash_report{example_fingerprint, example_crash()},
+        quarantine::completion_report{example_fingerprint, std::chrono::milliseconds(40)},
+        quarantine::trial_demand{example_fingerprint, 3, true},
+        quarantine::trial_end{example_fingerprint, 3, quarantine::trial_outcome::crashed},
+        quarantine::copy_report{example_fingerprint, 2},
+        example_suspect(),
+        quarantine::suspect_update{},
+        quarantine::trial_decision{example_fingerprint, 3, quarantine::trial_verdict::refused,
+                                   std::chrono::seconds(2)}};
 }
 
 /// Number of fields of the first item in the encoding of a submission with two items.
@@ -126,6 +153,25 @@
     }
 }
 
+SCENARIO("what is known of a request that crashes its targets arrives as it was sent") {
+    const auto decoded = value_or_error([] { return decode(encode(example_suspect())); });
+    REQUIRE(std::holds_alternative<message>(decoded));
+    const auto& update = std::get<quarantine::suspect_update>(std::get<message>(decoded));
+    CHECK(update.fingerprint == example_fingerprint);
+    CHECK(update.state == quarantine::suspect_state::quarantined);
+    CHECK(update.crashes == 3);
+    REQUIRE(update.latest.size() == 2);
+    CHECK(update.latest[1].target == target_id("e1"));
+    CHECK(update.latest[1].incarnation == incarnation_id(7));
+    CHECK(update.latest[1].status == quarantine::crash_status::proven);
+    CHECK(update.latest[1].is_trial);
+    CHECK(update.latest[1].age == std::chrono::milliseconds(40));
+    CHECK(update.late_trials == 2);
+    CHECK(update.last_trial_age == std::chrono::seconds(1));
+    CHECK(update.next_trial_in == std::chrono::seconds(29));
+    CHECK(update.answered_age == std::chrono::seconds(3));
+}
+
 SCENARIO(
     "journal records, commands and states keep their content when they are encoded and decoded") {
     replicated::replicated_state state;
