--- a/packages/batch/tests/item_scheduler_test.cpp
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -278,6 +278,24 @@
             CHECK(starts <= 5);
         }
     }
+    // Requests that crash their targets are refused in the end; an item stays owed.
+    GIVEN("an item under whose runs engines end, again and again") {
+        while (test.now < time_point(120s)) {
+            test.dispatch(run_failed{test.run_of("a"), run_failure::broken});
+            const std::size_t starts = test.started.size();
+            while (test.started.size() == starts && test.now < time_point(139s)) {
+                test.now += 50ms;
+                test.dispatch(timer_expired{});
+            }
+            REQUIRE(test.started.size() > starts);
+        }
+        REQUIRE(test.started.size() > 5);
+        THEN("it is not given up, and completes where an engine runs it") {
+            CHECK(test.given_up.empty());
+            test.dispatch(run_completed{test.run_of("a")});
+            CHECK(test.completed == std::vector<std::string>{"j/a"});
+        }
+    }
     GIVEN("an event from weights that the job does not accept") {
         test.progress("a", 2, 0);
         THEN("the event is discarded and the item restarts") {
