A request under which targets ended is not sent on and on

Cause: each gateway decided by its own client attempt alone, and nothing was remembered of the targets that had ended under the same request. Its class: what one instance saw isn't known to the others, where the bound is on the sum of all.

Change: gateways make the request's fingerprint once, when it is read (method, route, host, path, body), and the dispatcher asks the crash account whether it may be sent. fleet::crash_monitor owns the account: what it sees goes to all keepers, what the leading one decides comes back. keeper::crash_control counts at each keeper and tells the senders while it leads. forwarding::target_checks finds out whether a target ended whose connection broke, by a connection on which nothing is sent: refused, it ended; accepted twice, it is alive. Another incarnation in its place, or a response to a later request, tells as well. A quarantined request is refused: 503 only if this client attempt was sent to nobody, else 502; Retry-After only where a retry may help.

The test also checks that no client attempt that ran got 503.

forwarded_call_test told broken attempts alone; it names the kind now, disconnected where the target ended the connection.

--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -29,10 +29,19 @@
       known_limits(time, stable_hash(this->notify.make_hello().instance.value()),
                    {[this](const wire::message& message) { this->links.send_to_all(message); },
                     [this](const target_id& target) { this->notify.permits_changed(target); }}),
+      known_crashes(time,
+                    {[this](const wire::message& message) { this->links.send_to_all(message); },
+                     [this](const instance_id& keeper, const wire::message& message) {
+                         this->links.send(keeper, message);
+                     },
+                     [this](const request_fingerprint& fingerprint) {
+                         this->notify.suspect_changed(fingerprint);
+                     }}),
       links(time, {this->notify.make_hello,
                    [this](const instance_id& keeper) {
                        spdlog::info("connected to keeper keeper={}", keeper.value());
                        this->known_limits.keeper_connected();
+                       this->known_crashes.keeper_connected(keeper);
                        this->notify.keeper_connected(keeper);
                    },
                    [this](const instance_id& from, const wire::message& message) {
@@ -69,6 +78,10 @@
         }
     } else if (const auto* grants = std::get_if<wire::permit_grants>(&message)) {
         this->known_limits.handle(*grants);
+    } else if (const auto* suspect = std::get_if<quarantine::suspect_update>(&message)) {
+        this->known_crashes.handle(*suspect, from);
+    } else if (const auto* decision = std::get_if<quarantine::trial_decision>(&message)) {
+        this->known_crashes.handle(*decision, from);
     } else if (const auto* initial_members = std::get_if<wire::initial_members_update>(&message)) {
         this->notify.initial_members_received(initial_members->initial_members);
     }
@@ -98,6 +111,7 @@
         this->known_limits.target_removed(record.id);
     } else {
         this->known_limits.target_changed(record.id, record.incarnation);
+        this->known_crashes.target_changed(record, this->directory);
     }
     this->notify.target_changed(change);
 }
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/ids.h"
+#include "fleet/crash_monitor.h"
 #include "fleet/target_limits.h"
 #include "group/member_links.h"
 #include "membership/directory.h"
@@ -33,6 +34,8 @@
         std::function<void(const membership::directory_change&)> target_changed;
         /// The permits of a limited target, or the expected wait for them, have changed.
         std::function<void(const target_id&)> permits_changed;
+        /// Whether a request under which targets may have ended may be sent has changed.
+        std::function<void(const request_fingerprint&)> suspect_changed;
         std::function<void()> stores_changed;
         std::function<void(const std::vector<quorum::member>&)> initial_members_received;
         std::function<void(const instance_id& keeper)> keeper_connected;
@@ -66,6 +69,7 @@
     /// mark outlasts updates of the keepers until another incarnation of the target starts.
     void mark_leaving(const target_id& target, incarnation_id incarnation);
     [[nodiscard]] target_limits& limits() { return this->known_limits; }
+    [[nodiscard]] crash_monitor& crashes() { return this->known_crashes; }
 
 private:
     void receive(const instance_id& from, const wire::message& message);
@@ -88,6 +92,7 @@
     std::vector<wire::store_address> known_stores;
     const clock& time;
     target_limits known_limits;
+    crash_monitor known_crashes;
     group::member_links links;
 };
 
--- a/packages/forwarding/call_parameters.h
+++ b/packages/forwarding/call_parameters.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/request_fingerprint.h"
 #include "engines/forwarded_request.h"
 #include "forwarding/response_callbacks.h"
 
+#include <optional>
 #include <string>
 
 namespace kingcupcart::forwarding {
@@ -14,6 +16,9 @@
     std::string name;
     /// `is_repeatable` and `time_left` are set from the route and from `max_wait`.
     engines::forwarded_request request;
+    /// What makes this request the same as an earlier one; empty if it is not subject to
+    /// quarantine.
+    std::optional<request_fingerprint> fingerprint;
     /// Time until the caller gives up; the route's timeout applies if it is shorter.
     duration max_wait{};
     response_callbacks notify;
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/location.h"
+#include "base/request_fingerprint.h"
 #include "base/response_limits.h"
 #include "engines/target_protocol.h"
 #include "fleet/keeper_client.h"
@@ -27,6 +28,7 @@
 namespace kingcupcart::forwarding {
 
 class forwarded_call;
+class target_checks;
 
 /// Forwards requests to the targets of their routes: executes the actions of the request dispatcher
 /// on the event loop of the thread that created it.
@@ -66,6 +68,8 @@
     void target_changed(const membership::directory_change& change);
     /// The permits of a limited target, or the expected wait for them, have changed.
     void permits_changed(const target_id& target);
+    /// Whether a request under which targets may have ended may be sent has changed.
+    void suspect_changed(const request_fingerprint& fingerprint);
 
     [[nodiscard]] std::size_t open_count() const { return this->calls.size(); }
 
@@ -82,6 +86,7 @@
     void dispatch(const requests::message& message);
     void process_inbox();
     void process_unless_busy();
+    void log_quarantined(const forwarded_call& call, const requests::refuse_request& refused);
     void log_rate_limited(const std::string& name, const requests::refuse_request& refused);
     void execute(const requests::actions& pending);
     void on(const requests::send_attempt& action);
@@ -95,6 +100,7 @@
     std::mt19937_64 random;
     requests::dispatcher dispatcher;
     http::client client;
+    std::unique_ptr<target_checks> checks;
     std::unordered_map<request_id, open_call> calls;
     std::unordered_map<attempt_id, request_id> attempts;
     std::uint64_t last_request = 0;
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -19,6 +19,19 @@
     return status >= status_ok && status < status_multiple_choices;
 }
 
+requests::attempt_failure failure_of(http::call_result completion) {
+    switch (completion) {
+    case http::call_result::unreachable:
+        return requests::attempt_failure::unreachable;
+    case http::call_result::disconnected:
+        return requests::attempt_failure::disconnected;
+    case http::call_result::complete:
+    case http::call_result::broken:
+        break;
+    }
+    return requests::attempt_failure::broken;
+}
+
 } // namespace
 
 forwarded_call::forwarded_call(parameters arguments) : params(std::move(arguments)) {}
@@ -150,11 +163,7 @@
         this->params.notify(requests::attempt_completed{attempt});
         return;
     }
-    this->fail_attempt(attempt,
-                       completion == http::call_result::unreachable
-                           ? requests::attempt_failure::unreachable
-                           : requests::attempt_failure::broken,
-                       http::to_string(completion), reason);
+    this->fail_attempt(attempt, failure_of(completion), http::to_string(completion), reason);
 }
 
 void forwarded_call::fail_attempt(attempt_id attempt, requests::attempt_failure failure,
@@ -162,9 +171,11 @@
     const auto found = this->attempts.find(attempt);
     const attempt_response* response =
         found == this->attempts.end() ? nullptr : found->second.get();
-    spdlog::warn("attempt failed request={} attempt={} kind={} target={} incarnation={} "
-                 "took_ms={} reason=\"{}\"",
+    const auto& fingerprint = this->params.call.fingerprint;
+    spdlog::warn("attempt failed request={} attempt={} kind={} fingerprint={} target={} "
+                 "incarnation={} took_ms={} reason=\"{}\"",
                  this->params.call.name, attempt.value(), kind,
+                 fingerprint ? fingerprint->to_string() : "",
                  response == nullptr ? "" : response->target.value(),
                  response == nullptr ? 0 : response->incarnation.value(),
                  response == nullptr ? 0
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,9 @@
     void fail(const call_failure& failure);
 
     [[nodiscard]] const std::string& name() const { return this->params.call.name; }
+    [[nodiscard]] const std::optional<request_fingerprint>& fingerprint() const {
+        return this->params.call.fingerprint;
+    }
     /// Status of the target's response that was sent to the caller; 0 if none was.
     [[nodiscard]] int status() const { return this->response_status; }
 
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/forwarder.h"
 
 #include "forwarding/internal/forwarded_call.h"
+#include "forwarding/internal/target_checks.h"
 #include "forwarding/response_observer.h"
 
 #include <spdlog/spdlog.h>
@@ -30,8 +31,9 @@
     : params(std::move(arguments)),
       random(this->params.seed),
       dispatcher(this->params.place, make_limits(), this->params.seed,
-                 &this->params.fleet->limits().account()),
+                 &this->params.fleet->limits().account(), &this->params.fleet->crashes().account()),
       client(*this->params.time, {this->params.limits, {}}),
+      checks(std::make_unique<target_checks>(*this->params.time, *this->params.fleet)),
       dispatcher_timer([this] { this->dispatch(requests::timer_expired{}); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {
     if (this->params.fleet->routes() != nullptr) {
@@ -65,6 +67,11 @@
     this->process_unless_busy();
 }
 
+void forwarder::suspect_changed(const request_fingerprint& fingerprint) {
+    this->execute(this->dispatcher.update_suspect(fingerprint, this->params.time->now()));
+    this->process_unless_busy();
+}
+
 backend_name forwarder::choose_service(const routes::route& route) {
     const auto total = std::accumulate(
         route.shares.begin(), route.shares.end(), std::uint64_t{0},
@@ -97,6 +104,7 @@
     profile.deadline = max_wait;
     profile.objective = route.latency_objective;
     profile.max_attempts = route.max_attempts;
+    profile.fingerprint = call.fingerprint;
 
     forwarded_call::parameters arguments;
     arguments.call = std::move(call);
@@ -110,6 +118,7 @@
     arguments.head_received = [this](const observed_request& request,
                                      const http::response_head& head) {
         observe_response(*this->params.fleet, this->params.protocol, request, head);
+        this->checks->record_response(request);
     };
     this->calls.emplace(profile.id,
                         open_call{std::make_unique<forwarded_call>(std::move(arguments)), now});
@@ -155,6 +164,8 @@
     }
     this->is_processing = false;
     this->params.fleet->limits().update_demands();
+    this->params.fleet->crashes().update();
+    this->checks->update();
     if (const auto next = this->dispatcher.next_wakeup()) {
         this->dispatcher_timer.arm(*next);
     }
@@ -215,12 +226,26 @@
     if (found != this->calls.end()) {
         if (refused.reason == requests::refusal_reason::rate_limited) {
             this->log_rate_limited(found->second.call->name(), refused);
+        } else if (refused.reason == requests::refusal_reason::quarantined) {
+            this->log_quarantined(*found->second.call, refused);
         }
         found->second.call->fail({refused.outcome, refused.reason, refused.retry_after});
         this->finish(refused.request, requests::to_string(refused.outcome));
     }
 }
 
+void forwarder::log_quarantined(const forwarded_call& call,
+                                const requests::refuse_request& refused) {
+    const std::optional<request_fingerprint>& fingerprint = call.fingerprint();
+    spdlog::info("request is quarantined request={} fingerprint={} crashes={} outcome={} "
+                 "retry_after_ms={}",
+                 call.name(), fingerprint ? fingerprint->to_string() : "",
+                 fingerprint ? this->params.fleet->crashes().account().crashes(*fingerprint) : 0,
+                 requests::to_string(refused.outcome),
+                 refused.retry_after / std::chrono::milliseconds(1));
+    this->params.metrics->count("requests_quarantined_total");
+}
+
 void forwarder::log_rate_limited(const std::string& name, const requests::refuse_request& refused) {
     const target_id& target = refused.limited_target;
     const permits::target_limit* limit = this->params.fleet->limits().table().find(target);
--- a/packages/forwarding/tests/forwarded_call_test.cpp
+++ b/packages/forwarding/tests/forwarded_call_test.cpp
@@ -12,6 +12,7 @@
 using namespace kingcupcart;
 using namespace kingcupcart::forwarding;
 using http::scripted_reply;
+using requests::attempt_failure;
 using ending = http::scripted_reply::ending;
 
 namespace {
@@ -106,10 +107,10 @@
         this->runner.pause_for(http::raw_caller::max_time);
     }
 
-    [[nodiscard]] bool has_failed() const {
+    [[nodiscard]] bool has_failed(attempt_failure failure) const {
         const auto* failed =
             this->outcome ? std::get_if<requests::attempt_failed>(&*this->outcome) : nullptr;
-        return failed != nullptr && failed->failure == requests::attempt_failure::broken;
+        return failed != nullptr && failed->failure == failure;
     }
 };
 
@@ -130,7 +131,7 @@
         http::scripted_server first(
             {{stream_head + "Content-Length: 100\r\n\r\n" + first_event, ending::close}});
         stream.attempt(1, first, 0);
-        REQUIRE(stream.has_failed());
+        REQUIRE(stream.has_failed(attempt_failure::disconnected));
         REQUIRE(stream.delivered == first_event);
         for (const char* head :
              {"HTTP/1.1 500 Internal Server Error\r\n", "HTTP/1.1 400 Bad Request\r\n",
@@ -140,7 +141,7 @@
                     {{head + std::string("Content-Length: 7\r\n\r\nfailure")}});
                 stream.attempt(2, second, 1);
                 THEN("that attempt has failed, and the caller gets nothing of it") {
-                    CHECK(stream.has_failed());
+                    CHECK(stream.has_failed(attempt_failure::broken));
                     CHECK_FALSE(stream.has_ended);
                     CHECK_FALSE(stream.has_response);
                     CHECK(stream.delivered == first_event);
@@ -159,7 +160,7 @@
             http::scripted_server second({{"HTTP/1.1 200 OK\r\nContent-", ending::close}});
             stream.attempt(2, second, 1);
             THEN("that attempt has failed") {
-                CHECK(stream.has_failed());
+                CHECK(stream.has_failed(attempt_failure::disconnected));
                 CHECK_FALSE(stream.has_ended);
             }
         }
@@ -169,7 +170,7 @@
         http::scripted_server first({{whole_stream(first_event + "id: 2\ndata: tw")}});
         stream.attempt(1, first, 0);
         THEN("the attempt has failed, after its complete events") {
-            CHECK(stream.has_failed());
+            CHECK(stream.has_failed(attempt_failure::broken));
             CHECK_FALSE(stream.has_ended);
             CHECK(stream.delivered == first_event);
         }
@@ -201,7 +202,7 @@
                 http::scripted_server server({{part, after}});
                 call.attempt(1, server, 0);
                 THEN("the attempt has failed") {
-                    CHECK(call.has_failed());
+                    CHECK(call.has_failed(attempt_failure::disconnected));
                     CHECK_FALSE(call.has_response);
                 }
             }
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -48,6 +48,10 @@
     details.reason = requests::to_string(failure.reason);
     details.retry_after =
         failure.retry_after > duration::zero() ? failure.retry_after : retry_after_default;
+    if (failure.reason == requests::refusal_reason::quarantined) {
+        // Without a delay a retry is no use.
+        details.retry_after = failure.retry_after;
+    }
     if (failure.outcome == requests::outcome_kind::not_run) {
         details.kind = refusal_kind::not_run;
     } else {
@@ -103,6 +107,9 @@
     keeper_callbacks.permits_changed = [this](const target_id& target) {
         this->forwarder->permits_changed(target);
     };
+    keeper_callbacks.suspect_changed = [this](const request_fingerprint& fingerprint) {
+        this->forwarder->suspect_changed(fingerprint);
+    };
     keeper_callbacks.stores_changed = [this] {
         this->stores->stores_changed(this->fleet->stores());
     };
@@ -255,6 +262,9 @@
     forwarded.request.body = exchange->body();
     forwarded.request.resume_after = call.resume_after;
     forwarded.max_wait = call.max_wait.value_or(route.timeout);
+    forwarded.fingerprint =
+        make_fingerprint({forwarded.request.method, route.name.value(), call.host,
+                          forwarded.request.path, forwarded.request.body});
     forwarded.notify = this->respond_to(exchange, call.request_name);
     const request_id request = this->forwarder->start(route, std::move(forwarded));
     exchange->on_disconnect([this, request] { this->forwarder->cancel(request); });
@@ -295,6 +305,7 @@
     this->metrics.set("gateway_open_requests", static_cast<double>(this->forwarder->open_count()));
     this->metrics.set("gateway_targets", static_cast<double>(this->fleet->targets().size()));
     this->fleet->limits().export_metrics(this->metrics);
+    this->fleet->crashes().export_metrics(this->metrics);
     admin::report report;
     report.component = "gateway";
     report.status = status.dump() + "\n";
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -23,6 +23,7 @@
       targets(location{}, membership::lease_scope::all_domains),
       stores(this->params.settings.tolerated_losses),
       limits(this->make_limit_parameters()),
+      crashes(this->make_crash_parameters()),
       orders({this->params.instance, this->params.protocol, &this->targets, this->params.time,
               this->params.limits, this->params.settings.order_lease,
               [this] {
@@ -68,6 +69,15 @@
     return arguments;
 }
 
+crash_control::parameters fleet_control::make_crash_parameters() const {
+    crash_control::parameters arguments;
+    arguments.time = this->params.time;
+    arguments.is_leading = [this] { return this->params.replicated_group->has_leader_lease(); };
+    arguments.send_to_instance = this->params.send_to_instance;
+    arguments.send_to_gateways_and_stores = this->params.send_to_gateways_and_stores;
+    return arguments;
+}
+
 void fleet_control::handle(const control_call& call) {
     std::visit([this](const auto& alternative) { this->on(alternative); }, call);
 }
@@ -240,6 +250,8 @@
     }
     const std::vector<wire::message> reports = this->limits.initial_messages();
     messages.insert(messages.end(), reports.begin(), reports.end());
+    const std::vector<wire::message> suspects = this->crashes.initial_messages();
+    messages.insert(messages.end(), suspects.begin(), suspects.end());
     return messages;
 }
 
@@ -259,6 +271,7 @@
 
 void fleet_control::instance_disconnected(const wire::hello& hello) {
     this->limits.instance_disconnected(hello.instance);
+    this->crashes.instance_disconnected(hello.instance);
     if (hello.role == wire::instance_role::store) {
         this->stores.disconnected(hello.instance, this->params.time->now());
     }
@@ -271,9 +284,15 @@
     for (const wire::message& report : this->limits.initial_messages()) {
         this->params.replicated_group->members().send(keeper, report);
     }
+    for (const wire::message& suspect : this->crashes.initial_messages()) {
+        this->params.replicated_group->members().send(keeper, suspect);
+    }
 }
 
 void fleet_control::handle_message(const wire::hello& from, const wire::message& message) {
+    if (this->crashes.handle(from.instance, message)) {
+        return;
+    }
     const time_point now = this->params.time->now();
     if (const auto* update = std::get_if<wire::target_update>(&message)) {
         const auto change =
@@ -470,6 +489,7 @@
         }
     }
     this->limits.leadership_changed(is_leader);
+    this->crashes.leadership_changed(is_leader);
     this->orders.leadership_changed(is_leader);
 }
 
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -6,6 +6,7 @@
 #include "engines/target_protocol.h"
 #include "group/group.h"
 #include "keeper/control_calls.h"
+#include "keeper/internal/crash_control.h"
 #include "keeper/internal/keeper_codec.h"
 #include "keeper/internal/limit_control.h"
 #include "keeper/internal/store_registry.h"
@@ -66,6 +67,7 @@
     /// The whole replicated state was replaced by a snapshot.
     void restored();
     void leadership_changed(bool is_leader);
+    void export_metrics() const { this->crashes.export_metrics(*this->params.metrics); }
 
 private:
     void on(const put_routes& call);
@@ -78,6 +80,7 @@
     void on(const malformed_call& call);
 
     [[nodiscard]] limit_control::parameters make_limit_parameters();
+    [[nodiscard]] crash_control::parameters make_crash_parameters() const;
     void submit(const replicated::command& command, const control_reply& reply);
     /// Sends the change to the other keepers and handles it here.
     /// Marks the target as leaving, as if a heartbeat had announced it, and notifies all instances.
@@ -109,6 +112,7 @@
     std::map<target_id, time_point> last_heartbeats;
     store_registry stores;
     limit_control limits;
+    crash_control crashes;
     weight_orders orders;
     bool is_bootstrapping = false;
     time_point started_at{};
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -413,6 +413,7 @@
     status["journal_bytes"] = this->replicated_group->consensus().journal_bytes();
     if (this->fleet) {
         status["targets"] = this->fleet->target_count();
+        this->fleet->export_metrics();
     }
     status["instances"] = ordered_json::array();
     for (const auto& [number, linked] : this->linked_instances) {
--- a/stand_ins/crashing_replica.h
+++ b/stand_ins/crashing_replica.h
@@ -45,6 +45,10 @@
     [[nodiscard]] const std::vector<time_point>& fatal_runs() const {
         return this->fatal_run_times;
     }
+    /// Identifiers of these runs' requests.
+    [[nodiscard]] const std::vector<std::string>& fatal_requests() const {
+        return this->fatal_request_ids;
+    }
     /// When marked requests ended it.
     [[nodiscard]] const std::vector<time_point>& crashes() const { return this->crash_times; }
 
@@ -58,6 +62,7 @@
     parameters params;
     std::size_t starts = 0;
     std::vector<time_point> fatal_run_times;
+    std::vector<std::string> fatal_request_ids;
     std::vector<time_point> crash_times;
     /// Null while it is down.
     std::unique_ptr<platform_replica> running;
--- a/stand_ins/internal/crashing_replica.cpp
+++ b/stand_ins/internal/crashing_replica.cpp
@@ -36,9 +36,10 @@
     arguments.started_at_ms += this->starts;
     arguments.response_time = this->params.response_time;
     arguments.fatal_text = this->params.fatal_text;
-    arguments.on_fatal_run = [this] {
+    arguments.on_fatal_run = [this](const std::string& request) {
         const time_point now = std::chrono::steady_clock::now();
         this->fatal_run_times.push_back(now);
+        this->fatal_request_ids.push_back(request);
         this->crash_timer.arm(now + this->params.time_to_crash);
     };
     BOOST_LEAF_ASSIGN(this->running, platform_replica::open(arguments));
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -147,8 +147,9 @@
 void platform_replica::run_service_request(std::unique_ptr<http::exchange> exchange) {
     const std::string& fatal_text = this->params.fatal_text;
     if (!fatal_text.empty() && exchange->body().find(fatal_text) != std::string::npos) {
+        const std::string identifier = exchange->header("X-Request-Id");
         this->held_exchanges.push_back(std::move(exchange));
-        this->params.on_fatal_run();
+        this->params.on_fatal_run(identifier);
     } else if (this->holds_responses) {
         this->held_exchanges.push_back(std::move(exchange));
     } else if (this->requests_to_fail > 0) {
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -47,8 +47,8 @@
         /// A request to a plain service whose body contains this text gets no response; none does
         /// if it is empty.
         std::string fatal_text = {};
-        /// Called when a run of such a request begins.
-        std::function<void()> on_fatal_run = {};
+        /// Called with the request's identifier when a run of such a request begins.
+        std::function<void(const std::string&)> on_fatal_run = {};
     };
 
     /// Fails if it can't listen.
--- a/tests/process/repeated_crashes_test.cpp
+++ b/tests/process/repeated_crashes_test.cpp
@@ -143,6 +143,13 @@
         return count;
     }
 
+    [[nodiscard]] bool has_run(const std::string& request) const {
+        return std::any_of(this->replicas.begin(), this->replicas.end(), [&](const auto& replica) {
+            const auto& requests = replica->fatal_requests();
+            return std::find(requests.begin(), requests.end(), request) != requests.end();
+        });
+    }
+
     [[nodiscard]] std::ptrdiff_t served_count() const {
         return std::count_if(
             this->others.begin(), this->others.end(),
@@ -178,6 +185,13 @@
     if (copies == 1) {
         CHECK(crashes.size() <= max_crashes_in_sequence);
     }
+    for (std::size_t i = 0; i < test.marked_calls.size(); ++i) {
+        const int status = test.marked_calls[i]->head.status;
+        CAPTURE(status);
+        // 503 promises that this client attempt did not run.
+        const bool has_run = test.has_run("marked" + std::to_string(i));
+        CHECK((has_run ? status == 502 || status == 504 : status == 503 || status == 502));
+    }
     std::size_t unserved = 0;
     for (const other_request& request : test.others) {
         const bool are_replicas_back = request.first_sent_at > settled + restart_time;
