--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
     void fail(const call_failure& failure);
 
     [[nodiscard]] const std::string& name() const { return this->params.call.name; }
+    [[nodiscard]] const std::optional<request_fingerprint>& fingerprint() const {
+        return this->params.call.fingerprint;
+    }
     /// Status of the target's response that was sent to the caller; 0 if none was.
     [[nodiscard]] int status() const { return this->response_status; }
 
@@ -82,7 +86,8 @@
     void control_flow();
     void set_paused(bool pauses);
     void on_end(attempt_id attempt, http::call_result completion, const std::string& reason);
-    void fail_attempt(attempt_id attempt, requests::attempt_failure failure,
+    /// `kind` and `reason` are for the log.
+    void fail_attempt(attempt_id attempt, requests::attempt_failure failure, const char* kind,
                       const std::string& reason);
 
     parameters params;
--- a/packages/http/internal/response_parser.h
+++ b/packages/http/internal/response_parser.h
@@ -39,6 +39,10 @@
     [[nodiscard]] bool is_over_limit() const;
     /// Memory of the head, and of what was received and is neither parsed nor taken, in bytes.
     [[nodiscard]] std::size_t buffered_bytes() const;
+    /// Whether the bytes so far begin a response, or there are none.
+    [[nodiscard]] bool is_well_formed() const;
+    /// Whether parsing has failed only because the peer closed the connection too early.
+    [[nodiscard]] bool is_cut_short() const;
     /// Whether another request may follow on the connection: the response is complete, no bytes
     /// followed it, and the peer does not close.
     [[nodiscard]] bool can_reuse_connection() const;
