--- a/model/baseline_policy.h
+++ b/model/baseline_policy.h
@@ -57,6 +57,7 @@
     }
     void process(const requests::attempt_write_started& /*started*/) {}
     void process(const requests::attempt_progressed& /*progressed*/) {}
+    void process(const requests::attempt_paused& /*paused*/) {}
     void process(const requests::attempt_completed& completed) {
         const auto entry = this->running.find(completed.attempt);
         if (entry == this->running.end()) {
