--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -71,6 +71,44 @@
     return group.time() - returned_at;
 }
 
+const member first_voter{instance_id("a"), disk_id(1)};
+const member second_voter{instance_id("b"), disk_id(1)};
+const member lost_voter{instance_id("c"), disk_id(1)};
+const member returned_voter{instance_id("c"), disk_id(2)};
+
+/// The member "a" of three, with a stored state and a manual clock.
+struct single_member {
+    explicit single_member(const stored_state& stored)
+        : raft(first_voter, {second_voter.id, lost_voter.id}, stored, limits(), 1, now) {}
+
+    static replica_limits limits() {
+        replica_limits changed;
+        changed.desired_voters = 3;
+        return changed;
+    }
+    void start_pre_vote() {
+        this->now = this->raft.next_wakeup();
+        static_cast<void>(this->raft.handle_timer(this->now));
+    }
+    /// Whether the vote makes it ask for binding votes, or lead.
+    bool proceeds_with_vote_of(const member& voter, bool is_pre_vote) {
+        const term_number asked(this->raft.term().value() + (is_pre_vote ? 1 : 0));
+        const term_number before = this->raft.term();
+        static_cast<void>(
+            this->raft.handle(vote_response{asked, voter, true, is_pre_vote}, this->now));
+        return this->raft.term() > before || this->raft.is_leader();
+    }
+    void accept_all_of(const member& follower) {
+        static_cast<void>(
+            this->raft.handle(append_entries_response{this->raft.term(), follower, true,
+                                                      this->raft.last_index(), this->now},
+                              this->now));
+    }
+
+    time_point now{1s};
+    replica raft;
+};
+
 constexpr duration redundancy_target = 2s;
 constexpr std::size_t megabyte = 1'000'000;
 
@@ -129,6 +167,39 @@
     }
 }
 
+// Guards against a new disk that becomes a voter without the log, by what the lost one had said.
+SCENARIO("a response of a lost disk does not count for the disk that replaces it") {
+    stored_state stored;
+    stored.snapshot_voters.voters = {first_voter, second_voter, lost_voter};
+    single_member leader(stored);
+    leader.start_pre_vote();
+    REQUIRE(leader.proceeds_with_vote_of(second_voter, true));
+    REQUIRE(leader.proceeds_with_vote_of(second_voter, false));
+    leader.accept_all_of(second_voter);
+    static_cast<void>(leader.raft.handle(join_request{returned_voter}, leader.now));
+    leader.accept_all_of(lost_voter);
+    leader.accept_all_of(second_voter);
+    CHECK(leader.raft.voters().voters == stored.snapshot_voters.voters);
+}
+
+// Guards against two leaders in one term: the lost disk may have voted for another candidate.
+SCENARIO(
+    "a member that takes the place of a lost disk has no vote before the change is committed") {
+    log_entry entry;
+    entry.term = term_number(1);
+    entry.change = membership{{first_voter, second_voter, returned_voter}, returned_voter.id};
+    stored_state stored;
+    stored.term = term_number(1);
+    stored.snapshot_voters.voters = {first_voter, second_voter, lost_voter};
+    stored.entries = {entry};
+    single_member candidate(stored);
+    candidate.start_pre_vote();
+    CHECK_FALSE(candidate.proceeds_with_vote_of(returned_voter, true));
+    CHECK(candidate.proceeds_with_vote_of(second_voter, true));
+    CHECK_FALSE(candidate.proceeds_with_vote_of(returned_voter, false));
+    CHECK(candidate.proceeds_with_vote_of(second_voter, false));
+}
+
 SCENARIO("the time to redundancy is reported for larger states" * doctest::skip()) {
     for (const std::size_t megabytes : {12, 25, 50}) {
         for (const std::size_t members : {5, 6, 7}) {
