--- a/packages/quorum/tests/cluster.h
+++ b/packages/quorum/tests/cluster.h
@@ -120,7 +120,7 @@
         for (const instance_id& id : this->ids) {
             const node& member_node = this->nodes[id];
             if (member_node.raft && !member_node.is_frozen && member_node.raft->is_leader() &&
-                member_node.raft->voters().voters.size() > 0) {
+                !member_node.raft->voters().voters.empty()) {
                 return id;
             }
         }
