Links: an idle link keeps no large write buffer

Cause: a link's write buffer kept the memory of the largest message that it had ever sent, up to 700 KB of results for each of 62 gateways.

Why it works: a buffer of more than 16 KiB is released once everything is sent.

--- a/packages/wire/internal/peer_link.cpp
+++ b/packages/wire/internal/peer_link.cpp
@@ -22,6 +22,9 @@
 namespace {
 
 constexpr std::size_t read_buffer_size = 64UL * 1024;
+/// Memory that the write buffer of a link keeps while nothing is unsent. An instance has a link to
+/// each other one, and few of them carry large messages at the same time.
+constexpr std::size_t max_idle_buffer_bytes = 16UL * 1024;
 /// Timeout of a TCP connection attempt. The keepalive check covers the handshake that follows.
 constexpr guint connect_timeout_seconds = 2;
 /// An idle link sends a keepalive once per interval. A link that receives nothing for more than
@@ -253,6 +256,9 @@
         }
         this->unsent.erase(0, this->written);
         this->written = 0;
+        if (is_complete && this->unsent.capacity() > max_idle_buffer_bytes) {
+            this->unsent.shrink_to_fit();
+        }
         this->watch->await_writable(!is_complete);
     }
 
