A new disk that has caught up does not wait for the new disk of another voter

Callers would see accepted jobs that can't be read after a final fault: with no standby left and two disks lost, only the first voter in the list whose disk is lost was looked at. While its new disk lacked the state (gone again, cut off, distant), the other one was not taken in although it held the state, so the group bore no further loss for good. Before each was taken in by itself.

Found by reading. The change stays a single one of the same kind; only the choice of the voter differs.

--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -208,26 +208,27 @@
 
 bool replica::replace_lost_voter() {
     membership changed = this->latest_membership;
-    const auto lost =
-        std::find_if(changed.voters.begin(), changed.voters.end(),
-                     [this](const member& voter) { return this->is_disk_lost(voter); });
-    if (lost == changed.voters.end()) {
-        return false;
-    }
-    const auto is_voter_id = [this](const instance_id& id) {
-        const auto& voters = this->latest_membership.voters;
-        return std::any_of(voters.begin(), voters.end(),
-                           [&](const member& voter) { return voter.id == id; });
-    };
-    auto replacement = this->learners.find(lost->id);
-    if (!this->is_caught_up(replacement->first)) {
+    std::vector<member>& voters = changed.voters;
+    // Where several disks are lost, one whose successor has caught up must not wait for another.
+    auto lost = std::find_if(voters.begin(), voters.end(), [this](const member& voter) {
+        return this->is_disk_lost(voter) && this->is_caught_up(voter.id);
+    });
+    auto replacement = this->learners.end();
+    if (lost != voters.end()) {
+        replacement = this->learners.find(lost->id);
+    } else {
+        lost = std::find_if(voters.begin(), voters.end(),
+                            [this](const member& voter) { return this->is_disk_lost(voter); });
         replacement =
             std::find_if(this->learners.begin(), this->learners.end(), [&](const auto& item) {
-                return !is_voter_id(item.first) && this->is_caught_up(item.first) &&
+                const bool is_voter_id =
+                    std::any_of(voters.begin(), voters.end(),
+                                [&](const member& voter) { return voter.id == item.first; });
+                return !is_voter_id && this->is_caught_up(item.first) &&
                        !this->is_absent_or_leaving(item.first);
             });
     }
-    if (replacement == this->learners.end()) {
+    if (lost == voters.end() || replacement == this->learners.end()) {
         return false;
     }
     *lost = replacement->second;
