A late message in the name of a former disk does not keep a voter from counting

Callers would see accepted jobs that can't be read after a final fault: a request to join or for a vote that a voter's former disk sent, and that a connection delivers after the new disk has taken its place, made the leader count the voter's disk as lost. Its responses were dropped from then on, and it asks for nothing as it is a voter, so the group bore one loss less for as long as the leader led.

Found by reading. A response of the disk that is counted, to a request that the leader sent after it last heard of the other disk, shows that the other one is the former. Both scenarios of quorum_test, "a late message in the name of a former disk leaves the voter with the new one", failed before, 10 s after the message, and pass now; all of quorum_test does.

--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -222,10 +222,14 @@
     }
     const auto learner = this->learners.find(follower.id);
     if (learner != this->learners.end() && learner->second != follower) {
-        // Sent before the disk was lost. It must not count for the disk that replaces it.
-        return nullptr;
-    }
-    if (learner == this->learners.end() && !this->is_known_voter(follower)) {
+        if (!this->is_known_voter(follower) || request_sent_at <= known->second.last_contact) {
+            // Sent before the disk was lost. It must not count for the disk that replaces it.
+            return nullptr;
+        }
+        // The counted disk answers a request from after the other one was last heard of, so it is
+        // the other one that is gone: its message came late.
+        this->learners.erase(learner);
+    } else if (learner == this->learners.end() && !this->is_known_voter(follower)) {
         if (request_sent_at >= this->voters_changed_at) {
             this->on(join_request{follower});
         }
