--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -260,3 +260,41 @@
         }
     }
 }
+
+// Guards against a retirement, or the replacement of a lost disk, that ends with a voter which is
+// gone: the group then bears one loss less than it reports to its operator.
+SCENARIO("a standby that has just gone takes no voter's place") {
+    GIVEN("five voters and two standbys, of which the first has just gone") {
+        cluster group(1, 7, cluster::initial_group{5});
+        group.is_ordered = true;
+        group.advance(4s);
+        const instance_id leader = group.leader().value();
+        const instance_id gone("f");
+        const instance_id replaced = group.ids[0] == leader ? group.ids[1] : group.ids[0];
+        REQUIRE(!group.is_voter(gone));
+        group.stop(gone);
+        group.advance(700ms);
+        WHEN("a voter is to leave") {
+            group.set_leaving(replaced);
+            group.advance(1s);
+            THEN("the other standby has its place") {
+                CAPTURE(group.voters());
+                CHECK(group.voters().find(gone.value()) == std::string::npos);
+                CHECK(group.voters().find(replaced.value()) == std::string::npos);
+                CHECK(group.bearable_losses() == 2);
+            }
+        }
+        WHEN("a voter returns with a new disk") {
+            group.stop(replaced);
+            group.erase_disk(replaced);
+            group.advance(20ms);
+            group.start(replaced);
+            group.advance(1s);
+            THEN("the other standby has its place") {
+                CAPTURE(group.voters());
+                CHECK(group.voters().find(gone.value()) == std::string::npos);
+                CHECK(group.bearable_losses() == 2);
+            }
+        }
+    }
+}
