A standby that has gone does not take the place of a voter

Callers would see accepted jobs that can't be read after a final fault. A retirement was reported as completed with a voter that was gone, and the next two lost disks stopped the group.

--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -185,6 +185,12 @@
            this->now - follower->second.last_contact > this->limits.absence_timeout;
 }
 
+bool replica::can_be_promoted(const instance_id& standby) const {
+    const auto follower = this->followers.find(standby);
+    return this->is_caught_up(standby) && !this->leaving.contains(standby) &&
+           this->now - follower->second.last_contact < this->limits.min_election_timeout;
+}
+
 std::size_t replica::standby_count() const {
     return static_cast<std::size_t>(
         std::count_if(this->learners.begin(), this->learners.end(), [this](const auto& item) {
@@ -224,8 +230,7 @@
                 const bool is_voter_id =
                     std::any_of(voters.begin(), voters.end(),
                                 [&](const member& voter) { return voter.id == item.first; });
-                return !is_voter_id && this->is_caught_up(item.first) &&
-                       !this->is_absent_or_leaving(item.first);
+                return !is_voter_id && this->can_be_promoted(item.first);
             });
     }
     if (lost == voters.end() || replacement == this->learners.end()) {
@@ -254,8 +259,7 @@
         const bool replaces_disk =
             std::any_of(voters.begin(), voters.end(),
                         [&](const member& voter) { return voter.id == item->first; });
-        if (replaces_disk || !this->is_caught_up(item->first) ||
-            this->is_absent_or_leaving(item->first)) {
+        if (replaces_disk || !this->can_be_promoted(item->first)) {
             continue;
         }
         membership changed = this->latest_membership;
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -183,6 +183,9 @@
     [[nodiscard]] bool is_catching_up(const progress& state) const;
     void install_snapshot(const install_snapshot_request& last);
     [[nodiscard]] bool is_caught_up(const instance_id& id) const;
+    /// Whether the standby has caught up and responds: one that is gone would take the place of a
+    /// voter long before it counts as absent.
+    [[nodiscard]] bool can_be_promoted(const instance_id& standby) const;
     [[nodiscard]] bool is_absent_or_leaving(const instance_id& id) const;
     void change_membership(membership changed, voters_change_reason reason);
     [[nodiscard]] int bearable_losses_among(const membership& among, time_point moment) const;
