A leaving voter stays until the one that stands in for it responds

Callers would see accepted jobs that can't be read after a final fault. A standby was counted on while its last response was less than 500 ms old. One that had gone before was made a voter, the leaving voter was removed in the next change, its retirement reported as completed, and two lost disks stopped the group.

--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -176,15 +176,23 @@
            before(follower->second.next) >= this->commit_index;
 }
 
-bool replica::is_absent_or_leaving(const instance_id& id) const {
-    if (this->leaving.contains(id)) {
-        return true;
-    }
+bool replica::is_absent(const instance_id& id) const {
     const auto follower = this->followers.find(id);
     return id != this->local_member.id && follower != this->followers.end() &&
            this->now - follower->second.last_contact > this->limits.absence_timeout;
 }
 
+bool replica::is_absent_or_leaving(const instance_id& id) const {
+    return this->leaving.contains(id) || this->is_absent(id);
+}
+
+bool replica::has_responded_since_change(const instance_id& id) const {
+    const auto follower = this->followers.find(id);
+    return id == this->local_member.id ||
+           (follower != this->followers.end() &&
+            follower->second.last_contact >= this->voters_changed_at);
+}
+
 bool replica::can_be_promoted(const instance_id& standby) const {
     const auto follower = this->followers.find(standby);
     return this->is_caught_up(standby) && !this->leaving.contains(standby) &&
@@ -282,11 +290,22 @@
     }
     auto removed = std::find_if(changed.voters.begin(), changed.voters.end(),
                                 [this](const member& voter) { return this->is_disk_lost(voter); });
+    if (removed == changed.voters.end()) {
+        removed = std::find_if(changed.voters.begin(), changed.voters.end(),
+                               [this](const member& voter) { return this->is_absent(voter.id); });
+    }
     if (removed == changed.voters.end()) {
         removed =
-            std::find_if(changed.voters.begin(), changed.voters.end(), [this](const member& voter) {
-                return this->is_absent_or_leaving(voter.id);
+            std::find_if(changed.voters.begin(), changed.voters.end(),
+                         [this](const member& voter) { return this->leaving.contains(voter.id); });
+        const bool is_needed =
+            std::any_of(changed.voters.begin(), changed.voters.end(), [&](const member& voter) {
+                return !this->has_responded_since_change(voter.id);
             });
+        if (removed != changed.voters.end() && is_needed) {
+            // The one that stands in for the leaving voter may be gone.
+            return false;
+        }
     }
     const bool is_surplus = removed == changed.voters.end();
     if (is_surplus) {
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -186,6 +186,9 @@
     /// Whether the standby has caught up and responds: one that is gone would take the place of a
     /// voter long before it counts as absent.
     [[nodiscard]] bool can_be_promoted(const instance_id& standby) const;
+    [[nodiscard]] bool is_absent(const instance_id& id) const;
+    /// Whether the member has responded to a request from after the latest change of the voters.
+    [[nodiscard]] bool has_responded_since_change(const instance_id& id) const;
     [[nodiscard]] bool is_absent_or_leaving(const instance_id& id) const;
     void change_membership(membership changed, voters_change_reason reason);
     [[nodiscard]] int bearable_losses_among(const membership& among, time_point moment) const;
--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -298,3 +298,33 @@
         }
     }
 }
+
+// Guards against a retirement that ends while the voter that stands in has gone unnoticed.
+SCENARIO("a leaving voter stays until the one that stands in for it responds") {
+    GIVEN("five voters and two standbys, of which the first goes this moment") {
+        cluster group(1, 7, cluster::initial_group{5});
+        group.is_ordered = true;
+        group.advance(4s);
+        const instance_id leader = group.leader().value();
+        const instance_id gone("f");
+        const instance_id replaced = group.ids[0] == leader ? group.ids[1] : group.ids[0];
+        group.stop(gone);
+        group.advance(100ms);
+        WHEN("a voter is to leave") {
+            group.set_leaving(replaced);
+            THEN("it is a voter until the other standby has its place") {
+                bool is_covered = true;
+                for (int i = 0; i < 1000; ++i) {
+                    group.advance(10ms);
+                    is_covered = is_covered && group.bearable_losses().value() >= 1 &&
+                                 (group.voters().find(replaced.value()) != std::string::npos ||
+                                  group.voters().find(gone.value()) == std::string::npos);
+                }
+                CAPTURE(group.voters());
+                CHECK(is_covered);
+                CHECK(group.voters().find(replaced.value()) == std::string::npos);
+                CHECK(group.bearable_losses() == 2);
+            }
+        }
+    }
+}
