--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -176,15 +176,29 @@
            before(follower->second.next) >= this->commit_index;
 }
 
-bool replica::is_absent_or_leaving(const instance_id& id) const {
-    if (this->leaving.contains(id)) {
-        return true;
-    }
+bool replica::is_absent(const instance_id& id) const {
     const auto follower = this->followers.find(id);
     return id != this->local_member.id && follower != this->followers.end() &&
            this->now - follower->second.last_contact > this->limits.absence_timeout;
 }
 
+bool replica::is_absent_or_leaving(const instance_id& id) const {
+    return this->leaving.contains(id) || this->is_absent(id);
+}
+
+bool replica::has_responded_since_change(const instance_id& id) const {
+    const auto follower = this->followers.find(id);
+    return id == this->local_member.id ||
+           (follower != this->followers.end() &&
+            follower->second.last_contact >= this->voters_changed_at);
+}
+
+bool replica::can_be_promoted(const instance_id& standby) const {
+    const auto follower = this->followers.find(standby);
+    return this->is_caught_up(standby) && !this->leaving.contains(standby) &&
+           this->now - follower->second.last_contact < this->limits.min_election_timeout;
+}
+
 std::size_t replica::standby_count() const {
     return static_cast<std::size_t>(
         std::count_if(this->learners.begin(), this->learners.end(), [this](const auto& item) {
@@ -208,7 +222,8 @@
 
 bool replica::replace_lost_voter() {
     membership changed = this->latest_membership;
-    auto& voters = changed.voters;
+    std::vector<member>& voters = changed.voters;
+    // Where several disks are lost, one whose successor has caught up must not wait for another.
     auto lost = std::find_if(voters.begin(), voters.end(), [this](const member& voter) {
         return this->is_disk_lost(voter) && this->is_caught_up(voter.id);
     });
@@ -218,10 +233,12 @@
     } else {
         lost = std::find_if(voters.begin(), voters.end(),
                             [this](const member& voter) { return this->is_disk_lost(voter); });
-        // The other lost voters' new disks have not caught up either.
         replacement =
-            std::find_if(this->learners.begin(), this->learners.end(), [this](const auto& item) {
-                return this->is_caught_up(item.first) && !this->is_absent_or_leaving(item.first);
+            std::find_if(this->learners.begin(), this->learners.end(), [&](const auto& item) {
+                const bool is_voter_id =
+                    std::any_of(voters.begin(), voters.end(),
+                                [&](const member& voter) { return voter.id == item.first; });
+                return !is_voter_id && this->can_be_promoted(item.first);
             });
     }
     if (lost == voters.end() || replacement == this->learners.end()) {
@@ -250,8 +267,7 @@
         const bool replaces_disk =
             std::any_of(voters.begin(), voters.end(),
                         [&](const member& voter) { return voter.id == item->first; });
-        if (replaces_disk || !this->is_caught_up(item->first) ||
-            this->is_absent_or_leaving(item->first)) {
+        if (replaces_disk || !this->can_be_promoted(item->first)) {
             continue;
         }
         membership changed = this->latest_membership;
@@ -274,11 +290,22 @@
     }
     auto removed = std::find_if(changed.voters.begin(), changed.voters.end(),
                                 [this](const member& voter) { return this->is_disk_lost(voter); });
+    if (removed == changed.voters.end()) {
+        removed = std::find_if(changed.voters.begin(), changed.voters.end(),
+                               [this](const member& voter) { return this->is_absent(voter.id); });
+    }
     if (removed == changed.voters.end()) {
         removed =
-            std::find_if(changed.voters.begin(), changed.voters.end(), [this](const member& voter) {
-                return this->is_absent_or_leaving(voter.id);
+            std::find_if(changed.voters.begin(), changed.voters.end(),
+                         [this](const member& voter) { return this->leaving.contains(voter.id); });
+        const bool is_needed =
+            std::any_of(changed.voters.begin(), changed.voters.end(), [&](const member& voter) {
+                return !this->has_responded_since_change(voter.id);
             });
+        if (removed != changed.voters.end() && is_needed) {
+            // The one that stands in for the leaving voter may be gone.
+            return false;
+        }
     }
     const bool is_surplus = removed == changed.voters.end();
     if (is_surplus) {
--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -291,3 +291,150 @@
     MESSAGE("closings: ", closings, ", with lost disks: ", with_lost_disks);
     CHECK(with_lost_disks >= closings / 4);
 }
+
+// Guards against a new disk that is held back by the new disk of another voter.
+SCENARIO("a lost disk is replaced although another voter that lost its disk is gone") {
+    GIVEN("five voters, no standby, and two of them with new disks") {
+        cluster group(1, 5, cluster::initial_group{5});
+        group.is_ordered = true;
+        group.advance(4s);
+        for (int i = 0; i < 20; ++i) {
+            group.propose(64UL * 1024);
+            group.advance(10ms);
+        }
+        for (const instance_id& id : group.ids) {
+            group.compact(id);
+        }
+        const instance_id leader = group.leader().value();
+        std::vector<instance_id> lost;
+        for (const instance_id& id : group.ids) {
+            if (id != leader && lost.size() < 2) {
+                lost.push_back(id);
+            }
+        }
+        for (const instance_id& id : lost) {
+            group.stop(id);
+            group.erase_disk(id);
+        }
+        group.advance(2s);
+        WHEN("both return, and the first goes again before it holds the state") {
+            group.start(lost[0]);
+            group.advance(25ms);
+            group.stop(lost[0]);
+            group.start(lost[1]);
+            group.advance(6s);
+            THEN("the second one is a voter, and the group bears a loss") {
+                INFO(group.describe());
+                CHECK(group.is_voter(lost[1]));
+                CHECK(group.bearable_losses() == 1);
+            }
+        }
+    }
+}
+
+// Guards against a voter that counts as lost because of what its former disk sent.
+SCENARIO("a late message in the name of a former disk leaves the voter with the new one") {
+    GIVEN("five voters, one of which has replaced its disk") {
+        cluster group(1, 5, cluster::initial_group{5});
+        group.is_ordered = true;
+        group.advance(4s);
+        const instance_id leader = group.leader().value();
+        const instance_id replaced = group.ids[0] == leader ? group.ids[1] : group.ids[0];
+        const member former = group.identity(replaced);
+        group.stop(replaced);
+        group.erase_disk(replaced);
+        group.start(replaced);
+        group.advance(2s);
+        REQUIRE(group.has_recovered_disks());
+        REQUIRE(group.bearable_losses() == 2);
+        const auto check_redundancy = [&] {
+            group.advance(10s);
+            INFO(group.describe());
+            CHECK(group.leader() == leader);
+            CHECK(group.bearable_losses() == 2);
+        };
+        WHEN("a request to join of the former disk arrives") {
+            group.deliver(leader, join_request{former});
+            THEN("the group bears two losses") {
+                check_redundancy();
+            }
+        }
+        WHEN("a request for a vote of the former disk arrives") {
+            vote_request late;
+            late.candidate = former;
+            late.is_pre_vote = true;
+            group.deliver(leader, late);
+            THEN("the group bears two losses") {
+                check_redundancy();
+            }
+        }
+    }
+}
+
+// Guards against a retirement, or the replacement of a lost disk, that ends with a voter which is
+// gone: the group then bears one loss less than it reports to its operator.
+SCENARIO("a standby that has just gone takes no voter's place") {
+    GIVEN("five voters and two standbys, of which the first has just gone") {
+        cluster group(1, 7, cluster::initial_group{5});
+        group.is_ordered = true;
+        group.advance(4s);
+        const instance_id leader = group.leader().value();
+        const instance_id gone("f");
+        const instance_id replaced = group.ids[0] == leader ? group.ids[1] : group.ids[0];
+        REQUIRE(!group.is_voter(gone));
+        group.stop(gone);
+        group.advance(700ms);
+        WHEN("a voter is to leave") {
+            group.set_leaving(replaced);
+            group.advance(1s);
+            THEN("the other standby has its place") {
+                CAPTURE(group.voters());
+                CHECK(group.voters().find(gone.value()) == std::string::npos);
+                CHECK(group.voters().find(replaced.value()) == std::string::npos);
+                CHECK(group.bearable_losses() == 2);
+            }
+        }
+        WHEN("a voter returns with a new disk") {
+            group.stop(replaced);
+            group.erase_disk(replaced);
+            group.advance(20ms);
+            group.start(replaced);
+            group.advance(1s);
+            THEN("the other standby has its place") {
+                CAPTURE(group.voters());
+                CHECK(group.voters().find(gone.value()) == std::string::npos);
+                CHECK(group.bearable_losses() == 2);
+            }
+        }
+    }
+}
+
+// Guards against a retirement that ends while the voter that stands in has gone unnoticed.
+SCENARIO("a leaving voter stays until the one that stands in for it responds") {
+    GIVEN("five voters and two standbys, of which the first goes this moment") {
+        cluster group(1, 7, cluster::initial_group{5});
+        group.is_ordered = true;
+        group.advance(4s);
+        const instance_id leader = group.leader().value();
+        const instance_id gone("f");
+        const instance_id replaced = group.ids[0] == leader ? group.ids[1] : group.ids[0];
+        group.stop(gone);
+        group.advance(100ms);
+        WHEN("a voter is to leave") {
+            group.set_leaving(replaced);
+            THEN("it is a voter until the other standby has its place") {
+                bool is_covered = true;
+                for (int i = 0; i < 1000; ++i) {
+                    group.advance(10ms);
+                    is_covered = is_covered && group.bearable_losses().value() >= 1 &&
+                                 (group.voters().find(replaced.value()) != std::string::npos ||
+                                  group.voters().find(gone.value()) == std::string::npos);
+                }
+                CAPTURE(group.voters());
+                CHECK(is_covered);
+                CHECK(group.voters().find(replaced.value()) == std::string::npos);
+                CHECK(group.bearable_losses() == 2);
+            }
+        }
+    }
+}
