Wire: elements of decoded lists start with a value

clang-tidy reports the uninitialized element for a list of durations, which an optional duration is encoded as. Each element is read before it is used; wire_test passes (826 assertions).

--- a/packages/wire/internal/input_archive.h
+++ b/packages/wire/internal/input_archive.h
@@ -76,7 +76,7 @@
     void load(std::vector<Element>& elements) {
         this->fields.for_each([&](field_reader& element_fields) {
             input_archive nested(element_fields);
-            Element element;
+            Element element{};
             nested(element);
             elements.push_back(std::move(element));
         });
