--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -130,7 +130,7 @@
         response.last_event = event->number;
     }
     if (response.parser.is_over_limit()) {
-        this->fail_attempt(attempt, requests::attempt_failure::broken,
+        this->fail_attempt(attempt, requests::attempt_failure::broken, broken_kind,
                            "a stream event is larger than the limit");
         return;
     }
--- a/packages/forwarding/tests/forwarded_call_test.cpp
+++ b/packages/forwarding/tests/forwarded_call_test.cpp
@@ -300,7 +300,7 @@
             streamed_call stream;
             stream.attempt(1, server.address(), 0, http::raw_caller::max_time);
             THEN("the attempt has failed, its connection is closed, and nothing is held") {
-                CHECK(stream.has_failed());
+                CHECK(stream.has_failed(attempt_failure::broken));
                 stream.runner.pause_for(std::chrono::milliseconds(100));
                 CHECK(server.open_count() == 0);
                 constexpr std::size_t event_limit = 1024UL * 1024;
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -58,7 +58,10 @@
     [[nodiscard]] std::vector<wire::message> initial_messages() const;
     void instance_connected(const wire::hello& hello);
     void instance_disconnected(const wire::hello& hello);
-    void export_metrics() const { this->orders.responses().export_metrics(*this->params.metrics); }
+    void export_metrics() const {
+        this->orders.responses().export_metrics(*this->params.metrics);
+        this->crashes.export_metrics(*this->params.metrics);
+    }
     [[nodiscard]] std::size_t target_count() const { return this->targets.size(); }
     /// Sends all target records over the link that was opened to another keeper, which has missed
     /// earlier updates.
@@ -68,7 +71,6 @@
     /// The whole replicated state was replaced by a snapshot.
     void restored();
     void leadership_changed(bool is_leader);
-    void export_metrics() const { this->crashes.export_metrics(*this->params.metrics); }
 
 private:
     void on(const put_routes& call);
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -440,9 +440,6 @@
     const group::replicated_log& log = this->replicated_group->consensus();
     this->metrics.set("keeper_log_suspended", log.is_suspended() ? 1 : 0);
     this->metrics.set("keeper_log_suspensions", static_cast<double>(log.suspension_count()));
-    if (this->fleet) {
-        this->fleet->export_metrics();
-    }
     this->metrics.set("keeper_instances", static_cast<double>(this->linked_instances.size()));
     admin::report report;
     report.component = "keeper";
