Comments in the field's terms; the time to redundancy is checked for two more sizes of the state

The measurement for other sizes was skipped by default and had no bound, so it guarded nothing. Some comments of the quarantine are reworded, without a change of code.

--- a/packages/fleet/crash_monitor.h
+++ b/packages/fleet/crash_monitor.h
@@ -18,8 +18,8 @@
 
 namespace kingcupcart::fleet {
 
-/// The requests under which targets of the fleet ended, as this instance knows them. Tells all
-/// keepers what this instance sees, and hears from the leading one what all others saw.
+/// The requests under which targets of the fleet ended, as this instance knows them. Reports to all
+/// keepers what this instance sees, and receives from the leading one what all instances saw.
 class crash_monitor {
 public:
     struct callbacks {
@@ -45,7 +45,7 @@
     void record_check(const quarantine::checked_target& target, bool has_ended);
     /// Tells a keeper what this instance knows, since that keeper may have restarted.
     void keeper_connected(const instance_id& keeper);
-    /// Sends news to the keepers and reports the requests that they change.
+    /// Sends due messages to the keepers and notifies of the requests whose decision has changed.
     void update();
     void export_metrics(telemetry::metric_set& metrics);
 
--- a/packages/fleet/internal/crash_monitor.cpp
+++ b/packages/fleet/internal/crash_monitor.cpp
@@ -94,7 +94,7 @@
 }
 
 void crash_monitor::update() {
-    // The dispatcher, which is told of changes, calls again.
+    // The dispatcher calls again once it is notified of the change.
     if (std::exchange(this->is_updating, true)) {
         return;
     }
--- a/packages/quarantine/crash_account.h
+++ b/packages/quarantine/crash_account.h
@@ -68,7 +68,7 @@
 
     /// Messages to send to all connected keepers now.
     [[nodiscard]] std::vector<account_message> collect(time_point now);
-    /// What a keeper has to be told to which a connection was just established.
+    /// Messages for a keeper to which a connection was just established.
     [[nodiscard]] std::vector<account_message> initial_messages(time_point now) const;
     /// When `collect` and `take_changed` have to be called again.
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
@@ -115,7 +115,7 @@
         /// When the oldest demand was sent that is not answered.
         std::optional<time_point> unanswered_since;
         bool used_own_trial = false;
-        /// The remembered response that keepers were told of.
+        /// The remembered response that was reported to the keepers.
         std::optional<time_point> reported_completion;
     };
     struct running_attempt {
--- a/packages/quarantine/crash_messages.h
+++ b/packages/quarantine/crash_messages.h
@@ -36,7 +36,7 @@
     duration age{};
 };
 
-/// A sender's news of a crash, to all keepers.
+/// Reports a crash, or the withdrawal of one, from a sender to all keepers.
 struct crash_report {
     request_fingerprint fingerprint;
     crash_record crash;
--- a/packages/quarantine/crash_registry.h
+++ b/packages/quarantine/crash_registry.h
@@ -32,7 +32,7 @@
 
     /// Messages to send now; empty without authority.
     [[nodiscard]] std::vector<addressed_message> collect(time_point now);
-    /// What a sender has to be told to which a connection was just established; empty without
+    /// Messages for a sender to which a connection was just established; empty without
     /// authority.
     [[nodiscard]] std::vector<suspect_update> initial_messages(time_point now) const;
     /// When `collect` has to be called again.
@@ -123,7 +123,7 @@
     std::map<target_key, std::set<request_fingerprint>> by_target;
     /// Requests with demands.
     std::set<request_fingerprint> demanded;
-    /// Suspects of which senders have to be told.
+    /// Suspects of which an update is due to the senders.
     std::set<request_fingerprint> unsent;
     std::vector<addressed_message> outgoing;
     std::vector<quarantine_event> events;
--- a/packages/quarantine/internal/crash_account.cpp
+++ b/packages/quarantine/internal/crash_account.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Shortest delay after which an account asks again for a trial that it was refused.
+/// Shortest delay after which an account repeats a demand for a trial that was refused.
 constexpr duration min_refusal = std::chrono::seconds(1);
 /// Shortest time between two searches for what has expired.
 constexpr duration expiry_interval = std::chrono::milliseconds(10);
--- a/packages/quarantine/quarantine_limits.h
+++ b/packages/quarantine/quarantine_limits.h
@@ -65,7 +65,7 @@
     std::size_t max_crashes = 16;
     /// Number of targets that an update names, which bounds its size.
     std::size_t max_reported_crashes = 4;
-    /// Number of suspects of which a newly connected sender or keeper is told.
+    /// Number of suspects that the first messages on a new connection name.
     std::size_t max_initial_messages = 512;
     /// Rate and burst of the updates that a registry sends to all senders.
     double updates_per_second = 20;
--- a/packages/quarantine/tests/simulated_fleet.h
+++ b/packages/quarantine/tests/simulated_fleet.h
@@ -52,7 +52,7 @@
     void reset_connections();
     /// All targets say that they leave, and break their connections.
     void leave_targets();
-    /// The sender reaches no keeper for the time, and goes on otherwise.
+    /// The sender reaches no keeper for the time; its targets and callers reach it.
     void cut_sender(std::size_t sender, duration time);
     /// The sender loses its requests and all that it knows.
     void restart_sender(std::size_t sender);
--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -111,6 +111,8 @@
 
 constexpr duration redundancy_target = 2s;
 constexpr std::size_t megabyte = 1'000'000;
+/// Size of the state for which the target is stated.
+constexpr std::size_t target_megabytes = 25;
 
 } // namespace
 
@@ -129,7 +131,8 @@
     }
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         CAPTURE(seed);
-        CHECK(time_to_redundancy(seed, {members, 25 * megabyte}) <= redundancy_target);
+        CHECK(time_to_redundancy(seed, {members, target_megabytes * megabyte}) <=
+              redundancy_target);
     }
 }
 
@@ -200,12 +203,16 @@
     CHECK(candidate.proceeds_with_vote_of(second_voter, false));
 }
 
-SCENARIO("the time to redundancy is reported for larger states" * doctest::skip()) {
-    for (const std::size_t megabytes : {12, 25, 50}) {
+SCENARIO("the time to redundancy grows no faster than the state") {
+    for (const std::size_t megabytes : {12, 50}) {
         for (const std::size_t members : {5, 6, 7}) {
+            CAPTURE(megabytes);
+            CAPTURE(members);
             const duration time = time_to_redundancy(1, {members, megabytes * megabyte});
             MESSAGE("state MB: ", megabytes, ", standbys: ", members - 5,
                     ", ms: ", std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+            CHECK(time <= std::max<duration>(redundancy_target,
+                                             redundancy_target * megabytes / target_megabytes));
         }
     }
 }
