Links between members: a link that was given up calls back no more

Cause: gives up a dial that is under way when the other member greets. The link is destroyed in the next iteration of the loop; when its handshake ended before that, its callback used the link of the member, which was null, or would have closed the new one.

--- a/packages/group/internal/member_links.cpp
+++ b/packages/group/internal/member_links.cpp
@@ -60,6 +60,7 @@
 
 void member_links::close(peer_state& peer) {
     peer.is_open = false;
+    peer.dial = 0;
     if (peer.link) {
         this->pending_deletion.push_back(std::move(peer.link));
         this->cleanup_timer.arm_now();
@@ -123,28 +124,45 @@
 
 void member_links::dial(const instance_id& id) {
     peer_state& peer = this->peers.at(id);
-    peer.link = wire::peer_link::dial(
-        peer.address,
-        {[this, id] {
-             peer_state& opened = this->peers.at(id);
-             opened.is_open = true;
-             opened.link->send(this->notify.greeting());
-             this->notify.opened(id);
-         },
-         [this, id](wire::message message) { this->notify.received(id, std::move(message)); },
-         [this, id](const std::string& reason) {
-             peer_state& lost = this->peers.at(id);
-             const bool was_open = lost.is_open;
-             this->close(lost);
-             lost.retry_at = std::exchange(lost.is_reachable, false)
-                                 ? this->time.now()
-                                 : this->time.now() + retry_interval;
-             this->dial_timer.arm(lost.retry_at);
-             if (was_open) {
-                 spdlog::info("link lost instance={} reason=\"{}\"", id.value(), reason);
-                 this->notify.lost(id);
-             }
-         }});
+    const std::uint64_t number = ++this->last_dial;
+    peer.dial = number;
+    peer.link = wire::peer_link::dial(peer.address,
+                                      {[this, id, number] {
+                                           peer_state* opened = this->find(id, number);
+                                           if (opened == nullptr) {
+                                               return;
+                                           }
+                                           opened->is_open = true;
+                                           opened->link->send(this->notify.greeting());
+                                           this->notify.opened(id);
+                                       },
+                                       [this, id, number](wire::message message) {
+                                           if (this->find(id, number) != nullptr) {
+                                               this->notify.received(id, std::move(message));
+                                           }
+                                       },
+                                       [this, id, number](const std::string& reason) {
+                                           peer_state* lost = this->find(id, number);
+                                           if (lost == nullptr) {
+                                               return;
+                                           }
+                                           const bool was_open = lost->is_open;
+                                           this->close(*lost);
+                                           lost->retry_at = std::exchange(lost->is_reachable, false)
+                                                                ? this->time.now()
+                                                                : this->time.now() + retry_interval;
+                                           this->dial_timer.arm(lost->retry_at);
+                                           if (was_open) {
+                                               spdlog::info("link lost instance={} reason=\"{}\"",
+                                                            id.value(), reason);
+                                               this->notify.lost(id);
+                                           }
+                                       }});
+}
+
+member_links::peer_state* member_links::find(const instance_id& id, std::uint64_t dial) {
+    const auto found = this->peers.find(id);
+    return found != this->peers.end() && found->second.dial == dial ? &found->second : nullptr;
 }
 
 } // namespace kingcupcart::group
--- a/packages/group/member_links.h
+++ b/packages/group/member_links.h
@@ -7,6 +7,7 @@
 #include "wire/messages.h"
 #include "wire/peer_link.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -50,6 +51,8 @@
     struct peer_state {
         endpoint address;
         std::unique_ptr<wire::peer_link> link;
+        /// Number of the dial that `link` comes from; 0 without a link.
+        std::uint64_t dial = 0;
         bool is_open = false;
         time_point retry_at{};
         /// Whether the next lost link is dialled again without delay.
@@ -58,11 +61,15 @@
 
     void dial(const instance_id& id);
     void dial_due_peers();
+    /// Null if the link of that dial was given up, or its instance removed. Such a link may still
+    /// call back until it is destroyed.
+    [[nodiscard]] peer_state* find(const instance_id& id, std::uint64_t dial);
     void close(peer_state& peer);
 
     const clock& time;
     callbacks notify;
     std::map<instance_id, peer_state> peers;
+    std::uint64_t last_dial = 0;
     /// Closed links, destroyed in the next event loop iteration because one of their own callbacks
     /// may still be running.
     std::vector<std::unique_ptr<wire::peer_link>> pending_deletion;
