--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -21,6 +21,28 @@
 /// Pause between two requests for an instance's status.
 constexpr duration status_interval = std::chrono::milliseconds(50);
 
+struct port_range {
+    std::uint16_t first;
+    std::uint16_t count;
+};
+
+/// Below the kernel's range of ephemeral ports: an outgoing connection would take a port of that
+/// range between the check of an address and the start of the process that is to listen on it.
+constexpr port_range all_ports{20000, 12000};
+/// Ports of each test program that runs beside others.
+constexpr std::uint16_t ports_per_slot = 1000;
+
+/// The ports of this program's slot, so that programs side by side choose different ones.
+port_range own_port_range() {
+    const char* slot = std::getenv("KINGCUPCART_PORT_SLOT");
+    if (slot == nullptr) {
+        return all_ports;
+    }
+    const int slots = all_ports.count / ports_per_slot;
+    return {static_cast<std::uint16_t>(all_ports.first + std::atoi(slot) % slots * ports_per_slot),
+            ports_per_slot};
+}
+
 } // namespace
 
 std::string client_call::header(const std::string& name) const {
@@ -68,14 +90,11 @@
 }
 
 std::string free_address() {
-    // Below the kernel's range of ephemeral ports: an outgoing connection would take a port of that
-    // range between this check and the start of the process that is to listen on it.
-    constexpr std::uint16_t first_port = 20000;
-    constexpr std::uint16_t port_count = 12000;
-    static std::uint16_t offset = static_cast<std::uint16_t>(std::random_device()() % port_count);
+    static const port_range ports = own_port_range();
+    static std::uint16_t offset = static_cast<std::uint16_t>(std::random_device()() % ports.count);
     while (true) {
-        offset = static_cast<std::uint16_t>((offset + 1) % port_count);
-        const endpoint candidate{"127.0.0.1", static_cast<std::uint16_t>(first_port + offset)};
+        offset = static_cast<std::uint16_t>((offset + 1) % ports.count);
+        const endpoint candidate{"127.0.0.1", static_cast<std::uint16_t>(ports.first + offset)};
         const auto opened = value_or_error(
             [&] { return wire::listener::open(candidate, [](GSocketConnection*) {}); });
         if (std::holds_alternative<std::unique_ptr<wire::listener>>(opened)) {
