Quarantine: parts of the crash account have classes of their own

crash_account.cpp had 636 lines, in which the records of one request, the demands for a trial, the targets to check, the remembered responses and a token bucket were members of one class. Each is a class now: known_crashes (what this instance saw and the leading keeper sent), trial_request (demands and the granted trial), local_suspect (both, with the attempts that run, and what follows from them for a send), unproven_crashes, recent_completions and token_bucket. crash_account keeps what concerns all requests; its messages to and from the keepers stand in crash_account_messages.cpp.

Behaviour doesn't change. next_wakeup no longer raises a demand's time in the past to that of the latest message: that time is in the past, too, and its caller wakes up at once for both. The start of an attempt was kept and never read; it is gone.

--- a/packages/quarantine/crash_account.h
+++ b/packages/quarantine/crash_account.h
@@ -4,10 +4,13 @@
 #include "base/ids.h"
 #include "base/request_fingerprint.h"
 #include "quarantine/checked_target.h"
-#include "quarantine/crash_history.h"
 #include "quarantine/crash_messages.h"
+#include "quarantine/local_suspect.h"
 #include "quarantine/quarantine_limits.h"
+#include "quarantine/recent_completions.h"
 #include "quarantine/send_decision.h"
+#include "quarantine/token_bucket.h"
+#include "quarantine/unproven_crashes.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -16,7 +19,6 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace kingcupcart::quarantine {
@@ -38,7 +40,10 @@
 /// keeper can be reached, and reported to each keeper that the instance connects to.
 class crash_account {
 public:
-    explicit crash_account(quarantine_limits limits = {}) : limits(limits) {}
+    explicit crash_account(quarantine_limits limits = {})
+        : limits(limits),
+          completions(limits.max_completions),
+          message_rate(limits.messages_per_second, limits.message_burst) {}
 
     [[nodiscard]] send_decision decide(const request_fingerprint& fingerprint,
                                        time_point now) const;
@@ -61,7 +66,9 @@
     /// This incarnation of the target has responded, or accepted a connection, after one broke.
     void record_target_alive(const target_id& target, incarnation_id incarnation, time_point now);
     /// Targets of which it isn't known yet whether they ended.
-    [[nodiscard]] std::vector<checked_target> unproven_targets() const;
+    [[nodiscard]] std::vector<checked_target> unproven_targets() const {
+        return this->unproven.targets();
+    }
 
     void handle(const suspect_update& update, time_point now);
     void handle(const trial_decision& decision, time_point now);
@@ -81,104 +88,48 @@
     [[nodiscard]] std::size_t crashes(const request_fingerprint& fingerprint) const;
 
 private:
-    struct sent_demand {
-        std::uint64_t number = 0;
-        time_point sent_at{};
-    };
-    struct grant {
-        std::uint64_t number = 0;
-        time_point expires{};
-        /// The attempt that uses it.
-        std::optional<attempt_id> attempt;
-        /// Taken without the leading keeper.
-        bool is_own = false;
-    };
-    struct entry {
-        crash_history history;
-        /// The leading keeper's latest update, and the number of crashes known here after it.
-        suspect_state state = suspect_state::cleared;
-        std::size_t updated_crashes = 0;
-        std::size_t known_at_update = 0;
-        std::uint32_t late_trials = 0;
-        std::optional<time_point> last_trial_at;
-        time_point next_trial_at{};
-        std::optional<grant> trial;
-        /// Attempts that were sent alone.
-        std::set<attempt_id> lone;
-        /// Attempts from before the suspicion.
-        std::set<attempt_id> copies;
-        std::uint32_t reported_copies = 0;
-        std::uint32_t waiting = 0;
-        /// Demands that may still be granted, the oldest first.
-        std::deque<sent_demand> sent_demands;
-        bool has_demand = false;
-        /// When the oldest demand was sent that is not answered.
-        std::optional<time_point> unanswered_since;
-        bool used_own_trial = false;
-        /// The remembered response that was reported to the keepers.
-        std::optional<time_point> reported_completion;
-    };
     struct running_attempt {
         request_fingerprint fingerprint;
         target_id target;
         incarnation_id incarnation;
-        time_point began{};
         bool is_trial = false;
     };
-    [[nodiscard]] const entry* find(const request_fingerprint& fingerprint) const;
-    entry& suspect(const request_fingerprint& fingerprint);
-    /// Number of crashes that count: those of the latest update, and what changed here since.
-    [[nodiscard]] static std::size_t crashes_of(const entry& known);
-    [[nodiscard]] static suspect_state state_of(const entry& known);
-    [[nodiscard]] bool has_lost_leader(const entry& known, time_point now) const;
-    [[nodiscard]] bool has_grant(const entry& known, time_point now) const;
-    [[nodiscard]] bool may_take_own_trial(const entry& known, time_point now) const;
-    [[nodiscard]] suspect_update make_update(const request_fingerprint& fingerprint,
-                                             const entry& known, time_point now) const;
-    void end_trial(const request_fingerprint& fingerprint, entry& known, trial_outcome outcome);
-    void clear(const request_fingerprint& fingerprint, entry& known, time_point completed_at);
+
+    [[nodiscard]] const local_suspect* find(const request_fingerprint& fingerprint) const;
+    local_suspect& find_or_add(const request_fingerprint& fingerprint);
+    void end_running(attempt_id attempt, const request_fingerprint& fingerprint);
+    void record_crash(const running_attempt& ended, time_point now);
+    void end_trial(const request_fingerprint& fingerprint, local_suspect& known,
+                   trial_outcome outcome);
     /// Forgets what depended on crashes, if none counts any longer.
-    void apply_clearance(const request_fingerprint& fingerprint, entry& known);
-    void remember_completion(const request_fingerprint& fingerprint, time_point now);
-    /// Reports the remembered response, if it came after a crash.
-    void apply_completion(const request_fingerprint& fingerprint, entry& known, time_point now);
-    void note_change(const request_fingerprint& fingerprint, const entry& known);
+    void apply_clearance(const request_fingerprint& fingerprint, local_suspect& known);
+    /// Reports the remembered response, if it came shortly before the first crash or after it.
+    void apply_completion(const request_fingerprint& fingerprint, local_suspect& known,
+                          time_point now);
+    void record_change(const request_fingerprint& fingerprint, const local_suspect& known);
     void set_status(const target_id& target, incarnation_id incarnation, crash_status status,
                     time_point now);
-    void report_copies(const request_fingerprint& fingerprint, entry& known);
-    [[nodiscard]] bool is_demand_due(const entry& known, time_point now) const;
-    [[nodiscard]] bool wants_trial(const entry& known, time_point now) const;
-    void collect_demand(const request_fingerprint& fingerprint, entry& known, time_point now,
-                        std::vector<account_message>& messages);
-    [[nodiscard]] bool take_token(time_point now);
+    void report_copies(const request_fingerprint& fingerprint, local_suspect& known);
+    void collect_demand(const request_fingerprint& fingerprint, local_suspect& known,
+                        time_point now, std::vector<account_message>& messages);
     void expire(time_point now);
     void drop_surplus();
     void erase_if_idle(const request_fingerprint& fingerprint);
 
-    using target_key = std::pair<target_id, incarnation_id>;
-    struct unproven_state {
-        time_point since{};
-        std::set<request_fingerprint> suspects;
-    };
-
     quarantine_limits limits;
-    std::map<request_fingerprint, entry> entries;
+    std::map<request_fingerprint, local_suspect> suspected;
     std::unordered_map<attempt_id, running_attempt> attempts;
     /// Running attempts of each request that is subject to quarantine.
     std::unordered_map<request_fingerprint, std::set<attempt_id>> running;
-    /// Targets that may have ended under this instance's requests.
-    std::map<target_key, unproven_state> unproven;
-    /// When requests under no suspicion were answered.
-    std::unordered_map<request_fingerprint, time_point> completions;
-    std::deque<std::pair<time_point, request_fingerprint>> completions_by_age;
+    unproven_crashes unproven;
+    recent_completions completions;
     std::deque<account_message> outgoing;
     std::set<request_fingerprint> changed;
     /// Requests that wait, or whose demand isn't withdrawn yet.
     std::set<request_fingerprint> awaited;
     std::optional<time_point> expired_at;
     std::uint64_t last_demand = 0;
-    double message_tokens = 0;
-    std::optional<time_point> tokens_at;
+    token_bucket message_rate;
 };
 
 } // namespace kingcupcart::quarantine
