Keeper: the targets of a fleet have a class of their own

The calls on retirements stay: they are short, and decide from the log and store_registry. A comment that stood at the wrong function went with the split.

--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <limits>
 #include <type_traits>
 #include <utility>
 
@@ -12,27 +11,24 @@
 namespace {
 
 constexpr duration maintenance_interval = std::chrono::milliseconds(500);
-/// The heartbeat of a target is relayed to the other keepers until it is this old: a little over
-/// two heartbeat intervals.
-constexpr duration heartbeat_relay_time = std::chrono::milliseconds(2600);
 
 } // namespace
 
 fleet_control::fleet_control(parameters arguments)
     : params(std::move(arguments)),
-      targets(location{}, membership::lease_scope::all_domains),
+      targets(this->make_target_parameters()),
       stores(this->params.settings.tolerated_losses),
       limits(this->make_limit_parameters()),
       crashes(this->make_crash_parameters()),
-      orders({this->params.instance, this->params.protocol, &this->targets, this->params.time,
-              this->params.limits, this->params.settings.order_lease,
+      orders({this->params.instance, this->params.protocol, &this->targets.directory(),
+              this->params.time, this->params.limits, this->params.settings.order_lease,
               [this] {
                   return fencing_token(
                       this->params.replicated_group->consensus().state().term().value());
               },
               [this] { return this->params.replicated_group->has_leader_lease(); }},
              {[this](const target_id& target, incarnation_id incarnation) {
-                  this->mark_leaving(target, incarnation);
+                  this->targets.mark_leaving(target, incarnation);
               },
               [this](const target_id& target) { this->limits.count_call(target); },
               [this](const target_id& target, incarnation_id incarnation,
@@ -40,22 +36,36 @@
                   this->limits.record(target, incarnation, statement, sent_at);
               },
               [this](const target_id& target, const model_name& model, weight_version version) {
-                  this->change_record(target, [&](membership::target_record& record) {
+                  this->targets.change_record(target, [&](membership::target_record& record) {
                       membership::merge_weights(record.weights, {model, version});
                   });
               },
               [this](const target_id& target, bool is_loading) {
-                  this->change_record(target, [&](membership::target_record& record) {
+                  this->targets.change_record(target, [&](membership::target_record& record) {
                       record.loading = is_loading;
                   });
               }}),
-      started_at(this->params.time->now()),
       maintenance_timer([this] { this->run_maintenance(); }) {
     this->maintenance_timer.arm_now();
 }
 
 fleet_control::~fleet_control() = default;
 
+target_control::parameters fleet_control::make_target_parameters() {
+    target_control::parameters arguments;
+    arguments.time = this->params.time;
+    arguments.lease = this->params.settings.target_lease;
+    arguments.has_contact_with_group = [this] { return this->has_contact_with_group(); };
+    arguments.send_to_keepers = [this](const wire::message& message) {
+        this->params.replicated_group->members().send_to_all(message);
+    };
+    arguments.send_to_gateways_and_stores = this->params.send_to_gateways_and_stores;
+    arguments.target_changed = [this](const membership::directory_change& change) {
+        this->target_changed(change);
+    };
+    return arguments;
+}
+
 limit_control::parameters fleet_control::make_limit_parameters() {
     limit_control::parameters arguments;
     arguments.time = this->params.time;
@@ -123,80 +133,6 @@
                                  : !log_state.leader().value().empty();
 }
 
-void fleet_control::on(const target_heartbeat& call) {
-    membership::target_record record = call.record;
-    if (record.leaving && !this->has_contact_with_group()) {
-        call.reply.post({control_status::unavailable, {}, "no contact with the other keepers"});
-        return;
-    }
-    const membership::target_record* known = this->targets.find(record.id);
-    if (known != nullptr && known->incarnation == record.incarnation) {
-        // The target may have sent this heartbeat before it finished loading weights.
-        for (const membership::model_weights& model : known->weights) {
-            membership::merge_weights(record.weights, model);
-        }
-        record.loading = known->loading;
-        record.leaving = record.leaving || known->leaving;
-    }
-    const time_point now = this->params.time->now();
-    const auto change = this->targets.announce(record, this->params.settings.target_lease, now);
-    if (change.event != membership::directory_event::stale) {
-        this->last_heartbeats[record.id] = now;
-    }
-    this->broadcast(change);
-    call.reply.post({});
-}
-
-void fleet_control::on(const deregister_target& call) {
-    if (!this->has_contact_with_group()) {
-        call.reply.post({control_status::unavailable, {}, "no contact with the other keepers"});
-        return;
-    }
-    const membership::target_record* known = this->targets.find(call.target);
-    const bool is_identified = call.incarnation.value() != 0;
-    if (known == nullptr && !is_identified && !this->has_complete_targets()) {
-        call.reply.post(
-            {control_status::unavailable, {}, "this keeper does not know the replica yet"});
-        return;
-    }
-    membership::target_record removed;
-    if (known != nullptr) {
-        removed = *known;
-    } else {
-        // Other instances may know it, for instance since this keeper has restarted.
-        removed.id = call.target;
-        removed.incarnation = call.incarnation;
-    }
-    const bool is_current =
-        known == nullptr || !is_identified || call.incarnation == known->incarnation;
-    if (is_current && (known != nullptr || is_identified)) {
-        removed.leaving = true;
-        removed.gone = true;
-        // Later heartbeats of this incarnation are stale.
-        removed.sequence = std::numeric_limits<std::uint64_t>::max();
-        this->remove_target(removed);
-    }
-    call.reply.post({});
-}
-
-bool fleet_control::has_complete_targets() const {
-    return this->params.time->now() - this->started_at >= this->params.settings.target_lease;
-}
-
-void fleet_control::remove_target(const membership::target_record& removed) {
-    const auto change = this->targets.apply_update(removed, this->params.settings.target_lease,
-                                                   this->params.time->now());
-    this->last_heartbeats.erase(removed.id);
-    if (change.is_record_change()) {
-        this->broadcast(change);
-        return;
-    }
-    spdlog::info("target removed that is not known here target={} incarnation={}",
-                 removed.id.value(), removed.incarnation.value());
-    this->params.replicated_group->members().send_to_all(wire::target_update{removed});
-    this->params.send_to_gateways_and_stores(wire::target_update{removed});
-}
-
 void fleet_control::on(const malformed_call& /*call*/) {
     this->params.metrics->count("control_calls_malformed_total");
 }
@@ -238,9 +174,8 @@
     }
     fleet.stores = this->stores.addresses(this->state().leaving_stores());
     messages.emplace_back(std::move(fleet));
-    for (const membership::target_record& record : this->targets.records_with_removed()) {
-        messages.emplace_back(wire::target_update{record});
-    }
+    const std::vector<wire::message> records = this->targets.initial_messages();
+    messages.insert(messages.end(), records.begin(), records.end());
     if (!this->state().initial_stores().empty()) {
         wire::initial_members_update initial_members;
         for (const replicated::store_member& member : this->state().initial_stores()) {
@@ -278,8 +213,8 @@
 }
 
 void fleet_control::keeper_connected(const instance_id& keeper) {
-    for (const membership::target_record& record : this->targets.records_with_removed()) {
-        this->params.replicated_group->members().send(keeper, wire::target_update{record});
+    for (const wire::message& record : this->targets.initial_messages()) {
+        this->params.replicated_group->members().send(keeper, record);
     }
     for (const wire::message& report : this->limits.initial_messages()) {
         this->params.replicated_group->members().send(keeper, report);
@@ -293,26 +228,21 @@
     if (this->crashes.handle(from.instance, message)) {
         return;
     }
-    const time_point now = this->params.time->now();
     if (const auto* update = std::get_if<wire::target_update>(&message)) {
-        const auto change =
-            this->targets.apply_update(update->record, this->params.settings.target_lease, now);
-        this->handle_change(change);
+        this->targets.handle(*update);
     } else if (const auto* heartbeats = std::get_if<wire::target_heartbeats>(&message)) {
-        for (const membership::target_load& target : heartbeats->targets) {
-            this->targets.renew(target.id, this->params.settings.target_lease, now);
-        }
+        this->targets.handle(*heartbeats);
     } else if (const auto* leaving = std::get_if<wire::target_leaving>(&message)) {
-        this->mark_leaving(leaving->target, leaving->incarnation);
+        this->targets.mark_leaving(leaving->target, leaving->incarnation);
     } else if (const auto* limit = std::get_if<wire::limit_report>(&message)) {
         // Limits of targets that are gone would never be removed.
-        if (this->targets.find(limit->target) != nullptr) {
+        if (this->targets.directory().find(limit->target) != nullptr) {
             this->limits.handle(from.instance, *limit);
         }
     } else if (const auto* demands = std::get_if<wire::permit_demands>(&message)) {
         this->limits.handle(from.instance, *demands);
     } else if (const auto* registration = std::get_if<wire::store_registration>(&message)) {
-        this->stores.registered(from.instance, *registration, now);
+        this->stores.registered(from.instance, *registration, this->params.time->now());
         this->bootstrap_stores();
     } else if (const auto* report = std::get_if<wire::store_report>(&message)) {
         this->stores.report_received(from.instance, *report);
@@ -326,35 +256,8 @@
     }
 }
 
-void fleet_control::mark_leaving(const target_id& target, incarnation_id incarnation) {
-    const membership::target_record* known = this->targets.find(target);
-    if (known == nullptr || known->incarnation != incarnation || known->leaving) {
-        return;
-    }
-    membership::target_record leaving = *known;
-    leaving.leaving = true;
-    ++leaving.revision;
-    this->broadcast(this->targets.apply_update(leaving, this->params.settings.target_lease,
-                                               this->params.time->now()));
-}
-
-void fleet_control::broadcast(const membership::directory_change& change) {
-    if (change.is_record_change()) {
-        this->params.replicated_group->members().send_to_all(wire::target_update{change.record});
-    }
-    this->handle_change(change);
-}
-
-void fleet_control::handle_change(const membership::directory_change& change) {
-    if (!change.is_record_change()) {
-        return;
-    }
+void fleet_control::target_changed(const membership::directory_change& change) {
     const membership::target_record& record = change.record;
-    spdlog::info("target {} target={} backend={} address={} incarnation={} sequence={} leaving={}",
-                 membership::to_string(change.event), record.id.value(), record.backend.value(),
-                 record.address.to_string(), record.incarnation.value(), record.sequence,
-                 record.leaving);
-    this->params.send_to_gateways_and_stores(wire::target_update{record});
     if (change.event == membership::directory_event::removed) {
         this->limits.target_removed(record.id);
         this->orders.dispatch(rollout::engine_removed{record.id});
@@ -372,27 +275,6 @@
     this->orders.dispatch(updated_engine);
 }
 
-void fleet_control::change_record(const target_id& target,
-                                  const std::function<void(membership::target_record&)>& change) {
-    const membership::target_record* known = this->targets.find(target);
-    if (known == nullptr) {
-        return;
-    }
-    membership::target_record changed = *known;
-    change(changed);
-    if (changed == *known) {
-        return;
-    }
-    ++changed.revision;
-    const auto applied_change = this->targets.apply_update(
-        changed, this->params.settings.target_lease, this->params.time->now());
-    if (applied_change.is_record_change()) {
-        // The planner isn't notified, since the change results from its own actions.
-        this->params.replicated_group->members().send_to_all(wire::target_update{changed});
-        this->params.send_to_gateways_and_stores(wire::target_update{changed});
-    }
-}
-
 void fleet_control::applied(const replicated::command& command) {
     if (std::holds_alternative<replicated::accept_routes>(command)) {
         this->routes_changed();
@@ -480,13 +362,10 @@
 }
 
 void fleet_control::leadership_changed(bool is_leader) {
-    const time_point now = this->params.time->now();
     if (is_leader) {
         // Leases start anew, since heartbeats that were relayed to the previous leader may not have
         // reached this keeper.
-        for (const membership::target_record& record : this->targets.records()) {
-            this->targets.renew(record.id, this->params.settings.target_lease, now);
-        }
+        this->targets.renew_leases();
     }
     this->limits.leadership_changed(is_leader);
     this->crashes.leadership_changed(is_leader);
@@ -495,20 +374,9 @@
 
 void fleet_control::run_maintenance() {
     const time_point now = this->params.time->now();
-    wire::target_heartbeats heartbeats;
-    for (const auto& [target, at] : this->last_heartbeats) {
-        if (now - at < heartbeat_relay_time) {
-            heartbeats.targets.push_back({target, 0, 0});
-        }
-    }
-    if (!heartbeats.targets.empty()) {
-        this->params.replicated_group->members().send_to_all(heartbeats);
-    }
+    this->targets.relay_heartbeats();
     if (this->params.replicated_group->has_leader_lease()) {
-        for (const auto& change : this->targets.expire(now)) {
-            this->last_heartbeats.erase(change.record.id);
-            this->broadcast(change);
-        }
+        this->targets.remove_expired();
         this->bootstrap_stores();
     }
     this->stores.remove_expired(now);
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -10,8 +10,9 @@
 #include "keeper/internal/keeper_codec.h"
 #include "keeper/internal/limit_control.h"
 #include "keeper/internal/store_registry.h"
+#include "keeper/internal/target_control.h"
 #include "keeper/internal/weight_orders.h"
-#include "membership/directory.h"
+#include "membership/directory_change.h"
 #include "routes/route_table_parser.h"
 #include "settings/control_settings.h"
 #include "task/wakeup.h"
@@ -20,14 +21,14 @@
 
 #include <cstddef>
 #include <functional>
-#include <map>
 #include <memory>
 #include <vector>
 
 namespace kingcupcart::keeper {
 
-/// Controls a fleet at one keeper: its routes, targets, weights and stores. Receives the heartbeats
-/// of targets, and sends changes to the gateways and stores that are linked to this keeper.
+/// Controls a fleet at one keeper: its routes, targets, weights and stores. Handles the calls of
+/// operators, trainers and targets, and sends changes to the gateways and stores that are linked to
+/// this keeper.
 class fleet_control {
 public:
     using keeper_group = group::group<keeper_codec>;
@@ -62,7 +63,7 @@
         this->orders.responses().export_metrics(*this->params.metrics);
         this->crashes.export_metrics(*this->params.metrics);
     }
-    [[nodiscard]] std::size_t target_count() const { return this->targets.size(); }
+    [[nodiscard]] std::size_t target_count() const { return this->targets.directory().size(); }
     /// Sends all target records over the link that was opened to another keeper, which has missed
     /// earlier updates.
     void keeper_connected(const instance_id& keeper);
@@ -76,27 +77,18 @@
     void on(const put_routes& call);
     void on(const get_routes& call);
     void on(const put_weights& call);
-    void on(const target_heartbeat& call);
-    void on(const deregister_target& call);
+    void on(const target_heartbeat& call) { this->targets.handle(call); }
+    void on(const deregister_target& call) { this->targets.handle(call); }
     void on(const begin_retirement& call);
     void on(const get_retirement& call);
     void on(const malformed_call& call);
 
+    [[nodiscard]] target_control::parameters make_target_parameters();
     [[nodiscard]] limit_control::parameters make_limit_parameters();
     [[nodiscard]] crash_control::parameters make_crash_parameters() const;
     void submit(const replicated::command& command, const control_reply& reply);
-    /// Sends the change to the other keepers and handles it here.
-    /// Marks the target as leaving, as if a heartbeat had announced it, and notifies all instances.
-    void mark_leaving(const target_id& target, incarnation_id incarnation);
-    void broadcast(const membership::directory_change& change);
-    /// Removes the target here and at all instances, also if it is known to them only.
-    void remove_target(const membership::target_record& removed);
-    /// Whether every target has had the time to announce itself since this keeper started.
-    [[nodiscard]] bool has_complete_targets() const;
-    /// Sends the change to linked gateways and stores, and notifies the load planner.
-    void handle_change(const membership::directory_change& change);
-    void change_record(const target_id& target,
-                       const std::function<void(membership::target_record&)>& change);
+    /// Notifies the permits and the load planner.
+    void target_changed(const membership::directory_change& change);
     void routes_changed();
     void weights_changed();
     void fleet_changed();
@@ -110,15 +102,12 @@
     }
 
     parameters params;
-    membership::directory targets;
-    /// When this keeper received the last heartbeat of each target.
-    std::map<target_id, time_point> last_heartbeats;
+    target_control targets;
     store_registry stores;
     limit_control limits;
     crash_control crashes;
     weight_orders orders;
     bool is_bootstrapping = false;
-    time_point started_at{};
     task::wakeup maintenance_timer;
 };
 
