--- a/packages/base/internal/request_fingerprint.cpp
+++ b/packages/base/internal/request_fingerprint.cpp
@@ -27,7 +27,7 @@
     return word;
 }
 
-/// Hashes of the parts, in little-endian order, so that every machine hashes the same bytes.
+/// Appends the word in little-endian order, so that every machine hashes the same bytes.
 void append_word(std::string& bytes, std::uint64_t word) {
     for (int shift = 0; shift < 64; shift += 8) {
         bytes.push_back(static_cast<char>((word >> shift) & 0xFF));
@@ -57,7 +57,7 @@
 }
 
 request_fingerprint make_fingerprint(std::initializer_list<std::string_view> parts) {
-    // The body is hashed in place: it may be large.
+    // Each part is hashed in place, since the body may be large.
     std::string words;
     words.reserve(parts.size() * 3 * sizeof(std::uint64_t));
     for (const std::string_view part : parts) {
--- a/packages/base/request_fingerprint.h
+++ b/packages/base/request_fingerprint.h
@@ -11,8 +11,8 @@
 
 namespace kingcupcart {
 
-/// A 128-bit hash of what makes two requests the same: method, route, path, caller and body. The
-/// ids and idempotency keys of the requests are no part of it.
+/// A 128-bit hash that is equal for requests with the same method, route, path, caller and body.
+/// Ids and idempotency keys are not included.
 class request_fingerprint {
 public:
     request_fingerprint() = default;
@@ -23,7 +23,7 @@
     [[nodiscard]] constexpr std::uint64_t low() const { return this->lower; }
     /// 32 hexadecimal digits.
     [[nodiscard]] std::string to_string() const;
-    /// Reads the form of `to_string`; empty if the text does not have it.
+    /// Parses the result of `to_string`; empty if the text is none.
     [[nodiscard]] static std::optional<request_fingerprint> parse(std::string_view text);
 
     friend auto operator<=>(const request_fingerprint&, const request_fingerprint&) = default;
--- a/packages/base/response_limits.h
+++ b/packages/base/response_limits.h
@@ -15,7 +15,7 @@
     /// All chunk extensions of one response together, in bytes. The size line of a chunk, and the
     /// trailer section, each have the same limit.
     std::size_t chunk_extension_bytes = 16UL * 1024;
-    /// Memory that all responses in progress of a task take up together, in bytes.
+    /// Memory that all responses in progress of a task may use together, in bytes.
     std::size_t budget_bytes = 32UL * 1024 * 1024;
 };
 
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -226,7 +226,7 @@
         }
         break;
     case run_failure::broken:
-        // Not counted: an item is owed however many engines end under it.
+        // Not counted: an item has to complete however many engines end while they run it.
         if (target_engine != nullptr && !item->has_event_in_run) {
             this->engines.back_off(*target_engine, this->now);
         }
--- a/packages/fleet/crash_monitor.h
+++ b/packages/fleet/crash_monitor.h
@@ -18,21 +18,22 @@
 
 namespace kingcupcart::fleet {
 
-/// The requests under which targets of the fleet ended, as this instance knows them. Reports to all
-/// keepers what this instance sees, and receives from the leading one what all instances saw.
+/// The requests under which targets of the fleet ended, as this instance knows them. Reports the
+/// crashes that this instance sees to all keepers, and receives updates on those that any instance
+/// saw from the leading keeper.
 class crash_monitor {
 public:
     struct callbacks {
         std::function<void(const wire::message&)> send_to_keepers;
         std::function<void(const instance_id&, const wire::message&)> send_to_keeper;
-        /// Whether the request may be sent has changed.
+        /// The decision on whether the request may be sent has changed.
         std::function<void(const request_fingerprint&)> suspect_changed;
     };
 
     crash_monitor(const clock& time, callbacks notify);
 
-    /// What every attempt to send a request that has a fingerprint is recorded in. Its users call
-    /// `update` after they have changed it.
+    /// Records each attempt to send a request that has a fingerprint. Whoever changes it calls
+    /// `update` afterwards.
     [[nodiscard]] quarantine::crash_account& account() { return this->crashes; }
 
     void handle(const quarantine::suspect_update& update, const instance_id& from);
@@ -43,9 +44,9 @@
                         const membership::directory& targets);
     /// A check of the target's address, or a response, has shown whether it has ended.
     void record_check(const quarantine::checked_target& target, bool has_ended);
-    /// Tells a keeper what this instance knows, since that keeper may have restarted.
+    /// Sends a keeper what this instance knows, since that keeper may have restarted.
     void keeper_connected(const instance_id& keeper);
-    /// Sends due messages to the keepers and notifies of the requests whose decision has changed.
+    /// Sends due messages to the keepers, and calls `suspect_changed` for each changed request.
     void update();
     void export_metrics(telemetry::metric_set& metrics);
 
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -34,7 +34,7 @@
         std::function<void(const membership::directory_change&)> target_changed;
         /// The permits of a limited target, or the expected wait for them, have changed.
         std::function<void(const target_id&)> permits_changed;
-        /// Whether a request under which targets may have ended may be sent has changed.
+        /// The decision on whether a suspected request may be sent has changed.
         std::function<void(const request_fingerprint&)> suspect_changed;
         std::function<void()> stores_changed;
         std::function<void(const std::vector<quorum::member>&)> initial_members_received;
--- a/packages/fleet/tests/crash_monitor_test.cpp
+++ b/packages/fleet/tests/crash_monitor_test.cpp
@@ -27,7 +27,7 @@
     return record;
 }
 
-/// An instance's crash monitor under a manual clock, with what it tells the keepers.
+/// An instance's crash monitor under a manual clock, and the messages that it sends to keepers.
 struct monitor_fixture {
     manual_clock time;
     std::vector<wire::message> sent;
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -49,7 +49,7 @@
     details.retry_after =
         failure.retry_after > duration::zero() ? failure.retry_after : retry_after_default;
     if (failure.reason == requests::refusal_reason::quarantined) {
-        // Without a delay a retry is no use.
+        // A delay of zero means that a retry would not succeed.
         details.retry_after = failure.retry_after;
     }
     if (failure.outcome == requests::outcome_kind::not_run) {
--- a/packages/group/member_links.h
+++ b/packages/group/member_links.h
@@ -37,7 +37,7 @@
     void add(const instance_id& id, const endpoint& address);
     void remove(const instance_id& id);
     /// The instance is known to accept links. Dials it at once if the link is not open, or as soon
-    /// as the open one is found to be lost.
+    /// as the open link is lost.
     void reconnect(const instance_id& id);
     /// Returns false, and drops the message, where the link is not open.
     bool send(const instance_id& to, const wire::message& message);
@@ -61,8 +61,8 @@
 
     void dial(const instance_id& id);
     void dial_due_peers();
-    /// Null if the link of that dial was given up, or its instance removed. Such a link may still
-    /// call back until it is destroyed.
+    /// The instance, if `link` comes from that dial; otherwise null. A link that was replaced, or
+    /// whose instance was removed, may still call back until it is destroyed.
     [[nodiscard]] peer_state* find(const instance_id& id, std::uint64_t dial);
     void close(peer_state& peer);
 
--- a/packages/keeper/internal/weight_orders.cpp
+++ b/packages/keeper/internal/weight_orders.cpp
@@ -108,7 +108,7 @@
     }
 }
 
-// Without a fingerprint: an order is this keeper's own, and no caller's request.
+// Without a fingerprint: an order is this keeper's own call, not a caller's request.
 void weight_orders::send(const rollout::send_load_order& load) {
     const membership::target_record* target = this->params.targets->find(load.engine);
     if (target == nullptr || !this->params.may_order()) {
--- a/packages/keeper/tests/crash_control_test.cpp
+++ b/packages/keeper/tests/crash_control_test.cpp
@@ -19,7 +19,7 @@
 
 constexpr request_fingerprint fatal(1, 2);
 
-/// The crash control of a keeper under a manual clock, with what it sends.
+/// The crash control of a keeper under a manual clock, and the messages that it sends.
 struct control_fixture {
     manual_clock time;
     task::event_loop loop;
--- a/packages/quarantine/checked_target.h
+++ b/packages/quarantine/checked_target.h
@@ -5,7 +5,7 @@
 
 namespace kingcupcart::quarantine {
 
-/// A target that may have ended under a request, which isn't known yet.
+/// A target whose connection broke under a request, while it isn't known whether it has ended.
 struct checked_target {
     target_id target;
     incarnation_id incarnation;
--- a/packages/quarantine/crash_account.h
+++ b/packages/quarantine/crash_account.h
@@ -23,7 +23,7 @@
 
 namespace kingcupcart::quarantine {
 
-/// How an attempt ended, as far as it tells whether the request crashed its target.
+/// The end of an attempt, as evidence of whether the request crashed its target.
 enum class attempt_end {
     /// A whole response, whatever its status.
     completed,
@@ -36,8 +36,8 @@
 /// What one sending instance knows of requests that crash their targets, and whether it may send
 /// them. Requests under no suspicion are sent freely and cause no messages.
 ///
-/// Counted is what this instance saw and what the leading keeper tells; both are kept while no
-/// keeper can be reached, and reported to each keeper that the instance connects to.
+/// Counts the crashes that this instance saw and those that the leading keeper sent. Keeps both
+/// while no keeper can be reached, and reports them to each keeper that the instance connects to.
 class crash_account {
 public:
     explicit crash_account(quarantine_limits limits = {})
@@ -47,14 +47,14 @@
 
     [[nodiscard]] send_decision decide(const request_fingerprint& fingerprint,
                                        time_point now) const;
-    /// Whether more copies of a running request, such as a hedge, may be sent beside it.
+    /// Whether further copies of a running request, such as a hedge, may be sent.
     [[nodiscard]] bool is_free(const request_fingerprint& fingerprint, time_point now) const;
 
-    /// A request waits until it may be sent, or no longer does.
+    /// A request starts to wait until it may be sent, or stops waiting.
     void add_waiting(const request_fingerprint& fingerprint);
     void remove_waiting(const request_fingerprint& fingerprint);
 
-    /// An attempt is sent. Uses the granted trial, if there is one.
+    /// An attempt is sent. It uses the granted trial, if there is one.
     void begin(attempt_id attempt, const request_fingerprint& fingerprint, const target_id& target,
                incarnation_id incarnation, time_point now);
     /// Unknown attempts are ignored.
@@ -65,7 +65,7 @@
     void record_target_ended(const target_id& target, incarnation_id incarnation, time_point now);
     /// This incarnation of the target has responded, or accepted a connection, after one broke.
     void record_target_alive(const target_id& target, incarnation_id incarnation, time_point now);
-    /// Targets of which it isn't known yet whether they ended.
+    /// Targets for which it isn't known yet whether they have ended.
     [[nodiscard]] std::vector<checked_target> unproven_targets() const {
         return this->unproven.targets();
     }
@@ -79,7 +79,7 @@
     [[nodiscard]] std::vector<account_message> initial_messages(time_point now) const;
     /// When `collect` and `take_changed` have to be called again.
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
-    /// Requests for which `decide` may return something else than before, since the last call.
+    /// Requests whose `decide` may have changed since the last call.
     [[nodiscard]] std::vector<request_fingerprint> take_changed(time_point now);
 
     [[nodiscard]] std::size_t suspects() const;
--- a/packages/quarantine/crash_history.h
+++ b/packages/quarantine/crash_history.h
@@ -11,8 +11,8 @@
 
 namespace kingcupcart::quarantine {
 
-/// The crashes of the targets of one request. Each incarnation of a target counts once, whoever
-/// reports it.
+/// The crashes of targets under one request. Each incarnation of a target counts once, whichever
+/// instances report it.
 class crash_history {
 public:
     struct crash {
--- a/packages/quarantine/crash_messages.h
+++ b/packages/quarantine/crash_messages.h
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-/// What senders and keepers tell each other about requests that may crash their targets. Times are
+/// Messages between senders and keepers about requests that may crash their targets. Times are
 /// sent as ages, since the clocks of instances differ.
 namespace kingcupcart::quarantine {
 
@@ -30,7 +30,7 @@
     target_id target;
     incarnation_id incarnation;
     crash_status status = crash_status::suspected;
-    /// The request was sent as a trial, alone over the whole fleet.
+    /// The request was sent as a trial, which is the only copy in the whole fleet.
     bool is_trial = false;
     /// Time since the connection broke.
     duration age{};
@@ -76,7 +76,7 @@
 enum class trial_outcome {
     completed,
     crashed,
-    /// The attempt was sent, and its end tells nothing of the request.
+    /// The attempt was sent, and its end is no evidence for or against the request.
     unclear,
     /// The grant was not used.
     unused
@@ -92,7 +92,8 @@
     trial_outcome outcome = trial_outcome::unclear;
 };
 
-/// Number of copies of a suspect that run at a sender since before it was one. To all keepers.
+/// Number of copies of a suspect that a sender sent before the suspicion and that still run. To all
+/// keepers.
 struct copy_report {
     request_fingerprint fingerprint;
     std::uint32_t running = 0;
@@ -114,7 +115,7 @@
 [[nodiscard]] const char* to_string(suspect_state state);
 
 /// What is known of a suspect. From the leading keeper to all senders; from a sender to a keeper
-/// that it connects to, and to all keepers when it has got a trial.
+/// that it connects to, and to all keepers when it has been granted a trial.
 struct suspect_update {
     request_fingerprint fingerprint;
     suspect_state state = suspect_state::suspected;
@@ -138,7 +139,7 @@
 /// What a registry sends to senders.
 using registry_message = std::variant<suspect_update, trial_decision>;
 
-/// A message, and the sender that gets it; all senders if empty.
+/// A message to one sender, or to all senders if `recipient` is empty.
 struct addressed_message {
     std::optional<instance_id> recipient;
     registry_message content;
--- a/packages/quarantine/crash_registry.h
+++ b/packages/quarantine/crash_registry.h
@@ -17,16 +17,17 @@
 
 namespace kingcupcart::quarantine {
 
-/// The crashes that all senders report, at each keeper. Only the one with authority, the leading
-/// keeper, tells senders of suspects and grants trials; the others listen, so that they can take
-/// its place.
+/// The crashes that all senders report, at each keeper. Only the leading keeper, which has the
+/// authority, sends updates on suspects and grants trials; the others record the reports, so that
+/// they can take over.
 class crash_registry {
 public:
     explicit crash_registry(quarantine_limits limits = {})
         : limits(limits), update_rate(limits.updates_per_second, limits.update_burst) {}
 
     void set_authority(bool is_authorized, time_point now);
-    /// The sender has gone: its trial ends with an unclear outcome, and its demands are dropped.
+    /// The sender has disconnected: its trial ends with an unclear outcome; its demands are
+    /// dropped.
     void remove_sender(const instance_id& sender, time_point now);
     void handle(const instance_id& sender, const account_message& message, time_point now);
 
--- a/packages/quarantine/quarantine_event.h
+++ b/packages/quarantine/quarantine_event.h
@@ -29,7 +29,7 @@
     request_fingerprint fingerprint;
     /// Number of crashes that count, before the transition if it ends the suspicion.
     std::size_t crashes = 0;
-    /// The sender whose message caused the transition; empty if time did.
+    /// The sender whose message caused the transition; empty if it was caused by an expiry.
     instance_id source;
     /// Time since the first crash that is known.
     duration age{};
--- a/packages/quarantine/quarantine_limits.h
+++ b/packages/quarantine/quarantine_limits.h
@@ -15,10 +15,10 @@
 /// Number of trials of a quarantined request within `quarantine_limits::crash_lifetime`.
 inline constexpr std::size_t max_late_trials = 3;
 
-/// A request that was answered this short a time before its first crash is not one that crashes
-/// each target, so that crashes at the same moment count once, and the first ones don't count.
+/// A request that was answered within this time before its first crash does not crash every target.
+/// So its crashes at the same moment count once, and the first moments don't count.
 inline constexpr duration answered_lifetime = std::chrono::minutes(1);
-/// Crashes of which each follows another one within this time are at the same moment.
+/// Crashes are at the same moment if each follows the previous one within this time.
 inline constexpr duration same_moment = std::chrono::milliseconds(500);
 /// Number of moments that don't count after an answer.
 inline constexpr std::size_t answered_credit = 2;
@@ -29,7 +29,7 @@
     duration crash_lifetime = std::chrono::hours(24);
     /// How long a lost connection counts as a crash without proof that the target ended.
     duration suspicion_lifetime = std::chrono::seconds(5);
-    /// How long a cleared request is remembered, so that late reports can't accuse it again.
+    /// How long a cleared request is remembered; a late report does not make it a suspect again.
     duration cleared_lifetime = std::chrono::minutes(10);
     /// Time from a confirmed third crash, or from the end of the latest trial, to the next one.
     std::array<duration, max_late_trials> trial_delays{
@@ -44,9 +44,9 @@
     duration demand_interval = std::chrono::milliseconds(300);
     /// The registry drops a demand that was not repeated for this time.
     duration demand_timeout = std::chrono::milliseconds(1000);
-    /// Without an answer for this time, a sender takes the leading keeper for lost.
+    /// Without an answer for this time, a sender considers the leading keeper lost.
     duration leader_timeout = std::chrono::milliseconds(1500);
-    /// A new leader grants no trials for this time, in which senders report what they know.
+    /// A new leader grants no trials for this time, while senders report what they know.
     duration settle_time = std::chrono::seconds(1);
     /// How long other suspects that crashed the same targets wait for a trial that has begun, so
     /// that a crash under it has one cause.
@@ -55,7 +55,7 @@
     duration copy_wait = std::chrono::seconds(2);
     /// A running copy that was reported keeps a request from quarantine for this time at most.
     duration copy_lease = std::chrono::seconds(30);
-    /// Longest delay that a refused caller is asked to wait; a later trial is no reason to return.
+    /// Longest delay after which a refused caller is asked to retry.
     duration max_retry_after = std::chrono::minutes(1);
     /// Number of requests under suspicion that an account or a registry keeps.
     std::size_t max_entries = 4096;
--- a/packages/quarantine/send_decision.h
+++ b/packages/quarantine/send_decision.h
@@ -9,7 +9,7 @@
     free,
     /// Without a hedge or another copy at the same time.
     alone,
-    /// As `alone`, as the trial that the leading keeper granted.
+    /// As `alone`; the attempt is a trial.
     trial,
     /// Not now: a trial has to be granted, or another copy has to end first.
     wait,
@@ -20,7 +20,7 @@
 
 struct send_decision {
     send_permission permission = send_permission::free;
-    /// If refused: delay after which a retry may succeed; zero if it is no use.
+    /// If refused: delay after which a retry may succeed; zero if none will soon.
     duration retry_after{};
 };
 
--- a/packages/quarantine/tests/quarantine_test.cpp
+++ b/packages/quarantine/tests/quarantine_test.cpp
@@ -21,9 +21,9 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-/// What the operators allow: sends later than 4 s after the third target ended.
+/// Largest number of sends later than 4 s after the third target ended that operators accept.
 constexpr std::size_t allowed_late_sends = 3;
-/// Targets that may end where such requests come one after the other.
+/// Largest number of targets that may end under such requests in sequence.
 constexpr std::size_t allowed_targets_ended = 4;
 
 const request_fingerprint culprit_fingerprint(1, 1);
@@ -62,8 +62,8 @@
     }
 }
 
-/// The culprit comes at one sender after the other, often at first and every five minutes for the
-/// rest of the day.
+/// The crashing request arrives at one sender after the other, often at first and every five
+/// minutes for the rest of the day.
 void send_for_a_day(simulated_fleet& fleet, std::size_t senders) {
     std::size_t next = 0;
     const time_point end = fleet.time() + hours(24);
@@ -80,7 +80,8 @@
 
 } // namespace
 
-// A request under which three targets had ended was sent on at one instance after the other.
+// Guards against a request that one instance after the other sends, although three targets have
+// ended under it.
 SCENARIO("a request that crashes its targets comes again at any instance") {
     GIVEN("one after the other") {
         THEN("few targets end, and almost none once three have") {
@@ -106,8 +107,8 @@
                         fleet.arrive(i % senders, culprit());
                     }
                     fleet.run(seconds(8));
-                    // Each copy is retried once before anyone knows of the others, and one trial
-                    // confirms.
+                    // Each copy is retried once before its sender knows of the others, and one
+                    // trial confirms.
                     CHECK(fleet.targets_ended(culprit_fingerprint) <= 2 * copies + 1);
                     send_for_a_day(fleet, senders);
                     CHECK(fleet.late_sends(culprit_fingerprint) <= allowed_late_sends);
@@ -244,7 +245,8 @@
     }
 }
 
-// Without marked requests three of four targets were killed three times, and 272 of 273 served.
+// Guards against refusals of requests that crash nothing: without a crashing request, 272 of 273
+// were served while three of four targets were killed three times.
 SCENARIO("many targets end at once under requests that did nothing") {
     const auto kill_three_times = [](simulated_fleet& fleet, auto make_request) {
         std::size_t next = 0;
--- a/packages/quarantine/tests/simulated_fleet.cpp
+++ b/packages/quarantine/tests/simulated_fleet.cpp
@@ -10,10 +10,10 @@
 namespace {
 
 constexpr duration step_time = std::chrono::milliseconds(10);
-/// One way between two regions.
+/// One-way latency between two regions.
 constexpr duration message_time = std::chrono::milliseconds(20);
 constexpr duration target_return = std::chrono::seconds(3);
-/// Time from a broken connection to the answer whether its target is there.
+/// Time from a broken connection until it is known whether the target has ended.
 constexpr duration check_time = std::chrono::milliseconds(200);
 constexpr duration contact_time = std::chrono::seconds(4);
 
--- a/packages/quarantine/tests/simulated_fleet.h
+++ b/packages/quarantine/tests/simulated_fleet.h
@@ -19,15 +19,15 @@
 /// What callers send to a simulated fleet.
 struct simulated_request {
     request_fingerprint fingerprint;
-    /// The request ends its target this long after it began there; empty if it is innocent.
+    /// The request crashes its target after it has run for this time; empty if it crashes none.
     std::optional<duration> crash_after;
     duration run_time = std::chrono::milliseconds(50);
     duration deadline = std::chrono::seconds(6);
     std::size_t max_attempts = 3;
 };
 
-/// Senders, two keepers of which one leads, and targets that come back some seconds after they
-/// ended, under simulated time. Senders try again as the dispatcher does.
+/// Senders, two keepers of which one leads, and targets that restart some seconds after they ended,
+/// under simulated time. Senders retry as the dispatcher does.
 class simulated_fleet {
 public:
     struct settings {
@@ -46,24 +46,24 @@
     explicit simulated_fleet(const settings& chosen);
 
     void arrive(std::size_t sender, const simulated_request& request);
-    /// Ends this part of the targets that run.
+    /// Kills this fraction of the running targets.
     void kill_targets(double part);
-    /// Breaks the connections to all targets, which go on.
+    /// Resets the connections to all targets, which keep running.
     void reset_connections();
-    /// All targets say that they leave, and break their connections.
+    /// All targets announce that they are leaving, and close their connections.
     void leave_targets();
-    /// The sender reaches no keeper for the time; its targets and callers reach it.
+    /// Partitions the sender from the keepers for this time, but not from targets and callers.
     void cut_sender(std::size_t sender, duration time);
-    /// The sender loses its requests and all that it knows.
+    /// Restarts the sender, which loses its requests and its state.
     void restart_sender(std::size_t sender);
-    /// The leading keeper is gone, and another one leads after the time.
+    /// The leading keeper is lost, and another one leads after this time.
     void lose_leader(duration time);
     void run(duration time);
-    /// Passes time in which nothing is to be expected.
+    /// Advances the time without simulating events.
     void skip(duration time);
 
     /// Number of sends later than 4 s after the third target ended under the request, by senders
-    /// that were in touch with the keepers for 4 s.
+    /// that had been connected to the keepers for 4 s.
     [[nodiscard]] std::size_t late_sends(const request_fingerprint& fingerprint) const;
     [[nodiscard]] std::size_t targets_ended(const request_fingerprint& fingerprint) const;
     [[nodiscard]] std::size_t sends(const request_fingerprint& fingerprint) const;
--- a/packages/requests/dispatcher.h
+++ b/packages/requests/dispatcher.h
@@ -46,8 +46,8 @@
     [[nodiscard]] actions update_target(const membership::directory_change& change, time_point now);
     /// The permits of the target, or the expected wait for them, have changed.
     [[nodiscard]] actions update_permits(const target_id& target, time_point now);
-    /// What the crash account decides on these requests has changed, as its `take_changed` tells:
-    /// sends or refuses those that wait.
+    /// The decision of the crash account on these requests has changed, as its `take_changed` says.
+    /// Sends or refuses those that wait.
     [[nodiscard]] actions update_suspect(const request_fingerprint& fingerprint, time_point now);
     void record_load(const membership::target_load& load);
     /// Records cache events of a target; they may arrive late and incompletely.
--- a/packages/requests/internal/dispatcher_quarantine.cpp
+++ b/packages/requests/internal/dispatcher_quarantine.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 #include <vector>
 
-/// What the dispatcher does with requests under which targets may have ended.
+/// How the dispatcher treats requests under which targets may have ended.
 namespace kingcupcart::requests {
 
 void dispatcher::state::record_target(const membership::directory_change& change) {
@@ -69,7 +69,7 @@
         break;
     }
     if (request.queued) {
-        // The requests behind it need not wait.
+        // The requests behind it in the queue don't have to wait for the decision.
         this->stop_awaiting_permit(request);
         this->queues[request.profile.backend].remove(request.profile.id);
         request.queued = false;
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -40,7 +40,7 @@
     void refuse_without_permit(const target_id& target);
     /// Sends or refuses the requests with this fingerprint that are held.
     void update_suspect(const request_fingerprint& fingerprint);
-    /// Keeps what crash records of the target need.
+    /// Records the incarnation of the target, and whether it is leaving, for crash records.
     void record_target(const membership::directory_change& change);
     /// Sends the queued requests of the backend for which a target has room.
     void send_queued(const backend_name& backend);
@@ -75,10 +75,10 @@
     void stop_awaiting_permit(request_state& request);
     void handle_permit_due(request_state& request);
     void refuse_rate_limited(request_state& request, const target_id& target, duration wait);
-    /// Whether the request may be sent now, as far as crashes under it are concerned. Otherwise it
-    /// is held, with the cause of its next attempt, or refused.
+    /// Whether the crash account permits an attempt of the request now. Otherwise the request is
+    /// held, with the cause of its next attempt, or refused.
     [[nodiscard]] bool pass_quarantine(request_state& request, send_cause cause);
-    /// Whether another copy may be sent beside a running attempt of the request.
+    /// Whether another copy may be sent while an attempt of the request runs.
     [[nodiscard]] bool may_send_copy(const request_state& request) const;
     void stop_holding(request_state& request);
     void record_begin(const request_state& request, attempt_id attempt);
--- a/packages/requests/messages.h
+++ b/packages/requests/messages.h
@@ -26,7 +26,7 @@
     tokens produced;
 };
 
-/// The attempt has to wait, or need not wait any more, because the caller reads its stream slowly.
+/// The attempt pauses because the caller reads its stream slowly, or continues.
 struct attempt_paused {
     attempt_id attempt;
     bool is_paused = false;
--- a/packages/requests/tests/suspects_test.cpp
+++ b/packages/requests/tests/suspects_test.cpp
@@ -120,7 +120,8 @@
 
 } // namespace
 
-// Each client attempt ended as many targets as its route allowed, whatever had happened before.
+// Guards against a request that ends as many targets as its route allows attempts, each time that
+// its client retries.
 SCENARIO("a request under which targets ended is held back") {
     suspect_fixture fixture;
     GIVEN("one broken connection under it") {
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -24,8 +24,9 @@
 constexpr double min_memory_mb = 16;
 constexpr double max_memory_mb = 1024.0 * 1024;
 constexpr double bytes_per_megabyte = 1000.0 * 1000;
-/// The responses in progress take up at most one part in `response_memory_share` of the memory: a
-/// buffer that grows needs up to three times its content, and the rest of the process its own.
+/// The responses in progress may use a fraction of 1 / `response_memory_share` of the memory: a
+/// buffer that grows needs up to three times its content, and the rest of the process needs memory,
+/// too.
 constexpr double response_memory_share = 5;
 constexpr std::int64_t max_body_limit = std::int64_t{1024} * 1024 * 1024;
 
--- a/packages/store/internal/score_runner.cpp
+++ b/packages/store/internal/score_runner.cpp
@@ -152,7 +152,7 @@
     forwarding::call_parameters call;
     call.name = scorer->name;
     call.request = this->params.protocol.make_score_call(*scorer);
-    // Without a fingerprint, since an item's score is owed whatever happens under its requests.
+    // Without a fingerprint: an item needs its score, so its requests are never quarantined.
     call.max_wait = route->timeout;
     call.notify.on_response = [this, item_id = action.item](const http::response_head& head,
                                                             std::string_view /*body*/) {
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -112,7 +112,7 @@
             this->runner->permits_changed(target);
         }
     };
-    // What stores send has no fingerprint.
+    // Requests of stores have no fingerprint.
     keeper_callbacks.suspect_changed = [](const request_fingerprint&) {};
     keeper_callbacks.stores_changed = [this] { this->stores_changed(); };
     keeper_callbacks.initial_members_received =
--- a/stand_ins/crashing_replica.h
+++ b/stand_ins/crashing_replica.h
@@ -39,9 +39,9 @@
     /// Fails if it can't listen.
     static outcome<std::unique_ptr<crashing_replica>> open(parameters arguments);
 
-    /// Ends it as a crash does, though no request did so.
+    /// Crashes it without a request.
     void kill();
-    /// When each run of a marked request began.
+    /// When the run of each marked request began.
     [[nodiscard]] const std::vector<time_point>& fatal_runs() const {
         return this->fatal_run_times;
     }
@@ -49,7 +49,7 @@
     [[nodiscard]] const std::vector<std::string>& fatal_requests() const {
         return this->fatal_request_ids;
     }
-    /// When marked requests ended it.
+    /// When marked requests crashed it.
     [[nodiscard]] const std::vector<time_point>& crashes() const { return this->crash_times; }
 
 private:
--- a/stand_ins/internal/crashing_replica.cpp
+++ b/stand_ins/internal/crashing_replica.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr duration heartbeat_interval = std::chrono::milliseconds(300);
-/// Time until another try, where its address is still in use.
+/// Time until it tries to listen again while its address is still in use.
 constexpr duration listen_retry_interval = std::chrono::milliseconds(100);
 constexpr int slots = 10;
 
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -145,7 +145,7 @@
     std::unique_ptr<http::server> server;
     /// Destroyed before the server, which owns their connections.
     std::vector<std::unique_ptr<http::exchange>> held_exchanges;
-    /// Requests that are answered at a time, in its order.
+    /// Requests by the time at which they are answered.
     std::deque<std::pair<time_point, std::unique_ptr<http::exchange>>> running_exchanges;
 };
 
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -94,7 +94,7 @@
     int socket;
 };
 
-/// Events without end, in the order of their numbers.
+/// Numbered events, without end.
 std::string make_events(std::size_t part) {
     constexpr std::size_t events_per_part = 100;
     std::string events;
@@ -107,8 +107,8 @@
 
 } // namespace
 
-// Replicas that sent bytes without end exhausted the memory of the machines that had called them,
-// and the requests of all other clients ended with those.
+// Guards against replicas that send bytes without end and so exhaust the memory of the instances
+// that call them, which ends the requests of all other clients.
 SCENARIO(
     "replicas that send without end do not exhaust the memory of the instances that call them") {
     deployment test_deployment;
@@ -156,7 +156,7 @@
     }
 }
 
-// A stream was passed to the caller's connection as it came, whether or not the caller read it.
+// Guards against a gateway that buffers a stream without limit for a caller that reads nothing.
 SCENARIO("callers that read nothing do not exhaust the memory of a gateway") {
     deployment test_deployment;
     fleet test_fleet(test_deployment);
--- a/tests/process/exit_test.cpp
+++ b/tests/process/exit_test.cpp
@@ -28,8 +28,8 @@
 constexpr duration logging_time = 300ms;
 constexpr std::size_t connecting_threads = 4;
 
-/// Opens connections to an address, one after the other in each of several threads, and breaks the
-/// inner protocol on each, which the instance logs.
+/// Opens connections to an address, one after the other in each of several threads, and violates
+/// the inner protocol on each, which the instance logs.
 class faulty_peers {
 public:
     explicit faulty_peers(const std::string& address) {
@@ -57,7 +57,7 @@
     faulty_peers& operator=(const faulty_peers&) = delete;
 
 private:
-    /// False once nobody listens any more.
+    /// Returns false once the address refuses connections.
     bool connect_once() {
         constexpr std::string_view no_handshake = "no handshake\r\n\r\n";
         const int socket_number = socket(AF_INET, SOCK_STREAM, 0);
--- a/tests/process/repeated_crashes_test.cpp
+++ b/tests/process/repeated_crashes_test.cpp
@@ -29,7 +29,7 @@
 
 const std::array<const char*, 3> gateways = {"127.0.0.4", "127.0.0.6", "127.0.0.7"};
 
-/// A request of a caller that comes again after a failure, up to `max_tries` times.
+/// A request that its caller retries after a failure, `max_tries` attempts in all.
 struct other_request {
     std::string body;
     time_point first_sent_at{};
@@ -44,7 +44,7 @@
     std::vector<std::unique_ptr<stand_ins::crashing_replica>> replicas;
     std::vector<std::unique_ptr<client_call>> marked_calls;
     std::vector<other_request> others;
-    /// Responses that say that another request is quarantined.
+    /// Number of responses that refuse one of the others as quarantined.
     int quarantined_others = 0;
 
     crash_test() : test_fleet(this->test_deployment, three_keepers()) {}
@@ -96,7 +96,7 @@
         ++request.tries;
     }
 
-    /// Sends those again that have failed. Returns whether all are served or given up.
+    /// Retries the failed ones. Returns whether all have been served or have used up their tries.
     bool repeat_others() {
         bool have_ended = true;
         for (other_request& request : this->others) {
@@ -160,7 +160,7 @@
     std::size_t sent_others = 0;
 };
 
-/// The marked request comes again `copies` at a time; other requests come beside it.
+/// Sends the marked request again and again, `copies` at a time, and other requests beside it.
 void run_marked_requests(crash_test& test, std::size_t copies, duration time) {
     constexpr duration interval = std::chrono::milliseconds(100);
     constexpr std::size_t intervals_between_copies = 7;
@@ -202,8 +202,8 @@
 
 } // namespace
 
-// Each gateway counted the targets that one attempt of a client had ended. The request came again
-// under another identifier, and all gateways together sent it to whichever target was back.
+// Guards against a request that crashes one replica after another: each gateway counted crashes for
+// one client attempt only, so a retry under another identifier was sent to every restarted replica.
 SCENARIO("a request under which targets ended is not sent on and on") {
     crash_test test;
     GIVEN("a request that crashes each replica that runs it, and other requests beside it") {
@@ -217,7 +217,8 @@
     }
 }
 
-// Requests that run on a replica at its end look as if they had crashed it.
+// Guards against refusals of requests that were running when their replica was killed, which looks
+// the same as a crash that they caused.
 SCENARIO("requests that ran on killed replicas are not refused as if they had crashed them") {
     crash_test test;
     GIVEN("slow requests that are all alike") {
