Whole responses that callers do not read: a budget, and the idlest caller is cut

What callers and operators saw: a gateway whose callers read nothing of whole, large responses kept them all; at the limit of the machine's memory the process ended, and with it the requests of all other callers. Nothing closed these connections but their callers.

Cause: a response that is complete leaves the budget of responses in progress, and libsoup keeps it until it is sent. Nothing counted what is held for callers.

Evidence: process_test "callers that read nothing of whole responses", one gateway with memory = 88MB and twenty callers that read nothing of 6 MiB each, one after the other.

Why it works: caller_budget counts what libsoup holds for each request (a whole response to its end, the unsent part of a stream) against a fifth of [instance] memory, one budget for a task. Beyond it the connection of a caller is closed by a reset, so that also the system's buffers are freed. Which one is best for callers: the one that has taken nothing for longest, by what its system has acknowledged (SIOCOUTQ; what was passed to the socket says little, since a send buffer frees up in large steps), looked at every 250 ms. Such a caller is the least likely to want the rest. One that reads slowly has taken something within the last step and goes after all that read nothing; among those within one step the one for which most is held goes, so that few are cut.

Ruled out: a limit on the time to take a response (cuts slow callers while there is room, and does not bound quick ones), and the budget of responses in progress (a target's response would be cut for a caller's fault). g_socket_close: libsoup would wait for a descriptor that may be in use again.

--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -55,12 +55,13 @@
 outcome<std::unique_ptr<frontend>> frontend::open(parameters arguments) {
     const settings::entry_settings entry = *arguments.settings.entry;
     std::unique_ptr<frontend> created(new frontend(std::move(arguments)));
-    BOOST_LEAF_ASSIGN(
-        created->server,
-        http::server::open(entry.callers, entry.body_limit,
-                           [handler = created.get()](std::unique_ptr<http::exchange> exchange) {
-                               handler->handle_request(std::move(exchange));
-                           }));
+    BOOST_LEAF_ASSIGN(created->server,
+                      http::server::open(
+                          entry.callers, entry.body_limit,
+                          [handler = created.get()](std::unique_ptr<http::exchange> exchange) {
+                              handler->handle_request(std::move(exchange));
+                          },
+                          created->caller_memory));
     BOOST_LEAF_ASSIGN(created->deployment,
                       configuration::deployment::parse(configuration::deployment::default_text(),
                                                        "default configuration"));
@@ -80,6 +81,8 @@
                this->run_service(request, key_created, std::move(sink));
            }),
       client(*params.time, {params.settings.responses, {}}),
+      caller_memory(std::make_shared<http::caller_budget>(*params.time,
+                                                          params.settings.responses.budget_bytes)),
       context{client, [this](const requests::message& incoming) { this->dispatch(incoming); }},
       dispatcher_timer([this] {
           this->armed_time = time_point::max();
@@ -299,6 +302,7 @@
     this->metrics.set("open_requests", static_cast<double>(this->dispatcher.open_requests()));
     this->metrics.set("queued_requests", static_cast<double>(this->dispatcher.queued_requests()));
     this->client.budget().export_metrics(this->metrics);
+    this->caller_memory->export_metrics(this->metrics);
     this->metrics.set("targets", static_cast<double>(this->directory.size()));
     this->metrics.set("configuration_version", static_cast<double>(this->in_force.value()));
     admin::report report;
--- a/packages/entry/internal/frontend.h
+++ b/packages/entry/internal/frontend.h
@@ -10,6 +10,7 @@
 #include "entry/internal/key_owner.h"
 #include "entry/internal/peers_message.h"
 #include "entry/internal/service_call.h"
+#include "http/caller_budget.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "membership/directory.h"
@@ -109,6 +110,7 @@
     configuration_version in_force;
     key_owner keys;
     http::client client;
+    std::shared_ptr<http::caller_budget> caller_memory;
     call_context context;
     std::unordered_map<request_id, any_call> calls;
     std::unordered_map<attempt_id, request_id> attempts;
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -75,7 +75,9 @@
 gateway::gateway(parameters arguments)
     : params(std::move(arguments)),
       responses(
-          std::make_shared<http::response_budget>(this->params.settings.responses.budget_bytes)) {}
+          std::make_shared<http::response_budget>(this->params.settings.responses.budget_bytes)),
+      caller_memory(std::make_shared<http::caller_budget>(
+          *this->params.time, this->params.settings.responses.budget_bytes)) {}
 
 gateway::~gateway() = default;
 
@@ -84,9 +86,9 @@
     const auto on_request = [this](std::unique_ptr<http::exchange> exchange) {
         this->handle_request(std::move(exchange));
     };
-    BOOST_LEAF_ASSIGN(
-        this->callers_server,
-        http::server::open(gateway_settings.callers, gateway_settings.body_limit, on_request));
+    BOOST_LEAF_ASSIGN(this->callers_server,
+                      http::server::open(gateway_settings.callers, gateway_settings.body_limit,
+                                         on_request, this->caller_memory));
     BOOST_LEAF_ASSIGN(this->ready_server,
                       http::server::open(gateway_settings.ready, ready_body_limit, on_request));
     return {};
@@ -312,6 +314,7 @@
     this->metrics.set("gateway_targets", static_cast<double>(this->fleet->targets().size()));
     this->fleet->limits().export_metrics(this->metrics);
     this->responses->export_metrics(this->metrics);
+    this->caller_memory->export_metrics(this->metrics);
     this->fleet->crashes().export_metrics(this->metrics);
     admin::report report;
     report.component = "gateway";
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/caller_protocol.h"
 #include "gateway/internal/gateway_message.h"
 #include "gateway/internal/store_client.h"
+#include "http/caller_budget.h"
 #include "http/response_budget.h"
 #include "http/server.h"
 #include "settings/process_settings.h"
@@ -68,6 +69,7 @@
     parameters params;
     telemetry::metric_set metrics;
     std::shared_ptr<http::response_budget> responses;
+    std::shared_ptr<http::caller_budget> caller_memory;
     /// Readiness is withdrawn.
     bool is_stopping = false;
     /// New requests are refused.
--- a/packages/http/exchange.h
+++ b/packages/http/exchange.h
@@ -13,12 +13,14 @@
 
 namespace kingcupcart::http {
 
+class buffered_message;
+
 /// A request that a server received, and its response: sent whole by `respond`, or in parts by
 /// `begin_stream`, `write` and `end_stream`. The request stays open until the response is complete;
 /// destroying the exchange earlier closes the connection.
 class exchange {
 public:
-    explicit exchange(SoupServerMessage* message);
+    exchange(SoupServerMessage* message, std::shared_ptr<buffered_message> buffers);
     ~exchange();
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
--- a/packages/http/internal/exchange.cpp
+++ b/packages/http/internal/exchange.cpp
@@ -1,10 +1,10 @@
 #include "http/exchange.h"
 
+#include "http/internal/buffered_message.h"
 #include "task/g_pointer.h"
 
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace kingcupcart::http {
@@ -13,8 +13,9 @@
 /// of a paused message, so it would not notice that the client disconnects.
 class exchange::state {
 public:
-    explicit state(SoupServerMessage* server_message)
-        : message(task::g_pointer<SoupServerMessage>::share(server_message)) {
+    state(SoupServerMessage* server_message, std::shared_ptr<buffered_message> message_buffers)
+        : message(task::g_pointer<SoupServerMessage>::share(server_message)),
+          buffers(std::move(message_buffers)) {
         g_signal_connect(server_message, "finished", G_CALLBACK(&state::finished), this);
         g_signal_connect(server_message, "wrote-body-data", G_CALLBACK(&state::wrote_body_data),
                          this);
@@ -45,9 +46,9 @@
     }
 
     task::g_pointer<SoupServerMessage> message;
+    std::shared_ptr<buffered_message> buffers;
     std::function<void()> disconnect_callback;
     std::function<void()> sent_callback;
-    std::size_t unsent_bytes = 0;
     bool is_streaming = false;
     bool is_responded = false;
     bool is_finished = false;
@@ -108,10 +109,8 @@
         }
     }
 
-    static void wrote_body_data(SoupServerMessage* /*message*/, guint size, gpointer data) {
-        auto* exchange_state = static_cast<state*>(data);
-        exchange_state->unsent_bytes -=
-            std::min(exchange_state->unsent_bytes, static_cast<std::size_t>(size));
+    static void wrote_body_data(SoupServerMessage* /*message*/, guint /*size*/, gpointer data) {
+        const auto* exchange_state = static_cast<state*>(data);
         // The callback may destroy the exchange, and with it the function.
         if (const auto callback = exchange_state->sent_callback) {
             callback();
@@ -121,7 +120,8 @@
     GSource* source = nullptr;
 };
 
-exchange::exchange(SoupServerMessage* message) : impl(std::make_shared<state>(message)) {}
+exchange::exchange(SoupServerMessage* message, std::shared_ptr<buffered_message> buffers)
+    : impl(std::make_shared<state>(message, std::move(buffers))) {}
 
 exchange::~exchange() = default;
 
@@ -189,6 +189,7 @@
     } else {
         soup_server_message_set_response(message, content_type.c_str(), SOUP_MEMORY_COPY,
                                          body.data(), body.size());
+        this->impl->buffers->add_response(body.size());
     }
     this->impl->resume();
 }
@@ -209,8 +210,8 @@
         return;
     }
     SoupMessageBody* body = soup_server_message_get_response_body(this->impl->message.get());
-    this->impl->unsent_bytes += part.size();
     soup_message_body_append(body, SOUP_MEMORY_COPY, part.data(), part.size());
+    this->impl->buffers->add_stream_part(part.size());
     this->impl->resume();
 }
 
@@ -221,7 +222,7 @@
 }
 
 std::size_t exchange::unsent_bytes() const {
-    return this->impl->unsent_bytes;
+    return this->impl->buffers->unsent_bytes();
 }
 
 void exchange::on_sent(std::function<void()> callback) {
--- a/packages/http/internal/server.cpp
+++ b/packages/http/internal/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "http/exchange.h"
+#include "http/internal/buffered_message.h"
 #include "task/g_pointer.h"
 
 #include <string>
@@ -15,7 +16,8 @@
 } // namespace
 
 outcome<std::unique_ptr<server>> server::open(const endpoint& address, std::int64_t body_limit,
-                                              handler on_request) {
+                                              handler on_request,
+                                              std::shared_ptr<caller_budget> budget) {
     task::g_pointer<SoupServer> soup(
         soup_server_new("server-header", "kingcupcart", "raw-paths", TRUE, nullptr));
     const task::g_pointer<GSocketAddress> listen_address(
@@ -34,14 +36,16 @@
     g_slist_free_full(uris, [](gpointer uri) { g_uri_unref(static_cast<GUri*>(uri)); });
     auto* owned_soup = static_cast<SoupServer*>(g_object_ref(soup.get()));
     return std::unique_ptr<server>(
-        new server(owned_soup, bound, body_limit, std::move(on_request)));
+        new server(owned_soup, bound, body_limit, std::move(on_request), std::move(budget)));
 }
 
-server::server(SoupServer* soup, endpoint bound, std::int64_t body_limit, handler on_request)
+server::server(SoupServer* soup, endpoint bound, std::int64_t body_limit, handler on_request,
+               std::shared_ptr<caller_budget> budget)
     : soup(soup),
       bound(std::move(bound)),
       body_limit(body_limit),
-      on_request(std::move(on_request)) {
+      on_request(std::move(on_request)),
+      budget(std::move(budget)) {
     soup_server_add_early_handler(this->soup, nullptr, &server::handle_headers, this, nullptr);
     soup_server_add_handler(this->soup, nullptr, &server::handle_request, this, nullptr);
     g_signal_connect(this->soup, "request-started", G_CALLBACK(&server::request_started), this);
@@ -75,7 +79,7 @@
 
 void server::close_connections() {
     this->is_closing = true;
-    for (SoupServerMessage* message : this->open_requests) {
+    for (const auto& [message, buffers] : this->open_requests) {
         announce_close(message);
     }
 }
@@ -103,7 +107,8 @@
 
 void server::request_started(SoupServer* /*soup*/, SoupServerMessage* message, gpointer data) {
     auto* http_server = static_cast<server*>(data);
-    http_server->open_requests.insert(message);
+    http_server->open_requests.insert_or_assign(
+        message, std::make_shared<buffered_message>(message, http_server->budget));
     if (http_server->is_closing) {
         announce_close(message);
     }
@@ -111,7 +116,11 @@
 
 void server::request_ended(SoupServer* /*soup*/, SoupServerMessage* message, gpointer data) {
     auto* http_server = static_cast<server*>(data);
-    http_server->open_requests.erase(message);
+    const auto ended = http_server->open_requests.find(message);
+    if (ended != http_server->open_requests.end()) {
+        ended->second->end();
+        http_server->open_requests.erase(ended);
+    }
     http_server->check_idle();
 }
 
@@ -129,7 +138,8 @@
                             GHashTable* /*query*/, gpointer data) {
     auto* http_server = static_cast<server*>(data);
     soup_server_message_pause(message);
-    http_server->on_request(std::make_unique<exchange>(message));
+    http_server->on_request(
+        std::make_unique<exchange>(message, http_server->open_requests.at(message)));
 }
 
 } // namespace kingcupcart::http
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -8,10 +8,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace kingcupcart::http {
 
+class buffered_message;
+class caller_budget;
 class exchange;
 
 /// An HTTP server that runs on the event loop of the thread that created it.
@@ -21,9 +23,11 @@
 
     /// Fails with `input_output` if the address can't be bound. The server rejects a body longer
     /// than `body_limit` bytes with status 413; if the body is chunked, it closes the connection
-    /// once the chunks exceed the limit.
+    /// once the chunks exceed the limit. What it holds for callers counts in the budget, which the
+    /// servers of a task share; null is without limit.
     static outcome<std::unique_ptr<server>> open(const endpoint& address, std::int64_t body_limit,
-                                                 handler on_request);
+                                                 handler on_request,
+                                                 std::shared_ptr<caller_budget> budget = nullptr);
 
     ~server();
     server(const server&) = delete;
@@ -42,7 +46,8 @@
     [[nodiscard]] bool is_idle() const { return this->open_requests.empty(); }
 
 private:
-    server(SoupServer* soup, endpoint bound, std::int64_t body_limit, handler on_request);
+    server(SoupServer* soup, endpoint bound, std::int64_t body_limit, handler on_request,
+           std::shared_ptr<caller_budget> budget);
     static void handle_headers(SoupServer* soup, SoupServerMessage* message, const char* path,
                                GHashTable* query, gpointer data);
     static void handle_request(SoupServer* soup, SoupServerMessage* message, const char* path,
@@ -57,7 +62,8 @@
     endpoint bound;
     std::int64_t body_limit;
     handler on_request;
-    std::unordered_set<SoupServerMessage*> open_requests;
+    std::shared_ptr<caller_budget> budget;
+    std::unordered_map<SoupServerMessage*, std::shared_ptr<buffered_message>> open_requests;
     bool is_closing = false;
     std::function<void()> on_idle;
 };
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -1,5 +1,7 @@
 #include "base/endpoint.h"
 #include "base/outcome.h"
+#include "http/exchange.h"
+#include "http/server.h"
 #include "http/tests/flooding_server.h"
 #include "process/deployment.h"
 #include "process/fleet.h"
@@ -17,6 +19,7 @@
 #include <fstream>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -79,6 +82,10 @@
 public:
     silent_caller(const endpoint& server, const std::string& request)
         : socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        // The system takes little of the response for a caller that reads nothing.
+        constexpr int receive_buffer_bytes = 16 * 1024;
+        setsockopt(this->socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                   sizeof(receive_buffer_bytes));
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(server.port);
@@ -94,6 +101,38 @@
     int socket;
 };
 
+/// A replica whose responses are whole, and large.
+class large_replica {
+public:
+    static constexpr std::size_t body_bytes = 6UL * 1024 * 1024;
+
+    large_replica() {
+        auto opened = value_or_error([this] {
+            return http::server::open(
+                endpoint{"127.0.0.1", 0}, body_bytes,
+                [this](std::unique_ptr<http::exchange> exchange) { this->respond(*exchange); });
+        });
+        this->server = std::move(std::get<std::unique_ptr<http::server>>(opened));
+    }
+
+    [[nodiscard]] endpoint address() const { return this->server->address(); }
+    /// Whether this many responses were taken whole.
+    [[nodiscard]] bool has_answered(std::size_t count) const {
+        return this->responses >= count && this->server->is_idle();
+    }
+
+private:
+    void respond(http::exchange& exchange) {
+        ++this->responses;
+        exchange.add_header("X-Request-Id", exchange.header("X-Request-Id"));
+        exchange.add_header("X-Server-Stamp", "s");
+        exchange.respond(200, "text/plain", std::string(body_bytes, 'x'));
+    }
+
+    std::unique_ptr<http::server> server;
+    std::size_t responses = 0;
+};
+
 /// Events without end, in the order of their numbers.
 std::string make_events(std::size_t part) {
     constexpr std::size_t events_per_part = 100;
@@ -196,4 +235,39 @@
     }
 }
 
+// A whole response was passed to the server's buffers, and stayed there as long as its caller kept
+// the connection.
+SCENARIO("callers that read nothing of whole responses do not exhaust the memory of a gateway") {
+    constexpr std::size_t silent_callers = 20;
+    deployment test_deployment;
+    fleet test_fleet(test_deployment);
+    REQUIRE(test_fleet.wait_until_ready());
+    GIVEN("a replica with responses of 6 MiB") {
+        const large_replica replica;
+        test_fleet.service().advertise(replica.address());
+        test_deployment.wait(std::chrono::seconds(1));
+        const auto gateway = value_or_error([&] {
+            return parse_endpoint(test_fleet.callers().substr(std::string("http://").size()));
+        });
+        REQUIRE(std::holds_alternative<endpoint>(gateway));
+        WHEN("twenty callers, one after the other, read none of theirs") {
+            std::vector<std::unique_ptr<silent_caller>> callers;
+            for (std::size_t i = 0; i < silent_callers; ++i) {
+                callers.push_back(std::make_unique<silent_caller>(
+                    std::get<endpoint>(gateway),
+                    "POST /b/1 HTTP/1.1\r\nHost: shop\r\nX-Request-Id: silent" + std::to_string(i) +
+                        "\r\nContent-Length: 0\r\n\r\n"));
+                REQUIRE(test_deployment.run_until([&] { return replica.has_answered(i + 1); }));
+            }
+            THEN("the memory suffices, and a caller that reads is served") {
+                http::request request = test_fleet.booking_request("reads", "");
+                const auto call = test_deployment.call(request);
+                CHECK(call->head.status == 200);
+                CHECK(call->body.size() == large_replica::body_bytes);
+                check_memory(test_fleet.gateway(), "gateway");
+            }
+        }
+    }
+}
+
 } // namespace kingcupcart::process_tests
