Requests that do not end: they count in the budget of what is held for callers

What callers and operators saw: a few callers that sent large bodies without ending them filled the memory of a gateway, and the requests of all others ended with it.

Cause: body-limit (32 MiB) is for one request. Nothing bounded all bodies that arrive together.

Why it works: what has arrived of a request counts in caller_budget until the request is complete, by the same order: the caller that has sent nothing for longest goes first, then, among those that send, the one for which most is held, so that a small request never gives way to a large one. A request that is cut was not handed to its handler, so it has not run. The check of chunked bodies against body-limit moved with the count from the server to buffered_message, unchanged.

Not covered: requests that are complete and wait for a target. Closing those would break off requests that may have run, for no fault of their callers.

--- a/packages/http/caller_budget.h
+++ b/packages/http/caller_budget.h
@@ -17,11 +17,11 @@
 
 namespace kingcupcart::http {
 
-/// The memory that the callers of a task make it hold: responses that wait until their callers take
-/// them. While they exceed the limit, connections of callers are closed: first that of the caller
-/// that has taken nothing for longest, and among those that do take something the one for which
-/// most is held, the oldest if several are equal. Belongs to the event loop of the thread that
-/// created it.
+/// The memory that the callers of a task make it hold: requests that arrive, and responses that
+/// wait until their callers take them. While they exceed the limit, connections of callers are
+/// closed: first that of the caller that has sent or taken nothing for longest, and among those
+/// that do the one for which most is held, the oldest if several are equal. Belongs to the event
+/// loop of the thread that created it.
 class caller_budget {
 public:
     /// `time` has to outlive the budget.
@@ -34,7 +34,7 @@
     class share {
     public:
         struct caller {
-            /// Returns a count of the bytes that the caller has taken, from any origin.
+            /// Returns a count of the bytes that the caller has sent and taken, from any origin.
             std::function<std::int64_t()> moved_bytes;
             /// Closes the caller's connection because the budget is short; the argument says why.
             /// What this leads to has to follow in a later iteration of the event loop.
@@ -50,7 +50,7 @@
         /// before this function returns, also this one; nothing counts for it any more then.
         void set(std::size_t bytes);
         [[nodiscard]] std::size_t bytes() const { return this->held_bytes; }
-        /// Time for which the caller has taken nothing of what is held for it.
+        /// Time for which the caller has neither sent nor taken anything.
         [[nodiscard]] duration idle_time() const;
         [[nodiscard]] const caller_budget& owner() const { return *this->budget; }
 
@@ -61,7 +61,7 @@
         caller peer;
         std::size_t held_bytes = 0;
         time_point held_since{};
-        /// When the caller took something last, or when something was first held for it.
+        /// When the caller sent or took something last, or when something was first held for it.
         time_point moved_at{};
         /// Empty until the first look after that.
         std::optional<std::int64_t> last_moved_bytes;
@@ -77,7 +77,7 @@
 
 private:
     void resize(share& changed, std::size_t bytes);
-    /// Looks at which callers have taken something since the last look.
+    /// Looks at which callers have sent or taken something since the last look.
     void look();
     void close_connections();
     /// Null if nothing is held.
--- a/packages/http/internal/buffered_message.cpp
+++ b/packages/http/internal/buffered_message.cpp
@@ -11,9 +11,10 @@
 
 namespace kingcupcart::http {
 
-buffered_message::buffered_message(SoupServerMessage* message,
+buffered_message::buffered_message(SoupServerMessage* message, std::int64_t body_limit,
                                    const std::shared_ptr<caller_budget>& budget)
-    : message(task::g_pointer<SoupServerMessage>::share(message)) {
+    : message(task::g_pointer<SoupServerMessage>::share(message)), body_limit(body_limit) {
+    g_signal_connect(message, "got-chunk", G_CALLBACK(&buffered_message::got_chunk), this);
     g_signal_connect(message, "wrote-body-data", G_CALLBACK(&buffered_message::wrote_body_data),
                      this);
     if (budget) {
@@ -29,6 +30,11 @@
     g_signal_handlers_disconnect_by_data(this->message.get(), this);
 }
 
+void buffered_message::receive_complete() {
+    this->is_received = true;
+    this->count_held();
+}
+
 void buffered_message::add_response(std::size_t bytes) {
     this->whole_bytes = bytes;
     this->add_stream_part(bytes);
@@ -45,6 +51,19 @@
     this->count_held();
 }
 
+void buffered_message::got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data) {
+    auto* buffered = static_cast<buffered_message*>(data);
+    buffered->received_bytes += static_cast<std::int64_t>(g_bytes_get_size(chunk));
+    // A body of known length was checked before it was read.
+    const bool is_chunked =
+        soup_message_headers_get_encoding(soup_server_message_get_request_headers(message)) ==
+        SOUP_ENCODING_CHUNKED;
+    if (is_chunked && buffered->received_bytes > buffered->body_limit) {
+        g_socket_close(soup_server_message_get_socket(message), nullptr);
+    }
+    buffered->count_held();
+}
+
 void buffered_message::wrote_body_data(SoupServerMessage* /*message*/, guint size, gpointer data) {
     auto* buffered = static_cast<buffered_message*>(data);
     buffered->unsent -= std::min(buffered->unsent, static_cast<std::size_t>(size));
@@ -53,8 +72,11 @@
 
 void buffered_message::count_held() {
     if (this->share) {
-        const bool is_held = this->unsent > 0 && !this->has_ended;
-        this->share->set(is_held ? std::max(this->unsent, this->whole_bytes) : 0);
+        const std::size_t arriving =
+            this->is_received ? 0 : static_cast<std::size_t>(this->received_bytes);
+        const std::size_t sending =
+            this->unsent > 0 ? std::max(this->unsent, this->whole_bytes) : 0;
+        this->share->set(this->has_ended ? 0 : arriving + sending);
     }
 }
 
@@ -65,7 +87,8 @@
         // The connection has ended, which libsoup is about to notice.
         unacknowledged = 0;
     }
-    return this->added_bytes - static_cast<std::int64_t>(this->unsent) - unacknowledged;
+    return this->received_bytes + this->added_bytes - static_cast<std::int64_t>(this->unsent) -
+           unacknowledged;
 }
 
 void buffered_message::close_connection(const std::string& reason) {
--- a/packages/http/internal/buffered_message.h
+++ b/packages/http/internal/buffered_message.h
@@ -13,15 +13,19 @@
 
 namespace kingcupcart::http {
 
-/// What libsoup buffers of one request's response, and the caller's share of the budget for it.
+/// What libsoup buffers of one request while it arrives, and of its response, and the share of the
+/// budget for both.
 class buffered_message {
 public:
-    /// Without a budget, nothing is counted.
-    buffered_message(SoupServerMessage* message, const std::shared_ptr<caller_budget>& budget);
+    /// `body_limit` is in bytes. Without a budget, nothing is counted.
+    buffered_message(SoupServerMessage* message, std::int64_t body_limit,
+                     const std::shared_ptr<caller_budget>& budget);
     ~buffered_message();
     buffered_message(const buffered_message&) = delete;
     buffered_message& operator=(const buffered_message&) = delete;
 
+    /// The request is complete, and its handler's to answer.
+    void receive_complete();
     /// A whole response waits to be sent. It is held to its end.
     void add_response(std::size_t bytes);
     /// A part of a stream waits to be sent. It is held until it is sent.
@@ -32,13 +36,18 @@
     void end();
 
 private:
+    static void got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data);
     static void wrote_body_data(SoupServerMessage* message, guint size, gpointer data);
     void count_held();
-    /// Bytes of the response that the caller's system has acknowledged, up to a constant.
+    /// Bytes of the request that arrived, and of the response that the caller's system has
+    /// acknowledged, up to a constant.
     [[nodiscard]] std::int64_t moved_bytes() const;
     void close_connection(const std::string& reason);
 
     task::g_pointer<SoupServerMessage> message;
+    std::int64_t body_limit;
+    std::int64_t received_bytes = 0;
+    bool is_received = false;
     std::size_t unsent = 0;
     std::size_t whole_bytes = 0;
     std::int64_t added_bytes = 0;
--- a/packages/http/internal/caller_budget.cpp
+++ b/packages/http/internal/caller_budget.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Callers that took something within the same interval count as equally fast.
+/// Callers that sent or took something within the same interval count as equally fast.
 constexpr duration look_interval = std::chrono::milliseconds(250);
 
 } // namespace
--- a/packages/http/internal/server.cpp
+++ b/packages/http/internal/server.cpp
@@ -9,12 +9,6 @@
 
 namespace kingcupcart::http {
 
-namespace {
-
-constexpr const char* received_key = "kingcupcart-received";
-
-} // namespace
-
 outcome<std::unique_ptr<server>> server::open(const endpoint& address, std::int64_t body_limit,
                                               handler on_request,
                                               std::shared_ptr<caller_budget> budget) {
@@ -70,10 +64,6 @@
         soup_server_message_set_response(message, "text/plain", SOUP_MEMORY_COPY, text.data(),
                                          text.size());
         announce_close(message);
-        return;
-    }
-    if (soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED) {
-        g_signal_connect(message, "got-chunk", G_CALLBACK(&server::got_chunk), http_server);
     }
 }
 
@@ -108,7 +98,8 @@
 void server::request_started(SoupServer* /*soup*/, SoupServerMessage* message, gpointer data) {
     auto* http_server = static_cast<server*>(data);
     http_server->open_requests.insert_or_assign(
-        message, std::make_shared<buffered_message>(message, http_server->budget));
+        message,
+        std::make_shared<buffered_message>(message, http_server->body_limit, http_server->budget));
     if (http_server->is_closing) {
         announce_close(message);
     }
@@ -124,22 +115,13 @@
     http_server->check_idle();
 }
 
-void server::got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data) {
-    const auto* http_server = static_cast<server*>(data);
-    const auto received = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(message), received_key)) +
-                          g_bytes_get_size(chunk);
-    g_object_set_data(G_OBJECT(message), received_key, GSIZE_TO_POINTER(received));
-    if (received > static_cast<std::size_t>(http_server->body_limit)) {
-        g_socket_close(soup_server_message_get_socket(message), nullptr);
-    }
-}
-
 void server::handle_request(SoupServer* /*soup*/, SoupServerMessage* message, const char* /*path*/,
                             GHashTable* /*query*/, gpointer data) {
     auto* http_server = static_cast<server*>(data);
     soup_server_message_pause(message);
-    http_server->on_request(
-        std::make_unique<exchange>(message, http_server->open_requests.at(message)));
+    const std::shared_ptr<buffered_message> buffers = http_server->open_requests.at(message);
+    buffers->receive_complete();
+    http_server->on_request(std::make_unique<exchange>(message, buffers));
 }
 
 } // namespace kingcupcart::http
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -56,7 +56,6 @@
     static void request_ended(SoupServer* soup, SoupServerMessage* message, gpointer data);
     void check_idle();
     static void announce_close(SoupServerMessage* message);
-    static void got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data);
 
     SoupServer* soup;
     endpoint bound;
--- a/packages/http/tests/silent_callers_test.cpp
+++ b/packages/http/tests/silent_callers_test.cpp
@@ -18,6 +18,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace kingcupcart;
@@ -47,8 +48,12 @@
     slow_caller(const slow_caller&) = delete;
     slow_caller& operator=(const slow_caller&) = delete;
 
-    void send(const std::string& bytes) const {
-        ::send(this->socket, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    /// Sends as much as the server's system takes now; returns the bytes that it took.
+    std::size_t send(std::string_view bytes) {
+        const ssize_t size =
+            ::send(this->socket, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        this->is_closed = this->is_closed || (size < 0 && errno != EAGAIN);
+        return size > 0 ? static_cast<std::size_t>(size) : 0;
     }
     /// Reads 4 KiB at most.
     void read_some() {
@@ -126,6 +131,23 @@
         return added;
     }
 
+    /// Sends as long as the connection is open.
+    void send_all(slow_caller& caller, std::string_view bytes) {
+        while (!bytes.empty() && !caller.has_ended()) {
+            bytes.remove_prefix(caller.send(bytes));
+            this->run_for(std::chrono::milliseconds(1));
+        }
+    }
+
+    /// A caller that has sent a part of a body that is twice as long.
+    std::unique_ptr<slow_caller> add_sender(std::size_t part_bytes) {
+        auto added = std::make_unique<slow_caller>(this->http_server->address());
+        added->send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                    std::to_string(2 * part_bytes) + "\r\n\r\n");
+        this->send_all(*added, std::string(part_bytes, 'x'));
+        return added;
+    }
+
     std::vector<std::unique_ptr<slow_caller>> add_callers(std::size_t count) {
         std::vector<std::unique_ptr<slow_caller>> added;
         for (std::size_t i = 0; i < count; ++i) {
@@ -191,3 +213,43 @@
         }
     }
 }
+
+// The limit of a request's body was one for each request, and none for all that arrive together.
+SCENARIO("requests that do not end are held in memory up to a limit") {
+    constexpr std::size_t part_bytes = 5UL * 1024 * 1024;
+    answering_server server;
+    GIVEN("three callers that sent 5 MiB of a body and stopped, and one that sends on") {
+        std::vector<std::unique_ptr<slow_caller>> stopped;
+        for (int i = 0; i < 3; ++i) {
+            stopped.push_back(server.add_sender(part_bytes));
+        }
+        auto sender = server.add_sender(part_bytes / 2);
+        // One MiB of the budget is left, which the last one has exceeded.
+        CHECK(server.budget->cut_count() == 1);
+        WHEN("two more come while it sends slowly") {
+            constexpr std::size_t small_part = 16UL * 1024;
+            constexpr std::size_t sent_slowly = 1024UL * 1024;
+            for (std::size_t sent = 0; sent < sent_slowly; sent += small_part) {
+                server.send_all(*sender, std::string(small_part, 'x'));
+                server.run_for(std::chrono::milliseconds(10));
+            }
+            const auto next = server.add_sender(part_bytes);
+            server.send_all(*sender, std::string(small_part, 'x'));
+            const auto last = server.add_sender(part_bytes);
+            THEN("those that stopped are cut, and its request is answered") {
+                CHECK(server.budget->held_bytes() <= budget_bytes);
+                CHECK(server.budget->peak_bytes() <= budget_bytes + small_part);
+                CHECK_FALSE(sender->has_ended());
+                server.send_all(*sender,
+                                std::string(part_bytes / 2 - sent_slowly - small_part, 'x'));
+                for (int i = 0; i < 100 && server.answered == 0; ++i) {
+                    server.run_for(std::chrono::milliseconds(5));
+                }
+                CHECK(server.answered == 1);
+                for (const auto& caller : stopped) {
+                    CHECK(caller->is_cut());
+                }
+            }
+        }
+    }
+}
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -97,6 +97,13 @@
     silent_caller(const silent_caller&) = delete;
     silent_caller& operator=(const silent_caller&) = delete;
 
+    /// Sends as much as the server takes now, and returns the bytes that it took.
+    std::size_t send_some(const std::string& bytes) const {
+        const ssize_t size =
+            send(this->socket, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        return size > 0 ? static_cast<std::size_t>(size) : 0;
+    }
+
 private:
     int socket;
 };
@@ -270,4 +277,52 @@
     }
 }
 
+// The limit of a request's body was one for each request, and none for all that arrive together.
+SCENARIO("callers that send without end do not exhaust the memory of a gateway") {
+    constexpr std::size_t sending_callers = 10;
+    /// Below the limit of one body.
+    constexpr std::size_t sent_bytes = 16UL * 1024 * 1024;
+    deployment test_deployment;
+    fleet test_fleet(test_deployment);
+    REQUIRE(test_fleet.wait_until_ready());
+    const auto gateway = value_or_error(
+        [&] { return parse_endpoint(test_fleet.callers().substr(std::string("http://").size())); });
+    REQUIRE(std::holds_alternative<endpoint>(gateway));
+    WHEN("ten callers send 16 MiB each of bodies that do not end") {
+        std::vector<std::unique_ptr<silent_caller>> callers;
+        for (std::size_t i = 0; i < sending_callers; ++i) {
+            callers.push_back(std::make_unique<silent_caller>(
+                std::get<endpoint>(gateway),
+                "POST /b/1 HTTP/1.1\r\nHost: shop\r\nX-Request-Id: sends" + std::to_string(i) +
+                    "\r\nContent-Length: 33554432\r\n\r\n"));
+        }
+        std::vector<std::size_t> sent(sending_callers);
+        const auto send_all = [&] {
+            bool is_idle = true;
+            for (std::size_t i = 0; i < sending_callers; ++i) {
+                while (sent[i] < sent_bytes) {
+                    const std::size_t size = callers[i]->send_some(filler);
+                    if (size == 0) {
+                        break;
+                    }
+                    sent[i] += size;
+                    is_idle = false;
+                }
+            }
+            return is_idle;
+        };
+        int idle_rounds = 0;
+        constexpr int enough_idle_rounds = 20;
+        while (idle_rounds < enough_idle_rounds) {
+            idle_rounds = send_all() ? idle_rounds + 1 : 0;
+            test_deployment.wait(std::chrono::milliseconds(10));
+        }
+        THEN("the memory suffices, and another caller is served") {
+            CHECK(test_deployment.call(test_fleet.submit_job_request("beside", {"b"}, 1))
+                      ->head.status == 202);
+            check_memory(test_fleet.gateway(), "gateway");
+        }
+    }
+}
+
 } // namespace kingcupcart::process_tests
