Completions whose callers read nothing: the engine has to wait

What callers and operators saw: an entry instance kept what its callers did not read of a stream, at the engine's pace, and cut the stream when the engine's response reached its limit or held most of the budget. A caller that paused lost its stream, and the engine's work was tried again.

Cause: engine_call wrote each event to the caller's connection as it came. Nothing led back from there to the engine's connection, as it does in the gateway.

Evidence: entry_test "a completion without end is held in memory up to a limit", an engine that sends without end and a caller that reads nothing for 1 s.

Why it works: the rule of the gateway's streams (wait from more than 64 KiB unsent until half of it) is http::flow_control now, one copy for forwarded_call and engine_call. The dispatcher is told of the pause, as for the gateway, so that it is no stall of the engine. A stream whose last event has arrived is left alone: its call only drains.

Not covered: the text of the completion, which is kept so that another engine can go on with it.

--- a/packages/entry/internal/engine_call.cpp
+++ b/packages/entry/internal/engine_call.cpp
@@ -35,6 +35,7 @@
     this->response.id = "kc-" + std::to_string(id.value());
     this->exchange->on_disconnect(
         [this] { this->context.dispatch(requests::caller_disconnected{this->id}); });
+    this->exchange->on_sent([this] { this->control_flow(); });
 }
 
 engine_call::~engine_call() = default;
@@ -79,7 +80,7 @@
     }
     for (const std::string& event : stream.parser.feed(data)) {
         this->handle_event(attempt, stream, event);
-        if (!this->attempts.contains(attempt)) {
+        if (!this->attempts.contains(attempt) || stream.is_done) {
             return;
         }
     }
@@ -87,17 +88,36 @@
         this->fail_attempt(attempt, requests::attempt_failure::broken);
         return;
     }
-    std::size_t held_bytes = stream.parser.buffered_bytes();
     if (this->selected_attempt == attempt) {
-        held_bytes += this->response.text.size() + this->exchange->unsent_bytes();
+        this->control_flow();
+    } else {
+        stream.call->set_held_bytes(stream.parser.buffered_bytes());
     }
-    stream.call->set_held_bytes(held_bytes);
+}
+
+void engine_call::control_flow() {
+    const auto found = this->selected_attempt ? this->attempts.find(*this->selected_attempt)
+                                              : this->attempts.end();
+    if (found == this->attempts.end() || !found->second->call) {
+        return;
+    }
+    const attempt_stream& stream = *found->second;
+    const std::size_t unsent_bytes = this->exchange->unsent_bytes();
+    if (this->flow.update(unsent_bytes)) {
+        stream.call->set_paused(this->flow.is_paused());
+        this->context.dispatch(
+            requests::attempt_paused{*this->selected_attempt, this->flow.is_paused()});
+    }
+    // Last, because it may end the attempt.
+    stream.call->set_held_bytes(stream.parser.buffered_bytes() + this->response.text.size() +
+                                unsent_bytes);
 }
 
 void engine_call::handle_event(attempt_id attempt, attempt_stream& stream,
                                const std::string& event) {
     if (event == completions::done_data) {
         if (stream.is_finished) {
+            stream.is_done = true;
             stream.call->drain();
             this->context.dispatch(requests::attempt_completed{attempt});
         } else {
@@ -166,7 +186,12 @@
 }
 
 void engine_call::select(attempt_id attempt) {
+    const bool is_other = this->selected_attempt && this->selected_attempt != attempt;
     this->selected_attempt = attempt;
+    if (is_other) {
+        this->flow = {};
+        this->control_flow();
+    }
 }
 
 void engine_call::cancel(attempt_id attempt) {
--- a/packages/entry/internal/engine_call.h
+++ b/packages/entry/internal/engine_call.h
@@ -7,6 +7,7 @@
 #include "entry/internal/call_context.h"
 #include "entry/internal/problem.h"
 #include "http/client.h"
+#include "http/flow_control.h"
 #include "membership/target_record.h"
 #include "requests/actions.h"
 
@@ -50,6 +51,8 @@
         /// Body of the engine's error response.
         std::string error_body;
         bool is_finished = false;
+        /// Its last event has arrived.
+        bool is_done = false;
     };
 
     void handle_data(attempt_id attempt, std::string_view data);
@@ -57,6 +60,8 @@
     void handle_call_end(attempt_id attempt, http::call_result result);
     void deliver(const completions::completion_chunk& chunk);
     void begin_stream();
+    /// Pauses the selected attempt while much of the stream is unsent.
+    void control_flow();
     void fail_attempt(attempt_id attempt, requests::attempt_failure failure);
 
     request_id id;
@@ -65,6 +70,7 @@
     call_context& context;
     completions::completion_response response;
     std::optional<attempt_id> selected_attempt;
+    http::flow_control flow;
     std::unordered_map<attempt_id, std::unique_ptr<attempt_stream>> attempts;
     /// Attempts that ended, perhaps within their own callback; destroyed with this object.
     std::vector<std::unique_ptr<attempt_stream>> pending_deletion;
--- a/packages/entry/tests/engine_call_test.cpp
+++ b/packages/entry/tests/engine_call_test.cpp
@@ -1,12 +1,16 @@
 #include "base/system_clock.h"
 #include "entry/internal/engine_call.h"
 #include "http/exchange.h"
+#include "http/flow_control.h"
 #include "http/server.h"
+#include "http/tests/flooding_server.h"
 #include "http/tests/raw_caller.h"
 #include "http/tests/scripted_server.h"
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -31,6 +35,9 @@
     std::unique_ptr<engine_call> call;
     std::optional<call_context> context;
     std::optional<requests::message> outcome;
+    bool is_paused = false;
+    /// Belongs to the call.
+    const http::exchange* open_exchange = nullptr;
 
     completion_stream() {
         this->context.emplace(call_context{
@@ -57,6 +64,7 @@
     completion_stream& operator=(const completion_stream&) = delete;
 
     void accept(std::unique_ptr<http::exchange> exchange) {
+        this->open_exchange = exchange.get();
         completions::completion_request request;
         request.stream = true;
         request.original_body = R"({"model":"m","prompt":"p","stream":true})";
@@ -71,6 +79,8 @@
         } else if (const auto* completed = std::get_if<requests::attempt_completed>(&message)) {
             this->call->select(completed->attempt);
             this->call->complete();
+        } else if (const auto* paused = std::get_if<requests::attempt_paused>(&message)) {
+            this->is_paused = paused->is_paused;
         }
         const bool is_end = std::holds_alternative<requests::attempt_completed>(message) ||
                             std::holds_alternative<requests::attempt_failed>(message);
@@ -82,14 +92,20 @@
 
     /// Runs an attempt at the engine to its end.
     void attempt(std::uint64_t number, const http::scripted_server& engine, int resume_after) {
+        this->attempt(number, engine.address(), resume_after, http::raw_caller::max_time);
+    }
+
+    /// Runs an attempt at the engine, at most for `max_wait`.
+    void attempt(std::uint64_t number, const endpoint& engine, int resume_after,
+                 duration max_wait) {
         this->outcome.reset();
         membership::target_record target;
-        target.address = engine.address();
+        target.address = engine;
         requests::send_attempt action;
         action.attempt = attempt_id(number);
         action.resume_after = tokens(resume_after);
         this->call->start_attempt(action, target);
-        this->caller.pause_for(http::raw_caller::max_time);
+        this->caller.pause_for(max_wait);
     }
 };
 
@@ -130,3 +146,42 @@
         }
     }
 }
+
+// A stream was written to the caller's connection as it came, whether or not the caller read it.
+SCENARIO("a completion without end is held in memory up to a limit") {
+    constexpr std::size_t chunks_per_part = 16;
+    const std::string chunk = R"(data: {"choices":[{"index":0,"text":")" + std::string(4000, 'x') +
+                              R"("}],"weight_version":1})" + "\n\n";
+    std::string part;
+    for (std::size_t i = 0; i < chunks_per_part; ++i) {
+        part += chunk;
+    }
+    const http::flooding_server engine("HTTP/1.1 200 OK\r\n\r\n", part);
+    completion_stream stream;
+    REQUIRE(stream.call);
+    constexpr duration reading_time = std::chrono::milliseconds(500);
+    /// The limit, and the events of one read beyond it.
+    constexpr std::size_t most_unsent = 3 * http::flow_control::max_unsent_bytes;
+    WHEN("the caller reads nothing") {
+        stream.caller.call->set_paused(true);
+        stream.attempt(1, engine.address(), 0, 2 * reading_time);
+        THEN("the engine has to wait, and its attempt goes on") {
+            const std::size_t written = engine.bytes_written();
+            CHECK(written > 0);
+            CHECK(stream.open_exchange->unsent_bytes() <= most_unsent);
+            CHECK(stream.is_paused);
+            CHECK_FALSE(stream.outcome);
+            CHECK(engine.open_count() == 1);
+            stream.caller.pause_for(reading_time);
+            CHECK(engine.bytes_written() == written);
+            AND_WHEN("it reads on") {
+                stream.caller.call->set_paused(false);
+                stream.caller.pause_for(reading_time);
+                THEN("it gets more, and the engine goes on") {
+                    CHECK(engine.bytes_written() > written);
+                    CHECK(stream.caller.data.size() > 0);
+                }
+            }
+        }
+    }
+}
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// A target has to wait while more than this of its stream is not sent to the caller yet, until
-/// half of it is.
-constexpr std::size_t max_unsent_bytes = 64UL * 1024;
 constexpr int status_ok = 200;
 constexpr int status_multiple_choices = 300;
 /// Kind of failure, in the log, of a response that is faulty in itself.
@@ -162,10 +159,10 @@
     const auto& unsent_bytes = this->params.call.notify.unsent_bytes;
     const std::size_t unsent = unsent_bytes ? unsent_bytes() : 0;
     const attempt_response& response = *found->second;
-    if (!this->is_paused && unsent > max_unsent_bytes) {
-        this->set_paused(true);
-    } else if (this->is_paused && unsent <= max_unsent_bytes / 2) {
-        this->set_paused(false);
+    if (this->flow.update(unsent)) {
+        response.call->set_paused(this->flow.is_paused());
+        this->params.notify(
+            requests::attempt_paused{this->selected_attempt, this->flow.is_paused()});
     }
     // Last, because it may end the attempt.
     if (response.call) {
@@ -174,12 +171,6 @@
     }
 }
 
-void forwarded_call::set_paused(bool pauses) {
-    this->is_paused = pauses;
-    this->attempts.at(this->selected_attempt)->call->set_paused(pauses);
-    this->params.notify(requests::attempt_paused{this->selected_attempt, pauses});
-}
-
 void forwarded_call::on_end(attempt_id attempt, http::call_result completion,
                             const std::string& reason) {
     const auto found = this->attempts.find(attempt);
@@ -232,7 +223,7 @@
         this->params.call.notify.on_stream_started(response.head);
     }
     if (is_other) {
-        this->is_paused = false;
+        this->flow = {};
         this->control_flow();
     }
 }
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -7,6 +7,7 @@
 #include "forwarding/call_parameters.h"
 #include "forwarding/response_observer.h"
 #include "http/client.h"
+#include "http/flow_control.h"
 #include "http/response_head.h"
 #include "membership/target_record.h"
 #include "requests/actions.h"
@@ -84,7 +85,6 @@
     void on_stream_data(attempt_id attempt, attempt_response& response, std::string_view data);
     /// Pauses the selected attempt while much of the stream is unsent.
     void control_flow();
-    void set_paused(bool pauses);
     void on_end(attempt_id attempt, http::call_result completion, const std::string& reason);
     /// `kind` and `reason` are for the log.
     void fail_attempt(attempt_id attempt, requests::attempt_failure failure, const char* kind,
@@ -98,8 +98,7 @@
     attempt_id selected_attempt;
     int response_status = 0;
     bool is_streaming = false;
-    /// The caller reads more slowly than the target sends.
-    bool is_paused = false;
+    http::flow_control flow;
 };
 
 } // namespace kingcupcart::forwarding
