--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -94,9 +94,7 @@
     if (this->last_index() > log_index(0)) {
         return {};
     }
-    this->current_term = term_number(1);
-    this->voted_for = this->local_member.id;
-    this->persist_current_vote();
+    this->enter_term(term_number(1), this->local_member.id);
     log_entry first;
     first.term = this->current_term;
     first.change = membership{{this->local_member}, instance_id()};
@@ -321,12 +319,17 @@
     }
 }
 
+void replica::enter_term(term_number term, const instance_id& vote) {
+    this->current_term = term;
+    this->voted_for = vote;
+    this->incoming_snapshot = {};
+    this->persist_current_vote();
+}
+
 void replica::become_follower(term_number term) {
     const bool was_leader = this->is_leader();
     if (term > this->current_term) {
-        this->current_term = term;
-        this->voted_for = instance_id();
-        this->persist_current_vote();
+        this->enter_term(term, instance_id());
     }
     this->role = role_kind::follower;
     this->known_leader = instance_id();
--- a/packages/quorum/internal/replica_election.cpp
+++ b/packages/quorum/internal/replica_election.cpp
@@ -94,9 +94,7 @@
 void replica::start_election() {
     this->role = role_kind::candidate;
     this->votes_requested_at = this->now;
-    this->current_term = term_number(this->current_term.value() + 1);
-    this->voted_for = this->local_member.id;
-    this->persist_current_vote();
+    this->enter_term(term_number(this->current_term.value() + 1), this->local_member.id);
     this->votes = {this->local_member.id};
     this->reset_election_timer();
     for (const member& voter : this->latest_membership.voters) {
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -151,10 +151,8 @@
     this->last_leader_contact = this->now;
     this->reset_election_timer();
     if (request.index > this->commit_index) {
-        if (this->incoming_snapshot.leader != request.leader.id ||
-            this->incoming_snapshot.index != request.index) {
-            this->incoming_snapshot = {request.leader.id, request.index,
-                                       std::vector<std::string>(request.piece_count),
+        if (this->incoming_snapshot.index != request.index) {
+            this->incoming_snapshot = {request.index, std::vector<std::string>(request.piece_count),
                                        std::vector<bool>(request.piece_count), 0};
         }
         auto& incoming = this->incoming_snapshot;
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -143,6 +143,8 @@
     [[nodiscard]] progress* record_contact(const member& follower, term_number term,
                                            time_point request_sent_at);
 
+    /// Moves to a later term with the vote, if any, that this replica casts in it.
+    void enter_term(term_number term, const instance_id& vote);
     void become_follower(term_number term);
     void start_pre_vote();
     void start_election();
@@ -228,9 +230,9 @@
     term_number snapshot_term;
     membership snapshot_voters;
     std::vector<std::size_t> snapshot_piece_bytes;
-    /// The snapshot that is being received.
+    /// The snapshot that is being received from the leader of the current term. A term has one
+    /// leader, which has one snapshot for an index, so the index tells its snapshots apart.
     struct {
-        instance_id leader;
         log_index index;
         std::vector<std::string> pieces;
         std::vector<bool> is_received;
