--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -342,6 +342,7 @@
 }
 
 void replica::apply_committed() {
+    this->release_outdated_pieces();
     while (this->applied_index < this->commit_index) {
         this->applied_index = after(this->applied_index);
         const log_entry& entry = this->entry_at(this->applied_index);
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -177,6 +177,19 @@
                                        this->commit_index, request.sent_at});
 }
 
+void replica::release_outdated_pieces() {
+    if (this->incoming_snapshot.index <= this->commit_index) {
+        this->incoming_snapshot = {};
+    }
+}
+
+std::size_t replica::incoming_snapshot_bytes() const {
+    const auto& pieces = this->incoming_snapshot.pieces;
+    return std::accumulate(
+        pieces.begin(), pieces.end(), std::size_t{0},
+        [](std::size_t bytes, const std::string& piece) { return bytes + piece.size(); });
+}
+
 void replica::install_snapshot(const install_snapshot_request& last) {
     this->snapshot_index = last.index;
     this->snapshot_term = last.index_term;
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -63,6 +63,8 @@
     }
     /// The index of the last entry that the snapshot covers.
     [[nodiscard]] log_index compacted() const { return this->snapshot_index; }
+    /// Bytes of the pieces that are held of a snapshot that has not been received completely.
+    [[nodiscard]] std::size_t incoming_snapshot_bytes() const;
 
     /// The members to which this replica sends join requests while it is not a voter.
     void set_peers(std::vector<instance_id> changed) { this->peers = std::move(changed); }
@@ -184,6 +186,8 @@
     /// Whether the follower still needs entries that a snapshot would drop from the log.
     [[nodiscard]] bool is_catching_up(const progress& state) const;
     void install_snapshot(const install_snapshot_request& last);
+    /// Drops the pieces of a snapshot that ends in the part of the log that is committed here.
+    void release_outdated_pieces();
     [[nodiscard]] bool is_caught_up(const instance_id& id) const;
     /// Whether the standby has caught up and responds: one that is gone would take the place of a
     /// voter long before it counts as absent.
--- a/packages/quorum/tests/snapshot_test.cpp
+++ b/packages/quorum/tests/snapshot_test.cpp
@@ -51,6 +51,19 @@
         }
         return restored;
     }
+    /// Receives the log up to the end of the snapshot.
+    void receive_log(term_number term, const member& leader, std::size_t entries) {
+        append_entries_request request;
+        request.term = term;
+        request.leader = leader;
+        request.entries.resize(entries);
+        for (log_entry& entry : request.entries) {
+            entry.term = term_number(1);
+        }
+        request.committed = snapshot_end;
+        request.sent_at = this->now;
+        static_cast<void>(this->raft.handle(request, this->now));
+    }
 
     time_point now{1s};
     replica raft;
@@ -87,3 +100,41 @@
         }
     }
 }
+
+// Guards against a state that stays in memory beside the one that is in use.
+SCENARIO("pieces of a snapshot that is not completed are released") {
+    GIVEN("a follower that has received the first of two pieces") {
+        receiver follower;
+        CHECK(follower.receive(term_number(2), 0, std::string(1000, '.')).empty());
+        REQUIRE(follower.raft.incoming_snapshot_bytes() == 1000);
+        WHEN("a heartbeat of the same leader arrives") {
+            follower.receive_log(term_number(2), sender, 0);
+            THEN("it keeps them") {
+                CHECK(follower.raft.incoming_snapshot_bytes() == 1000);
+            }
+        }
+        WHEN("it catches up by log") {
+            follower.receive_log(term_number(2), sender, 10);
+            THEN("it holds none") {
+                CHECK(follower.raft.committed() == snapshot_end);
+                CHECK(follower.raft.incoming_snapshot_bytes() == 0);
+            }
+        }
+        WHEN("another leader is elected") {
+            follower.receive_log(term_number(3), other, 0);
+            THEN("it holds none, since nobody sends the others") {
+                CHECK(follower.raft.incoming_snapshot_bytes() == 0);
+            }
+        }
+        WHEN("it campaigns itself") {
+            follower.now = follower.raft.next_wakeup();
+            static_cast<void>(follower.raft.handle_timer(follower.now));
+            static_cast<void>(follower.raft.handle(vote_response{term_number(3), other, true, true},
+                                                   follower.now));
+            THEN("it holds none") {
+                CHECK(follower.raft.term() == term_number(3));
+                CHECK(follower.raft.incoming_snapshot_bytes() == 0);
+            }
+        }
+    }
+}
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -380,6 +380,8 @@
     }
     this->metrics.set("store_voters", static_cast<double>(replica.voters().voters.size()));
     this->metrics.set("store_standbys", static_cast<double>(replica.standby_count()));
+    this->metrics.set("store_incoming_snapshot_bytes",
+                      static_cast<double>(replica.incoming_snapshot_bytes()));
     this->metrics.set("store_log_suspended", log.is_suspended() ? 1 : 0);
     this->metrics.set("store_log_suspensions", static_cast<double>(log.suspension_count()));
     this->fleet->limits().export_metrics(this->metrics);
