Stores: a group does not form with fewer members than can bear a lost disk

What callers would see: jobs that were accepted right after the first start, and can't be read (nobody serves them) after one disk is lost.

Cause: 3 s after the first store registered the leading keeper formed the group from whatever stores were there. One of three was a group with one member, which accepts jobs on one disk; with two losses to be borne, two were a group that ends with either of them.

Minimum: machines that are down at the start count as lost, and all rules are kept with up to f losses, so 2f + 1 less f = f + 1 members have to do. m missing of 2f + 1 leave a group that bears f - ceil(m/2) losses, never fewer than the f - m that remain to be borne. Fewer than f + 1 mean more losses than are to be borne: then the stores wait.

Remains: as many disks lost while as many stores have not come yet, which is beyond what may be lost at once, leaves a group of f + 1 without a majority for good.

--- a/packages/keeper/internal/store_registry.cpp
+++ b/packages/keeper/internal/store_registry.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Once this time has passed since the first store registered, the stores bootstrap their group
-/// even with fewer members than required.
+/// although some are missing, as many as the tolerated losses at most.
 constexpr duration bootstrap_wait = std::chrono::seconds(3);
 /// A store without a link for this time is removed, and no longer announced to other instances.
 constexpr duration unlinked_store_retention = std::chrono::seconds(30);
@@ -62,7 +62,9 @@
     }
     const bool is_late =
         this->first_registration_at && now - *this->first_registration_at > bootstrap_wait;
-    if (ready.size() < this->required_voters() && !is_late) {
+    const std::size_t minimum =
+        is_late ? this->required_voters() - this->tolerated_losses : this->required_voters();
+    if (ready.size() < minimum) {
         return {};
     }
     ready.resize(std::min(ready.size(), this->required_voters()));
--- a/packages/keeper/internal/store_registry.h
+++ b/packages/keeper/internal/store_registry.h
@@ -28,7 +28,7 @@
     void remove_expired(time_point now);
 
     /// The members that are to bootstrap the stores' group; empty until enough stores have
-    /// registered.
+    /// registered. Stores that are missing for long count towards the tolerated losses.
     [[nodiscard]] std::vector<replicated::store_member>
     choose_initial_members(time_point now) const;
     [[nodiscard]] std::vector<wire::store_address>
--- a/packages/quorum/tests/cluster.h
+++ b/packages/quorum/tests/cluster.h
@@ -45,9 +45,11 @@
     /// `initial_members` of them; the rest are standbys. No member bootstraps the group alone.
     struct initial_group {
         int initial_members;
+        /// The voters to maintain; others join until there are as many.
+        int desired_voters = initial_members;
     };
     cluster(std::uint64_t seed, int size, initial_group group) : random(seed) {
-        this->limits.desired_voters = static_cast<std::size_t>(group.initial_members);
+        this->limits.desired_voters = static_cast<std::size_t>(group.desired_voters);
         membership initial_voters;
         for (int i = 0; i < size; ++i) {
             this->ids.emplace_back(std::string(1, static_cast<char>('a' + i)));
--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -445,3 +445,50 @@
         }
     }
 }
+
+// Guards against accepted commands that are lost since a group which formed without some of its
+// members does not take them in before losses are to be borne again.
+SCENARIO("a group that forms without the tolerated losses bears them once the missing have come") {
+    // A member counts as lost until this time after its start.
+    constexpr duration catch_up_time = 4700ms;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        CAPTURE(seed);
+        const int tolerated = seed % 2 == 0 ? 1 : 2;
+        cluster group(seed, 2 * tolerated + 1,
+                      cluster::initial_group{tolerated + 1, 2 * tolerated + 1});
+        const std::vector<instance_id> missing(group.ids.begin() + tolerated + 1, group.ids.end());
+        for (const instance_id& id : missing) {
+            group.stop(id);
+        }
+        group.advance(4s);
+        for (int i = 0; i < 20; ++i) {
+            group.propose();
+            group.advance(50ms);
+        }
+        CHECK(group.accepted() == 20);
+        for (const instance_id& id : missing) {
+            group.start(id);
+        }
+        for (duration waited{}; waited < catch_up_time; waited += 50ms) {
+            group.propose();
+            group.advance(50ms);
+        }
+        CHECK(group.bearable_losses() == tolerated);
+        const std::string accepted = group.accepted_commands();
+        std::vector<instance_id> lost = group.ids;
+        std::shuffle(lost.begin(), lost.end(), group.random);
+        lost.resize(static_cast<std::size_t>(tolerated));
+        for (const instance_id& id : group.ids) {
+            group.stop(id);
+        }
+        for (const instance_id& id : lost) {
+            group.erase_disk(id);
+        }
+        for (const instance_id& id : group.ids) {
+            group.start(id);
+        }
+        group.advance(8s);
+        REQUIRE(group.leader());
+        CHECK(group.applied(*group.leader()).starts_with(accepted));
+    }
+}
