Elections: a member that has restarted waits before it votes

What callers would see: an older state of a job or a route, read from a leader that was replaced a moment ago, and two processes that act as leader for up to half a second.

Cause: a leader reads and acts under a lease that rests on the last responses of a majority, for the shortest election timeout; the voters keep it by voting for no other in that time.

Evidence: quorum_test, "a voter that restarts elects no other leader while a lease may rest on its response": three members, the candidate cut off for 0.3 to 1.3 s, then the voter restarts while the cut changes to the leader.

Why it works: a voter remembers until when a lease may rest on its responses: one shortest election timeout after each contact, and after its start, since the process before it may have responded until then. A leader that resigns ends it, so handing over is as quick as before. The name of the known leader, which is cleared for other reasons, no longer counts.

--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -26,6 +26,7 @@
       random(make_member_seed(seed, this->local_member)),
       current_term(stored.term),
       voted_for(stored.voted_for),
+      leader_lease_end(now + limits.min_election_timeout),
       snapshot_index(stored.snapshot_index),
       snapshot_term(stored.snapshot_term),
       snapshot_voters(stored.snapshot_voters),
@@ -182,12 +183,7 @@
                        this->current_term, this->local_member, false, {}, request.sent_at});
         return;
     }
-    if (request.term > this->current_term || this->role != role_kind::follower) {
-        this->become_follower(request.term);
-    }
-    this->known_leader = request.leader.id;
-    this->last_leader_contact = this->now;
-    this->reset_election_timer();
+    this->follow(request.leader, request.term);
     append_entries_response reply{this->current_term, this->local_member, false, this->last_index(),
                                   request.sent_at};
     const bool has_previous = request.previous_index <= this->last_index();
@@ -341,6 +337,15 @@
     }
 }
 
+void replica::follow(const member& leader, term_number term) {
+    if (term > this->current_term || this->role != role_kind::follower) {
+        this->become_follower(term);
+    }
+    this->known_leader = leader.id;
+    this->leader_lease_end = this->now + this->limits.min_election_timeout;
+    this->reset_election_timer();
+}
+
 void replica::apply_committed() {
     this->release_outdated_pieces();
     while (this->applied_index < this->commit_index) {
--- a/packages/quorum/internal/replica_election.cpp
+++ b/packages/quorum/internal/replica_election.cpp
@@ -14,9 +14,7 @@
         this->on(join_request{request.candidate});
         return;
     }
-    const bool has_leader_contact = !this->known_leader.value().empty() &&
-                                    (this->is_leader() || this->now - this->last_leader_contact <
-                                                              this->limits.min_election_timeout);
+    const bool has_leader_contact = this->is_leader() || this->now < this->leader_lease_end;
     vote_response reply;
     reply.voter = this->local_member;
     reply.is_pre_vote = request.is_pre_vote;
@@ -29,7 +27,7 @@
     }
     if (has_leader_contact) {
         // A candidate that lost contact must not depose a leader that this replica has contact
-        // with.
+        // with, or had before it restarted.
         return;
     }
     if (request.term > this->current_term) {
@@ -151,6 +149,7 @@
         return;
     }
     this->known_leader = instance_id();
+    this->leader_lease_end = this->now;
     if (notice.successor == this->local_member.id && this->is_voter()) {
         this->start_pre_vote();
     } else {
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -144,12 +144,7 @@
     if (request.term < this->current_term) {
         return;
     }
-    if (request.term > this->current_term || this->role != role_kind::follower) {
-        this->become_follower(request.term);
-    }
-    this->known_leader = request.leader.id;
-    this->last_leader_contact = this->now;
-    this->reset_election_timer();
+    this->follow(request.leader, request.term);
     if (request.index > this->commit_index) {
         if (this->incoming_snapshot.index != request.index) {
             this->incoming_snapshot = {request.index, std::vector<std::string>(request.piece_count),
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -148,6 +148,8 @@
     /// Moves to a later term with the vote, if any, that this replica casts in it.
     void enter_term(term_number term, const instance_id& vote);
     void become_follower(term_number term);
+    /// Follows the leader that has sent a request in this term.
+    void follow(const member& leader, term_number term);
     void start_pre_vote();
     void start_election();
     void count_votes();
@@ -229,7 +231,9 @@
     term_number current_term;
     instance_id voted_for;
     instance_id known_leader;
-    time_point last_leader_contact{};
+    /// A leader may hold a lease that rests on a response of this replica, or of the process before
+    /// it, until then; it votes for no other until then.
+    time_point leader_lease_end;
     log_index snapshot_index;
     term_number snapshot_term;
     membership snapshot_voters;
--- a/packages/quorum/tests/cluster.h
+++ b/packages/quorum/tests/cluster.h
@@ -206,12 +206,15 @@
     /// Proposes a command to the leader; it counts as accepted when any replica applies it.
     void propose(std::size_t padding = 0) {
         if (const auto at = this->leader()) {
-            const std::string command =
-                "c" + std::to_string(++this->last_command) + std::string(padding, '.');
-            auto proposal = this->nodes[*at].raft->propose(command, this->now);
-            this->execute(*at, proposal.resulting_actions);
+            this->propose_at(*at, padding);
         }
     }
+    void propose_at(const instance_id& id, std::size_t padding = 0) {
+        const std::string command =
+            "c" + std::to_string(++this->last_command) + std::string(padding, '.');
+        auto proposal = this->nodes[id].raft->propose(command, this->now);
+        this->execute(id, proposal.resulting_actions);
+    }
 
     void resign(const instance_id& id) {
         this->execute(id, this->nodes[id].raft->resign(this->now));
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -339,6 +339,82 @@
     }
 }
 
+// Guards against reads of an outdated state: a voter that restarted had forgotten its response to a
+// leader, and elected another one while the lease that rests on this response lasted.
+SCENARIO("a voter that restarts elects no other leader while a lease may rest on its response") {
+    int stale_reads = 0;
+    int two_leases = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        cluster members(seed, 3);
+        members.is_ordered = true;
+        members.advance(8s);
+        const instance_id first = members.leader().value();
+        const instance_id candidate = members.ids[0] == first ? members.ids[1] : members.ids[0];
+        const instance_id voter =
+            *std::find_if(members.ids.begin(), members.ids.end(),
+                          [&](const instance_id& id) { return id != first && id != candidate; });
+        // The candidate's election timeout ends while the leader has contact with the voter.
+        members.isolate(candidate);
+        members.advance(300ms + duration(5ms) * static_cast<int>(seed));
+        REQUIRE(members.has_lease(first));
+        members.stop(voter);
+        members.start(voter);
+        members.isolate(first);
+        bool is_stale = false;
+        bool has_two_leases = false;
+        for (int step = 0; step < 800; ++step) {
+            members.advance(5ms);
+            for (const instance_id& id : {candidate, voter}) {
+                if (members.has_lease(id)) {
+                    members.propose_at(id);
+                    has_two_leases = has_two_leases || members.has_lease(first);
+                }
+            }
+            is_stale =
+                is_stale || (members.has_lease(first) &&
+                             members.applied(first).size() < members.accepted_commands().size());
+        }
+        stale_reads += is_stale ? 1 : 0;
+        two_leases += has_two_leases ? 1 : 0;
+        CHECK(members.accepted() > 0);
+    }
+    CHECK(two_leases == 0);
+    CHECK(stale_reads == 0);
+}
+
+// Guards against an outage that lasts longer than the elections need: members that have just
+// started do not vote at once.
+SCENARIO("a group has a leader soon after a loss of power of all its members") {
+    std::vector<duration> times;
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        cluster members(seed, 5, cluster::initial_group{5});
+        members.advance(4s);
+        for (const instance_id& id : members.ids) {
+            members.stop(id);
+        }
+        for (const instance_id& id : members.ids) {
+            members.advance(duration(5ms) * static_cast<int>(members.random() % 15));
+            members.start(id);
+        }
+        const time_point started_at = members.time();
+        while (!members.leader() && members.time() < started_at + 20s) {
+            members.advance(5ms);
+        }
+        times.push_back(members.time() - started_at);
+    }
+    std::sort(times.begin(), times.end());
+    const auto in_ms = [](duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    MESSAGE("ms from the last start to a leader: median ", in_ms(times[times.size() / 2]),
+            ", 99 of 100 ", in_ms(times[times.size() * 99 / 100]), ", longest ",
+            in_ms(times.back()));
+    // One election timeout, and the time for which members that have just started do not vote.
+    const replica_limits limits;
+    CHECK(times.back() <= limits.max_election_timeout + limits.min_election_timeout);
+}
+
 // Guards against a whole election timeout without a leader when one can't lead any more, for
 // instance since its disk is full.
 SCENARIO("a leader that resigns is replaced without an election timeout") {
