--- a/packages/quorum/tests/cluster.h
+++ b/packages/quorum/tests/cluster.h
@@ -44,7 +44,7 @@
     /// A group in which every member starts with the same initial voters, which are the first
     /// `initial_members` of them; the rest are standbys. No member bootstraps the group alone.
     struct initial_group {
-        int initial_members;
+        int initial_members = 0;
         /// The voters to maintain; others join until there are as many.
         int desired_voters = initial_members;
     };
