--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -26,6 +26,7 @@
       random(make_member_seed(seed, this->local_member)),
       current_term(stored.term),
       voted_for(stored.voted_for),
+      leader_lease_end(now + limits.min_election_timeout),
       snapshot_index(stored.snapshot_index),
       snapshot_term(stored.snapshot_term),
       snapshot_voters(stored.snapshot_voters),
@@ -94,9 +95,7 @@
     if (this->last_index() > log_index(0)) {
         return {};
     }
-    this->current_term = term_number(1);
-    this->voted_for = this->local_member.id;
-    this->persist_current_vote();
+    this->enter_term(term_number(1), this->local_member.id);
     log_entry first;
     first.term = this->current_term;
     first.change = membership{{this->local_member}, instance_id()};
@@ -184,12 +183,7 @@
                        this->current_term, this->local_member, false, {}, request.sent_at});
         return;
     }
-    if (request.term > this->current_term || this->role != role_kind::follower) {
-        this->become_follower(request.term);
-    }
-    this->known_leader = request.leader.id;
-    this->last_leader_contact = this->now;
-    this->reset_election_timer();
+    this->follow(request.leader, request.term);
     append_entries_response reply{this->current_term, this->local_member, false, this->last_index(),
                                   request.sent_at};
     const bool has_previous = request.previous_index <= this->last_index();
@@ -321,12 +315,17 @@
     }
 }
 
+void replica::enter_term(term_number term, const instance_id& vote) {
+    this->current_term = term;
+    this->voted_for = vote;
+    this->incoming_snapshot = {};
+    this->persist_current_vote();
+}
+
 void replica::become_follower(term_number term) {
     const bool was_leader = this->is_leader();
     if (term > this->current_term) {
-        this->current_term = term;
-        this->voted_for = instance_id();
-        this->persist_current_vote();
+        this->enter_term(term, instance_id());
     }
     this->role = role_kind::follower;
     this->known_leader = instance_id();
@@ -338,7 +337,17 @@
     }
 }
 
+void replica::follow(const member& leader, term_number term) {
+    if (term > this->current_term || this->role != role_kind::follower) {
+        this->become_follower(term);
+    }
+    this->known_leader = leader.id;
+    this->leader_lease_end = this->now + this->limits.min_election_timeout;
+    this->reset_election_timer();
+}
+
 void replica::apply_committed() {
+    this->release_outdated_pieces();
     while (this->applied_index < this->commit_index) {
         this->applied_index = after(this->applied_index);
         const log_entry& entry = this->entry_at(this->applied_index);
--- a/packages/quorum/internal/replica_snapshots.cpp
+++ b/packages/quorum/internal/replica_snapshots.cpp
@@ -144,17 +144,10 @@
     if (request.term < this->current_term) {
         return;
     }
-    if (request.term > this->current_term || this->role != role_kind::follower) {
-        this->become_follower(request.term);
-    }
-    this->known_leader = request.leader.id;
-    this->last_leader_contact = this->now;
-    this->reset_election_timer();
+    this->follow(request.leader, request.term);
     if (request.index > this->commit_index) {
-        if (this->incoming_snapshot.leader != request.leader.id ||
-            this->incoming_snapshot.index != request.index) {
-            this->incoming_snapshot = {request.leader.id, request.index,
-                                       std::vector<std::string>(request.piece_count),
+        if (this->incoming_snapshot.index != request.index) {
+            this->incoming_snapshot = {request.index, std::vector<std::string>(request.piece_count),
                                        std::vector<bool>(request.piece_count), 0};
         }
         auto& incoming = this->incoming_snapshot;
@@ -179,6 +172,19 @@
                                        this->commit_index, request.sent_at});
 }
 
+void replica::release_outdated_pieces() {
+    if (this->incoming_snapshot.index <= this->commit_index) {
+        this->incoming_snapshot = {};
+    }
+}
+
+std::size_t replica::incoming_snapshot_bytes() const {
+    const auto& pieces = this->incoming_snapshot.pieces;
+    return std::accumulate(
+        pieces.begin(), pieces.end(), std::size_t{0},
+        [](std::size_t bytes, const std::string& piece) { return bytes + piece.size(); });
+}
+
 void replica::install_snapshot(const install_snapshot_request& last) {
     this->snapshot_index = last.index;
     this->snapshot_term = last.index_term;
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -63,6 +63,8 @@
     }
     /// The index of the last entry that the snapshot covers.
     [[nodiscard]] log_index compacted() const { return this->snapshot_index; }
+    /// Bytes of the pieces that are held of a snapshot that has not been received completely.
+    [[nodiscard]] std::size_t incoming_snapshot_bytes() const;
 
     /// The members to which this replica sends join requests while it is not a voter.
     void set_peers(std::vector<instance_id> changed) { this->peers = std::move(changed); }
@@ -143,7 +145,11 @@
     [[nodiscard]] progress* record_contact(const member& follower, term_number term,
                                            time_point request_sent_at);
 
+    /// Moves to a later term with the vote, if any, that this replica casts in it.
+    void enter_term(term_number term, const instance_id& vote);
     void become_follower(term_number term);
+    /// Follows the leader that has sent a request in this term.
+    void follow(const member& leader, term_number term);
     void start_pre_vote();
     void start_election();
     void count_votes();
@@ -182,6 +188,8 @@
     /// Whether the follower still needs entries that a snapshot would drop from the log.
     [[nodiscard]] bool is_catching_up(const progress& state) const;
     void install_snapshot(const install_snapshot_request& last);
+    /// Drops the pieces of a snapshot that ends in the part of the log that is committed here.
+    void release_outdated_pieces();
     [[nodiscard]] bool is_caught_up(const instance_id& id) const;
     /// Whether the standby has caught up and responds: one that is gone would take the place of a
     /// voter long before it counts as absent.
@@ -223,14 +231,16 @@
     term_number current_term;
     instance_id voted_for;
     instance_id known_leader;
-    time_point last_leader_contact{};
+    /// A leader may hold a lease that rests on a response of this replica, or of the process before
+    /// it, until then; it votes for no other until then.
+    time_point leader_lease_end;
     log_index snapshot_index;
     term_number snapshot_term;
     membership snapshot_voters;
     std::vector<std::size_t> snapshot_piece_bytes;
-    /// The snapshot that is being received.
+    /// The snapshot that is being received from the leader of the current term. A term has one
+    /// leader, which has one snapshot for an index, so the index tells its snapshots apart.
     struct {
-        instance_id leader;
         log_index index;
         std::vector<std::string> pieces;
         std::vector<bool> is_received;
--- a/packages/quorum/tests/cluster.h
+++ b/packages/quorum/tests/cluster.h
@@ -44,10 +44,12 @@
     /// A group in which every member starts with the same initial voters, which are the first
     /// `initial_members` of them; the rest are standbys. No member bootstraps the group alone.
     struct initial_group {
-        int initial_members;
+        int initial_members = 0;
+        /// The voters to maintain; others join until there are as many.
+        int desired_voters = initial_members;
     };
     cluster(std::uint64_t seed, int size, initial_group group) : random(seed) {
-        this->limits.desired_voters = static_cast<std::size_t>(group.initial_members);
+        this->limits.desired_voters = static_cast<std::size_t>(group.desired_voters);
         membership initial_voters;
         for (int i = 0; i < size; ++i) {
             this->ids.emplace_back(std::string(1, static_cast<char>('a' + i)));
@@ -204,12 +206,15 @@
     /// Proposes a command to the leader; it counts as accepted when any replica applies it.
     void propose(std::size_t padding = 0) {
         if (const auto at = this->leader()) {
-            const std::string command =
-                "c" + std::to_string(++this->last_command) + std::string(padding, '.');
-            auto proposal = this->nodes[*at].raft->propose(command, this->now);
-            this->execute(*at, proposal.resulting_actions);
+            this->propose_at(*at, padding);
         }
     }
+    void propose_at(const instance_id& id, std::size_t padding = 0) {
+        const std::string command =
+            "c" + std::to_string(++this->last_command) + std::string(padding, '.');
+        auto proposal = this->nodes[id].raft->propose(command, this->now);
+        this->execute(id, proposal.resulting_actions);
+    }
 
     void resign(const instance_id& id) {
         this->execute(id, this->nodes[id].raft->resign(this->now));
