--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -360,6 +360,8 @@
         }
         test_fleet.service().hold_responses(true);
         const auto held = test_deployment.begin(make_request("held"));
+        INFO("held: completed=", held->is_completed, " status=", held->head.status,
+             " body=", held->body);
         REQUIRE(test_deployment.run_until([&] { return count_runs("held") == 1; }));
         test_fleet.service().hold_responses(false);
 
