--- a/packages/entry/tests/engine_call_test.cpp
+++ b/packages/entry/tests/engine_call_test.cpp
@@ -147,7 +147,7 @@
     }
 }
 
-// A stream was written to the caller's connection as it came, whether or not the caller read it.
+// Guards against a stream that fills the memory because its caller reads nothing.
 SCENARIO("a completion without end is held in memory up to a limit") {
     constexpr std::size_t chunks_per_part = 16;
     const std::string chunk = R"(data: {"choices":[{"index":0,"text":")" + std::string(4000, 'x') +
--- a/packages/http/internal/connection.h
+++ b/packages/http/internal/connection.h
@@ -35,7 +35,7 @@
     static constexpr std::size_t read_buffer_bytes = 64UL * 1024;
 
     /// Starts to connect; the connection becomes ready once that has succeeded or failed. Fails
-    /// with `not_found` if nobody listens at the address.
+    /// with `not_found` if the address refuses connections.
     static outcome<std::unique_ptr<connection>> dial(const endpoint& peer);
     ~connection();
     connection(const connection&) = delete;
@@ -55,8 +55,8 @@
     /// Calls the handler no more, so that the kernel's buffer fills up and the peer has to wait.
     void stop_reading();
 
-    /// Fails if the connection could not be established, with `not_found` if nobody listens at the
-    /// address.
+    /// Fails if the connection could not be established, with `not_found` if the address refuses
+    /// it.
     [[nodiscard]] outcome<void> finish_connecting();
     [[nodiscard]] read_result read();
     /// Returns the number of bytes that the socket accepted. Fails if it accepts none any more.
--- a/packages/quarantine/local_suspect.h
+++ b/packages/quarantine/local_suspect.h
@@ -39,7 +39,7 @@
     void end(attempt_id attempt);
     /// No crash counts any longer: the running attempts are those from before a later suspicion.
     void end_suspicion();
-    /// The number of copies that run, if the keepers have to be told of it. Marks it as reported.
+    /// The number of copies that run if the keepers need a report of it, which it marks as sent.
     [[nodiscard]] std::optional<std::uint32_t> take_copies_to_report();
 };
 
