Targets: their software version is known and logged

Cause: the heartbeat's version was not read, so no log line could tell whether a stream crossed two software versions, nor where. Change: software_version, a strong type apart from the versions of weights and configurations, in target_record, target_update and the announcements of the product's own interface (optional there). The lines 'target added', 'sending attempt' and 'run started' name it. A heartbeat without a version, or with one of another type, is rejected as any other odd entry; its odd-entry tests state one now, so that they still fail for the reason that they name. target_update has one more field. This build reads updates without it; an older build rejects updates with it, so gateways and stores are upgraded before keepers. No decision uses the version yet.

--- a/packages/base/ids.h
+++ b/packages/base/ids.h
@@ -26,6 +26,9 @@
 using group_id = strong_id<struct group_tag, std::uint64_t>;
 using trainer_id = strong_id<struct trainer_tag, std::string>;
 using weight_version = strong_id<struct weight_version_tag, std::uint64_t>;
+/// The version of a target's software; not that of its weights. Opaque: versions are equal or not,
+/// and have no order.
+using software_version = strong_id<struct software_version_tag, std::string>;
 using configuration_version = strong_id<struct configuration_version_tag, std::uint64_t>;
 using fencing_token = strong_id<struct fencing_token_tag, std::uint64_t>;
 using idempotency_key = strong_id<struct idempotency_key_tag, std::string>;
--- a/packages/entry/internal/announcement.cpp
+++ b/packages/entry/internal/announcement.cpp
@@ -30,6 +30,9 @@
         }
         return member->get<std::string>();
     }
+    std::string text_or_empty(const char* name) {
+        return this->object.contains(name) ? this->text(name) : std::string();
+    }
     std::uint64_t number_or(const char* name, std::uint64_t fallback, std::uint64_t max_value) {
         const auto member = this->object.find(name);
         if (member == this->object.end()) {
@@ -101,6 +104,7 @@
     record.sequence = members.number_or("sequence", 0, no_limit);
     record.leaving = members.flag_or_false("leaving");
     record.version = weight_version(members.number_or("weight_version", 0, no_limit));
+    record.software = software_version(members.text_or_empty("software_version"));
     result.load.id = record.id;
     result.load.running = static_cast<int>(members.number_or("running", 0, max_slots));
     result.load.waiting = static_cast<int>(members.number_or("waiting", 0, max_slots));
--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -104,9 +104,11 @@
     if (!this->is_marked(record) || record.gone) {
         this->leaving_targets.erase(record.id);
     }
-    spdlog::info("target {} target={} backend={} incarnation={} sequence={} leaving={} from={}",
+    spdlog::info("target {} target={} backend={} incarnation={} software={} sequence={} leaving={} "
+                 "from={}",
                  membership::to_string(change.event), record.id.value(), record.backend.value(),
-                 record.incarnation.value(), record.sequence, record.leaving, from.value());
+                 record.incarnation.value(), record.software.value(), record.sequence,
+                 record.leaving, from.value());
     if (change.event == membership::directory_event::removed) {
         this->known_limits.target_removed(record.id);
     } else {
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -193,10 +193,11 @@
         return;
     }
     spdlog::info("sending attempt request={} attempt={} cause={} target={} backend={} "
-                 "incarnation={} routes={}",
+                 "incarnation={} software={} routes={}",
                  found->second.call->name(), action.attempt.value(),
                  requests::to_string(action.cause), action.target.value(), target->backend.value(),
-                 target->incarnation.value(), this->params.fleet->routes()->version.value());
+                 target->incarnation.value(), target->software.value(),
+                 this->params.fleet->routes()->version.value());
     this->attempts.emplace(action.attempt, action.request);
     found->second.call->start_attempt(action, *target);
 }
--- a/packages/keeper/internal/target_control.cpp
+++ b/packages/keeper/internal/target_control.cpp
@@ -132,10 +132,11 @@
         return;
     }
     const membership::target_record& record = change.record;
-    spdlog::info("target {} target={} backend={} address={} incarnation={} sequence={} leaving={}",
+    spdlog::info("target {} target={} backend={} address={} incarnation={} software={} sequence={} "
+                 "leaving={}",
                  membership::to_string(change.event), record.id.value(), record.backend.value(),
-                 record.address.to_string(), record.incarnation.value(), record.sequence,
-                 record.leaving);
+                 record.address.to_string(), record.incarnation.value(), record.software.value(),
+                 record.sequence, record.leaving);
     this->params.send_to_gateways_and_stores(wire::target_update{record});
     this->params.target_changed(change);
 }
--- a/packages/membership/target_record.h
+++ b/packages/membership/target_record.h
@@ -36,6 +36,8 @@
     std::vector<model_weights> weights;
     /// The engine is loading new weights, and rejects requests that it has not started.
     bool loading = false;
+    /// Empty if the target states none; then all targets of its backend count as of one version.
+    software_version software;
 
     friend bool operator==(const target_record&, const target_record&) = default;
 
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -234,12 +234,11 @@
         this->dispatch(batch::run_failed{action.run, batch::run_failure::declined});
         return;
     }
-    spdlog::info("run started item={} job={} engine={} cause={} resume_after={} running={} "
-                 "slowness={:.2f} "
-                 "expected={}",
+    spdlog::info("run started item={} job={} engine={} software={} cause={} resume_after={} "
+                 "running={} slowness={:.2f} expected={}",
                  action.item.value(), action.job.value(), action.engine.value(),
-                 batch::to_string(action.cause), action.resume_after, action.running,
-                 action.slowness, action.expected_output);
+                 target->software.value(), batch::to_string(action.cause), action.resume_after,
+                 action.running, action.slowness, action.expected_output);
     this->params.metrics->count("runs_started_total");
     partial_text& text = this->partial_texts[action.item];
     if (action.resume_after == 0) {
--- a/packages/store/internal/run_worker.cpp
+++ b/packages/store/internal/run_worker.cpp
@@ -67,9 +67,9 @@
         this->params.send(link, wire::item_run_updates{{declined}});
         return;
     }
-    spdlog::info("run started item={} job={} engine={} resume_after={} running={}",
+    spdlog::info("run started item={} job={} engine={} software={} resume_after={} running={}",
                  request.item.id.value(), request.job.value(), request.engine.value(),
-                 request.resume_after, this->runs.size());
+                 target->software.value(), request.resume_after, this->runs.size());
     this->params.metrics->count("runs_carried_out_total");
     auto active = std::make_unique<active_run>();
     active->text.last_event = request.resume_after;
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -115,7 +115,7 @@
                         record.place.region.value(), static_cast<std::uint64_t>(record.slots),
                         record.incarnation.value(), record.sequence, record.revision,
                         record.leaving, record.gone, record.version.value(),
-                        write_weights(record.weights), record.loading});
+                        write_weights(record.weights), record.loading, record.software.value()});
 }
 
 json write(const target_heartbeats& outgoing) {
@@ -303,6 +303,10 @@
         record.weights.push_back(weights);
     });
     record.loading = fields.boolean();
+    // Instances of earlier releases do not send it.
+    if (fields.has_more()) {
+        record.software = software_version(fields.text());
+    }
     return decoded;
 }
 
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -78,6 +78,7 @@
     target.record.id = target_id("e1");
     target.record.slots = 16;
     target.record.leaving = true;
+    target.record.software = software_version("v2");
     return {
         example_hello(),
         target,
--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -51,7 +51,7 @@
     json body{{"service", this->params.service},
               {"address", this->params.address.to_string()},
               {"zone", "local"},
-              {"version", "v1"},
+              {"version", this->params.software},
               {"slots", this->params.slots},
               {"state", state},
               {"coldLeftMs", 0},
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -31,6 +31,8 @@
         std::string service;
         /// Name of the model; empty for a plain service.
         std::string model;
+        /// Version of the replica's software.
+        std::string software = "v1";
         /// Address to listen on; port zero for a free port.
         endpoint address;
         /// Keeper that receives the heartbeats.
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -206,7 +206,8 @@
         odd.method = "POST";
         const std::string base = odd.url.substr(0, odd.url.find("/kingcupcart/"));
         const std::string start = R"({"service":"app","address":"127.0.0.5:)";
-        const std::string rest = R"(","zone":"local","state":"ready","seq":1,"slots":)";
+        const std::string rest =
+            R"(","zone":"local","version":"v1","state":"ready","seq":1,"slots":)";
         const std::string deep = std::string(20000, '[') + std::string(20000, ']');
         const std::vector<std::string> unreadable{
             std::string(500000, '['), "\xff\xfe", start + "80" + rest + "1e400}",
