HTTP servers: the accept queue has room for a whole fleet's callers

Callers that come back all at once after an outage, to read their jobs, waited for seconds: libsoup listens with GLib's default of 10 connections. What does not fit is tried again by the kernel after a second and more.

--- a/packages/http/internal/server.cpp
+++ b/packages/http/internal/server.cpp
@@ -3,6 +3,7 @@
 #include "http/exchange.h"
 #include "http/internal/buffered_message.h"
 #include "task/g_pointer.h"
+#include "task/listening_socket.h"
 
 #include <string>
 #include <utility>
@@ -12,25 +13,19 @@
 outcome<std::unique_ptr<server>> server::open(const endpoint& address, std::int64_t body_limit,
                                               handler on_request,
                                               std::shared_ptr<caller_budget> budget) {
+    BOOST_LEAF_AUTO(listening, task::listening_socket::open(address));
     task::g_pointer<SoupServer> soup(
         soup_server_new("server-header", "kingcupcart", "raw-paths", TRUE, nullptr));
-    const task::g_pointer<GSocketAddress> listen_address(
-        g_inet_socket_address_new_from_string(address.address.c_str(), address.port));
     GError* problem = nullptr;
-    const gboolean is_bound = soup_server_listen(soup.get(), listen_address.get(),
-                                                 static_cast<SoupServerListenOptions>(0), &problem);
-    if (is_bound == FALSE) {
+    if (soup_server_listen_socket(soup.get(), listening.socket.get(),
+                                  static_cast<SoupServerListenOptions>(0), &problem) == FALSE) {
         const std::string message = problem->message;
         g_error_free(problem);
         return fail(error_code::input_output, address.to_string() + ": " + message);
     }
-    endpoint bound = address;
-    GSList* uris = soup_server_get_uris(soup.get());
-    bound.port = static_cast<std::uint16_t>(g_uri_get_port(static_cast<GUri*>(uris->data)));
-    g_slist_free_full(uris, [](gpointer uri) { g_uri_unref(static_cast<GUri*>(uri)); });
     auto* owned_soup = static_cast<SoupServer*>(g_object_ref(soup.get()));
-    return std::unique_ptr<server>(
-        new server(owned_soup, bound, body_limit, std::move(on_request), std::move(budget)));
+    return std::unique_ptr<server>(new server(owned_soup, std::move(listening.bound), body_limit,
+                                              std::move(on_request), std::move(budget)));
 }
 
 server::server(SoupServer* soup, endpoint bound, std::int64_t body_limit, handler on_request,
