Gateways: a store that has lost the group replaces no newer leader

What callers would see: 503, "no store could confirm that it leads", for each call about jobs at a gateway, until a cut of other machines heals.

Cause: a gateway takes the leader from the store that spoke last. A standby that is cut off keeps the leader that it knew (it holds no elections), and names it to each gateway whose link to it opens; the group's leader does not announce itself again. A leader that is cut off, but not from the gateway, does the same until it steps down.

A store now states its term beside the leader, and announces both when either changes. The gateway's decision is a class of its own, leading_store, without messages: a report of an earlier term than the known leader's is ignored and logged. With no leader known any report is taken, as before, so that a gateway can't reject the only report there is.

Messages: the term is a trailing field. A message without it is read (wire_test) and handled as before.

--- a/packages/gateway/internal/store_client.cpp
+++ b/packages/gateway/internal/store_client.cpp
@@ -43,16 +43,15 @@
                  this->receive(from, message);
              },
              [this](const instance_id& lost) {
-                 if (lost == this->leader) {
+                 if (this->leader.lose(lost)) {
                      spdlog::warn("lost connection to the leading store store={}", lost.value());
-                     this->leader = instance_id();
                  }
              }}) {}
 
 store_client::~store_client() = default;
 
 bool store_client::has_leader() const {
-    return !this->leader.value().empty() && this->links.is_open(this->leader);
+    return this->leader.is_known() && this->links.is_open(this->leader.id());
 }
 
 void store_client::stores_changed(const std::vector<wire::store_address>& known_stores) {
@@ -102,12 +101,12 @@
 
 void store_client::send(std::uint64_t number, open_call& call) {
     const time_point now = this->params.time->now();
-    if (!this->has_leader() || !this->links.send(this->leader, call.request)) {
+    if (!this->has_leader() || !this->links.send(this->leader.id(), call.request)) {
         call.next_send_at = now + resend_interval;
         return;
     }
     spdlog::debug("batch call sent call={} job={} store={}", number, call.job.value(),
-                  this->leader.value());
+                  this->leader.id().value());
     call.history.sent();
     call.next_send_at = time_point::max();
     call.response_deadline = now + response_timeout;
@@ -120,14 +119,19 @@
     if (const auto* update = std::get_if<wire::leader_update>(&message)) {
         const instance_id named_leader(update->leader.address.empty() ? ""
                                                                       : update->leader.to_string());
-        // A store that knows no leader does not invalidate the leader that another store reported.
-        const bool is_changed =
-            named_leader != this->leader && (!named_leader.value().empty() || from == this->leader);
-        if (is_changed) {
-            spdlog::info("leading store changed store={} told_by={}", named_leader.value(),
-                         from.value());
-            this->leader = named_leader;
+        const quorum::term_number term = update->term.value_or(quorum::term_number());
+        switch (this->leader.update(from, named_leader, update->term)) {
+        case leading_store::effect::changed:
+            spdlog::info("leading store changed store={} term={} told_by={}", named_leader.value(),
+                         term.value(), from.value());
             this->resend_all();
+            break;
+        case leading_store::effect::outdated:
+            spdlog::info("outdated leading store ignored store={} term={} told_by={}",
+                         named_leader.value(), term.value(), from.value());
+            break;
+        case leading_store::effect::none:
+            break;
         }
     } else if (const auto* response = std::get_if<wire::batch_response>(&message)) {
         this->on_response(*response);
--- a/packages/gateway/internal/store_client.h
+++ b/packages/gateway/internal/store_client.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "fleet/keeper_client.h"
 #include "gateway/caller_protocol.h"
+#include "gateway/internal/leading_store.h"
 #include "gateway/internal/send_history.h"
 #include "group/member_links.h"
 #include "http/exchange.h"
@@ -80,8 +81,7 @@
     parameters params;
     std::map<std::uint64_t, open_call> open_calls;
     std::uint64_t last_call_number = 0;
-    /// The leading store; empty while none is known.
-    instance_id leader;
+    leading_store leader;
     /// Exchanges of ended calls, each of which may still be in one of its own callbacks.
     std::vector<std::unique_ptr<http::exchange>> pending_deletion;
     task::wakeup maintenance_timer;
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -213,7 +213,7 @@
             this->runner->worker_connected(member, hello->place);
         }
         sender.link->send(this->make_hello());
-        sender.link->send(wire::leader_update{this->leader_address()});
+        sender.link->send(this->make_leader_update());
     }
 }
 
@@ -237,15 +237,19 @@
     return address == nullptr ? endpoint{} : *address;
 }
 
+wire::leader_update store::make_leader_update() const {
+    return {this->leader_address(), this->replicated_group->consensus().state().term()};
+}
+
 void store::broadcast_leader() {
-    const endpoint leader = this->leader_address();
-    if (leader == this->announced_leader) {
+    const wire::leader_update update = this->make_leader_update();
+    if (update == this->announced_leader) {
         return;
     }
-    this->announced_leader = leader;
+    this->announced_leader = update;
     for (auto& [number, connected_peer] : this->peers) {
         if (connected_peer.link && connected_peer.hello.role == wire::instance_role::gateway) {
-            connected_peer.link->send(wire::leader_update{leader});
+            connected_peer.link->send(update);
         }
     }
 }
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -82,13 +82,14 @@
     /// stored yet.
     void send_registration(const instance_id& keeper);
     [[nodiscard]] wire::store_registration make_registration() const;
-    /// Sends the leader's address to all gateways, if it has changed.
+    /// Sends the leader's address and term to all gateways, if either has changed.
     void broadcast_leader();
     /// While this store leads, sends all keepers the voters among the stores and the oldest weight
     /// versions that open jobs accept.
     void send_report();
     void run_maintenance();
     [[nodiscard]] endpoint leader_address() const;
+    [[nodiscard]] wire::leader_update make_leader_update() const;
     [[nodiscard]] wire::hello make_hello() const;
 
     parameters params;
@@ -106,7 +107,7 @@
     std::uint64_t last_peer_number = 0;
     /// Lost links, each of which may still be in one of its own callbacks.
     std::vector<std::unique_ptr<wire::peer_link>> pending_deletion;
-    endpoint announced_leader;
+    wire::leader_update announced_leader;
     task::wakeup maintenance_timer;
     task::wakeup cleanup_timer;
     std::unique_ptr<wire::listener> listener;
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -253,6 +253,7 @@
 template <typename Archive>
 void serialize(Archive& archive, leader_update& value) {
     archive(value.leader);
+    archive.trailing(value.term);
 }
 
 template <typename Archive>
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -13,10 +13,12 @@
 #include "membership/target_record.h"
 #include "permits/permit_messages.h"
 #include "quarantine/crash_messages.h"
+#include "quorum/member.h"
 #include "quorum/messages.h"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -185,9 +187,14 @@
     std::vector<membership::model_weights> required_weights;
 };
 
-/// The address at which the leader of the stores accepts links; empty while there is no leader.
+/// What a store knows of the leader of its group.
 struct leader_update {
+    /// The address at which the leader accepts links; empty if the store knows no leader.
     endpoint leader;
+    /// The term of the store; unknown if an earlier version sent the message.
+    std::optional<quorum::term_number> term;
+
+    friend bool operator==(const leader_update&, const leader_update&) = default;
 };
 
 struct submit_job_request {
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -99,6 +99,7 @@
         consensus_message{quorum::join_request{}},
         consensus_message{quorum::resignation{}},
         forward_command{"c"},
+        leader_update{endpoint{"127.0.0.1", 1}, quorum::term_number(7)},
         run_item_request{
             batch::run_id(4), job_id("j"), "shop", target_id("e"), 2, weight_version(3), true, {}},
         cancel_item_run{batch::run_id(4)},
@@ -234,6 +235,20 @@
     }
 }
 
+SCENARIO("the term of a reported leader is an optional field") {
+    GIVEN("the encoding of earlier versions, without a term") {
+        const std::string bytes = encode(leader_update{endpoint{"127.0.0.1", 1}, std::nullopt});
+        CHECK(nlohmann::json::from_cbor(bytes).size() == 3);
+        THEN("the leader is read, and no term") {
+            const auto decoded = value_or_error([&] { return decode(bytes); });
+            REQUIRE(std::holds_alternative<message>(decoded));
+            const auto& update = std::get<leader_update>(std::get<message>(decoded));
+            CHECK(update.leader == endpoint{"127.0.0.1", 1});
+            CHECK_FALSE(update.term);
+        }
+    }
+}
+
 SCENARIO("bytes that are not a message are rejected, whatever they are") {
     CHECK(is_rejected(""));
     CHECK(is_rejected("\xff\xff\xff"));
