Replication: a rejection that arrives late leaves no follower behind

What callers would see: nothing at first; the group has a voter that answers and holds nothing new, so that it bears one lost disk less and replaces no one for it.

Cause: a rejection that arrives late (over a former link, after the leader went on over a new one, and while the later acceptance is lost) sets the leader's `next` back.

New test in quorum_test, "a rejection that arrives late leaves no follower behind".

--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -188,6 +188,9 @@
                                   request.sent_at};
     const bool has_previous = request.previous_index <= this->last_index();
     if (request.previous_index < this->snapshot_index) {
+        // What the snapshot covers is committed, so the leader holds it too. A rejection would not
+        // move a leader that searches below it.
+        reply.is_accepted = true;
         reply.match = this->snapshot_index;
     } else if (has_previous && this->term_at(request.previous_index) == request.previous_term) {
         this->append_received_entries(request);
--- a/packages/quorum/tests/cluster.h
+++ b/packages/quorum/tests/cluster.h
@@ -196,6 +196,10 @@
         return commands;
     }
     [[nodiscard]] time_point time() const { return this->now; }
+    [[nodiscard]] term_number term(const instance_id& id) { return this->nodes[id].raft->term(); }
+    [[nodiscard]] log_index last_index(const instance_id& id) {
+        return this->nodes[id].raft->last_index();
+    }
     [[nodiscard]] std::size_t log_bytes(const instance_id& id) { return this->nodes[id].log_bytes; }
 
     bool has_voters(std::size_t count) {
@@ -265,6 +269,9 @@
     [[nodiscard]] member identity(const instance_id& id) { return {id, this->nodes[id].disk}; }
     void isolate(const instance_id& id) { this->isolated = id; }
     void heal() { this->isolated.reset(); }
+    /// Nothing arrives of what the member sends, until `unmute`; it receives as before.
+    void mute(const instance_id& id) { this->muted = id; }
+    void unmute() { this->muted.reset(); }
     void compact(const instance_id& id) {
         node& member_node = this->nodes[id];
         if (member_node.raft) {
@@ -330,7 +337,8 @@
     };
 
     bool is_separated(const instance_id& from, const instance_id& to) const {
-        return this->isolated && (from == *this->isolated) != (to == *this->isolated);
+        return from == this->muted ||
+               (this->isolated && (from == *this->isolated) != (to == *this->isolated));
     }
 
     /// When the message has left its sender's link.
@@ -451,6 +459,7 @@
     time_point now{1s};
     std::priority_queue<queued_message, std::vector<queued_message>, std::greater<>> network;
     std::optional<instance_id> isolated;
+    std::optional<instance_id> muted;
     std::map<log_index, std::string> history;
     std::map<term_number, instance_id> leaders;
     std::uint64_t last_message = 0;
--- a/packages/quorum/tests/quorum_test.cpp
+++ b/packages/quorum/tests/quorum_test.cpp
@@ -287,6 +287,44 @@
     }
 }
 
+// Guards against a follower that rejects each request for as long as the leader leads: a late
+// rejection made the leader search for the follower's log below the follower's snapshot.
+SCENARIO("a rejection that arrives late leaves no follower behind") {
+    GIVEN("a follower that has accepted and compacted entries, of which its leader has not heard") {
+        cluster members(1, 3, cluster::initial_group{3});
+        members.is_ordered = true;
+        members.advance(3s);
+        const instance_id leader = members.leader().value();
+        const instance_id follower = leader == members.ids[0] ? members.ids[1] : members.ids[0];
+        const time_point sent_at = members.time();
+        const log_index last_before = members.last_index(follower);
+        members.mute(follower);
+        for (int i = 0; i < 20; ++i) {
+            members.propose();
+            members.advance(10ms);
+        }
+        members.advance(200ms);
+        REQUIRE(members.last_index(follower) == members.last_index(leader));
+        members.compact(follower);
+        REQUIRE(members.leader() == leader);
+        WHEN("a rejection from before that arrives over a former link") {
+            members.deliver(leader, append_entries_response{members.term(leader),
+                                                            members.identity(follower), false,
+                                                            last_before, sent_at});
+            members.advance(100ms);
+            members.unmute();
+            members.advance(2s);
+            THEN("it applies what is committed later") {
+                members.propose();
+                members.advance(1s);
+                CHECK(members.leader() == leader);
+                CHECK(members.last_index(follower) == members.last_index(leader));
+                CHECK(members.applied(follower) == members.applied(leader));
+            }
+        }
+    }
+}
+
 SCENARIO("the data in flight to an unresponsive follower is limited") {
     GIVEN("three members, one of which is frozen while large commands are committed") {
         cluster members(51, 3, cluster::initial_group{3});
