Membership: a leader that is gone is absent from when it was last heard, not from the next election

What callers would see: after a leader's machine has gone for good and disks are then lost, as many as may be, no store leads any more, and no accepted job can be read.

Cause: a new leader counts the absence of each voter from its own election. The one voter that is surely absent is the leader before it, whose absence caused the election: it counted as present for 0.5 to 1.5 s more, and was a voter still (m2 leads, and goes at 15.1 s; two disks are lost at 19.0 s, before 2.5 s of absence were over). And whoever was absent already had its time begun anew.

A replica now keeps which leader it followed last and when it heard from that member (heartbeats, votes asked or cast), and counts from there if it is elected, unless that member voted for it. The lease and the step-down of a leader rest on the same moments: an earlier one is the safe side, and those who voted, a majority, are as before. The absence of others still counts from the election: no one but a leader hears from them. A second loss of a leader before a replacement is then borne, as the first of the two leaders is replaced in time.

--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -346,9 +346,16 @@
     }
     this->known_leader = leader.id;
     this->leader_lease_end = this->now + this->limits.min_election_timeout;
+    this->followed = {leader, this->now};
     this->reset_election_timer();
 }
 
+void replica::record_life(const member& sender) {
+    if (sender == this->followed.leader) {
+        this->followed.heard_at = this->now;
+    }
+}
+
 void replica::apply_committed() {
     this->release_outdated_pieces();
     while (this->applied_index < this->commit_index) {
--- a/packages/quorum/internal/replica_election.cpp
+++ b/packages/quorum/internal/replica_election.cpp
@@ -8,6 +8,7 @@
 namespace kingcupcart::quorum {
 
 void replica::on(const vote_request& request) {
+    this->record_life(request.candidate);
     if (this->is_leader() && !this->is_known_voter(request.candidate)) {
         // The candidate was removed from the voters while it had no contact with the leader, and
         // has not received that change.
@@ -54,6 +55,7 @@
 }
 
 void replica::on(const vote_response& response) {
+    this->record_life(response.voter);
     // A granted pre-vote states the term that the candidate asked for; any other response that of
     // the voter. A candidate that did not adopt a higher one would ask for too low a term for good.
     const bool states_voter_term = !response.is_pre_vote || !response.is_granted;
--- a/packages/quorum/internal/replica_leader.cpp
+++ b/packages/quorum/internal/replica_leader.cpp
@@ -16,10 +16,12 @@
     this->learners.clear();
     for (const member& voter : this->latest_membership.voters) {
         if (voter.id != this->local_member.id) {
-            this->followers[voter.id] =
-                progress{after(this->last_index()), {}, this->votes_requested_at, {}, {}, {}};
+            this->followers[voter.id] = progress{
+                after(this->last_index()), {}, this->last_contact_before_term(voter), {}, {}, {}};
         }
     }
+    // What is known of it grows old while this replica leads.
+    this->followed = {};
     this->output.push_back(leadership_changed{true});
     // Entries of earlier terms are committed only together with an entry of the current term.
     log_entry marker;
@@ -29,6 +31,13 @@
     this->replicate_to_all();
 }
 
+time_point replica::last_contact_before_term(const member& voter) const {
+    // The former leader may have gone long before the election that its absence caused.
+    return voter == this->followed.leader && !this->votes.contains(voter.id)
+               ? std::min(this->followed.heard_at, this->votes_requested_at)
+               : this->votes_requested_at;
+}
+
 void replica::replicate_to_all() {
     this->recruit_standbys();
     for (const auto& [id, state] : this->followers) {
--- a/packages/quorum/replica.h
+++ b/packages/quorum/replica.h
@@ -150,6 +150,11 @@
     void become_follower(term_number term);
     /// Follows the leader that has sent a request in this term.
     void follow(const member& leader, term_number term);
+    /// Records that the member is alive, if it is the one that this replica followed.
+    void record_life(const member& sender);
+    /// When this new leader can have heard last from the voter. One that voted for it, or of which
+    /// it knows nothing, counts from the election on.
+    [[nodiscard]] time_point last_contact_before_term(const member& voter) const;
     void start_pre_vote();
     void start_election();
     void count_votes();
@@ -234,6 +239,11 @@
     /// A leader may hold a lease that rests on a response of this replica, or of the process before
     /// it, until then; it votes for no other until then.
     time_point leader_lease_end;
+    /// The latest leader that this replica followed, and when it last heard from that member.
+    struct {
+        member leader;
+        time_point heard_at{};
+    } followed;
     log_index snapshot_index;
     term_number snapshot_term;
     membership snapshot_voters;
--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -416,6 +416,48 @@
     }
 }
 
+// Guards against accepted commands that nobody serves any more: a leader that had gone counted as
+// present for as long as the next election took, and disks were lost meanwhile.
+SCENARIO("a leader that is gone is replaced as soon as a follower that is gone") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        cluster group(seed, 7, cluster::initial_group{5});
+        group.is_ordered = true;
+        group.advance(4s);
+        const instance_id leader = group.leader().value();
+        const instance_id follower = leader == group.ids[0] ? group.ids[1] : group.ids[0];
+        const instance_id& gone = seed % 2 == 0 ? leader : follower;
+        CAPTURE((gone == leader));
+        group.stop(gone);
+        group.advance(group.limits.absence_timeout + 2 * group.limits.heartbeat_interval + 200ms);
+        REQUIRE(group.leader());
+        CAPTURE(group.voters());
+        CHECK(group.voters().find(gone.value()) == std::string::npos);
+        CHECK(group.bearable_losses() == 2);
+    }
+}
+
+// Guards against two voters that are gone and still count when a third disk may be lost: the loss
+// of the leader began the time anew after which the first one counts as absent.
+SCENARIO(
+    "a lost disk is borne although the leader went just before an absent voter's replacement") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        cluster group(seed, 7, cluster::initial_group{5});
+        group.is_ordered = true;
+        group.advance(4s);
+        const instance_id leader = group.leader().value();
+        group.stop(leader == group.ids[0] ? group.ids[1] : group.ids[0]);
+        group.advance(group.limits.absence_timeout - 100ms);
+        group.stop(leader);
+        // A voter that is gone stops to count as lost 6 s later, when its successor has caught up.
+        group.advance(6s - (group.limits.absence_timeout - 100ms));
+        REQUIRE(group.leader());
+        CAPTURE(group.voters());
+        CHECK(group.bearable_losses().value() >= 1);
+    }
+}
+
 // Guards against a retirement that ends while the voter that stands in has gone unnoticed.
 SCENARIO("a leaving voter stays until the one that stands in for it responds") {
     GIVEN("five voters and two standbys, of which the first goes this moment") {
