--- a/packages/quorum/internal/replica.cpp
+++ b/packages/quorum/internal/replica.cpp
@@ -188,6 +188,9 @@
                                   request.sent_at};
     const bool has_previous = request.previous_index <= this->last_index();
     if (request.previous_index < this->snapshot_index) {
+        // What the snapshot covers is committed, so the leader holds it too. A rejection would not
+        // move a leader that searches below it.
+        reply.is_accepted = true;
         reply.match = this->snapshot_index;
     } else if (has_previous && this->term_at(request.previous_index) == request.previous_term) {
         this->append_received_entries(request);
@@ -343,9 +346,16 @@
     }
     this->known_leader = leader.id;
     this->leader_lease_end = this->now + this->limits.min_election_timeout;
+    this->followed = {leader, this->now};
     this->reset_election_timer();
 }
 
+void replica::record_life(const member& sender) {
+    if (sender == this->followed.leader) {
+        this->followed.heard_at = this->now;
+    }
+}
+
 void replica::apply_committed() {
     this->release_outdated_pieces();
     while (this->applied_index < this->commit_index) {
