Streams bound to a software version: the interface

A request's profile names the version that its stream has to come from, the dispatcher says with bind_stream which version a resumable stream began with, and the forwarder passes both on: a call may name the service and version where its stream began, and on_stream_bound reports them.

Nothing emits bind_stream yet, and the router does not read the version: both follow.

--- a/model/request_simulation.h
+++ b/model/request_simulation.h
@@ -196,6 +196,8 @@
 
     void execute(std::size_t /*instance_index*/, const requests::select_attempt& /*selected*/) {}
 
+    void execute(std::size_t /*instance_index*/, const requests::bind_stream& /*bound*/) {}
+
     void execute(std::size_t instance_index, const requests::cancel_attempt& cancelled) {
         const attempt_id engine_attempt(cancelled.attempt.value() * this->instances.size() +
                                         instance_index);
--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -42,6 +42,7 @@
         return status_bad_request;
     case requests::refusal_reason::target_unreachable:
     case requests::refusal_reason::target_failed:
+    case requests::refusal_reason::unknown_software:
         return status_bad_gateway;
     case requests::refusal_reason::quarantined:
         return action.outcome == requests::outcome_kind::not_run ? status_unavailable
@@ -142,6 +143,13 @@
                *this->find(action.request));
 }
 
+void frontend::execute(const requests::bind_stream& action) {
+    spdlog::info("stream {} request={} attempt={} target={} software={}",
+                 action.software ? "bound" : "unbound", action.request.value(),
+                 action.attempt.value(), action.target.value(),
+                 action.software ? action.software->value() : "unknown");
+}
+
 void frontend::execute(const requests::cancel_attempt& action) {
     const auto found = this->attempts.find(action.attempt);
     if (found == this->attempts.end()) {
--- a/packages/entry/internal/frontend.h
+++ b/packages/entry/internal/frontend.h
@@ -85,6 +85,7 @@
     void execute(const requests::actions& actions);
     void execute(const requests::send_attempt& action);
     void execute(const requests::select_attempt& action);
+    void execute(const requests::bind_stream& action);
     void execute(const requests::cancel_attempt& action);
     void execute(const requests::complete_request& action);
     void execute(const requests::refuse_request& action);
--- a/packages/forwarding/call_parameters.h
+++ b/packages/forwarding/call_parameters.h
@@ -4,6 +4,7 @@
 #include "base/request_fingerprint.h"
 #include "engines/forwarded_request.h"
 #include "forwarding/response_callbacks.h"
+#include "forwarding/stream_origin.h"
 
 #include <optional>
 #include <string>
@@ -21,6 +22,8 @@
     std::optional<request_fingerprint> fingerprint;
     /// Time until the caller gives up; the route's timeout applies if it is shorter.
     duration max_wait{};
+    /// Set if the request continues a stream: it is sent only there.
+    std::optional<stream_origin> origin;
     response_callbacks notify;
 };
 
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -81,6 +81,7 @@
 private:
     struct open_call {
         std::unique_ptr<forwarded_call> call;
+        backend_name service;
         time_point started_at{};
     };
 
@@ -96,6 +97,7 @@
     void execute(const requests::actions& pending);
     void on(const requests::send_attempt& action);
     void on(const requests::select_attempt& selected);
+    void on(const requests::bind_stream& bound);
     void on(const requests::cancel_attempt& cancelled);
     void on(const requests::complete_request& completed);
     void on(const requests::refuse_request& refused);
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -228,6 +228,12 @@
     }
 }
 
+void forwarded_call::bind_stream(const std::optional<stream_origin>& origin) {
+    if (const auto& on_stream_bound = this->params.call.notify.on_stream_bound) {
+        on_stream_bound(origin);
+    }
+}
+
 void forwarded_call::cancel(attempt_id attempt) {
     const auto found = this->attempts.find(attempt);
     if (found == this->attempts.end()) {
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -52,6 +52,8 @@
                        const membership::target_record& target);
     /// Sends this attempt's response to the caller; its stream begins at once.
     void select_attempt(attempt_id attempt);
+    /// Reports where the stream has begun; empty if that turned out to be unknown.
+    void bind_stream(const std::optional<stream_origin>& origin);
     void cancel(attempt_id attempt);
     /// A part of the stream was sent to the caller.
     void stream_sent() { this->control_flow(); }
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -96,7 +96,12 @@
     requests::request_profile profile;
     profile.id = request_id(++this->last_request);
     profile.caller = caller_id(route.name.value());
-    profile.backend = this->choose_service(route);
+    if (call.origin) {
+        profile.backend = call.origin->backend;
+        profile.software = call.origin->software;
+    } else {
+        profile.backend = this->choose_service(route);
+    }
     profile.work_class = work_class_name(route.name.value());
     profile.repeatable = call.request.is_repeatable;
     profile.resumable = is_resumable;
@@ -120,8 +125,9 @@
         observe_response(*this->params.fleet, this->params.protocol, request, head);
         this->checks->record_response(request);
     };
-    this->calls.emplace(profile.id,
-                        open_call{std::make_unique<forwarded_call>(std::move(arguments)), now});
+    this->calls.emplace(
+        profile.id,
+        open_call{std::make_unique<forwarded_call>(std::move(arguments)), profile.backend, now});
     this->dispatch(requests::request_arrived{profile});
     return profile.id;
 }
@@ -209,6 +215,22 @@
     }
 }
 
+void forwarder::on(const requests::bind_stream& bound) {
+    const auto found = this->calls.find(bound.request);
+    if (found == this->calls.end()) {
+        return;
+    }
+    spdlog::info("stream {} request={} attempt={} target={} backend={} software={}",
+                 bound.software ? "bound" : "unbound", found->second.call->name(),
+                 bound.attempt.value(), bound.target.value(), found->second.service.value(),
+                 bound.software ? bound.software->value() : "unknown");
+    std::optional<stream_origin> origin;
+    if (bound.software) {
+        origin = stream_origin{found->second.service, *bound.software};
+    }
+    found->second.call->bind_stream(origin);
+}
+
 void forwarder::on(const requests::cancel_attempt& cancelled) {
     const auto attempt = this->attempts.find(cancelled.attempt);
     if (attempt == this->attempts.end()) {
--- a/packages/requests/actions.h
+++ b/packages/requests/actions.h
@@ -7,6 +7,7 @@
 #include "requests/refusal_reason.h"
 #include "routing/route_choice.h"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -33,6 +34,16 @@
     attempt_id attempt;
 };
 
+/// The first event of a resumable stream is about to reach the caller, so the rest of the stream
+/// has to come from the same software version. The version is empty if what was bound turned out to
+/// be unknown; the stream can't go on then.
+struct bind_stream {
+    request_id request;
+    attempt_id attempt;
+    target_id target;
+    std::optional<software_version> software;
+};
+
 /// Abort the attempt at its target. The dispatcher ignores further messages about it.
 struct cancel_attempt {
     attempt_id attempt;
@@ -54,8 +65,8 @@
     target_id limited_target = target_id();
 };
 
-using action =
-    std::variant<send_attempt, select_attempt, cancel_attempt, complete_request, refuse_request>;
+using action = std::variant<send_attempt, select_attempt, bind_stream, cancel_attempt,
+                            complete_request, refuse_request>;
 using actions = std::vector<action>;
 
 } // namespace kingcupcart::requests
--- a/packages/requests/internal/names.cpp
+++ b/packages/requests/internal/names.cpp
@@ -38,6 +38,8 @@
         return "stopping";
     case refusal_reason::quarantined:
         return "quarantined";
+    case refusal_reason::unknown_software:
+        return "unknown-software";
     }
     return "?";
 }
--- a/packages/requests/refusal_reason.h
+++ b/packages/requests/refusal_reason.h
@@ -15,7 +15,9 @@
     target_failed,
     stopping,
     /// Targets have ended under this request.
-    quarantined
+    quarantined,
+    /// The version of the stream's software is not known.
+    unknown_software
 };
 
 [[nodiscard]] const char* to_string(refusal_reason reason);
--- a/packages/requests/request_profile.h
+++ b/packages/requests/request_profile.h
@@ -34,6 +34,8 @@
     /// Maximum number of attempts, whatever their cause; 0 selects the dispatcher's maximum, which
     /// is also the upper bound.
     std::size_t max_attempts = 0;
+    /// The stream goes on only at targets of this version; empty if any may begin it.
+    std::optional<software_version> software;
     /// Equal for requests that count as the same one; empty if the request is not subject to
     /// quarantine, such as an item of a batch job, a score request or a load order.
     std::optional<request_fingerprint> fingerprint;
--- a/packages/requests/tests/invariants_test.cpp
+++ b/packages/requests/tests/invariants_test.cpp
@@ -233,6 +233,8 @@
         CHECK(this->attempts.at(selected.attempt).position >= history.delivered_tokens);
     }
 
+    void check_action(const bind_stream& /*bound*/) {}
+
     void check_action(const cancel_attempt& cancelled) {
         this->attempts.at(cancelled.attempt).is_cancelled = true;
     }
