Routing: a request that needs a software version goes to no other

Callers saw streams whose events came from targets of two software versions of one service: the router knew no versions, so nothing that asked it for a target could keep to one.

A query may name a version now, and the targets of each pool are held once more by their version, at each distance. Chosen over a scan after a failed sample: the sample of 8 would miss 2 of 600 targets in nearly all decisions, and each miss would cost a look at 600. What the router learns (medians, slowdown, ejection floor, load) stays with the backend, since a version may have too few targets to learn from. The reserve for short work is that of the whole pool, by rank, so that instances still agree on it whatever versions their requests need; long work of a version whose targets are all reserved runs there up to the shared limit, as where a whole tier is reserved. find_only_limited and cached prefixes keep to the version too. has_target and can_leave_reserve are for the dispatcher, which has to tell a version without room from one without targets.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -43,26 +43,35 @@
 }
 
 void measure_routing_decisions() {
-    std::printf("routing decision\n%8s %12s\n", "targets", "ns");
+    std::printf("routing decision, of any software version, and of one that two targets have\n"
+                "%8s %12s %12s\n",
+                "targets", "ns", "ns");
     for (const int count : {12, 60, 200, 600}) {
         routing::router router(local_location, {}, 1);
+        const software_version rare("2");
         for (int i = 0; i < count; ++i) {
             const auto record = make_target_record(i);
-            router.update_target({record.id, record.backend, record.place, record.slots, false});
+            router.update_target({record.id, record.backend, record.place, record.slots, false,
+                                  i < 2 ? rare : software_version("1")});
         }
         routing::route_query query;
         query.backend = backend_name("stylist-lm");
-        constexpr int rounds = 200000;
         time_point now{};
-        const double total_seconds = duration_seconds([&] {
-            for (int i = 0; i < rounds; ++i) {
-                now += std::chrono::microseconds(100);
-                const auto choice = router.choose(query, now);
-                router.record_sent(*choice.target, urgency::short_work, now);
-                router.record_finished(*choice.target, urgency::short_work, now, false, now);
-            }
-        });
-        std::printf("%8d %12.0f\n", count, total_seconds / rounds * 1e9);
+        const auto decision_ns = [&] {
+            constexpr int rounds = 200000;
+            const double total_seconds = duration_seconds([&] {
+                for (int i = 0; i < rounds; ++i) {
+                    now += std::chrono::microseconds(100);
+                    const auto choice = router.choose(query, now);
+                    router.record_sent(*choice.target, urgency::short_work, now);
+                    router.record_finished(*choice.target, urgency::short_work, now, false, now);
+                }
+            });
+            return total_seconds / rounds * 1e9;
+        };
+        const double any_version_ns = decision_ns();
+        query.software = rare;
+        std::printf("%8d %12.0f %12.0f\n", count, any_version_ns, decision_ns());
     }
 }
 
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -15,6 +15,7 @@
     profile.place = record.place;
     profile.slots = record.slots;
     profile.leaving = record.leaving;
+    profile.software = record.software;
     return profile;
 }
 
--- a/packages/routing/internal/router.cpp
+++ b/packages/routing/internal/router.cpp
@@ -51,6 +51,15 @@
     return this->impl->find_only_limited(query);
 }
 
+bool router::has_target(const route_query& query) const {
+    return this->impl->has_target(query);
+}
+
+bool router::can_leave_reserve(const target_id& target, const route_query& query,
+                               time_point now) const {
+    return this->impl->can_leave_reserve(target, query, now);
+}
+
 backend_name router::backend_of(const target_id& target) const {
     const target_state* entry = this->impl->find(target);
     return entry == nullptr ? backend_name() : entry->profile.backend;
--- a/packages/routing/internal/router_state.cpp
+++ b/packages/routing/internal/router_state.cpp
@@ -20,8 +20,8 @@
 constexpr double outlier_ratio = 2;
 constexpr int unlimited_room = std::numeric_limits<int>::max();
 
-bool is_excluded(const route_query& query, const target_id& target) {
-    return std::find(query.excluded.begin(), query.excluded.end(), target) != query.excluded.end();
+bool is_of_version(const route_query& query, const target_state& target) {
+    return !query.software || target.profile.software == *query.software;
 }
 
 double ratio(duration part, duration whole) {
@@ -40,6 +40,7 @@
     target_state* entry = this->find(profile.id);
     if (entry != nullptr && entry->profile.backend == profile.backend &&
         entry->profile.place == profile.place) {
+        this->remove_from_tier(*entry);
         entry->profile = profile;
         this->place_in_tier(*entry);
         return;
@@ -80,14 +81,19 @@
     return this->pools[target.profile.backend];
 }
 
-target_tier& router::state::tier_of(const target_state& target) {
-    return this->pool_of(target).by_distance[static_cast<std::size_t>(target.target_distance)];
-}
-
 void router::state::remove_from_tier(target_state& target) {
-    target_tier& tier = this->tier_of(target);
-    std::erase(tier.in_use, &target);
-    std::erase(tier.out_of_use, &target);
+    const auto index = static_cast<std::size_t>(target.target_distance);
+    target_pool& pool = this->pool_of(target);
+    pool.by_distance[index].remove(target);
+    const auto found = pool.by_software.find(target.profile.software);
+    if (found == pool.by_software.end()) {
+        return;
+    }
+    found->second[index].remove(target);
+    const auto is_empty = [](const target_tier& tier) { return tier.empty(); };
+    if (std::all_of(found->second.begin(), found->second.end(), is_empty)) {
+        pool.by_software.erase(found);
+    }
 }
 
 void router::state::place_in_tier(target_state& target) {
@@ -95,15 +101,10 @@
     if (target.profile.leaving) {
         return;
     }
-    target_tier& tier = this->tier_of(target);
-    if (!target.health.is_in_use()) {
-        tier.out_of_use.push_back(&target);
-        return;
-    }
-    const auto position =
-        std::lower_bound(tier.in_use.begin(), tier.in_use.end(), &target,
-                         [](const auto* a, const auto* b) { return a->rank < b->rank; });
-    tier.in_use.insert(position, &target);
+    const auto index = static_cast<std::size_t>(target.target_distance);
+    target_pool& pool = this->pool_of(target);
+    pool.by_distance[index].add(target);
+    pool.by_software[target.profile.software][index].add(target);
 }
 
 route_choice router::state::choose(const route_query& query, time_point now) {
@@ -111,8 +112,13 @@
     if (found == this->pools.end()) {
         return route_choice{};
     }
-    choice_context context{query, found->second, now,  this->prefixes.find(query.prefix, now), {},
-                           {},    false,         false};
+    const target_tiers* tiers = found->second.tiers_of(query.software);
+    if (tiers == nullptr) {
+        return route_choice{};
+    }
+    choice_context context{
+        query, found->second, *tiers, now, this->prefixes.find(query.prefix, now), {},
+        {},    false,         false};
     candidate best;
     for (const distance target_distance :
          {distance::own_domain, distance::own_region, distance::other_region}) {
@@ -168,13 +174,14 @@
 
 router::state::candidate router::state::best_at_distance(distance target_distance,
                                                          choice_context& context) {
-    const auto& tier = context.pool.by_distance[static_cast<std::size_t>(target_distance)];
+    const auto& tier = context.tiers[static_cast<std::size_t>(target_distance)];
     candidate best;
     this->consider_out_of_use(tier, context, best);
     if (best.target != nullptr) {
         return best;
     }
-    const std::size_t reserve = this->reserved_count(context.pool, tier, context.now);
+    const std::size_t reserve =
+        this->reserved_count(context.pool, context.tiers, target_distance, context.now);
     const rank_range reserved{0, reserve};
     const rank_range unreserved{reserve, tier.in_use.size()};
     if (context.query.kind == urgency::long_work) {
@@ -196,7 +203,7 @@
 void router::state::consider_out_of_use(const target_tier& tier, choice_context& context,
                                         candidate& best) {
     for (target_state* target : tier.out_of_use) {
-        if (is_excluded(context.query, target->profile.id) || !target->has_room() ||
+        if (context.query.excludes(target->profile.id) || !target->has_room() ||
             !this->check_permit(*target, context)) {
             continue;
         }
@@ -216,7 +223,7 @@
 
 void router::state::consider_range(distance target_distance, rank_range range, int room,
                                    choice_context& context, candidate& best) {
-    const auto& tier = context.pool.by_distance[static_cast<std::size_t>(target_distance)].in_use;
+    const auto& tier = context.tiers[static_cast<std::size_t>(target_distance)].in_use;
     const std::size_t size = range.end - range.begin;
     if (size <= this->limits.sample_size) {
         for (std::size_t i = range.begin; i < range.end; ++i) {
@@ -245,7 +252,8 @@
 
 void router::state::consider(target_state& target, int room, choice_context& context,
                              candidate& best) {
-    if (target.profile.leaving || is_excluded(context.query, target.profile.id)) {
+    if (target.profile.leaving || context.query.excludes(target.profile.id) ||
+        !is_of_version(context.query, target)) {
         return;
     }
     const bool is_long = context.query.kind == urgency::long_work;
@@ -288,7 +296,7 @@
     }
     for (const auto& [id, target] : this->targets) {
         if (target->profile.backend != query.backend || target->profile.leaving ||
-            is_excluded(query, id)) {
+            query.excludes(id) || !is_of_version(query, *target)) {
             continue;
         }
         if (!this->permits->is_limited(id)) {
--- a/packages/routing/internal/router_state.h
+++ b/packages/routing/internal/router_state.h
@@ -23,6 +23,9 @@
     [[nodiscard]] target_pool& pool_of(const target_state& target);
     [[nodiscard]] route_choice choose(const route_query& query, time_point now);
     [[nodiscard]] std::vector<target_id> find_only_limited(const route_query& query) const;
+    [[nodiscard]] bool has_target(const route_query& query) const;
+    [[nodiscard]] bool can_leave_reserve(const target_id& target, const route_query& query,
+                                         time_point now) const;
     /// Records a time to first output for the given kind of work; ejects the target if it is too
     /// slow, and completes a probe.
     void observe_first_output(target_state& target, urgency kind, time_point sent, time_point now);
@@ -51,6 +54,8 @@
     struct choice_context {
         const route_query& query;
         target_pool& pool;
+        /// The pool's targets of the version that the request needs.
+        const target_tiers& tiers;
         time_point now;
         std::optional<prefix_index::match> cached;
         route_choice result;
@@ -66,11 +71,14 @@
         std::size_t end = 0;
     };
 
-    [[nodiscard]] target_tier& tier_of(const target_state& target);
     void remove_from_tier(target_state& target);
     /// Number of a tier's targets that are reserved for short work.
     [[nodiscard]] std::size_t reserved_count(const target_pool& pool, const target_tier& tier,
                                              time_point now) const;
+    /// Number of a version's targets at one distance that are reserved for short work: those among
+    /// the reserved ones of all versions there, so that all instances agree on them.
+    [[nodiscard]] std::size_t reserved_count(const target_pool& pool, const target_tiers& tiers,
+                                             distance target_distance, time_point now) const;
     void consider_out_of_use(const target_tier& tier, choice_context& context, candidate& best);
     /// Number of long-work requests that this instance may run on the target. Bounds the long work
     /// of all instances together by the target's slots, since load reports arrive late.
--- a/packages/routing/internal/target_pool.h
+++ b/packages/routing/internal/target_pool.h
@@ -1,31 +1,29 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/ids.h"
 #include "base/urgency.h"
 #include "routing/distance.h"
+#include "routing/internal/target_tier.h"
 #include "routing/load_average.h"
 #include "routing/slowdown_model.h"
 
 #include <array>
 #include <chrono>
 #include <cstddef>
-#include <vector>
+#include <optional>
+#include <unordered_map>
 
 namespace kingcupcart::routing {
 
-struct target_state;
-
-/// The targets of a pool at one distance. A leaving target is in neither list.
-struct target_tier {
-    /// Ordered by rank.
-    std::vector<target_state*> in_use;
-    /// Ejected for slowness or failure, or being probed.
-    std::vector<target_state*> out_of_use;
-};
+using target_tiers = std::array<target_tier, distance_count>;
 
 /// The targets of one backend, that is, of one model or service.
 struct target_pool {
-    std::array<target_tier, distance_count> by_distance;
+    target_tiers by_distance;
+    /// The same targets once more, by the version of their software, so that a version which few of
+    /// them have is found without a search. A version without a target in its tiers is absent.
+    std::unordered_map<software_version, target_tiers> by_software;
     int short_running = 0;
     int long_running = 0;
     /// Number of targets in any state.
@@ -44,6 +42,16 @@
         return kind == urgency::short_work ? this->expected_first_output_short
                                            : this->expected_first_output_long;
     }
+    /// The targets that may serve a request of this version, or of any if it is empty; null if
+    /// there are none of the version.
+    [[nodiscard]] const target_tiers*
+    tiers_of(const std::optional<software_version>& software) const {
+        if (!software) {
+            return &this->by_distance;
+        }
+        const auto found = this->by_software.find(*software);
+        return found == this->by_software.end() ? nullptr : &found->second;
+    }
     [[nodiscard]] std::size_t in_use_count() const {
         std::size_t count = 0;
         for (const target_tier& tier : this->by_distance) {
--- a/packages/routing/route_query.h
+++ b/packages/routing/route_query.h
@@ -3,6 +3,8 @@
 #include "base/ids.h"
 #include "base/urgency.h"
 
+#include <algorithm>
+#include <optional>
 #include <vector>
 
 namespace kingcupcart::routing {
@@ -16,10 +18,17 @@
     /// The request may use up a permit of a limited target. False for attempts beside a running
     /// one, since requests without any attempt need the permits more.
     bool allows_limited = true;
+    /// Only targets of this software version are considered; empty if any may serve.
+    std::optional<software_version> software;
     /// Targets that the request was sent to before.
     std::vector<target_id> excluded;
     /// Chained block hashes of the prompt, shortest prefix first; empty without a prompt.
     std::vector<prefix_hash> prefix;
+
+    [[nodiscard]] bool excludes(const target_id& target) const {
+        return std::find(this->excluded.begin(), this->excluded.end(), target) !=
+               this->excluded.end();
+    }
 };
 
 } // namespace kingcupcart::routing
--- a/packages/routing/router.h
+++ b/packages/routing/router.h
@@ -69,6 +69,12 @@
     /// The limited targets of the backend that could take the request with a permit. Empty if an
     /// unlimited one could take it too, as soon as it has room.
     [[nodiscard]] std::vector<target_id> find_only_limited(const route_query& query) const;
+    /// Whether any target could take the request, now or as soon as it has room or a permit.
+    [[nodiscard]] bool has_target(const route_query& query) const;
+    /// Whether long work could go on from this target, which is reserved for short work, to one of
+    /// the same distance that is not, and has room.
+    [[nodiscard]] bool can_leave_reserve(const target_id& target, const route_query& query,
+                                         time_point now) const;
     /// Empty if the target is unknown.
     [[nodiscard]] backend_name backend_of(const target_id& target) const;
     [[nodiscard]] std::size_t target_count(const backend_name& backend) const;
--- a/packages/routing/target_profile.h
+++ b/packages/routing/target_profile.h
@@ -14,6 +14,8 @@
     int slots = 1;
     /// A leaving target finishes its running requests and receives no new ones.
     bool leaving = false;
+    /// Empty if the target states none.
+    software_version software{};
 };
 
 } // namespace kingcupcart::routing
