Requests: a stream goes on only at the software version of its first event

Callers saw streams with events of targets of two software versions, within one answer: after a run broke off or stalled, the dispatcher resumed it at any target of the service, and a hedge did not know what had been passed on. A stream that a caller takes up went to any version as well.

The first event that is passed on now binds the stream to the version that its target's record named when the request was sent (a take-up is bound from the start), and every later decision about a target asks the router for that version: retry, resume, hedge, queue, permits. A target without a version equals only others without one.

With no target of the version left the answer breaks off at once, or is refused as not run if it was never sent; also while it waits, when the last one leaves, is removed or starts again as another version. With all of them full it waits: in a queue of its own version, since the queues are per backend, and at the front of a shared one it would have held up requests that another version has room for. These queues come before the others of their urgency, and are deleted once empty.

--- a/packages/requests/internal/attempt_state.h
+++ b/packages/requests/internal/attempt_state.h
@@ -11,6 +11,8 @@
 struct attempt_state {
     request_id request;
     target_id target;
+    /// What the target's record said when the request was sent.
+    software_version software;
     urgency kind = urgency::short_work;
     time_point sent;
     time_point last_output;
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -46,6 +46,7 @@
     using membership::directory_event;
     this->impl->now = now;
     this->impl->record_target(change);
+    const backend_name previous_backend = this->impl->router.backend_of(change.record.id);
     switch (change.event) {
     case directory_event::removed:
         this->impl->router.remove_target(change.record.id);
@@ -63,6 +64,10 @@
         return {};
     }
     this->impl->send_queued(change.record.backend);
+    this->impl->refuse_unserved(change.record.backend);
+    if (previous_backend != change.record.backend) {
+        this->impl->refuse_unserved(previous_backend);
+    }
     this->impl->await_permits(change.record.backend);
     return std::exchange(this->impl->output, {});
 }
--- a/packages/requests/internal/dispatcher_quarantine.cpp
+++ b/packages/requests/internal/dispatcher_quarantine.cpp
@@ -9,25 +9,24 @@
 
 void dispatcher::state::record_target(const membership::directory_change& change) {
     using membership::directory_event;
-    if (this->crashes == nullptr) {
-        return;
-    }
     const membership::target_record& record = change.record;
+    const known_target current{record.incarnation, record.software, record.leaving};
     switch (change.event) {
     case directory_event::removed:
         this->targets.erase(record.id);
         break;
     case directory_event::restarted: {
         const auto known = this->targets.find(record.id);
-        if (known != this->targets.end() && known->second.incarnation != record.incarnation) {
+        if (this->crashes != nullptr && known != this->targets.end() &&
+            known->second.incarnation != record.incarnation) {
             this->crashes->record_target_ended(record.id, known->second.incarnation, this->now);
         }
-        this->targets.insert_or_assign(record.id, known_target{record.incarnation, record.leaving});
+        this->targets.insert_or_assign(record.id, current);
         break;
     }
     case directory_event::added:
     case directory_event::changed:
-        this->targets.insert_or_assign(record.id, known_target{record.incarnation, record.leaving});
+        this->targets.insert_or_assign(record.id, current);
         break;
     case directory_event::renewed:
     case directory_event::stale:
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -1,7 +1,6 @@
 #include "requests/internal/dispatcher_state.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace kingcupcart::requests {
@@ -9,8 +8,6 @@
 namespace {
 
 constexpr duration retry_after_no_target = std::chrono::seconds(1);
-/// Minimum time between two preemptions of long work on the reserved targets of a backend.
-constexpr duration preemption_interval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -46,6 +43,7 @@
         this->now + (requested > duration::zero() ? requested : known_class->second.deadline);
     request.requested_deadline = request.deadline;
     const duration objective = request.profile.objective;
+    request.software = request.profile.software;
     request.permit_due = objective > duration::zero()
                              ? std::min(request.deadline, this->now + objective)
                              : request.deadline;
@@ -63,9 +61,7 @@
         return;
     }
     // A request must not overtake queued requests of the same class.
-    const auto& waiting =
-        this->queues[stored.profile.backend].queue_for(known_class->second).waiting;
-    if (!waiting.empty()) {
+    if (this->queues[stored.profile.backend].is_waiting(known_class->first, stored.software)) {
         this->enqueue(stored);
         return;
     }
@@ -101,9 +97,14 @@
     }
     attempt.last_output = this->now;
     const bool is_forwarded = request.profile.resumable || request.profile.is_streamed;
+    const bool is_selected = request.selected == progressed.attempt;
     if (!is_forwarded || !this->select(request, progressed.attempt)) {
         return;
     }
+    if (!is_selected) {
+        this->bind(request, progressed.attempt);
+        this->cancel_others(request, progressed.attempt);
+    }
     request.delivered_tokens += progressed.produced;
     request.last_output = this->now;
 }
@@ -236,6 +237,10 @@
                 continue;
             }
             const auto choice = this->route(request, request.profile.repeatable);
+            if (!choice.target && !this->has_version_left(request)) {
+                this->refuse(request, refusal_reason::no_target, retry_after_no_target);
+                continue;
+            }
             if (!choice.target) {
                 break;
             }
@@ -248,50 +253,12 @@
             this->send(request, choice, cause);
         }
     }
-}
-
-void dispatcher::state::preempt_long_work(const backend_name& backend) {
-    time_point& last = this->last_preemption[backend];
-    if (this->now - last < preemption_interval) {
-        return;
-    }
-    last = this->now;
-    const auto surpluses = this->router.find_long_work_surplus(backend, this->now);
-    for (const routing::long_work_surplus& overloaded : surpluses) {
-        std::vector<attempt_id> drafts;
-        for (const auto& [id, attempt] : this->attempts) {
-            const request_state& request = this->requests.at(attempt.request);
-            if (attempt.target == overloaded.target && attempt.kind == urgency::long_work &&
-                request.profile.resumable && request.active_attempts.size() == 1) {
-                drafts.push_back(id);
-            }
-        }
-        // The newest drafts have the fewest tokens to prefill again on another target.
-        std::sort(drafts.begin(), drafts.end(), std::greater<>());
-        const auto surplus = static_cast<std::size_t>(overloaded.surplus);
-        drafts.resize(std::min(drafts.size(), surplus));
-        for (const attempt_id draft : drafts) {
-            this->preempt(draft);
-        }
-    }
-    if (!surpluses.empty()) {
-        this->send_queued(backend);
-    }
-}
-
-void dispatcher::state::preempt(attempt_id attempt) {
-    request_state& request = this->requests.at(this->attempts.at(attempt).request);
-    std::erase(request.tried_targets, this->attempts.at(attempt).target);
-    --request.attempt_count;
-    request.selected.reset();
-    this->cancel(request, attempt);
-    request.preempted = true;
-    this->enqueue(request);
+    found->second.delete_unused();
 }
 
 void dispatcher::state::enqueue(request_state& request) {
     const admission::work_class& work = this->class_of(request);
-    auto& queue = this->queues[request.profile.backend].queue_for(work);
+    auto& queue = this->queues[request.profile.backend].queue_for(work, request.software);
     const duration wait = queue.drain.expected_wait(queue.waiting.size());
     const auto latest = this->latest_send(request);
     if (latest && this->now + wait > *latest) {
@@ -323,8 +290,10 @@
         this->send(request, choice, cause);
         return;
     }
+    // The last targets of a version may be both out of use and full.
+    const bool may_wait = request.software && this->has_version_left(request);
     if (choice.reason == routing::route_reason::no_room ||
-        choice.reason == routing::route_reason::no_permit) {
+        choice.reason == routing::route_reason::no_permit || may_wait) {
         this->enqueue(request);
     } else {
         this->refuse(request, refusal_reason::no_target, retry_after_no_target);
@@ -335,6 +304,7 @@
     routing::route_query query;
     query.backend = request.profile.backend;
     query.kind = request.kind;
+    query.software = request.software;
     query.excluded = request.tried_targets;
     query.prefix = request.profile.prefix;
     return query;
@@ -354,6 +324,9 @@
     attempt_state attempt;
     attempt.request = request.profile.id;
     attempt.target = *choice.target;
+    if (const auto known = this->targets.find(attempt.target); known != this->targets.end()) {
+        attempt.software = known->second.software;
+    }
     attempt.kind = request.kind;
     attempt.sent = this->now;
     attempt.resume_after = request.delivered_tokens;
@@ -402,7 +375,6 @@
     }
     request.selected = attempt;
     this->output.push_back(select_attempt{request.profile.id, attempt});
-    this->cancel_others(request, attempt);
     return true;
 }
 
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -40,8 +40,10 @@
     void refuse_without_permit(const target_id& target);
     /// Sends or refuses the requests with this fingerprint that are held.
     void update_suspect(const request_fingerprint& fingerprint);
-    /// Records the incarnation of the target, and whether it is leaving, for crash records.
+    /// Records the incarnation and version of the target, and whether it is leaving.
     void record_target(const membership::directory_change& change);
+    /// Refuses the requests that wait for a version of which the backend has no target any more.
+    void refuse_unserved(const backend_name& backend);
     /// Sends the queued requests of the backend for which a target has room.
     void send_queued(const backend_name& backend);
 
@@ -86,6 +88,10 @@
     [[nodiscard]] routing::route_choice route(const request_state& request, bool allows_probe,
                                               bool allows_limited = true);
     void send(request_state& request, const routing::route_choice& choice, send_cause cause);
+    /// Whether a target is left that the request may be sent to; true if any version may serve it.
+    [[nodiscard]] bool has_version_left(const request_state& request) const;
+    /// Binds the stream to the version of the attempt that sent its first event.
+    void bind(request_state& request, attempt_id attempt);
     void retry_or_refuse(request_state& request, attempt_failure failure, bool was_selected);
     void arm_hedge_timer(const request_state& request);
     void arm_stall_timer(const request_state& request);
@@ -101,8 +107,8 @@
     void limit_by_stop(request_state& request);
     void refuse_for_stop(request_state& request);
     [[nodiscard]] duration stall_delay(const request_state& request) const;
-    /// Makes this attempt the source of the caller's output and cancels the others. Returns false
-    /// if the attempt starts at another token than the caller needs; the attempt is cancelled then.
+    /// Makes this attempt the source of the caller's output. Returns false if the attempt starts at
+    /// another token than the caller needs; the attempt is cancelled then.
     bool select(request_state& request, attempt_id attempt);
     void cancel_others(request_state& request, attempt_id selected_attempt);
     void cancel(request_state& request, attempt_id attempt);
@@ -119,6 +125,7 @@
     quarantine::crash_account* crashes;
     struct known_target {
         incarnation_id incarnation;
+        software_version software;
         bool leaving = false;
     };
     std::unordered_map<target_id, known_target> targets;
--- a/packages/requests/internal/request_state.h
+++ b/packages/requests/internal/request_state.h
@@ -35,6 +35,10 @@
     std::optional<target_id> awaited_target;
     /// The cause of the attempt that is held until the crash account permits it; empty if none is.
     std::optional<send_cause> held;
+    /// The version that the rest of the stream has to come from; empty if any may serve.
+    std::optional<software_version> software;
+    /// An event of the stream was passed on.
+    bool is_bound = false;
     std::size_t attempt_count = 0;
     bool queued = false;
     /// Queued because its attempt was preempted on a target that short work needed.
