Requests: a draft that has nowhere to go is not preempted

A draft that made room for short work was cancelled whether or not another target of its stream's version existed. Now that a begun stream keeps to its version, its caller would have seen it queue behind the very target that it was taken from, and lose its prefilled tokens each time.

A draft whose stream is bound is preempted only if a target of its version at the same distance, not itself reserved for short work, has room for long work. At another distance does not count: the router prefers the nearer reserved target for a version that has no unreserved one there, so the draft would come straight back. Drafts whose stream has not begun move as before.

Failed before: software_versions_test.cpp, 'they keep their target' (preempted_drafts(v2).empty() was false; the drafts of a version with another target moved there, as they still do). Now requests_test passes: 630,384 assertions.

--- a/packages/requests/internal/dispatcher_preemption.cpp
+++ b/packages/requests/internal/dispatcher_preemption.cpp
@@ -26,7 +26,8 @@
         for (const auto& [id, attempt] : this->attempts) {
             const request_state& request = this->requests.at(attempt.request);
             if (attempt.target == overloaded.target && attempt.kind == urgency::long_work &&
-                request.profile.resumable && request.active_attempts.size() == 1) {
+                request.profile.resumable && request.active_attempts.size() == 1 &&
+                this->may_preempt(request, attempt)) {
                 drafts.push_back(id);
             }
         }
@@ -53,4 +54,10 @@
     this->enqueue(request);
 }
 
+bool dispatcher::state::may_preempt(const request_state& request,
+                                    const attempt_state& attempt) const {
+    return !request.software ||
+           this->router.can_leave_reserve(attempt.target, make_query(request), this->now);
+}
+
 } // namespace kingcupcart::requests
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -69,6 +69,10 @@
     void preempt_long_work(const backend_name& backend);
     /// Cancels the attempt and queues its request, which resumes on another target.
     void preempt(attempt_id attempt);
+    /// Whether the draft could go on at another target; one that needs a version keeps its target
+    /// otherwise.
+    [[nodiscard]] bool may_preempt(const request_state& request,
+                                   const attempt_state& attempt) const;
     void enqueue(request_state& request);
     void route_and_send(request_state& request, send_cause cause);
     /// Refuses the request, or has it wait for a permit, if all its targets are limited. Returns
--- a/packages/requests/tests/software_versions_test.cpp
+++ b/packages/requests/tests/software_versions_test.cpp
@@ -285,6 +285,51 @@
     }
 }
 
+// A draft that made room for short work went on at another version, or lost its only target.
+SCENARIO("a preempted draft keeps to its version") {
+    /// Of drafts that each began at one of ten targets, where those went on that had to make room.
+    /// The target of the lowest rank is the one that short work needs.
+    const auto preempted_drafts = [](const software_version& version_of_others) {
+        std::vector<std::string> moved_to;
+        for (int i = 0; i < 10; ++i) {
+            versions_fixture fixture;
+            const std::string first = "t" + std::to_string(i);
+            fixture.add(first, v1);
+            const attempt_id draft = fixture.begin_stream(1, "draft");
+            fixture.add("m", version_of_others);
+            fixture.add("n", v2);
+            for (std::uint64_t id = 10; id < 14; ++id) {
+                fixture.arrive(id);
+                for (const action& returned : fixture.latest) {
+                    const auto* cancelled = std::get_if<cancel_attempt>(&returned);
+                    const auto* sent = std::get_if<send_attempt>(&returned);
+                    if (cancelled != nullptr && cancelled->attempt == draft) {
+                        moved_to.push_back("");
+                    } else if (sent != nullptr && sent->request == request_id(1)) {
+                        moved_to.back() = sent->target.value();
+                    }
+                }
+                fixture.now += 10s;
+            }
+        }
+        return moved_to;
+    };
+    GIVEN("drafts whose version has another target") {
+        const std::vector<std::string> moved_to = preempted_drafts(v1);
+        THEN("they make room and go on there") {
+            CHECK_FALSE(moved_to.empty());
+            for (const std::string& target : moved_to) {
+                CHECK(target == "m");
+            }
+        }
+    }
+    GIVEN("drafts whose version has no other target") {
+        THEN("they keep their target") {
+            CHECK(preempted_drafts(v2).empty());
+        }
+    }
+}
+
 // Streams whose version had no target left went on elsewhere, or waited for their deadline.
 SCENARIO("a stream whose version has lost its targets breaks off at once") {
     versions_fixture fixture;
