Requests: events that a target sends after its record has changed are not passed on

A replica may start again under its id or address as another version. The dispatcher bound a stream by the target's record at sending, and passed on whatever the attempt sent afterwards, also when the record had become another one meanwhile: nobody knows then which process sent it, so callers could see two versions in one stream, or a stream recorded under the wrong one.

An attempt records the incarnation and version of its target at sending. An event, or the end of a stream, that arrives after either has changed is not passed on. If the attempt had brought no event, it ends as broken and another target takes over, of the stream's version if it has one. Otherwise the stream becomes one of unknown version: bind_stream without a version, no resume, and the answer breaks off (unknown_software). The same holds if the connection of such an attempt breaks or it stalls after the change, since the record may have come after events of the new process; a connection that breaks before the change, as when a process is killed, still resumes. A lease that ends changes nothing that is known, so a target that is out of the keepers' reach goes on.

What stays: events of a new process that were passed on, to their end, before its first record arrived count as of the old version. Only the response itself could say more.

--- a/packages/requests/internal/attempt_state.h
+++ b/packages/requests/internal/attempt_state.h
@@ -12,6 +12,7 @@
     request_id request;
     target_id target;
     /// What the target's record said when the request was sent.
+    incarnation_id incarnation;
     software_version software;
     urgency kind = urgency::short_work;
     time_point sent;
--- a/packages/requests/internal/dispatcher_preemption.cpp
+++ b/packages/requests/internal/dispatcher_preemption.cpp
@@ -57,7 +57,8 @@
 bool dispatcher::state::may_preempt(const request_state& request,
                                     const attempt_state& attempt) const {
     return !request.software ||
-           this->router.can_leave_reserve(attempt.target, make_query(request), this->now);
+           (!this->has_changed(attempt) &&
+            this->router.can_leave_reserve(attempt.target, make_query(request), this->now));
 }
 
 } // namespace kingcupcart::requests
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -88,6 +88,10 @@
     }
     attempt_state& attempt = found->second;
     request_state& request = this->requests.at(attempt.request);
+    if (request.profile.resumable && this->has_changed(attempt)) {
+        this->end_changed_attempt(progressed.attempt);
+        return;
+    }
     if (!attempt.has_output) {
         attempt.has_output = true;
         this->router.record_first_output(attempt.target, attempt.kind, attempt.sent, this->now);
@@ -130,6 +134,10 @@
     }
     attempt_state& attempt = found->second;
     request_state& request = this->requests.at(attempt.request);
+    if (request.profile.resumable && request.software && this->has_changed(attempt)) {
+        this->end_changed_attempt(completed.attempt);
+        return;
+    }
     if (!attempt.has_output) {
         attempt.has_output = true;
         this->router.record_first_output(attempt.target, attempt.kind, attempt.sent, this->now);
@@ -156,6 +164,9 @@
     request_state& request = this->requests.at(found->second.request);
     const backend_name backend = request.profile.backend;
     const bool was_selected = request.selected == failed.attempt;
+    // The new record may have arrived after events of the new process were passed on.
+    const bool is_unknown =
+        was_selected && request.profile.resumable && this->has_changed(found->second);
     if (was_selected) {
         request.selected.reset();
     }
@@ -168,7 +179,9 @@
     if (failed.failure != attempt_failure::declined) {
         this->router.record_failed(target, this->now);
     }
-    if (request.active_attempts.empty()) {
+    if (is_unknown) {
+        this->break_off(request, failed.attempt, target);
+    } else if (request.active_attempts.empty()) {
         this->retry_or_refuse(request, failed.failure, was_selected);
     }
     this->send_queued(backend);
@@ -325,6 +338,7 @@
     attempt.request = request.profile.id;
     attempt.target = *choice.target;
     if (const auto known = this->targets.find(attempt.target); known != this->targets.end()) {
+        attempt.incarnation = known->second.incarnation;
         attempt.software = known->second.software;
     }
     attempt.kind = request.kind;
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -96,6 +96,13 @@
     [[nodiscard]] bool has_version_left(const request_state& request) const;
     /// Binds the stream to the version of the attempt that sent its first event.
     void bind(request_state& request, attempt_id attempt);
+    /// Whether the target's record has changed since the request was sent, so that it isn't known
+    /// which version sends.
+    [[nodiscard]] bool has_changed(const attempt_state& attempt) const;
+    /// Ends an attempt whose target's record has changed, without passing on what it sent.
+    void end_changed_attempt(attempt_id attempt);
+    /// Ends the answer, since the version of an event that was passed on is unknown.
+    void break_off(request_state& request, attempt_id attempt, const target_id& target);
     void retry_or_refuse(request_state& request, attempt_failure failure, bool was_selected);
     void arm_hedge_timer(const request_state& request);
     void arm_stall_timer(const request_state& request);
--- a/packages/requests/internal/dispatcher_timers.cpp
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -83,6 +83,13 @@
         return;
     }
     this->timers.add({this->now + delay, timer_queue::purpose::stall, request.profile.id});
+    if (this->has_changed(this->attempts.at(*request.selected))) {
+        // The new record may have arrived after events of the new process were passed on.
+        const backend_name backend = request.profile.backend;
+        this->break_off(request, *request.selected, this->attempts.at(*request.selected).target);
+        this->send_queued(backend);
+        return;
+    }
     const bool is_alone = request.active_attempts.size() == 1;
     if (!is_alone || !this->may_send_copy(request) ||
         request.attempt_count >= this->max_attempts(request) || !this->budget.try_withdraw()) {
--- a/packages/requests/internal/dispatcher_versions.cpp
+++ b/packages/requests/internal/dispatcher_versions.cpp
@@ -28,6 +28,38 @@
     return !request.software || this->router.has_target(make_query(request));
 }
 
+bool dispatcher::state::has_changed(const attempt_state& attempt) const {
+    const auto known = this->targets.find(attempt.target);
+    return known != this->targets.end() && (known->second.incarnation != attempt.incarnation ||
+                                            known->second.software != attempt.software);
+}
+
+void dispatcher::state::end_changed_attempt(attempt_id attempt) {
+    const attempt_state& ended = this->attempts.at(attempt);
+    request_state& request = this->requests.at(ended.request);
+    const backend_name backend = request.profile.backend;
+    if (request.selected == attempt) {
+        const target_id target = ended.target;
+        this->break_off(request, attempt, target);
+    } else {
+        this->end_attempt(request, attempt, quarantine::attempt_end::unclear);
+        this->output.push_back(cancel_attempt{attempt});
+        if (request.active_attempts.empty()) {
+            this->retry_or_refuse(request, attempt_failure::broken, false);
+        }
+    }
+    this->send_queued(backend);
+}
+
+void dispatcher::state::break_off(request_state& request, attempt_id attempt,
+                                  const target_id& target) {
+    this->output.push_back(bind_stream{request.profile.id, attempt, target, std::nullopt});
+    while (!request.active_attempts.empty()) {
+        this->cancel(request, request.active_attempts.back());
+    }
+    this->refuse(request, refusal_reason::unknown_software);
+}
+
 void dispatcher::state::refuse_unserved(const backend_name& backend) {
     std::vector<request_id> unserved;
     for (const auto& [id, request] : this->requests) {
--- a/packages/requests/tests/invariants_test.cpp
+++ b/packages/requests/tests/invariants_test.cpp
@@ -6,6 +6,8 @@
 #include <queue>
 #include <random>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace kingcupcart;
 using namespace kingcupcart::requests;
@@ -16,9 +18,11 @@
 const location local_location{failure_domain_id("a1"), region_id("a")};
 const backend_name model("m");
 constexpr std::int64_t response_tokens = 8;
+const std::vector<software_version> versions{software_version("1"), software_version("2")};
 
-/// Simulates targets that refuse, break, stall, respond late and complete twice, connected to one
-/// dispatcher. Checks each action of the dispatcher against the history of its request.
+/// Simulates targets that refuse, break, stall, respond late, complete twice and start again as
+/// another software version, connected to one dispatcher. Checks each action of the dispatcher
+/// against the history of its request.
 class failure_simulation {
 public:
     explicit failure_simulation(std::uint64_t seed)
@@ -26,6 +30,7 @@
         this->subject.set_classes({{work_class_name("short"), urgency::short_work, 5s, 20},
                                    {work_class_name("long"), urgency::long_work, 20s, 20}});
         for (int i = 0; i < 4; ++i) {
+            this->targets.push_back({versions[static_cast<std::size_t>(i) % 2], 1});
             this->announce(i, membership::directory_event::added, false);
         }
     }
@@ -38,6 +43,9 @@
             if (this->chance(0.02)) {
                 this->toggle_leaving(static_cast<int>(this->random() % 4));
             }
+            if (this->chance(0.01)) {
+                this->restart(static_cast<int>(this->random() % 4));
+            }
             if (this->chance(0.02) && this->last_request > 0) {
                 this->disconnect(request_id(this->random() % this->last_request + 1));
             }
@@ -60,11 +68,21 @@
         bool is_disconnected = false;
         std::int64_t delivered_tokens = 0;
         std::optional<attempt_id> selected;
+        /// The version of the events that were delivered, or of the stream that is taken up.
+        std::optional<software_version> software;
+        bool is_bound = false;
+    };
+    struct target {
+        software_version software;
+        std::uint64_t incarnation = 1;
     };
     struct attempt {
         request_id request;
         std::int64_t position = 0;
         bool is_cancelled = false;
+        std::size_t target_index = 0;
+        /// The target as it was when the request was sent.
+        target sent_to;
     };
     struct event {
         time_point due;
@@ -92,6 +110,9 @@
         change.record.place = local_location;
         change.record.slots = 4;
         change.record.leaving = leaving;
+        change.record.software = this->targets[static_cast<std::size_t>(target)].software;
+        change.record.incarnation =
+            incarnation_id(this->targets[static_cast<std::size_t>(target)].incarnation);
         this->check(this->subject.update_target(change, this->now));
     }
 
@@ -106,6 +127,15 @@
         this->announce(target, membership::directory_event::changed, is_leaving);
     }
 
+    /// Events of the attempts that run there still arrive, and may be those of either process.
+    void restart(int target) {
+        auto& restarted = this->targets[static_cast<std::size_t>(target)];
+        restarted.software = versions[this->random() % versions.size()];
+        ++restarted.incarnation;
+        this->leaving.erase(target_id(std::to_string(target)));
+        this->announce(target, membership::directory_event::restarted, false);
+    }
+
     void arrive() {
         request_profile profile;
         profile.id = request_id(++this->last_request);
@@ -115,7 +145,11 @@
         profile.repeatable = this->chance(0.6);
         profile.resumable = profile.repeatable;
         profile.continues_after_disconnect = !profile.repeatable;
+        if (profile.resumable && this->chance(0.1)) {
+            profile.software = versions[this->random() % versions.size()];
+        }
         this->histories[profile.id].repeatable = profile.repeatable;
+        this->histories[profile.id].software = profile.software;
         this->dispatch(request_arrived{profile});
     }
 
@@ -161,6 +195,7 @@
                 !history.is_finished) {
                 CHECK(position == history.delivered_tokens);
                 ++history.delivered_tokens;
+                this->check_version(simulated);
             }
             return;
         }
@@ -176,6 +211,14 @@
         this->dispatch(incoming);
     }
 
+    /// Checks an event that was passed on: its version is known, and that of the whole stream.
+    void check_version(const attempt& sender) {
+        request_history& history = this->histories.at(sender.request);
+        CHECK(this->targets[sender.target_index].incarnation == sender.sent_to.incarnation);
+        CHECK(history.is_bound);
+        CHECK(history.software == sender.sent_to.software);
+    }
+
     void schedule(duration delay, const message& incoming) {
         this->events.push({this->now + delay, ++this->last_event, incoming});
     }
@@ -193,7 +236,10 @@
         CHECK((!history.is_finished || history.is_disconnected));
         CHECK(sent.resume_after.count() == history.delivered_tokens);
         CHECK((history.repeatable || history.transmissions == 0));
-        this->attempts[sent.attempt] = {sent.request, sent.resume_after.count(), false};
+        const auto index = static_cast<std::size_t>(std::stoi(sent.target.value()));
+        this->attempts[sent.attempt] = {sent.request, sent.resume_after.count(), false, index,
+                                        this->targets[index]};
+        CHECK((!history.software || history.software == this->targets[index].software));
         this->simulate_attempt(sent);
     }
 
@@ -233,7 +279,17 @@
         CHECK(this->attempts.at(selected.attempt).position >= history.delivered_tokens);
     }
 
-    void check_action(const bind_stream& /*bound*/) {}
+    void check_action(const bind_stream& bound) {
+        request_history& history = this->histories.at(bound.request);
+        CHECK(history.repeatable);
+        CHECK(history.is_bound == !bound.software);
+        history.is_bound = bound.software.has_value();
+        if (bound.software) {
+            CHECK(bound.software == this->attempts.at(bound.attempt).sent_to.software);
+            CHECK((!history.software || history.software == bound.software));
+            history.software = bound.software;
+        }
+    }
 
     void check_action(const cancel_attempt& cancelled) {
         this->attempts.at(cancelled.attempt).is_cancelled = true;
@@ -246,6 +302,7 @@
         if (history.repeatable) {
             CHECK_FALSE(history.is_finished);
             CHECK(history.delivered_tokens == response_tokens);
+            this->check_version(this->attempts.at(*history.selected));
         }
         history.is_finished = true;
     }
@@ -264,6 +321,7 @@
     time_point now{1s};
     std::map<request_id, request_history> histories;
     std::map<attempt_id, attempt> attempts;
+    std::vector<target> targets;
     std::set<target_id> leaving;
     std::priority_queue<event, std::vector<event>, std::greater<>> events;
     std::uint64_t last_request = 0;
--- a/packages/requests/tests/software_versions_test.cpp
+++ b/packages/requests/tests/software_versions_test.cpp
@@ -131,6 +131,12 @@
         }
         return bound->software ? bound->software->value() : "unknown";
     }
+    /// Whether the stream has become one of unknown version and was broken off.
+    [[nodiscard]] bool has_broken_off(std::uint64_t id) const {
+        return this->bound_to() == "unknown" && this->has_refused(id, outcome_kind::unknown) &&
+               this->find<complete_request>() == nullptr &&
+               !this->subject.has_request(request_id(id));
+    }
 };
 
 } // namespace
@@ -518,6 +524,23 @@
                 CHECK(fixture.latest.empty());
             }
         }
+        WHEN("the target's record changes before its first event") {
+            fixture.restart("a1", v2);
+            fixture.dispatch(attempt_progressed{first, tokens(1)});
+            THEN("the event is not passed on, and the stream stays one of its version") {
+                CHECK(fixture.find<select_attempt>() == nullptr);
+                CHECK(fixture.bound_to() == "");
+                CHECK(fixture.has_refused(1, outcome_kind::unknown));
+            }
+        }
+        WHEN("the target's record changes before the end of a stream without further events") {
+            fixture.restart("a1", v2);
+            fixture.dispatch(attempt_completed{first});
+            THEN("it does not end as complete") {
+                CHECK(fixture.find<complete_request>() == nullptr);
+                CHECK(fixture.has_refused(1, outcome_kind::unknown));
+            }
+        }
     }
     GIVEN("an unlimited target of another version, and a limited one of its own") {
         fixture.add("a1", v1);
@@ -535,3 +558,131 @@
         }
     }
 }
+
+// A stream was joined with that of a target which had started again as another version.
+SCENARIO("what a target sends after its record has changed is of unknown version") {
+    versions_fixture fixture;
+    fixture.add("a1", v1);
+    GIVEN("a request that its target has not answered yet") {
+        fixture.arrive(1);
+        const attempt_id first = fixture.sent_attempt();
+        fixture.dispatch(attempt_write_started{first});
+        fixture.add("b1", v2);
+        fixture.restart("a1", v2);
+        WHEN("its first event arrives") {
+            fixture.dispatch(attempt_progressed{first, tokens(1)});
+            THEN("it is not passed on, and another target begins the stream") {
+                CHECK(fixture.find<select_attempt>() == nullptr);
+                CHECK(fixture.bound_to() == "");
+                REQUIRE(fixture.find<cancel_attempt>() != nullptr);
+                CHECK(fixture.find<cancel_attempt>()->attempt == first);
+                CHECK(fixture.sent_to() == "b1");
+            }
+        }
+    }
+    GIVEN("a stream whose first event was passed on") {
+        const attempt_id first = fixture.begin_stream(1);
+        fixture.add("a2", v1);
+        for (const auto& [name, software, incarnation] :
+             {std::tuple("starts again as another version", v2, 2),
+              std::tuple("starts again as the same version", v1, 2),
+              std::tuple("states another version", v2, 1)}) {
+            SUBCASE((std::string("When: the target ") + name).c_str()) {
+                fixture.restart("a1", software, static_cast<std::uint64_t>(incarnation));
+                CHECK(fixture.latest.empty());
+                AND_WHEN("it sends another event") {
+                    fixture.dispatch(attempt_progressed{first, tokens(1)});
+                    THEN("the answer breaks off, and its version is unknown") {
+                        CHECK(fixture.sent_to() == "");
+                        CHECK(fixture.has_broken_off(1));
+                        CHECK(fixture.find<cancel_attempt>()->attempt == first);
+                    }
+                }
+                AND_WHEN("it ends the stream") {
+                    fixture.dispatch(attempt_completed{first});
+                    THEN("the answer breaks off, and its version is unknown") {
+                        CHECK(fixture.has_broken_off(1));
+                    }
+                }
+                // The record may arrive after events of the new process were passed on.
+                AND_WHEN("its connection breaks") {
+                    fixture.fail(first, attempt_failure::disconnected);
+                    THEN("the answer breaks off, and its version is unknown") {
+                        CHECK(fixture.sent_to() == "");
+                        CHECK(fixture.has_broken_off(1));
+                    }
+                }
+                AND_WHEN("it stalls") {
+                    fixture.expire_timers_after(2s);
+                    THEN("the answer breaks off, and its version is unknown") {
+                        CHECK(fixture.sent_to() == "");
+                        CHECK(fixture.has_broken_off(1));
+                    }
+                }
+            }
+        }
+        WHEN("its connection breaks before it starts again as another version") {
+            fixture.fail(first, attempt_failure::disconnected);
+            REQUIRE(fixture.sent_to() == "a2");
+            const attempt_id second = fixture.sent_attempt();
+            fixture.restart("a1", v2);
+            THEN("the other target of the old version goes on") {
+                fixture.dispatch(attempt_progressed{second, tokens(1)});
+                fixture.dispatch(attempt_completed{second});
+                CHECK(fixture.find<complete_request>() != nullptr);
+            }
+        }
+        WHEN("the target announces no more than that it is leaving, and its lease ends") {
+            fixture.leave("a1", v1);
+            fixture.remove("a1", v1);
+            THEN("its events are passed on as before") {
+                fixture.dispatch(attempt_progressed{first, tokens(1)});
+                CHECK(fixture.latest.empty());
+                fixture.dispatch(attempt_completed{first});
+                CHECK(fixture.find<complete_request>() != nullptr);
+            }
+            AND_WHEN("it is back as another version") {
+                fixture.announce("a1", v2, 2);
+                fixture.dispatch(attempt_progressed{first, tokens(1)});
+                THEN("the answer breaks off, and its version is unknown") {
+                    CHECK(fixture.has_broken_off(1));
+                }
+            }
+        }
+        WHEN("it stalls, and the resuming target starts again before its first event") {
+            fixture.expire_timers_after(2s);
+            REQUIRE(fixture.sent_to() == "a2");
+            const attempt_id second = fixture.sent_attempt();
+            fixture.restart("a2", v2);
+            fixture.dispatch(attempt_progressed{second, tokens(1)});
+            THEN("only that attempt ends, and the stream goes on") {
+                CHECK(fixture.find<select_attempt>() == nullptr);
+                CHECK(fixture.find<refuse_request>() == nullptr);
+                REQUIRE(fixture.find<cancel_attempt>() != nullptr);
+                CHECK(fixture.find<cancel_attempt>()->attempt == second);
+                fixture.dispatch(attempt_completed{first});
+                CHECK(fixture.find<complete_request>() != nullptr);
+            }
+        }
+    }
+    GIVEN("a release that goes back while a stream runs") {
+        const attempt_id first = fixture.begin_stream(1);
+        fixture.add("a2", v1);
+        fixture.restart("a2", v2, 2);
+        WHEN("the stream breaks off after the other target has gone back to its version") {
+            fixture.restart("a2", v1, 3);
+            fixture.fail(first);
+            THEN("that target goes on") {
+                CHECK(fixture.sent_to() == "a2");
+            }
+        }
+        WHEN("its own target has gone to the other version and back") {
+            fixture.restart("a1", v2, 2);
+            fixture.restart("a1", v1, 3);
+            fixture.dispatch(attempt_progressed{first, tokens(1)});
+            THEN("the answer breaks off, and its version is unknown") {
+                CHECK(fixture.has_broken_off(1));
+            }
+        }
+    }
+}
