Entry: an event at which the dispatcher breaks an answer off is not delivered

The dispatcher can end an attempt now at the very event that the attempt reports. The call then still added that event to the response and appended it behind the stream's end, as its attempt was still the selected one. It guards the order that the fix no longer leaves to libsoup: an event is delivered only if its attempt is still there.

--- a/packages/entry/internal/engine_call.cpp
+++ b/packages/entry/internal/engine_call.cpp
@@ -136,7 +136,8 @@
     const auto& chunk = std::get<completions::completion_chunk>(parsed);
     stream.is_finished = !chunk.finish_reason.empty();
     this->context.dispatch(requests::attempt_progressed{attempt, tokens(1)});
-    if (this->selected_attempt == attempt) {
+    // The dispatcher may have ended the attempt rather than pass the event on.
+    if (this->selected_attempt == attempt && this->attempts.contains(attempt)) {
         this->deliver(chunk);
     }
 }
--- a/packages/entry/tests/engine_call_test.cpp
+++ b/packages/entry/tests/engine_call_test.cpp
@@ -36,6 +36,9 @@
     std::optional<call_context> context;
     std::optional<requests::message> outcome;
     bool is_paused = false;
+    /// Number of the event at which the dispatcher breaks the answer off; 0 for none.
+    int refused_event = 0;
+    int events = 0;
     /// Belongs to the call.
     const http::exchange* open_exchange = nullptr;
 
@@ -75,6 +78,12 @@
 
     void receive(const requests::message& message) {
         if (const auto* progressed = std::get_if<requests::attempt_progressed>(&message)) {
+            if (++this->events == this->refused_event) {
+                this->call->cancel(progressed->attempt);
+                this->call->refuse(problem{});
+                this->caller.loop.quit();
+                return;
+            }
             this->call->select(progressed->attempt);
         } else if (const auto* completed = std::get_if<requests::attempt_completed>(&message)) {
             this->call->select(completed->attempt);
@@ -147,6 +156,29 @@
     }
 }
 
+// Guards against an event that is written behind the error at which its answer was broken off.
+SCENARIO("an event at which an answer is broken off does not reach the caller") {
+    completion_stream stream;
+    REQUIRE(stream.call);
+    const std::string second_chunk =
+        R"(data: {"choices":[{"index":0,"text":"two"}],"weight_version":2})"
+        "\n\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n";
+    GIVEN("an engine whose second event can't be passed on") {
+        stream.refused_event = 2;
+        http::scripted_server engine({{head + first_chunk + second_chunk + second_chunk}});
+        stream.attempt(1, engine, 0);
+        stream.caller.pause_for(std::chrono::milliseconds(200));
+        THEN("the caller gets the first one and the error, and the stream has no end of its own") {
+            CHECK(stream.events == 2);
+            CHECK(stream.caller.data.find("one") != std::string::npos);
+            CHECK(stream.caller.data.find("event: error") != std::string::npos);
+            CHECK(stream.caller.data.find("two") == std::string::npos);
+            CHECK(stream.caller.data.find("[DONE]") == std::string::npos);
+        }
+    }
+}
+
 // Guards against a stream that fills the memory because its caller reads nothing.
 SCENARIO("a completion without end is held in memory up to a limit") {
     constexpr std::size_t chunks_per_part = 16;
