Items resume only at the software version that sent their events

What callers saw: samples with text of two software versions. Cause: the scheduler did not know the engines' software versions. An item whose run broke, fell silent or was moved resumed after its last event on any engine with suitable weights. The class is that of what one part has seen and another decides without. Change: an item's text has an origin, the service and software version that its sender announced. The item resumes and moves only to engines of that origin. While these are full, it waits for as long as its events took (received events x median event interval), 2.5 s at most (max_version_wait), and lets others pass; if none of them is there (gone, leaving, without the job's weights), or none before that time (back-off), it starts anew at once where another has room. Its events are then thrown away, logged and counted (item restarted, items_restarted_for_version_total, events_ and tokens_discarded_for_version_total); its failed runs and its moves are as before, so it stays owed. Where the sender is not certain the item starts anew as well: an engine announces another version while a run with events is in progress there; or after a run that began once an earlier run had broken or timed out there, since the new incarnation may have been reached before it was announced. Runs of other stores need no field on the wire: the leader ascribes the events, and cancels the run as its record of the engine changes. Cost: the room of the engines is computed once for each job and version until a run starts (room_cache), as it was for each job. Not covered: an engine that starts again as another version under its identifier while no run of the store is there to break, whose first runs end completely before its announcement arrives; nothing in a response names the incarnation.

--- a/packages/batch/engine.h
+++ b/packages/batch/engine.h
@@ -11,6 +11,8 @@
 struct engine {
     target_id id;
     backend_name service;
+    /// Empty if the engine states none.
+    software_version software;
     /// Requests that the engine runs concurrently.
     int slots = 1;
     /// Capacity for running requests and cached prompts; 0 if unknown.
--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -123,9 +123,10 @@
 
 bool engine_pool::can_serve(const engine_state& state, const job_opened& job,
                             time_point now) const {
-    if (!this->is_available(state, now)) {
-        return false;
-    }
+    return this->is_available(state, now) && is_eligible(state, job);
+}
+
+bool engine_pool::is_eligible(const engine_state& state, const job_opened& job) {
     const auto& services = job.services;
     if (std::find(services.begin(), services.end(), state.descriptor.service) == services.end()) {
         return false;
@@ -138,11 +139,12 @@
 }
 
 bool engine_pool::can_accept(const engine_state& state, const scheduled_item& item,
-                             const job_opened& job, time_point now) const {
-    if (!can_serve(state, job, now)) {
+                             const job_opened& job, engine_choice choice, time_point now) const {
+    if (!includes(choice, state.descriptor, item) || !can_serve(state, job, now)) {
         return false;
     }
-    if (job.needs_single_version && item.received_events > 0 && !job.model.value().empty() &&
+    const bool is_resumed = item.received_events > 0 && choice != engine_choice::other_origin;
+    if (job.needs_single_version && is_resumed && !job.model.value().empty() &&
         state.descriptor.versions.at(job.model) != item.newest) {
         return false;
     }
@@ -159,12 +161,12 @@
 }
 
 engine_state* engine_pool::choose_engine(const scheduled_item& item, const job_opened& job,
-                                         time_point now) {
+                                         engine_choice choice, time_point now) {
     engine_state* best = nullptr;
     double best_score = std::numeric_limits<double>::max();
     const weight_version newest = this->newest_version_of(job.model);
     for (auto& [id, state] : this->engines) {
-        if (!this->can_accept(state, item, job, now)) {
+        if (!this->can_accept(state, item, job, choice, now)) {
             continue;
         }
         const double load = static_cast<double>(state.running()) / state.descriptor.slots;
@@ -219,6 +221,26 @@
     return largest;
 }
 
+version_room engine_pool::version_room_of(const text_origin& origin, const job_opened& job,
+                                          time_point now) const {
+    version_room room;
+    for (const auto& [id, state] : this->engines) {
+        if (!is_eligible(state, job)) {
+            continue;
+        }
+        const bool is_same = origin_of(state.descriptor) == origin;
+        if (is_same && !state.descriptor.is_leaving) {
+            const time_point available_at = std::max(now, state.backoff_until);
+            room.available_at = std::min(room.available_at.value_or(available_at), available_at);
+        }
+        if (this->is_available(state, now)) {
+            tokens& largest = is_same ? room.same : room.other;
+            largest = std::max(largest, this->room_of(state));
+        }
+    }
+    return room;
+}
+
 bool engine_pool::has_free_slot(time_point now) const {
     return std::any_of(this->engines.begin(), this->engines.end(),
                        [&](const auto& entry) { return this->is_available(entry.second, now); });
--- a/packages/batch/internal/engine_pool.h
+++ b/packages/batch/internal/engine_pool.h
@@ -2,8 +2,11 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "batch/internal/engine_choice.h"
 #include "batch/internal/engine_state.h"
 #include "batch/internal/scheduled_item.h"
+#include "batch/internal/text_origin.h"
+#include "batch/internal/version_room.h"
 #include "batch/scheduler_limits.h"
 #include "batch/scheduler_messages.h"
 #include "permits/permit_account.h"
@@ -39,7 +42,7 @@
 
     /// The engine on which the item is expected to complete first; null if none has room for it.
     [[nodiscard]] engine_state* choose_engine(const scheduled_item& item, const job_opened& job,
-                                              time_point now);
+                                              engine_choice choice, time_point now);
     /// Whether the engine takes a limited rate of requests.
     [[nodiscard]] bool is_limited(const engine_state& state) const {
         return this->permits.is_limited(state.descriptor.id);
@@ -49,6 +52,9 @@
     /// The largest item that an engine with a free slot accepts for the job; negative if no engine
     /// has a free slot.
     [[nodiscard]] tokens largest_room(const job_opened& job, time_point now) const;
+    /// Room of the engines for the items of the job whose texts have this origin.
+    [[nodiscard]] version_room version_room_of(const text_origin& origin, const job_opened& job,
+                                               time_point now) const;
     /// Whether no other engine has newer weights of the model.
     [[nodiscard]] bool has_newest_weights(const engine_state& state, const model_name& model) const;
     /// Memory that a run of the item uses on average over its duration.
@@ -59,12 +65,15 @@
     [[nodiscard]] weight_version newest_version_of(const model_name& model) const;
     /// Whether a run may start on the engine, whatever it is.
     [[nodiscard]] bool is_available(const engine_state& state, time_point now) const;
+    /// Whether the engine's service and weights are those of the job.
+    [[nodiscard]] static bool is_eligible(const engine_state& state, const job_opened& job);
     [[nodiscard]] bool can_serve(const engine_state& state, const job_opened& job,
                                  time_point now) const;
     /// The largest item for which the engine has memory.
     [[nodiscard]] tokens room_of(const engine_state& state) const;
     [[nodiscard]] bool can_accept(const engine_state& state, const scheduled_item& item,
-                                  const job_opened& job, time_point now) const;
+                                  const job_opened& job, engine_choice choice,
+                                  time_point now) const;
 
     scheduler_limits limits;
     const permits::permit_account& permits;
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -135,10 +135,15 @@
 }
 
 void item_scheduler::state::on(const engine_updated& updated) {
+    const engine_state* known = this->engines.find(updated.state.id);
+    const bool is_same_software =
+        known != nullptr && origin_of(known->descriptor) == origin_of(updated.state);
     engine_state& state = this->engines.update(updated.state);
-    if (!updated.is_restarted) {
+    if (!updated.is_restarted && is_same_software) {
         return;
     }
+    state.may_have_restarted = false;
+    this->discard_ambiguous_texts(state);
     this->engines.reset_event_interval(state);
     state.next_backoff = duration::zero();
     state.backoff_until = time_point{};
@@ -168,6 +173,8 @@
     if (item != nullptr) {
         item->run_started = this->now;
         item->last_event_at = this->now;
+        const engine_state* target_engine = this->engines.find(item->engine);
+        item->is_run_unconfirmed = target_engine != nullptr && target_engine->may_have_restarted;
     }
 }
 
@@ -188,7 +195,9 @@
         target_engine->next_backoff = duration::zero();
     }
     item->has_event_in_run = true;
+    item->record_origin();
     item->last_event_at = this->now;
+    item->waiting_since.reset();
     item->received_events = progressed.last_event;
     item->oldest = progressed.oldest;
     item->newest = progressed.newest;
@@ -227,8 +236,11 @@
         break;
     case run_failure::broken:
         // Not counted: an item has to complete however many engines end while they run it.
-        if (target_engine != nullptr && !item->has_event_in_run) {
-            this->engines.back_off(*target_engine, this->now);
+        if (target_engine != nullptr) {
+            target_engine->may_have_restarted = true;
+            if (!item->has_event_in_run) {
+                this->engines.back_off(*target_engine, this->now);
+            }
         }
         break;
     case run_failure::failed:
@@ -255,23 +267,15 @@
         return;
     }
     std::vector<item_id> still_waiting;
-    // Room of each job's engines, known until the next run starts. Without it, hundreds of waiting
-    // items would each be compared with all engines whenever a run ends.
-    std::map<job_id, tokens> largest_rooms;
+    room_cache rooms(this->engines, this->now);
     for (const item_id& id : std::exchange(this->waiting, {})) {
         scheduled_item& item = this->items.at(id);
-        const auto [room, is_new] = largest_rooms.try_emplace(item.job);
-        if (is_new) {
-            room->second = this->engines.largest_room(this->jobs.at(item.job).spec, this->now);
-        }
-        engine_state* target_engine = this->engines.expected_memory(item) <= room->second
-                                          ? this->choose_engine(item)
-                                          : nullptr;
+        engine_state* target_engine = this->find_engine(item, rooms);
         if (target_engine == nullptr) {
             still_waiting.push_back(id);
         } else {
             this->start(item, *target_engine);
-            largest_rooms.clear();
+            rooms.clear();
         }
     }
     this->waiting = std::move(still_waiting);
@@ -292,9 +296,10 @@
     }
 }
 
-engine_state* item_scheduler::state::choose_engine(const scheduled_item& item) {
+engine_state* item_scheduler::state::choose_engine(const scheduled_item& item,
+                                                   engine_choice choice) {
     const job_state& job = this->jobs.at(item.job);
-    engine_state* target_engine = this->engines.choose_engine(item, job.spec, this->now);
+    engine_state* target_engine = this->engines.choose_engine(item, job.spec, choice, this->now);
     const bool may_wait =
         item.rank == item_rank::spare && this->now - job.opened_at < this->limits.max_spare_wait;
     if (target_engine != nullptr && may_wait &&
@@ -315,6 +320,7 @@
 }
 
 void item_scheduler::state::enqueue(scheduled_item& item) {
+    item.waiting_since = item.waiting_since.value_or(this->now);
     const auto position = std::upper_bound(
         this->waiting.begin(), this->waiting.end(), item.spec.id,
         [this](const item_id& a, const item_id& b) { return this->is_more_urgent(a, b); });
@@ -329,6 +335,8 @@
     item.run_started = this->now;
     item.last_event_at = this->now;
     item.has_event_in_run = false;
+    item.run_origin = origin_of(target_engine.descriptor);
+    item.is_run_unconfirmed = target_engine.may_have_restarted;
     if (!this->jobs.at(item.job).spec.is_resumable) {
         item.discard_events();
     }
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -1,13 +1,17 @@
 #pragma once
 
+#include "batch/internal/engine_choice.h"
 #include "batch/internal/engine_pool.h"
+#include "batch/internal/room_cache.h"
 #include "batch/internal/scheduled_item.h"
+#include "batch/internal/version_room.h"
 #include "batch/item_scheduler.h"
 #include "permits/permit_account.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -85,7 +89,20 @@
     [[nodiscard]] scheduled_item* find_running_item(run_id run);
     [[nodiscard]] tokens mean_output_of(const model_name& model) const;
     void record_groups(const job_opened& opened);
-    [[nodiscard]] engine_state* choose_engine(const scheduled_item& item);
+    [[nodiscard]] engine_state* choose_engine(const scheduled_item& item, engine_choice choice);
+    /// Whether the item resumes only on engines of its text's origin.
+    [[nodiscard]] bool is_bound_to_version(const scheduled_item& item) const;
+    /// The engine on which the waiting item is to start; null if it has to wait. Discards the
+    /// item's events if that engine cannot continue them.
+    [[nodiscard]] engine_state* find_engine(scheduled_item& item, room_cache& rooms);
+    /// Why the item should start anew on an engine of another origin; empty if it should wait.
+    [[nodiscard]] std::optional<restart_reason> reason_to_restart(const scheduled_item& item,
+                                                                  const version_room& room) const;
+    /// Discards the item's events, so that its next run starts anew.
+    void restart(scheduled_item& item, restart_reason reason);
+    /// Restarts the items with events that the engine may have sent as another software version
+    /// than it announces now.
+    void discard_ambiguous_texts(const engine_state& changed);
     void update_mean_output(const scheduled_item& item);
 
     /// Moving average of complete outputs for each model; the estimate for items without one.
--- a/packages/batch/internal/run_checks.cpp
+++ b/packages/batch/internal/run_checks.cpp
@@ -40,6 +40,7 @@
     if (silence > allowed) {
         engine_state* target_engine = this->engines.find(item.engine);
         if (target_engine != nullptr) {
+            target_engine->may_have_restarted = true;
             this->engines.back_off(*target_engine, this->now);
         }
         this->cancel(item);
@@ -59,7 +60,10 @@
     if ((target_engine->event_interval - median) * remaining_events < this->limits.min_move_gain) {
         return;
     }
-    engine_state* better = this->engines.choose_engine(item, job, this->now);
+    // A restart elsewhere would throw away more than a move is meant to save.
+    const engine_choice choice =
+        this->is_bound_to_version(item) ? engine_choice::same_origin : engine_choice::any;
+    engine_state* better = this->engines.choose_engine(item, job, choice, this->now);
     if (better == nullptr || better == target_engine || this->engines.is_limited(*better) ||
         this->engines.slowness(*better, this->now) > this->limits.move_to_slowness) {
         return;
--- a/packages/batch/internal/scheduled_item.h
+++ b/packages/batch/internal/scheduled_item.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/units.h"
+#include "batch/internal/text_origin.h"
 #include "batch/item_rank.h"
 #include "batch/run_id.h"
 #include "batch/scheduler_actions.h"
@@ -10,6 +11,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace kingcupcart::batch {
 
@@ -31,6 +33,17 @@
     /// Oldest and newest weights that generated these events.
     weight_version oldest;
     weight_version newest;
+    /// The software that sent these events.
+    text_origin origin;
+    /// Engines that may have sent some of these events as another incarnation than the announced
+    /// one.
+    std::vector<target_id> unconfirmed_engines;
+    /// What the engine of the run was announced as when the run started, and whether another
+    /// incarnation may have been there.
+    text_origin run_origin;
+    bool is_run_unconfirmed = false;
+    /// When the item first waited for an engine after its last event.
+    std::optional<time_point> waiting_since;
     /// The item is sent to this engine again only if the alternatives are much worse.
     target_id avoided_engine;
     std::size_t failures = 0;
@@ -43,6 +56,9 @@
     /// Estimated number of events still to come. Output lengths have a long tail: an item that
     /// exceeds its estimate is expected to generate half as many events again as it has so far.
     [[nodiscard]] std::size_t estimate_remaining_events(tokens per_event) const;
+    [[nodiscard]] bool has_unconfirmed_events_of(const target_id& id) const;
+    /// Records the origin of the events that the current run has sent.
+    void record_origin();
     void discard_events();
 };
 
--- a/packages/batch/scheduler_actions.h
+++ b/packages/batch/scheduler_actions.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/ids.h"
+#include "base/units.h"
 #include "batch/item_rank.h"
 #include "batch/run_id.h"
 
@@ -88,8 +90,43 @@
     item_id item;
 };
 
-using scheduler_action =
-    std::variant<start_run, cancel_run, item_completed, item_given_up, discard_item_text>;
+/// Why an item's events are thrown away for the sake of the software version that sent them.
+enum class restart_reason {
+    /// No engine of that version could take the item.
+    version_gone,
+    /// The engines of that version were full for longer than the events are worth.
+    version_full,
+    /// An engine restarted as another version, and either may have sent the events.
+    version_unknown
+};
+
+[[nodiscard]] inline const char* to_string(restart_reason reason) {
+    switch (reason) {
+    case restart_reason::version_gone:
+        return "version-gone";
+    case restart_reason::version_full:
+        return "version-full";
+    case restart_reason::version_unknown:
+        return "version-unknown";
+    }
+    return "?";
+}
+
+/// The received events of the item are discarded, and its next run starts anew.
+struct item_restarted {
+    job_id job;
+    item_id item;
+    /// The version that the events were ascribed to.
+    software_version software;
+    std::size_t events = 0;
+    tokens size;
+    restart_reason reason = restart_reason::version_gone;
+    /// How long the item has been without an event since it first waited for an engine.
+    duration waited{};
+};
+
+using scheduler_action = std::variant<start_run, cancel_run, item_completed, item_given_up,
+                                      discard_item_text, item_restarted>;
 using scheduler_actions = std::vector<scheduler_action>;
 
 } // namespace kingcupcart::batch
--- a/packages/batch/scheduler_limits.h
+++ b/packages/batch/scheduler_limits.h
@@ -34,6 +34,10 @@
     /// A spare item waits at most this long for an engine with the newest weights. Half of the time
     /// after which users consider an item without an engine abandoned.
     duration max_spare_wait = std::chrono::milliseconds(2500);
+    /// An item waits at most this long for an engine of the software version that sent its events,
+    /// and no longer than these events took. Half of the time after which users consider an item
+    /// without an engine abandoned.
+    duration max_version_wait = std::chrono::milliseconds(2500);
     /// Maximum share of an engine's memory that the expected sizes of its runs may reserve.
     double max_memory_share = 0.9;
     /// Relative penalty on the score of an engine whose slots are all in use; scales linearly with
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -55,6 +55,7 @@
     batch::engine engine;
     engine.id = record.id;
     engine.service = record.backend;
+    engine.software = record.software;
     engine.slots = record.slots;
     engine.is_leaving = record.leaving;
     engine.is_loading = record.loading;
@@ -331,4 +332,17 @@
     this->partial_texts.erase(discarded.item);
 }
 
+void item_runner::on(const batch::item_restarted& restarted) {
+    spdlog::info("item restarted item={} job={} software={} events={} tokens={} waited_ms={} "
+                 "reason={}",
+                 restarted.item.value(), restarted.job.value(), restarted.software.value(),
+                 restarted.events, restarted.size.count(),
+                 std::chrono::duration_cast<std::chrono::milliseconds>(restarted.waited).count(),
+                 batch::to_string(restarted.reason));
+    this->params.metrics->count("items_restarted_for_version_total");
+    this->params.metrics->count("events_discarded_for_version_total",
+                                static_cast<std::int64_t>(restarted.events));
+    this->params.metrics->count("tokens_discarded_for_version_total", restarted.size.count());
+}
+
 } // namespace kingcupcart::store
--- a/packages/store/internal/item_runner.h
+++ b/packages/store/internal/item_runner.h
@@ -98,6 +98,7 @@
     void on(const batch::item_completed& completed);
     void on(const batch::item_given_up& given_up);
     void on(const batch::discard_item_text& discarded);
+    void on(const batch::item_restarted& restarted);
     /// Stops the run, where it still exists, and schedules its deletion.
     void remove_run(batch::run_id run);
     [[nodiscard]] batch::engine engine_of(const membership::target_record& record) const;
