Tests of items and software versions: services, weights, back-off, and runs that are sent after a break

Two scenarios more: a version of the same name at another service is another version, and an item of a job that needs one version of the weights starts anew with others.

--- a/packages/batch/tests/software_versions_test.cpp
+++ b/packages/batch/tests/software_versions_test.cpp
@@ -39,10 +39,10 @@
     }
     /// Starts the process of an engine, and announces it.
     void add_engine(const std::string& id, const std::string& software, int slots = 1,
-                    std::uint64_t weights = 1) {
+                    std::uint64_t weights = 1, const std::string& service = "llm") {
         engine added;
         added.id = target_id(id);
-        added.service = backend_name("llm");
+        added.service = backend_name(service);
         added.software = software_version(software);
         added.slots = slots;
         added.memory = tokens(1000000);
@@ -66,8 +66,8 @@
         this->engines.erase(id);
     }
     /// `items` are names and expected numbers of events.
-    void open_job(const std::string& id, const std::map<std::string, int>& items,
-                  std::uint64_t oldest_weights = 1) {
+    job_opened make_job(const std::string& id, const std::map<std::string, int>& items,
+                        std::uint64_t oldest_weights = 1) const {
         job_opened opened;
         opened.job = job_id(id);
         opened.model = model_name("m");
@@ -81,7 +81,11 @@
             opened.items.push_back(
                 {item_id(name), item_group_id(name), tokens(10), tokens(64 * events)});
         }
-        this->dispatch(opened);
+        return opened;
+    }
+    void open_job(const std::string& id, const std::map<std::string, int>& items,
+                  std::uint64_t oldest_weights = 1) {
+        this->dispatch(this->make_job(id, items, oldest_weights));
     }
     /// The run of the item yields events at the usual interval.
     void receive(const std::string& item, int events) {
@@ -342,6 +346,19 @@
             CHECK(fleet.resume_after("x") == 0);
         }
     }
+    GIVEN("an item with 10 events, and an engine of its version that backs off for longer") {
+        fleet.receive("x", 10);
+        fleet.add_engine("a-new", "v2", 4);
+        fleet.end_run("y");
+        fleet.set_leaving(lost);
+        fleet.end_run("x");
+        THEN("it starts anew at once") {
+            CHECK(fleet.engine_of("x") == "a-new");
+            CHECK(fleet.resume_after("x") == 0);
+            REQUIRE(fleet.restarts.size() == 1);
+            CHECK(fleet.restarts[0].waited == 0ms);
+        }
+    }
     GIVEN("an item whose version has one engine left, on which each run breaks at once") {
         for (int event = 0; event < 60; ++event) {
             fleet.now += event_interval;
@@ -439,6 +456,43 @@
     }
 }
 
+SCENARIO("a text is continued by its own service only, and starts anew with any weights") {
+    mixed_fleet fleet;
+    fleet.add_engine("e", "v1");
+    job_opened job = fleet.make_job("j", {{"x", 200}});
+    job.services.push_back(backend_name("other"));
+    job.needs_single_version = true;
+    fleet.dispatch(job);
+    fleet.receive("x", 20);
+    fleet.set_leaving("e");
+    fleet.end_run("x");
+    REQUIRE(fleet.engine_of("x") == "none");
+    GIVEN("an engine of the job's other service whose version has the same name") {
+        fleet.add_engine("f", "v1", 1, 1, "other");
+        THEN("the item starts anew there") {
+            CHECK(fleet.engine_of("x") == "f");
+            CHECK(fleet.resume_after("x") == 0);
+            REQUIRE(fleet.restarts.size() == 1);
+            CHECK(fleet.restarts[0].reason == restart_reason::version_gone);
+        }
+    }
+    GIVEN("an engine of another version with weights that could not continue the text") {
+        fleet.add_engine("f", "v2", 1, 2);
+        THEN("the item starts anew there") {
+            CHECK(fleet.engine_of("x") == "f");
+            CHECK(fleet.resume_after("x") == 0);
+        }
+    }
+    GIVEN("an engine of its version with weights that could not continue the text") {
+        fleet.add_engine("f", "v1", 1, 2);
+        fleet.wait(5s);
+        THEN("the item waits as it would if no engine stated a version") {
+            CHECK(fleet.engine_of("x") == "none");
+            CHECK(fleet.restarts.empty());
+        }
+    }
+}
+
 // Guards against events that are ascribed to the version that an engine announced last: a process
 // of another version may have started under its identifier.
 SCENARIO("an engine starts again under its identifier as another software version") {
@@ -524,6 +578,29 @@
     }
 }
 
+SCENARIO("an engine starts again as another software version before a run is sent") {
+    mixed_fleet fleet;
+    fleet.add_engine("e", "v1", 2);
+    fleet.open_job("j", {{"x", 200}, {"y", 200}});
+    GIVEN("a run that was started, and another one that breaks before the first is sent") {
+        fleet.end_run("y");
+        fleet.processes["e"] = "v2";
+        fleet.dispatch(run_sent{fleet.latest_runs.at("x").run});
+        fleet.receive("x", 3);
+        WHEN("the item has gone on elsewhere as the engine announces its version") {
+            fleet.add_engine("f", "v1", 2);
+            fleet.end_run("x");
+            REQUIRE(fleet.engine_of("x") == "f");
+            fleet.receive("x", 3);
+            fleet.announce_restart("e");
+            THEN("the item starts anew") {
+                CHECK(fleet.resume_after("x") == 0);
+                CHECK(fleet.restarts.size() == 1);
+            }
+        }
+    }
+}
+
 SCENARIO("a release goes back while items run") {
     mixed_fleet fleet;
     fleet.add_engine("old", "v1", 4);
