Items on a slow engine may start anew at another software version

What callers saw: samples that stayed on a slow replica while replicas of another version were free. Cause: a move that would join two versions was ruled out, and a restart elsewhere was not weighed against staying. Change: where no engine of its version is better, an item leaves a slow engine for one of another version if the move saves the events that it throws away (received events x median interval) and min_move_gain besides. It is counted as the other restarts are, with reason version-slow.

--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -84,6 +84,9 @@
     /// Moves the item to another engine if its run timed out, or if its engine is slow and a move
     /// pays off.
     void check_run(scheduled_item& item, duration median);
+    /// The best engine for the running item; null if it is its own, or not fast enough for a move.
+    [[nodiscard]] engine_state* find_faster_engine(const scheduled_item& item,
+                                                   engine_choice choice);
     void give_up_late_items();
     [[nodiscard]] bool is_more_urgent(const item_id& a, const item_id& b) const;
     [[nodiscard]] scheduled_item* find_running_item(run_id run);
--- a/packages/batch/internal/run_checks.cpp
+++ b/packages/batch/internal/run_checks.cpp
@@ -57,15 +57,21 @@
     }
     const auto remaining_events =
         static_cast<duration::rep>(item.estimate_remaining_events(job.tokens_per_event));
-    if ((target_engine->event_interval - median) * remaining_events < this->limits.min_move_gain) {
+    const duration gain = (target_engine->event_interval - median) * remaining_events;
+    if (gain < this->limits.min_move_gain) {
         return;
     }
-    // A restart elsewhere would throw away more than a move is meant to save.
-    const engine_choice choice =
-        this->is_bound_to_version(item) ? engine_choice::same_origin : engine_choice::any;
-    engine_state* better = this->engines.choose_engine(item, job, choice, this->now);
-    if (better == nullptr || better == target_engine || this->engines.is_limited(*better) ||
-        this->engines.slowness(*better, this->now) > this->limits.move_to_slowness) {
+    const bool is_bound = this->is_bound_to_version(item);
+    engine_state* better =
+        this->find_faster_engine(item, is_bound ? engine_choice::same_origin : engine_choice::any);
+    const duration lost = median * static_cast<duration::rep>(item.received_events);
+    if (better == nullptr && is_bound && gain - lost >= this->limits.min_move_gain) {
+        better = this->find_faster_engine(item, engine_choice::other_origin);
+        if (better != nullptr) {
+            this->restart(item, restart_reason::version_slow);
+        }
+    }
+    if (better == nullptr) {
         return;
     }
     this->cancel(item);
@@ -75,6 +81,17 @@
     this->start(item, *better);
 }
 
+engine_state* item_scheduler::state::find_faster_engine(const scheduled_item& item,
+                                                        engine_choice choice) {
+    const job_opened& job = this->jobs.at(item.job).spec;
+    engine_state* best = this->engines.choose_engine(item, job, choice, this->now);
+    if (best == nullptr || best->descriptor.id == item.engine || this->engines.is_limited(*best) ||
+        this->engines.slowness(*best, this->now) > this->limits.move_to_slowness) {
+        return nullptr;
+    }
+    return best;
+}
+
 void item_scheduler::state::give_up_late_items() {
     std::vector<item_id> late;
     for (const auto& [id, item] : this->items) {
--- a/packages/batch/scheduler_actions.h
+++ b/packages/batch/scheduler_actions.h
@@ -96,6 +96,9 @@
     version_gone,
     /// The engines of that version were full for longer than the events are worth.
     version_full,
+    /// The item's engine is slow, none of that version is better, and another version is expected
+    /// to complete the item earlier even from its start.
+    version_slow,
     /// An engine restarted as another version, and either may have sent the events.
     version_unknown
 };
@@ -106,6 +109,8 @@
         return "version-gone";
     case restart_reason::version_full:
         return "version-full";
+    case restart_reason::version_slow:
+        return "version-slow";
     case restart_reason::version_unknown:
         return "version-unknown";
     }
