Stand-in replicas: the process tests compile again

tests/process/fleet.cpp initializes the parameters by position, so a field between the model and the address broke it: 'invalid initialization of reference ... parameters', fleet.cpp:89. The version of the software stands after the fields that are given by position.

--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -31,8 +31,6 @@
         std::string service;
         /// Name of the model; empty for a plain service.
         std::string model;
-        /// Version of the replica's software.
-        std::string software = "v1";
         /// Address to listen on; port zero for a free port.
         endpoint address;
         /// Keeper that receives the heartbeats.
@@ -42,6 +40,8 @@
         int slots = 4;
         /// Time between the events of a stream; zero to write them all at once.
         duration event_interval{};
+        /// Version of the replica's software.
+        std::string software = "v1";
         /// Start time that heartbeats state, in milliseconds since 1970.
         std::uint64_t started_at_ms = start_time();
         /// Time from the arrival of a request to a plain service to its response.
