A stream that is taken up elsewhere mixes software versions: failing test

Clients leave 30 streams after four events and take them up again, naming the first attempt in Resumes, at gateways in front of three replicas of each of two software versions.

--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -130,9 +130,13 @@
     exchange->begin_stream(status_ok, "text/event-stream");
     const bool is_interrupted =
         this->responses_to_interrupt > 0 && this->responses_to_interrupt-- > 0;
-    open_stream opened_stream{std::move(exchange), identifier, last_received_event,
+    open_stream opened_stream{std::move(exchange),
+                              identifier,
+                              last_received_event,
                               is_interrupted ? this->events_before_interrupt : this->params.events,
-                              is_interrupted};
+                              is_interrupted,
+                              this->params.events_state_software ? this->params.software + " "
+                                                                 : std::string()};
     if (this->params.event_interval == duration::zero()) {
         while (write_event(opened_stream)) {
         }
@@ -196,7 +200,7 @@
 bool platform_replica::write_event(open_stream& stream) {
     if (stream.events_written < stream.last_event) {
         const std::string number = std::to_string(++stream.events_written);
-        stream.exchange->write("id: " + number + "\ndata: " +
+        stream.exchange->write("id: " + number + "\ndata: " + stream.prefix +
                                expected_event(stream.identifier, stream.events_written) + "\n\n");
         return true;
     }
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -42,6 +42,8 @@
         duration event_interval{};
         /// Version of the replica's software.
         std::string software = "v1";
+        /// Whether the data of each event begins with the version of the replica's software.
+        bool events_state_software = false;
         /// Start time that heartbeats state, in milliseconds since 1970.
         std::uint64_t started_at_ms = start_time();
         /// Time from the arrival of a request to a plain service to its response.
@@ -111,6 +113,8 @@
         int last_event = 0;
         /// Whether the response stays incomplete after the last event.
         bool is_interrupted = false;
+        /// What the data of each event begins with.
+        std::string prefix = {};
     };
 
     explicit platform_replica(parameters arguments);
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -29,17 +29,21 @@
              "timeoutMs": 20000, "sloMs": 200, "service": "app", "maxAttempts": 1},
             {"name": "flow", "host": "shop", "pathPrefix": "/f/", "type": "streaming",
              "timeoutMs": 15000, "sloMs": 200, "service": "app", "maxAttempts": 2},
+            {"name": "talk", "host": "shop", "pathPrefix": "/t/", "type": "streaming",
+             "timeoutMs": 15000, "sloMs": 2500, "service": "chat", "maxAttempts": 2,
+             "resumable": true},
             {"name": "drafts", "host": "shop", "pathPrefix": "/d/", "type": "rollout",
              "timeoutMs": 10000, "service": "lm", "maxAttempts": 3, "maxQueueS": 40,
              "dueMs": 7500, "resumable": true}],
         "services": [
             {"name": "app", "maxConns": 10},
             {"name": "plain", "maxConns": 10},
+            {"name": "chat", "maxConns": 100},
             {"name": "lm", "maxConns": 10,
              "engine": {"slots": 4, "kvCapacity": 10000, "stride": 1, "models": [{"name": "m"}]}}],
         "limits": {}})");
-    document["services"][2]["engine"]["slots"] = options.slots;
-    document["services"][2]["maxConns"] = 2 * options.slots;
+    document["services"].back()["engine"]["slots"] = options.slots;
+    document["services"].back()["maxConns"] = 2 * options.slots;
     return document;
 }
 
@@ -213,6 +217,24 @@
     return std::move(std::get<std::unique_ptr<stand_ins::crashing_replica>>(opened));
 }
 
+std::unique_ptr<stand_ins::platform_replica>
+fleet::add_chat_replica(const std::string& name, const std::string& software, int events,
+                        duration event_interval) const {
+    stand_ins::platform_replica::parameters arguments;
+    arguments.id = name;
+    arguments.service = "chat";
+    arguments.model = "chat";
+    arguments.software = software;
+    arguments.address = endpoint{replica_ip, 0};
+    arguments.keeper =
+        endpoint{keeper_ip, static_cast<std::uint16_t>(std::stoi(this->external_port))};
+    arguments.events = events;
+    arguments.slots = 100;
+    arguments.event_interval = event_interval;
+    arguments.events_state_software = true;
+    return open_replica(arguments);
+}
+
 http::request fleet::plain_request(const std::string& ip, const std::string& name,
                                    const std::string& body) const {
     http::request request = this->booking_request(name, body);
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -79,7 +79,12 @@
     [[nodiscard]] std::unique_ptr<stand_ins::crashing_replica>
     add_plain_replica(const std::string& name, const std::string& fatal_text,
                       duration response_time = duration::zero()) const;
-    /// A request to that service, for the gateway at the address.
+    /// Starts a replica of the service "chat", which has no other ones. The data of each event of
+    /// its streams begins with the version of its software.
+    [[nodiscard]] std::unique_ptr<stand_ins::platform_replica>
+    add_chat_replica(const std::string& name, const std::string& software, int events,
+                     duration event_interval) const;
+    /// A request to the service "plain", for the gateway at the address.
     [[nodiscard]] http::request plain_request(const std::string& ip, const std::string& name,
                                               const std::string& body) const;
     [[nodiscard]] http::request booking_request(const std::string& name,
