--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -57,7 +57,10 @@
     trial_end = 36,
     copy_report = 37,
     suspect_update = 38,
-    trial_decision = 39
+    trial_decision = 39,
+    stream_record_updates = 40,
+    stream_lookup_request = 41,
+    stream_lookup_response = 42
 };
 
 json number(message_number value) {
@@ -239,6 +242,15 @@
 template <>
 constexpr message_number message_number_of<quarantine::trial_decision> =
     message_number::trial_decision;
+template <>
+constexpr message_number message_number_of<stream_record_updates> =
+    message_number::stream_record_updates;
+template <>
+constexpr message_number message_number_of<stream_lookup_request> =
+    message_number::stream_lookup_request;
+template <>
+constexpr message_number message_number_of<stream_lookup_response> =
+    message_number::stream_lookup_response;
 
 template <typename Message>
 json write(const Message& outgoing) {
@@ -441,6 +453,12 @@
      read_serializable<quarantine::suspect_update>},
     {message_number::trial_decision, "trial_decision",
      read_serializable<quarantine::trial_decision>},
+    {message_number::stream_record_updates, "stream_record_updates",
+     read_serializable<stream_record_updates>},
+    {message_number::stream_lookup_request, "stream_lookup_request",
+     read_serializable<stream_lookup_request>},
+    {message_number::stream_lookup_response, "stream_lookup_response",
+     read_serializable<stream_lookup_response>},
 };
 
 } // namespace
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -185,8 +185,32 @@
 
 } // namespace kingcupcart::quarantine
 
+namespace kingcupcart::streams {
+
+template <typename Archive>
+void serialize(Archive& archive, stream_record& value) {
+    archive(value.stream, value.backend, value.software, value.lifetime, value.age);
+}
+
+} // namespace kingcupcart::streams
+
 namespace kingcupcart::wire {
 
+template <typename Archive>
+void serialize(Archive& archive, stream_record_updates& value) {
+    archive(value.records);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, stream_lookup_request& value) {
+    archive(value.lookup, value.stream);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, stream_lookup_response& value) {
+    archive(value.lookup, value.record);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, limit_report& value) {
     archive(value.target, value.incarnation, value.millionths_per_second, value.age);
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -14,9 +14,12 @@
 #include "permits/permit_messages.h"
 #include "quarantine/crash_messages.h"
 #include "quorum/messages.h"
+#include "streams/stream_id.h"
+#include "streams/stream_record.h"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -301,6 +304,24 @@
     std::vector<permits::permit_grant> grants;
 };
 
+/// Sent by a gateway to the keepers that hold the records.
+struct stream_record_updates {
+    std::vector<streams::stream_record> records;
+};
+
+/// Asks a keeper for the record of a stream that a caller takes up.
+struct stream_lookup_request {
+    /// Assigned by the sender; the response repeats it.
+    std::uint64_t lookup = 0;
+    streams::stream_id stream;
+};
+
+struct stream_lookup_response {
+    std::uint64_t lookup = 0;
+    /// Empty if the sender does not hold the record.
+    std::optional<streams::stream_record> record;
+};
+
 /// The order of the alternatives is that of their numbers on the wire.
 using message =
     std::variant<hello, target_update, target_heartbeats, configuration_update,
@@ -312,6 +333,7 @@
                  run_item_request, cancel_item_run, item_run_updates, target_leaving, limit_report,
                  permit_demands, permit_grants, quarantine::crash_report,
                  quarantine::completion_report, quarantine::trial_demand, quarantine::trial_end,
-                 quarantine::copy_report, quarantine::suspect_update, quarantine::trial_decision>;
+                 quarantine::copy_report, quarantine::suspect_update, quarantine::trial_decision,
+                 stream_record_updates, stream_lookup_request, stream_lookup_response>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -73,6 +73,11 @@
             std::chrono::seconds(3)};
 }
 
+streams::stream_record example_stream() {
+    return {streams::stream_id("attempt"), backend_name("chat"), software_version("v1"),
+            std::chrono::seconds(45), std::chrono::milliseconds(40)};
+}
+
 std::vector<message> example_messages() {
     target_update target;
     target.record.id = target_id("e1");
@@ -117,7 +122,12 @@
         example_suspect(),
         quarantine::suspect_update{},
         quarantine::trial_decision{example_fingerprint, 3, quarantine::trial_verdict::refused,
-                                   std::chrono::seconds(2)}};
+                                   std::chrono::seconds(2)},
+        stream_record_updates{{example_stream()}},
+        stream_record_updates{{{streams::stream_id("a"), backend_name("b"), std::nullopt, {}, {}}}},
+        stream_lookup_request{4, streams::stream_id("attempt")},
+        stream_lookup_response{4, example_stream()},
+        stream_lookup_response{5, std::nullopt}};
 }
 
 /// Number of fields of the first item in the encoding of a submission with two items.
@@ -173,6 +183,20 @@
     CHECK(update.answered_age == std::chrono::seconds(3));
 }
 
+SCENARIO("the record of a stream arrives as it was sent") {
+    const auto decode_example = [](const std::optional<streams::stream_record>& record) {
+        const auto decoded = value_or_error([&] {
+            return decode(encode(stream_lookup_response{4, record}));
+        });
+        return std::get<stream_lookup_response>(std::get<message>(decoded)).record;
+    };
+    streams::stream_record withdrawn = example_stream();
+    withdrawn.software.reset();
+    CHECK(decode_example(example_stream()) == example_stream());
+    CHECK(decode_example(withdrawn) == withdrawn);
+    CHECK(!decode_example(std::nullopt));
+}
+
 SCENARIO(
     "journal records, commands and states keep their content when they are encoded and decoded") {
     replicated::replicated_state state;
