Keepers hold the records of streams that gateways pass on

Each gateway sends a record to two keepers, keeps its own, and looks up those that other gateways made; a keeper that has restarted receives them again. Nothing calls it yet.

--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -37,6 +37,10 @@
                      [this](const request_fingerprint& fingerprint) {
                          this->notify.suspect_changed(fingerprint);
                      }}),
+      known_streams(time, this->notify.make_hello().place.domain,
+                    [this](const instance_id& keeper, const wire::message& message) {
+                        return this->links.send(keeper, message);
+                    }),
       links(time, {this->notify.make_hello,
                    [this](const instance_id& keeper) {
                        spdlog::info("connected to keeper keeper={}", keeper.value());
@@ -50,6 +54,7 @@
                    [this](const instance_id& keeper) {
                        spdlog::warn("lost connection to keeper keeper={} reached={}",
                                     keeper.value(), this->links.open_count());
+                       this->known_streams.keeper_lost(keeper);
                    }}) {
     this->add_seeds(seeds);
 }
@@ -82,6 +87,10 @@
         this->known_crashes.handle(*suspect, from);
     } else if (const auto* decision = std::get_if<quarantine::trial_decision>(&message)) {
         this->known_crashes.handle(*decision, from);
+    } else if (const auto* response = std::get_if<wire::stream_lookup_response>(&message)) {
+        this->known_streams.handle(*response, from);
+    } else if (const auto* greeting = std::get_if<wire::hello>(&message)) {
+        this->known_streams.keeper_connected(from, greeting->place);
     } else if (const auto* initial_members = std::get_if<wire::initial_members_update>(&message)) {
         this->notify.initial_members_received(initial_members->initial_members);
     }
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -4,6 +4,7 @@
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "fleet/crash_monitor.h"
+#include "fleet/stream_records.h"
 #include "fleet/target_limits.h"
 #include "group/member_links.h"
 #include "membership/directory.h"
@@ -70,6 +71,7 @@
     void mark_leaving(const target_id& target, incarnation_id incarnation);
     [[nodiscard]] target_limits& limits() { return this->known_limits; }
     [[nodiscard]] crash_monitor& crashes() { return this->known_crashes; }
+    [[nodiscard]] stream_records& streams() { return this->known_streams; }
 
 private:
     void receive(const instance_id& from, const wire::message& message);
@@ -93,6 +95,7 @@
     const clock& time;
     target_limits known_limits;
     crash_monitor known_crashes;
+    stream_records known_streams;
     group::member_links links;
 };
 
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -20,6 +20,7 @@
       stores(this->params.settings.tolerated_losses),
       limits(this->make_limit_parameters()),
       crashes(this->make_crash_parameters()),
+      streams({this->params.time, this->params.send_to_instance}),
       orders({this->params.instance, this->params.protocol, &this->targets.directory(),
               this->params.time, this->params.limits, this->params.settings.order_lease,
               [this] {
@@ -225,7 +226,8 @@
 }
 
 void fleet_control::handle_message(const wire::hello& from, const wire::message& message) {
-    if (this->crashes.handle(from.instance, message)) {
+    if (this->crashes.handle(from.instance, message) ||
+        this->streams.handle(from.instance, message)) {
         return;
     }
     if (const auto* update = std::get_if<wire::target_update>(&message)) {
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -10,6 +10,7 @@
 #include "keeper/internal/keeper_codec.h"
 #include "keeper/internal/limit_control.h"
 #include "keeper/internal/store_registry.h"
+#include "keeper/internal/stream_control.h"
 #include "keeper/internal/target_control.h"
 #include "keeper/internal/weight_orders.h"
 #include "membership/directory_change.h"
@@ -59,9 +60,10 @@
     [[nodiscard]] std::vector<wire::message> initial_messages() const;
     void instance_connected(const wire::hello& hello);
     void instance_disconnected(const wire::hello& hello);
-    void export_metrics() const {
+    void export_metrics() {
         this->orders.responses().export_metrics(*this->params.metrics);
         this->crashes.export_metrics(*this->params.metrics);
+        this->streams.export_metrics(*this->params.metrics);
     }
     [[nodiscard]] std::size_t target_count() const { return this->targets.directory().size(); }
     /// Sends all target records over the link that was opened to another keeper, which has missed
@@ -106,6 +108,7 @@
     store_registry stores;
     limit_control limits;
     crash_control crashes;
+    stream_control streams;
     weight_orders orders;
     bool is_bootstrapping = false;
     task::wakeup maintenance_timer;
