Gateways: a stream that is taken up goes on at the version that began it

Callers who left a stream and took it up, at any gateway, received events of two software versions: the gateway drew the service anew and took any replica of it, since it did not read which attempt had begun the stream and nobody recorded where.

A stream is recorded when its first event is about to be passed on. A request that names it in Resumes waits for its record (none at the gateway that began it, otherwise one round trip to two keepers) and goes to that service and version only, if the routes in force still name the service. An open lookup ends with its caller's connection, and a gateway that stops waits for it.

--- a/packages/gateway/caller_calls.h
+++ b/packages/gateway/caller_calls.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "streams/stream_id.h"
 
 #include <chrono>
 #include <cstddef>
@@ -28,6 +29,9 @@
     /// Number of the last event of the stream that the caller has received; 0 for a stream from the
     /// start.
     std::size_t resume_after = 0;
+    /// The stream that the request continues; empty for a new stream, or if the caller does not say
+    /// which one it continues.
+    streams::stream_id resumes;
 };
 
 struct read_results_call {
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -27,6 +27,32 @@
     "content-type", "transfer-encoding", "content-length",   "upgrade", "server",
 };
 
+/// A stream whose caller has received a part of it, as far as the caller says so.
+bool is_take_up(const routed_call& call, const routes::route& route) {
+    return route.kind == routes::route_kind::stream &&
+           (call.resume_after > 0 || !call.resumes.value().empty());
+}
+
+bool is_served_by(const routes::route& route, const backend_name& service) {
+    return std::any_of(route.shares.begin(), route.shares.end(), [&](const auto& share) {
+        return share.service == service && share.weight > 0;
+    });
+}
+
+refusal make_refusal(streams::lookup_outcome outcome) {
+    switch (outcome) {
+    case streams::lookup_outcome::stream_unknown:
+        return {refusal_kind::not_run, "no gateway or keeper knows the stream", {}};
+    case streams::lookup_outcome::version_unknown:
+        return {refusal_kind::not_run, "the software version that began the stream is unknown", {}};
+    case streams::lookup_outcome::found:
+    case streams::lookup_outcome::unanswered:
+        break;
+    }
+    return {refusal_kind::not_run, "no keeper could say which software version began the stream",
+            retry_after_default};
+}
+
 bool is_forwarded_field(const std::string& name) {
     std::string lower = name;
     std::transform(lower.begin(), lower.end(), lower.begin(),
@@ -123,6 +149,17 @@
     this->fleet = std::make_unique<fleet::keeper_client>(
         *this->params.time, this->params.settings.gateway->fleet.seed_links(),
         this->params.parse_route_table, std::move(keeper_callbacks));
+
+    take_ups::parameters resumption_arguments;
+    resumption_arguments.time = this->params.time;
+    resumption_arguments.streams = &this->fleet->streams();
+    resumption_arguments.on_looked_up = [this](std::unique_ptr<http::exchange> exchange,
+                                               const routed_call& call,
+                                               const streams::lookup_result& result) {
+        this->continue_take_up(std::move(exchange), call, result);
+    };
+    resumption_arguments.on_ended = [this] { this->check_drained(); };
+    this->resumptions = std::make_unique<take_ups>(std::move(resumption_arguments));
 }
 
 void gateway::open_forwarder() {
@@ -181,7 +218,7 @@
 
 void gateway::check_drained() {
     const bool is_idle = this->forwarder->open_count() == 0 && this->stores->open_count() == 0 &&
-                         this->callers_server->is_idle();
+                         this->resumptions->open_count() == 0 && this->callers_server->is_idle();
     if (!this->on_drained || !is_idle) {
         return;
     }
@@ -239,6 +276,8 @@
                      {refusal_kind::no_route, "no route matches " + call.host + call.path, {}});
     } else if (route->kind == routes::route_kind::batch) {
         this->submit_job(std::move(exchange), call, *route);
+    } else if (is_take_up(call, *route)) {
+        this->take_up(std::move(exchange), call, *route);
     } else {
         this->forward(std::move(exchange), call, *route);
     }
@@ -258,7 +297,8 @@
 }
 
 void gateway::forward(std::unique_ptr<http::exchange> received, const routed_call& call,
-                      const routes::route& route) {
+                      const routes::route& route,
+                      const std::optional<forwarding::stream_origin>& origin) {
     const std::shared_ptr<http::exchange> exchange = std::move(received);
     forwarding::call_parameters forwarded;
     forwarded.name = call.request_name;
@@ -271,15 +311,73 @@
     forwarded.fingerprint =
         make_fingerprint({forwarded.request.method, route.name.value(), call.host,
                           forwarded.request.path, forwarded.request.body});
-    forwarded.notify = this->respond_to(exchange, call.request_name);
+    forwarded.origin = origin;
+    forwarded.notify = this->respond_to(exchange, call, route);
     const request_id request = this->forwarder->start(route, std::move(forwarded));
     exchange->on_disconnect([this, request] { this->forwarder->cancel(request); });
     exchange->on_sent([this, request] { this->forwarder->stream_sent(request); });
 }
 
+void gateway::take_up(std::unique_ptr<http::exchange> exchange, const routed_call& call,
+                      const routes::route& route) {
+    if (call.resumes.value().empty()) {
+        this->refuse_take_up(
+            *exchange, call, "unnamed",
+            {refusal_kind::not_run, "the request does not name the stream that it continues", {}});
+        return;
+    }
+    this->resumptions->start(std::move(exchange), call, call.max_wait.value_or(route.timeout));
+}
+
+void gateway::continue_take_up(std::unique_ptr<http::exchange> exchange, const routed_call& call,
+                               const streams::lookup_result& result) {
+    if (result.outcome != streams::lookup_outcome::found) {
+        this->refuse_take_up(*exchange, call, streams::to_string(result.outcome),
+                             make_refusal(result.outcome));
+        return;
+    }
+    const streams::stream_record& record = *result.record;
+    const forwarding::stream_origin origin{record.backend, *record.software};
+    // The routes may have changed during the lookup.
+    const auto table = this->fleet->routes();
+    const routes::route* route = table->find(call.host, call.path);
+    if (route == nullptr || !is_take_up(call, *route) || !is_served_by(*route, origin.backend)) {
+        this->refuse_take_up(*exchange, call, "not-routed",
+                             {refusal_kind::not_run,
+                              "the service that began the stream no longer serves the route",
+                              {}});
+        return;
+    }
+    spdlog::info("stream taken up request={} stream={} after={} backend={} software={} age_ms={} "
+                 "source={}",
+                 call.request_name, call.resumes.value(), call.resume_after, origin.backend.value(),
+                 origin.software.value(), record.age.count(), result.source.value());
+    this->metrics.count("stream_take_ups_total{outcome=\"bound\"}");
+    this->forward(std::move(exchange), call, *route, origin);
+}
+
+void gateway::refuse_take_up(http::exchange& exchange, const routed_call& call, const char* outcome,
+                             const refusal& details) {
+    spdlog::info("stream not taken up request={} stream={} after={} outcome={}", call.request_name,
+                 call.resumes.value(), call.resume_after, outcome);
+    this->metrics.count(std::string("stream_take_ups_total{outcome=\"") + outcome + "\"}");
+    this->refuse(exchange, call.request_name, details);
+}
+
 forwarding::response_callbacks gateway::respond_to(const std::shared_ptr<http::exchange>& exchange,
-                                                   const std::string& name) {
+                                                   const routed_call& call,
+                                                   const routes::route& route) {
+    const std::string& name = call.request_name;
     forwarding::response_callbacks callbacks;
+    callbacks.on_stream_bound =
+        [this, stream = call.resumes.value().empty() ? streams::stream_id(name) : call.resumes,
+         timeout = route.timeout](const auto& origin) {
+            if (origin) {
+                this->fleet->streams().record(stream, origin->backend, origin->software, timeout);
+            } else {
+                this->fleet->streams().withdraw(stream, timeout);
+            }
+        };
     callbacks.on_response = [exchange](const http::response_head& head, std::string_view body) {
         add_headers(*exchange, head);
         exchange->respond(head.status, head.content_type, body);
@@ -310,12 +408,14 @@
     status["targets"] = this->fleet->targets().size();
     status["open_requests"] = this->forwarder->open_count();
     status["open_batch_calls"] = this->stores->open_count();
+    status["open_take_ups"] = this->resumptions->open_count();
     this->metrics.set("gateway_open_requests", static_cast<double>(this->forwarder->open_count()));
     this->metrics.set("gateway_targets", static_cast<double>(this->fleet->targets().size()));
     this->fleet->limits().export_metrics(this->metrics);
     this->responses->export_metrics(this->metrics);
     this->caller_memory->export_metrics(this->metrics);
     this->fleet->crashes().export_metrics(this->metrics);
+    this->fleet->streams().export_metrics(this->metrics);
     admin::report report;
     report.component = "gateway";
     report.status = status.dump() + "\n";
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -8,14 +8,18 @@
 #include "gateway/caller_protocol.h"
 #include "gateway/internal/gateway_message.h"
 #include "gateway/internal/store_client.h"
+#include "gateway/internal/take_ups.h"
 #include "http/caller_budget.h"
 #include "http/response_budget.h"
 #include "http/server.h"
 #include "settings/process_settings.h"
+#include "streams/lookup_result.h"
 #include "telemetry/metric_set.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace kingcupcart::gateway {
 
@@ -56,12 +60,22 @@
     void handle_routed_call(std::unique_ptr<http::exchange> exchange, const routed_call& call);
     void submit_job(std::unique_ptr<http::exchange> exchange, const routed_call& call,
                     const routes::route& route);
+    /// With an origin, the request goes to replicas of that service and software version only.
     void forward(std::unique_ptr<http::exchange> exchange, const routed_call& call,
+                 const routes::route& route,
+                 const std::optional<forwarding::stream_origin>& origin = std::nullopt);
+    void take_up(std::unique_ptr<http::exchange> exchange, const routed_call& call,
                  const routes::route& route);
+    /// The stream that the call takes up was looked up.
+    void continue_take_up(std::unique_ptr<http::exchange> exchange, const routed_call& call,
+                          const streams::lookup_result& result);
+    void refuse_take_up(http::exchange& exchange, const routed_call& call, const char* outcome,
+                        const refusal& details);
     void refuse(http::exchange& exchange, const std::string& name, const refusal& details);
     /// Callbacks that send the response to the caller.
     [[nodiscard]] forwarding::response_callbacks
-    respond_to(const std::shared_ptr<http::exchange>& exchange, const std::string& name);
+    respond_to(const std::shared_ptr<http::exchange>& exchange, const routed_call& call,
+               const routes::route& route);
     void check_drained();
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] wire::hello make_hello() const;
@@ -78,6 +92,7 @@
     std::function<void()> on_drained;
     std::unique_ptr<store_client> stores;
     std::unique_ptr<fleet::keeper_client> fleet;
+    std::unique_ptr<take_ups> resumptions;
     std::unique_ptr<forwarding::forwarder> forwarder;
     std::unique_ptr<http::server> callers_server;
     std::unique_ptr<http::server> ready_server;
