Requests: a test of a waiting stream that loses its last target behind another one

Without refuse_unserved all tests passed: in each of them the stream was the first of its queue, where send_queued sees it. Here it waits behind one that still has a target.

--- a/packages/requests/tests/software_versions_test.cpp
+++ b/packages/requests/tests/software_versions_test.cpp
@@ -422,6 +422,22 @@
                 }
             }
         }
+        WHEN("the first stream has only the second target left, and waits behind one that has "
+             "both") {
+            fixture.arrive(4, v1);
+            fixture.fail(running, attempt_failure::declined);
+            REQUIRE(fixture.find<send_attempt>() != nullptr);
+            REQUIRE(fixture.find<send_attempt>()->request == request_id(3));
+            REQUIRE(fixture.subject.queued_requests() == 2);
+            AND_WHEN("the second target leaves") {
+                fixture.leave("a2", v1);
+                THEN("it breaks off at once, and the other one waits on") {
+                    CHECK(fixture.has_refused(1, outcome_kind::unknown));
+                    CHECK(fixture.subject.has_request(request_id(4)));
+                    CHECK(fixture.subject.queued_requests() == 1);
+                }
+            }
+        }
     }
 }
 
