Items stay on a slow engine for as long as their events took before they start anew

Most slow phases of the platform's replicas are shorter than a second; the estimate of the gain takes them as lasting. Change: the same weighing as for waiting items. Moves within a version are as before.

--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -117,6 +117,16 @@
     return 1 + (ratio - 1) * std::exp(-age);
 }
 
+void engine_pool::track_slowness(time_point now) {
+    for (auto& [id, state] : this->engines) {
+        if (this->slowness(state, now) < this->limits.move_from_slowness) {
+            state.slow_since.reset();
+        } else if (!state.slow_since) {
+            state.slow_since = now;
+        }
+    }
+}
+
 bool engine_pool::is_available(const engine_state& state, time_point now) const {
     return state.has_slot(now) && this->permits.may_send(state.descriptor.id, now);
 }
--- a/packages/batch/internal/engine_pool.h
+++ b/packages/batch/internal/engine_pool.h
@@ -37,6 +37,8 @@
     void record_event_interval(engine_state& state, duration per_event, time_point now);
     /// Ratio of the engine's event interval to the median over all engines; 1 if it is unknown.
     [[nodiscard]] double slowness(const engine_state& state, time_point now) const;
+    /// Records which engines are too slow for their runs to stay.
+    void track_slowness(time_point now);
     /// Median of the engines' event intervals; zero if none is known.
     [[nodiscard]] duration median_event_interval() const;
 
--- a/packages/batch/internal/engine_state.h
+++ b/packages/batch/internal/engine_state.h
@@ -6,6 +6,7 @@
 #include "batch/engine.h"
 #include "batch/run_id.h"
 
+#include <optional>
 #include <set>
 
 namespace kingcupcart::batch {
@@ -22,6 +23,8 @@
     int interval_count = 0;
     time_point first_interval_at{};
     time_point last_interval_at{};
+    /// Since when the engine has been slow enough for runs to move away; empty if it is not.
+    std::optional<time_point> slow_since;
     /// No new run starts on the engine before this time.
     time_point backoff_until{};
     /// Backoff after the next failure; zero selects the initial backoff. Reset by each event.
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -101,6 +101,12 @@
     /// Why the item should start anew on an engine of another origin; empty if it should wait.
     [[nodiscard]] std::optional<restart_reason> reason_to_restart(const scheduled_item& item,
                                                                   const version_room& room) const;
+    /// How long generating the item's events took.
+    [[nodiscard]] duration time_of_events(const scheduled_item& item) const;
+    /// Whether the item should leave its slow engine and start anew, where `gain` is what a move
+    /// with its events would save.
+    [[nodiscard]] bool is_restart_worthwhile(const scheduled_item& item,
+                                             const engine_state& current, duration gain) const;
     /// Discards the item's events, so that its next run starts anew.
     void restart(scheduled_item& item, restart_reason reason);
     /// Restarts the items with events that the engine may have sent as another software version
--- a/packages/batch/internal/run_checks.cpp
+++ b/packages/batch/internal/run_checks.cpp
@@ -10,6 +10,7 @@
     this->compensate_for_stall();
     this->last_check_at = this->now;
     const duration median = this->engines.median_event_interval();
+    this->engines.track_slowness(this->now);
     std::vector<item_id> running;
     running.reserve(this->runs.size());
     for (const auto& [run, id] : this->runs) {
@@ -64,8 +65,7 @@
     const bool is_bound = this->is_bound_to_version(item);
     engine_state* better =
         this->find_faster_engine(item, is_bound ? engine_choice::same_origin : engine_choice::any);
-    const duration lost = median * static_cast<duration::rep>(item.received_events);
-    if (better == nullptr && is_bound && gain - lost >= this->limits.min_move_gain) {
+    if (better == nullptr && is_bound && this->is_restart_worthwhile(item, *target_engine, gain)) {
         better = this->find_faster_engine(item, engine_choice::other_origin);
         if (better != nullptr) {
             this->restart(item, restart_reason::version_slow);
--- a/packages/batch/internal/software_versions.cpp
+++ b/packages/batch/internal/software_versions.cpp
@@ -42,16 +42,30 @@
     if (!room.available_at) {
         return restart_reason::version_gone;
     }
-    const duration worth =
-        this->engines.median_event_interval() * static_cast<duration::rep>(item.received_events);
     const time_point patient_until =
-        item.waiting_since.value_or(this->now) + std::min(worth, this->limits.max_version_wait);
+        item.waiting_since.value_or(this->now) +
+        std::min(this->time_of_events(item), this->limits.max_version_wait);
     if (this->now >= patient_until || *room.available_at > patient_until) {
         return restart_reason::version_full;
     }
     return std::nullopt;
 }
 
+duration item_scheduler::state::time_of_events(const scheduled_item& item) const {
+    return this->engines.median_event_interval() * static_cast<duration::rep>(item.received_events);
+}
+
+bool item_scheduler::state::is_restart_worthwhile(const scheduled_item& item,
+                                                  const engine_state& current,
+                                                  duration gain) const {
+    const duration lost = this->time_of_events(item);
+    // Most slow phases are short: the item stays for as long as its events took.
+    const time_point slow_since =
+        std::max(current.slow_since.value_or(this->now), item.run_started);
+    return gain - lost >= this->limits.min_move_gain &&
+           this->now - slow_since >= std::min(lost, this->limits.max_version_wait);
+}
+
 void item_scheduler::state::restart(scheduled_item& item, restart_reason reason) {
     if (item.received_events == 0) {
         return;
