Requests: a resumed stream breaks off if the record of its stalled target has changed

Callers could get a stream that held events of two software versions. A stream whose target stalls is resumed at another one of its version while the first attempt stays selected. If the first target then started again as another version, and the resuming target sent its event before the next check for stalls, the stream went on: only the record of the sender was compared, not that of the attempt whose events it continued. Those may have come from the new process already.

The event or the end of any attempt now breaks the answer off if the record of the selected attempt's target has changed. The regression test failed before: the event was selected, and the stream ended as complete.

--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -88,8 +88,8 @@
     }
     attempt_state& attempt = found->second;
     request_state& request = this->requests.at(attempt.request);
-    if (request.profile.resumable && this->has_changed(attempt)) {
-        this->end_changed_attempt(progressed.attempt);
+    if (const auto changed = this->find_changed_attempt(request, progressed.attempt)) {
+        this->end_changed_attempt(*changed);
         return;
     }
     if (!attempt.has_output) {
@@ -134,8 +134,9 @@
     }
     attempt_state& attempt = found->second;
     request_state& request = this->requests.at(attempt.request);
-    if (request.profile.resumable && request.software && this->has_changed(attempt)) {
-        this->end_changed_attempt(completed.attempt);
+    const auto changed = this->find_changed_attempt(request, completed.attempt);
+    if (changed && request.software) {
+        this->end_changed_attempt(*changed);
         return;
     }
     if (!attempt.has_output) {
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -99,6 +99,10 @@
     /// Whether the target's record has changed since the request was sent, so that it isn't known
     /// which version sends.
     [[nodiscard]] bool has_changed(const attempt_state& attempt) const;
+    /// The attempt that was selected, or else this one, if its target's record has changed and the
+    /// request is a stream that may be resumed.
+    [[nodiscard]] std::optional<attempt_id> find_changed_attempt(const request_state& request,
+                                                                 attempt_id attempt) const;
     /// Ends an attempt whose target's record has changed, without passing on what it sent.
     void end_changed_attempt(attempt_id attempt);
     /// Ends the answer, since the version of an event that was passed on is unknown.
--- a/packages/requests/internal/dispatcher_versions.cpp
+++ b/packages/requests/internal/dispatcher_versions.cpp
@@ -1,6 +1,7 @@
 #include "requests/internal/dispatcher_state.h"
 
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 /// How the dispatcher keeps the events of one stream to one software version.
@@ -34,6 +35,18 @@
                                             known->second.software != attempt.software);
 }
 
+std::optional<attempt_id> dispatcher::state::find_changed_attempt(const request_state& request,
+                                                                  attempt_id attempt) const {
+    if (!request.profile.resumable) {
+        return std::nullopt;
+    }
+    // An attempt that resumes a stalled one continues what that one sent.
+    if (request.selected && this->has_changed(this->attempts.at(*request.selected))) {
+        return request.selected;
+    }
+    return this->has_changed(this->attempts.at(attempt)) ? std::optional(attempt) : std::nullopt;
+}
+
 void dispatcher::state::end_changed_attempt(attempt_id attempt) {
     const attempt_state& ended = this->attempts.at(attempt);
     request_state& request = this->requests.at(ended.request);
--- a/packages/requests/tests/software_versions_test.cpp
+++ b/packages/requests/tests/software_versions_test.cpp
@@ -649,6 +649,26 @@
                 }
             }
         }
+        WHEN("it stalls, and starts again before the resuming target sends its first event") {
+            fixture.expire_timers_after(2s);
+            REQUIRE(fixture.sent_to() == "a2");
+            const attempt_id second = fixture.sent_attempt();
+            fixture.restart("a1", v2);
+            // The record may have arrived after events of the new process were passed on.
+            AND_WHEN("the resuming target sends it") {
+                fixture.dispatch(attempt_progressed{second, tokens(1)});
+                THEN("the event is not passed on, and its version is unknown") {
+                    CHECK(fixture.find<select_attempt>() == nullptr);
+                    CHECK(fixture.has_broken_off(1));
+                }
+            }
+            AND_WHEN("the resuming target ends the stream") {
+                fixture.dispatch(attempt_completed{second});
+                THEN("it does not end as complete, and its version is unknown") {
+                    CHECK(fixture.has_broken_off(1));
+                }
+            }
+        }
         WHEN("it stalls, and the resuming target starts again before its first event") {
             fixture.expire_timers_after(2s);
             REQUIRE(fixture.sent_to() == "a2");
