Requests: the record of a stream that ends with a changed target is withdrawn

Callers could get a stream that held events of two software versions. When a target's record changes, the events that were passed on may already have come from the new process; the dispatcher withdraws the stream's record at the next event, the end, a failure or a stall of the attempt. If the caller disconnected, or the deadline passed, before any of these, the record stayed, and a take-up went on at the version of the old record.

Both now withdraw the record if the selected attempt's target has changed. The regression tests failed before: no withdrawal was put out.

--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -198,6 +198,7 @@
         return;
     }
     const backend_name backend = request.profile.backend;
+    this->unbind_if_changed(request);
     while (!request.active_attempts.empty()) {
         this->cancel(request, request.active_attempts.back());
     }
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -105,6 +105,9 @@
                                                                  attempt_id attempt) const;
     /// Ends an attempt whose target's record has changed, without passing on what it sent.
     void end_changed_attempt(attempt_id attempt);
+    /// Before the stream ends for another reason: its caller must not take it up if the version of
+    /// an event that was passed on may be unknown.
+    void unbind_if_changed(const request_state& request);
     /// Ends the answer, since the version of an event that was passed on is unknown.
     void break_off(request_state& request, attempt_id attempt, const target_id& target);
     void retry_or_refuse(request_state& request, attempt_failure failure, bool was_selected);
--- a/packages/requests/internal/dispatcher_timers.cpp
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -117,6 +117,7 @@
         return;
     }
     const backend_name backend = request.profile.backend;
+    this->unbind_if_changed(request);
     while (!request.active_attempts.empty()) {
         this->cancel(request, request.active_attempts.back());
     }
--- a/packages/requests/internal/dispatcher_versions.cpp
+++ b/packages/requests/internal/dispatcher_versions.cpp
@@ -64,6 +64,17 @@
     this->send_queued(backend);
 }
 
+void dispatcher::state::unbind_if_changed(const request_state& request) {
+    if (!request.profile.resumable || !request.selected) {
+        return;
+    }
+    const attempt_state& selected = this->attempts.at(*request.selected);
+    if (this->has_changed(selected)) {
+        this->output.push_back(
+            bind_stream{request.profile.id, *request.selected, selected.target, std::nullopt});
+    }
+}
+
 void dispatcher::state::break_off(request_state& request, attempt_id attempt,
                                   const target_id& target) {
     this->output.push_back(bind_stream{request.profile.id, attempt, target, std::nullopt});
--- a/packages/requests/tests/software_versions_test.cpp
+++ b/packages/requests/tests/software_versions_test.cpp
@@ -612,6 +612,14 @@
                         CHECK(fixture.has_broken_off(1));
                     }
                 }
+                // The caller may take the stream up elsewhere.
+                AND_WHEN("its caller disconnects") {
+                    fixture.dispatch(caller_disconnected{request_id(1)});
+                    THEN("its version is unknown") {
+                        CHECK(fixture.bound_to() == "unknown");
+                        CHECK(fixture.find<cancel_attempt>()->attempt == first);
+                    }
+                }
                 AND_WHEN("it stalls") {
                     fixture.expire_timers_after(2s);
                     THEN("the answer breaks off, and its version is unknown") {
@@ -621,6 +629,18 @@
                 }
             }
         }
+        WHEN("the target starts again as another version just before the stream's deadline") {
+            fixture.expire_timers_after(5s);
+            fixture.now += 4900ms;
+            fixture.dispatch(attempt_progressed{first, tokens(1)});
+            fixture.restart("a1", v2);
+            fixture.expire_timers_after(100ms);
+            THEN("the answer breaks off, and its version is unknown") {
+                CHECK(fixture.bound_to() == "unknown");
+                CHECK(fixture.has_refused(1, outcome_kind::unknown));
+                CHECK(fixture.find<complete_request>() == nullptr);
+            }
+        }
         WHEN("its connection breaks before it starts again as another version") {
             fixture.fail(first, attempt_failure::disconnected);
             REQUIRE(fixture.sent_to() == "a2");
