Streams: a withdrawal reaches the keepers although the gateway has evicted its record

Callers could get a stream that held events of two software versions. A gateway that found out that the version of a stream is unknown withdrew its record only if it held that itself. A gateway with more streams than its table holds evicts its own records (DESIGN.md: three gateways at 8,800 streams a second do), so the keepers kept the version, and a take-up went on at it.

The withdrawal is sent whether the gateway holds the record or not; for a keeper any service with an unknown version leaves the version unknown. The regression test failed before: the lookups at the other gateways found the version.

--- a/packages/fleet/internal/stream_records.cpp
+++ b/packages/fleet/internal/stream_records.cpp
@@ -102,19 +102,20 @@
 
 void stream_records::withdraw(const streams::stream_id& stream, duration timeout) {
     const time_point now = this->time.now();
+    // The keepers may hold a record that was evicted here.
     const auto known = this->own_records.find(stream, now);
-    if (!known) {
-        return;
-    }
+    const streams::stream_record withdrawn{stream, known ? known->backend : backend_name(),
+                                           std::nullopt, lifetime_of(timeout),
+                                           known ? known->age : std::chrono::milliseconds(0)};
     spdlog::warn("stream withdrawn, its software version is unknown stream={} backend={} "
                  "software={} age_ms={}",
-                 stream.value(), known->backend.value(),
-                 known->software ? known->software->value() : "unknown", known->age.count());
-    this->own_records.put({stream, known->backend, std::nullopt, lifetime_of(timeout), {}}, now);
-    const auto withdrawn = this->own_records.find(stream, now);
+                 stream.value(), withdrawn.backend.value(),
+                 known && known->software ? known->software->value() : "unknown",
+                 withdrawn.age.count());
+    this->own_records.put(withdrawn, now);
     // Keepers that are no holders now may have been when the stream was recorded.
     for (const streams::keeper_place& place : this->keepers) {
-        this->send(place.keeper, wire::stream_record_updates{{*withdrawn}});
+        this->send(place.keeper, wire::stream_record_updates{{withdrawn}});
     }
 }
 
--- a/packages/keeper/tests/stream_control_test.cpp
+++ b/packages/keeper/tests/stream_control_test.cpp
@@ -258,6 +258,18 @@
                 }
             }
         }
+        // The record of the first version stayed at the keepers, and a take-up went on at it.
+        WHEN("its version turns out to be unknown after the gateway has evicted its own record") {
+            for (std::size_t i = 0; i < streams::max_gateway_records; ++i) {
+                fleet.time.advance(1us);
+                fleet.begin(0, "later" + std::to_string(i));
+            }
+            fleet.gateway(0).withdraw(stream_id("0"), timeout);
+            THEN("it is known as such at the other gateways") {
+                CHECK(outcome(1, "0") == lookup_outcome::version_unknown);
+                CHECK(outcome(2, "0") == lookup_outcome::version_unknown);
+            }
+        }
         WHEN("a stream goes on at another gateway until after the first record has expired") {
             fleet.time.advance(timeout);
             REQUIRE(outcome(1, "0") == lookup_outcome::found);
