Streams: a record that the gateway's table does not keep reaches the keepers

Callers of a route with a short timeout were refused take-ups while a gateway held as many records as its table can of streams that last longer. A full table evicts what expires first, which was the new record, and a record that was not in the table afterwards was neither sent to the keepers nor told apart in the log from one whose identifier is too long.

The record goes to its holders whether the table keeps it or not. The regression test failed before: no gateway found the stream.

--- a/packages/fleet/internal/stream_records.cpp
+++ b/packages/fleet/internal/stream_records.cpp
@@ -88,16 +88,19 @@
 void stream_records::record(const streams::stream_id& stream, const backend_name& backend,
                             const software_version& software, duration timeout) {
     const time_point now = this->time.now();
-    this->own_records.put({stream, backend, software, lifetime_of(timeout), {}}, now);
-    if (const auto known = this->own_records.find(stream, now)) {
-        spdlog::info("stream recorded stream={} backend={} software={} age_ms={}", stream.value(),
-                     backend.value(), known->software ? known->software->value() : "unknown",
-                     known->age.count());
-        this->send_to_holders(*known);
-    } else {
-        spdlog::info("stream not recorded, its identifier is empty or too long bytes={}",
-                     stream.value().size());
+    const std::size_t id_bytes = stream.value().size();
+    if (id_bytes == 0 || id_bytes > streams::max_stream_id_bytes) {
+        spdlog::info("stream not recorded, its identifier is empty or too long bytes={}", id_bytes);
+        return;
     }
+    const streams::stream_record named{stream, backend, software, lifetime_of(timeout), {}};
+    this->own_records.put(named, now);
+    // A full table does not keep a record that expires before all others.
+    const streams::stream_record record = this->own_records.find(stream, now).value_or(named);
+    spdlog::info("stream recorded stream={} backend={} software={} age_ms={}", stream.value(),
+                 backend.value(), record.software ? record.software->value() : "unknown",
+                 record.age.count());
+    this->send_to_holders(record);
 }
 
 void stream_records::withdraw(const streams::stream_id& stream, duration timeout) {
--- a/packages/keeper/tests/stream_control_test.cpp
+++ b/packages/keeper/tests/stream_control_test.cpp
@@ -287,6 +287,19 @@
             }
         }
     }
+    // Take-ups of a route with a short timeout were refused while a gateway had many other streams.
+    GIVEN("a gateway whose table is full of streams that last longer") {
+        for (std::size_t i = 0; i < streams::max_gateway_records; ++i) {
+            fleet.begin(0, "long" + std::to_string(i));
+        }
+        WHEN("it begins one that would expire before them") {
+            fleet.gateway(0).record(stream_id("short"), chat, v1, timeout / 2);
+            THEN("the others find it at the keepers") {
+                CHECK(outcome(1, "short") == lookup_outcome::found);
+                CHECK(outcome(2, "short") == lookup_outcome::found);
+            }
+        }
+    }
     GIVEN("a lookup whose caller disconnects") {
         for (std::size_t keeper : {0, 1, 2}) {
             fleet.cut_link(1, keeper);
