--- a/packages/keeper/tests/stream_control_test.cpp
+++ b/packages/keeper/tests/stream_control_test.cpp
@@ -258,6 +258,18 @@
                 }
             }
         }
+        // The record of the first version stayed at the keepers, and a take-up went on at it.
+        WHEN("its version turns out to be unknown after the gateway has evicted its own record") {
+            for (std::size_t i = 0; i < streams::max_gateway_records; ++i) {
+                fleet.time.advance(1us);
+                fleet.begin(0, "later" + std::to_string(i));
+            }
+            fleet.gateway(0).withdraw(stream_id("0"), timeout);
+            THEN("it is known as such at the other gateways") {
+                CHECK(outcome(1, "0") == lookup_outcome::version_unknown);
+                CHECK(outcome(2, "0") == lookup_outcome::version_unknown);
+            }
+        }
         WHEN("a stream goes on at another gateway until after the first record has expired") {
             fleet.time.advance(timeout);
             REQUIRE(outcome(1, "0") == lookup_outcome::found);
@@ -275,6 +287,19 @@
             }
         }
     }
+    // Take-ups of a route with a short timeout were refused while a gateway had many other streams.
+    GIVEN("a gateway whose table is full of streams that last longer") {
+        for (std::size_t i = 0; i < streams::max_gateway_records; ++i) {
+            fleet.begin(0, "long" + std::to_string(i));
+        }
+        WHEN("it begins one that would expire before them") {
+            fleet.gateway(0).record(stream_id("short"), chat, v1, timeout / 2);
+            THEN("the others find it at the keepers") {
+                CHECK(outcome(1, "short") == lookup_outcome::found);
+                CHECK(outcome(2, "short") == lookup_outcome::found);
+            }
+        }
+    }
     GIVEN("a lookup whose caller disconnects") {
         for (std::size_t keeper : {0, 1, 2}) {
             fleet.cut_link(1, keeper);
--- a/packages/requests/internal/dispatcher_versions.cpp
+++ b/packages/requests/internal/dispatcher_versions.cpp
@@ -1,6 +1,7 @@
 #include "requests/internal/dispatcher_state.h"
 
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 /// How the dispatcher keeps the events of one stream to one software version.
@@ -34,6 +35,18 @@
                                             known->second.software != attempt.software);
 }
 
+std::optional<attempt_id> dispatcher::state::find_changed_attempt(const request_state& request,
+                                                                  attempt_id attempt) const {
+    if (!request.profile.resumable) {
+        return std::nullopt;
+    }
+    // An attempt that resumes a stalled one continues what that one sent.
+    if (request.selected && this->has_changed(this->attempts.at(*request.selected))) {
+        return request.selected;
+    }
+    return this->has_changed(this->attempts.at(attempt)) ? std::optional(attempt) : std::nullopt;
+}
+
 void dispatcher::state::end_changed_attempt(attempt_id attempt) {
     const attempt_state& ended = this->attempts.at(attempt);
     request_state& request = this->requests.at(ended.request);
@@ -51,6 +64,17 @@
     this->send_queued(backend);
 }
 
+void dispatcher::state::unbind_if_changed(const request_state& request) {
+    if (!request.profile.resumable || !request.selected) {
+        return;
+    }
+    const attempt_state& selected = this->attempts.at(*request.selected);
+    if (this->has_changed(selected)) {
+        this->output.push_back(
+            bind_stream{request.profile.id, *request.selected, selected.target, std::nullopt});
+    }
+}
+
 void dispatcher::state::break_off(request_state& request, attempt_id attempt,
                                   const target_id& target) {
     this->output.push_back(bind_stream{request.profile.id, attempt, target, std::nullopt});
--- a/packages/requests/tests/software_versions_test.cpp
+++ b/packages/requests/tests/software_versions_test.cpp
@@ -628,6 +628,14 @@
                         CHECK(fixture.has_broken_off(1));
                     }
                 }
+                // The caller may take the stream up elsewhere.
+                AND_WHEN("its caller disconnects") {
+                    fixture.dispatch(caller_disconnected{request_id(1)});
+                    THEN("its version is unknown") {
+                        CHECK(fixture.bound_to() == "unknown");
+                        CHECK(fixture.find<cancel_attempt>()->attempt == first);
+                    }
+                }
                 AND_WHEN("it stalls") {
                     fixture.expire_timers_after(2s);
                     THEN("the answer breaks off, and its version is unknown") {
@@ -637,6 +645,18 @@
                 }
             }
         }
+        WHEN("the target starts again as another version just before the stream's deadline") {
+            fixture.expire_timers_after(5s);
+            fixture.now += 4900ms;
+            fixture.dispatch(attempt_progressed{first, tokens(1)});
+            fixture.restart("a1", v2);
+            fixture.expire_timers_after(100ms);
+            THEN("the answer breaks off, and its version is unknown") {
+                CHECK(fixture.bound_to() == "unknown");
+                CHECK(fixture.has_refused(1, outcome_kind::unknown));
+                CHECK(fixture.find<complete_request>() == nullptr);
+            }
+        }
         WHEN("its connection breaks before it starts again as another version") {
             fixture.fail(first, attempt_failure::disconnected);
             REQUIRE(fixture.sent_to() == "a2");
@@ -665,6 +685,26 @@
                 }
             }
         }
+        WHEN("it stalls, and starts again before the resuming target sends its first event") {
+            fixture.expire_timers_after(2s);
+            REQUIRE(fixture.sent_to() == "a2");
+            const attempt_id second = fixture.sent_attempt();
+            fixture.restart("a1", v2);
+            // The record may have arrived after events of the new process were passed on.
+            AND_WHEN("the resuming target sends it") {
+                fixture.dispatch(attempt_progressed{second, tokens(1)});
+                THEN("the event is not passed on, and its version is unknown") {
+                    CHECK(fixture.find<select_attempt>() == nullptr);
+                    CHECK(fixture.has_broken_off(1));
+                }
+            }
+            AND_WHEN("the resuming target ends the stream") {
+                fixture.dispatch(attempt_completed{second});
+                THEN("it does not end as complete, and its version is unknown") {
+                    CHECK(fixture.has_broken_off(1));
+                }
+            }
+        }
         WHEN("it stalls, and the resuming target starts again before its first event") {
             fixture.expire_timers_after(2s);
             REQUIRE(fixture.sent_to() == "a2");
