Daemon: freed memory goes back to the system

The budget of responses held (17.6 MB of the 88 MB that the settings name), and the process still used five to seven times of it.

Cause: the allocator. glibc maps blocks of 128 KiB and more on their own, but the first such block that is freed raises that threshold to its size, up to 32 MiB, and the one for trimming a heap to twice of it. The next bodies, which double as they grow, lie in the heaps of the threads, leave holes, and stay. A single call at a time is the worst case, as its body grows to the limit of one response.

Evidence: malloc_stats in a gateway after 6 s of chunked bodies, one call at a time (trial): 886,496 bytes in use, 110,231,552 held from the system, 92,316 kB of anonymous memory resident, peak 139,935,744 bytes. The same with MALLOC_MMAP_THRESHOLD_=131072: 868,848 in use, 1,343,488 held, 2,340 kB resident, peak 64,114,688.

New scenario in endless_bytes_test, "calls one after the other to replicas that send without end": for 3 s one call at a time, then 3 s twelve, eight kinds of bytes, the peak (VmHWM) of the gateway against the 88 MB of its settings.

Why it works: a threshold that is set is not raised any more, so large blocks are mapped and unmapped one by one, and a heap gives its free end back. It covers each role and each buffer, not responses alone.

The table of floods has one more kind, a chunk extension that does not end, which the older scenario plays too; the fleet of the process tests can have several replicas of "app".

--- a/apps/kingcupcartd/main.cpp
+++ b/apps/kingcupcartd/main.cpp
@@ -1,3 +1,4 @@
+#include "daemon/allocator.h"
 #include "daemon/daemon.h"
 #include "daemon/settings_watcher.h"
 #include "platform/platform.h"
@@ -181,6 +182,7 @@
 int run(const settings::process_settings& settings, const std::string& path) {
     telemetry::set_up_log(settings.format, settings.log_stream, settings.log_level,
                           settings.instance.value());
+    daemon::limit_retained_memory();
     auto started = value_or_error(
         [&] { return daemon::daemon::start(settings, platform::make_external_protocols()); });
     if (const auto* problem = std::get_if<error>(&started)) {
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -67,13 +67,15 @@
     return text;
 }
 
-const std::array<flood, 7> floods = {{
+const std::array<flood, 8> floods = {{
     {"a head that does not end", head + "X-Filler: ", filler},
     {"a head of many fields", head, repeated("a:\r\n")},
     {"interim heads", "", repeated("HTTP/1.1 100 Continue\r\n\r\n")},
     {"a body of 10^12 bytes", head + "Content-Length: 1000000000000\r\n\r\n", filler},
     {"a body without a length", head + "\r\n", filler},
     {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + filler + "\r\n"},
+    {"a chunk extension that does not end",
+     head + "Transfer-Encoding: chunked\r\n\r\n1;x=", filler},
     {"the fields of one event", head + "\r\n", repeated("a\n")},
 }};
 
@@ -202,6 +204,59 @@
     }
 }
 
+// Memory that ended calls had given back stayed with the process, so that calls which follow one
+// another took up several times the budget of their responses.
+SCENARIO("calls one after the other to replicas that send without end do not exhaust the memory of "
+         "a gateway") {
+    constexpr duration flow_time = std::chrono::seconds(3);
+    /// Enough for all calls at once, and for their second attempts.
+    constexpr std::size_t replicas = 3;
+    deployment test_deployment;
+    fleet_options options;
+    options.services = replicas;
+    fleet test_fleet(test_deployment, options);
+    REQUIRE(test_fleet.wait_until_ready());
+    std::size_t started = 0;
+    // Replaces each call that has ended by another one.
+    const auto call_for = [&](duration time, std::size_t call_count) {
+        std::vector<std::unique_ptr<client_call>> calls(call_count);
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            for (std::size_t i = 0; i < calls.size(); ++i) {
+                if (!calls[i] || calls[i]->is_completed) {
+                    http::request request =
+                        test_fleet.booking_request("flow" + std::to_string(started++), "");
+                    request.url = test_fleet.callers() + (i % 2 == 0 ? "/b/" : "/f/");
+                    calls[i] = test_deployment.begin(request);
+                }
+            }
+            test_deployment.run_once();
+        }
+    };
+    for (const flood& sent : floods) {
+        SUBCASE((std::string("When: the replicas send ") + sent.name).c_str()) {
+            std::vector<std::unique_ptr<http::flooding_server>> servers;
+            for (std::size_t i = 0; i < replicas; ++i) {
+                servers.push_back(
+                    std::make_unique<http::flooding_server>(sent.response, sent.filler));
+                test_fleet.service(i).advertise(servers.back()->address());
+            }
+            test_deployment.wait(std::chrono::seconds(1));
+            // A single response grows to the limit of one, many at once to that of all.
+            call_for(flow_time, 1);
+            call_for(flow_time, calls_at_once);
+            THEN("the memory suffices, and other callers are served") {
+                for (const auto& server : servers) {
+                    CHECK(server->flooded_count() > calls_at_once);
+                }
+                CHECK(test_deployment.call(test_fleet.submit_job_request("beside", {"b"}, 1))
+                          ->head.status == 202);
+                check_memory(test_fleet.gateway(), "gateway");
+            }
+        }
+    }
+}
+
 // Guards against a gateway that buffers a stream without limit for a caller that reads nothing.
 SCENARIO("callers that read nothing do not exhaust the memory of a gateway") {
     deployment test_deployment;
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -86,7 +86,10 @@
       external_port(port_of(free_address())),
       heartbeat_timer([this] { this->send_heartbeats(); }) {
     const endpoint keeper{keeper_ip, static_cast<std::uint16_t>(std::stoi(this->external_port))};
-    this->service_replica = open_replica({"app", "app", "", "v1", endpoint{replica_ip, 0}, keeper});
+    for (std::size_t i = 0; i < options.services; ++i) {
+        this->service_replicas.push_back(
+            open_replica({member_id("app", i), "app", "", "v1", endpoint{replica_ip, 0}, keeper}));
+    }
     for (int i = 0; i < options.engines; ++i) {
         this->engine_replicas.push_back(
             open_replica({"lm" + std::to_string(i), "lm", "m", "v1", endpoint{replica_ip, 0},
@@ -190,7 +193,9 @@
 
 void fleet::send_heartbeats() {
     if (this->sends_heartbeats) {
-        this->service_replica->send_heartbeat();
+        for (const auto& replica : this->service_replicas) {
+            replica->send_heartbeat();
+        }
         for (const auto& replica : this->engine_replicas) {
             replica->send_heartbeat();
         }
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -27,6 +27,8 @@
     duration event_interval{};
     /// Number of keepers, and of stores. A group of three tolerates the loss of one member.
     std::size_t group_size = 1;
+    /// Number of replicas of the service "app".
+    std::size_t services = 1;
 };
 
 /// One gateway, and keepers and stores, as processes on loopback addresses, and stand-in replicas,
@@ -62,7 +64,9 @@
     [[nodiscard]] std::size_t keeper_journal_size(std::size_t index) const;
     [[nodiscard]] std::size_t store_journal_size(std::size_t index) const;
     stand_ins::platform_replica& engine() { return *this->engine_replicas.front(); }
-    stand_ins::platform_replica& service() { return *this->service_replica; }
+    stand_ins::platform_replica& service(std::size_t index = 0) {
+        return *this->service_replicas.at(index);
+    }
     void kill_store(std::size_t index = 0);
     /// Kills a keeper and starts it again on the same data folder.
     void restart_keeper(std::size_t index = 0);
@@ -122,7 +126,7 @@
     fleet_options options;
     std::string link_port;
     std::string external_port;
-    std::unique_ptr<stand_ins::platform_replica> service_replica;
+    std::vector<std::unique_ptr<stand_ins::platform_replica>> service_replicas;
     std::vector<std::unique_ptr<stand_ins::platform_replica>> engine_replicas;
     bool sends_heartbeats = true;
     std::vector<child_process*> keeper_processes;
