Streams: a keeper that missed a withdrawal gets it when its link opens anew

Callers could get a stream that held events of two software versions. A withdrawal is sent to all keepers that a gateway reaches, since one that is no holder now may have been when the stream was recorded. A keeper whose link opened anew was sent only the records that it is to hold now, so one that had stood in for another holder kept the version of a stream withdrawn meanwhile, and told a gateway that reached no other keeper.

A gateway now sends its withdrawn records to each keeper whose link opens anew. The regression test failed before: 23 of 50 streams were found.

--- a/packages/fleet/internal/stream_records.cpp
+++ b/packages/fleet/internal/stream_records.cpp
@@ -45,6 +45,11 @@
     std::vector<streams::stream_id>& streams = this->missed[keeper];
     streams = this->own_records.streams();
     std::erase_if(streams, [&](const streams::stream_id& stream) {
+        const auto record = this->own_records.find(stream, this->time.now());
+        if (record && !record->software) {
+            // It may have been a holder when the stream was recorded, and missed the withdrawal.
+            return false;
+        }
         const auto holders = streams::choose_holders(stream, this->domain, this->keepers);
         return std::find(holders.begin(), holders.end(), keeper) == holders.end();
     });
--- a/packages/keeper/tests/stream_control_test.cpp
+++ b/packages/keeper/tests/stream_control_test.cpp
@@ -287,6 +287,27 @@
             }
         }
     }
+    // A keeper that had been a holder went on to tell the version of a stream withdrawn meanwhile.
+    GIVEN("streams whose records a keeper held in place of another") {
+        constexpr int count = 50;
+        fleet.gateway(0).keeper_lost(instance_id("keeper0"));
+        for (int i = 0; i < count; ++i) {
+            fleet.begin(0, std::to_string(i));
+        }
+        fleet.connect(0, 0);
+        WHEN("they are withdrawn while it can't be reached, and its link opens anew") {
+            fleet.gateway(0).keeper_lost(instance_id("keeper1"));
+            for (int i = 0; i < count; ++i) {
+                fleet.gateway(0).withdraw(stream_id(std::to_string(i)), timeout);
+            }
+            fleet.connect(0, 1);
+            THEN("a gateway that reaches this keeper only finds no version") {
+                fleet.cut_link(1, 0);
+                fleet.cut_link(1, 2);
+                CHECK(count_found(1, count) == 0);
+            }
+        }
+    }
     // Take-ups of a route with a short timeout were refused while a gateway had many other streams.
     GIVEN("a gateway whose table is full of streams that last longer") {
         for (std::size_t i = 0; i < streams::max_gateway_records; ++i) {
