Items: a text starts anew if any engine that sent a part of it announces another version

A text could hold events of two software versions. An engine may start again as another version while none of its runs is in progress, or none has broken yet, and serve runs before its announcement arrives. Their events were ascribed to the version announced before; if such a run ended and the item resumed elsewhere before the announcement, it went on at the wrong version, since only runs that began after another run of the engine had broken or timed out counted as uncertain.

Each engine that sent a part of a text now counts, until it announces another incarnation. An item whose engine crashed and comes back as another version starts anew though its events were of one version; the item is then restarted and counted as version-unknown. The regression test failed before: the item resumed after event 3, and its text held both versions.

--- a/packages/batch/internal/engine_state.h
+++ b/packages/batch/internal/engine_state.h
@@ -26,9 +26,6 @@
     time_point backoff_until{};
     /// Backoff after the next failure; zero selects the initial backoff. Reset by each event.
     duration next_backoff{};
-    /// A run broke or timed out since the engine was last said to have restarted, so that another
-    /// incarnation than the announced one may be there.
-    bool may_have_restarted = false;
 
     [[nodiscard]] int running() const { return static_cast<int>(this->runs.size()); }
     [[nodiscard]] bool has_slot(time_point now) const {
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -142,7 +142,6 @@
     if (!updated.is_restarted && is_same_software) {
         return;
     }
-    state.may_have_restarted = false;
     this->discard_ambiguous_texts(state);
     this->engines.reset_event_interval(state);
     state.next_backoff = duration::zero();
@@ -173,8 +172,6 @@
     if (item != nullptr) {
         item->run_started = this->now;
         item->last_event_at = this->now;
-        const engine_state* target_engine = this->engines.find(item->engine);
-        item->is_run_unconfirmed = target_engine != nullptr && target_engine->may_have_restarted;
     }
 }
 
@@ -236,11 +233,8 @@
         break;
     case run_failure::broken:
         // Not counted: an item has to complete however many engines end while they run it.
-        if (target_engine != nullptr) {
-            target_engine->may_have_restarted = true;
-            if (!item->has_event_in_run) {
-                this->engines.back_off(*target_engine, this->now);
-            }
+        if (target_engine != nullptr && !item->has_event_in_run) {
+            this->engines.back_off(*target_engine, this->now);
         }
         break;
     case run_failure::failed:
@@ -336,7 +330,6 @@
     item.last_event_at = this->now;
     item.has_event_in_run = false;
     item.run_origin = origin_of(target_engine.descriptor);
-    item.is_run_unconfirmed = target_engine.may_have_restarted;
     if (!this->jobs.at(item.job).spec.is_resumable) {
         item.discard_events();
     }
--- a/packages/batch/internal/run_checks.cpp
+++ b/packages/batch/internal/run_checks.cpp
@@ -40,7 +40,6 @@
     if (silence > allowed) {
         engine_state* target_engine = this->engines.find(item.engine);
         if (target_engine != nullptr) {
-            target_engine->may_have_restarted = true;
             this->engines.back_off(*target_engine, this->now);
         }
         this->cancel(item);
--- a/packages/batch/internal/scheduled_item.cpp
+++ b/packages/batch/internal/scheduled_item.cpp
@@ -20,25 +20,18 @@
                                             : by_age;
 }
 
-bool scheduled_item::has_unconfirmed_events_of(const target_id& id) const {
-    const bool is_sending = this->is_running() && this->has_event_in_run && this->engine == id;
-    return is_sending ||
-           std::find(this->unconfirmed_engines.begin(), this->unconfirmed_engines.end(), id) !=
-               this->unconfirmed_engines.end();
-}
-
 void scheduled_item::record_origin() {
     this->origin = this->run_origin;
-    if (this->is_run_unconfirmed) {
-        this->unconfirmed_engines.push_back(this->engine);
-        this->is_run_unconfirmed = false;
+    if (std::find(this->senders.begin(), this->senders.end(), this->engine) ==
+        this->senders.end()) {
+        this->senders.push_back(this->engine);
     }
 }
 
 void scheduled_item::discard_events() {
     this->received_events = 0;
     this->origin = text_origin();
-    this->unconfirmed_engines.clear();
+    this->senders.clear();
     this->oldest = weight_version();
     this->newest = weight_version();
 }
--- a/packages/batch/internal/scheduled_item.h
+++ b/packages/batch/internal/scheduled_item.h
@@ -35,13 +35,11 @@
     weight_version newest;
     /// The software that sent these events.
     text_origin origin;
-    /// Engines that may have sent some of these events as another incarnation than the announced
-    /// one.
-    std::vector<target_id> unconfirmed_engines;
-    /// What the engine of the run was announced as when the run started, and whether another
-    /// incarnation may have been there.
+    /// Engines that sent some of these events, and have not announced another incarnation since.
+    /// Any of them may have been another incarnation than the announced one.
+    std::vector<target_id> senders;
+    /// What the engine of the run was announced as when the run started.
     text_origin run_origin;
-    bool is_run_unconfirmed = false;
     /// When the item first waited for an engine after its last event.
     std::optional<time_point> waiting_since;
     /// The item is sent to this engine again only if the alternatives are much worse.
@@ -56,7 +54,6 @@
     /// Estimated number of events still to come. Output lengths have a long tail: an item that
     /// exceeds its estimate is expected to generate half as many events again as it has so far.
     [[nodiscard]] std::size_t estimate_remaining_events(tokens per_event) const;
-    [[nodiscard]] bool has_unconfirmed_events_of(const target_id& id) const;
     /// Records the origin of the events that the current run has sent.
     void record_origin();
     void discard_events();
--- a/packages/batch/internal/software_versions.cpp
+++ b/packages/batch/internal/software_versions.cpp
@@ -69,12 +69,10 @@
     const text_origin announced = origin_of(changed.descriptor);
     std::vector<item_id> ambiguous;
     for (auto& [id, item] : this->items) {
-        const bool is_sender = item.has_unconfirmed_events_of(changed.descriptor.id);
+        const bool is_sender = std::erase(item.senders, changed.descriptor.id) > 0;
         if (is_sender && item.origin != announced) {
             ambiguous.push_back(id);
         }
-        // What the engine sent from now on is of the announced incarnation, until a run breaks.
-        std::erase(item.unconfirmed_engines, changed.descriptor.id);
     }
     for (const item_id& id : ambiguous) {
         scheduled_item& item = this->items.at(id);
--- a/packages/batch/tests/software_versions_test.cpp
+++ b/packages/batch/tests/software_versions_test.cpp
@@ -548,6 +548,26 @@
                 CHECK(fleet.versions_in("x").size() == 1);
             }
         }
+        // The text went on at the version that the engine had announced last.
+        WHEN("an item begins on its new process, and goes on elsewhere before the announcement") {
+            fleet.set_leaving("other");
+            fleet.processes["e"] = "v2";
+            fleet.complete("x");
+            fleet.open_job("k", {{"y", 200}});
+            REQUIRE(fleet.engine_of("y") == "e");
+            fleet.receive("y", 3);
+            fleet.add_engine("third", "v1");
+            fleet.end_run("y");
+            REQUIRE(fleet.engine_of("y") == "third");
+            fleet.receive("y", 3);
+            fleet.announce_restart("e");
+            THEN("it starts anew") {
+                CHECK(fleet.resume_after("y") == 0);
+                CHECK(fleet.restarts.size() == 1);
+                fleet.receive("y", 3);
+                CHECK(fleet.versions_in("y").size() == 1);
+            }
+        }
         WHEN("the run breaks, and the item resumes on the engine before the announcement") {
             fleet.set_leaving("other");
             fleet.end_run("x");
