Requests: streams share the queue of their class while there is one version

Requests that need a version wait in a queue of their own only while the backend has targets of several versions. When a second one appears, those that wait already are moved there, so that they hold up nobody from then on.

--- a/packages/requests/internal/backend_queues.h
+++ b/packages/requests/internal/backend_queues.h
@@ -10,9 +10,10 @@
 
 namespace kingcupcart::requests {
 
-/// The queued requests of one backend, in one queue per work class, short work first. Requests that
-/// need a software version wait in queues of their own, so that they hold up no others; these come
-/// before the other ones of their urgency, which have more targets to choose from.
+/// The queued requests of one backend, in one queue per work class, short work first. While
+/// the backend's targets are of several software versions, requests that need one of them wait in
+/// queues of their own, so that they hold up no others; these come before the other ones of their
+/// urgency, which have more targets to choose from.
 class backend_queues {
 public:
     struct class_queue {
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -47,6 +47,8 @@
     this->impl->now = now;
     this->impl->record_target(change);
     const backend_name previous_backend = this->impl->router.backend_of(change.record.id);
+    const bool had_several_versions =
+        this->impl->router.has_several_versions(change.record.backend);
     switch (change.event) {
     case directory_event::removed:
         this->impl->router.remove_target(change.record.id);
@@ -63,6 +65,9 @@
     case directory_event::stale:
         return {};
     }
+    if (!had_several_versions && this->impl->router.has_several_versions(change.record.backend)) {
+        this->impl->separate_versions(change.record.backend);
+    }
     this->impl->send_queued(change.record.backend);
     this->impl->refuse_unserved(change.record.backend);
     if (previous_backend != change.record.backend) {
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -61,7 +61,9 @@
         return;
     }
     // A request must not overtake queued requests of the same class.
-    if (this->queues[stored.profile.backend].is_waiting(known_class->first, stored.software)) {
+    const bool is_waiting = this->queues[stored.profile.backend].is_waiting(
+        known_class->first, this->queued_version(stored));
+    if (is_waiting && this->has_version_left(stored)) {
         this->enqueue(stored);
         return;
     }
@@ -271,7 +273,8 @@
 
 void dispatcher::state::enqueue(request_state& request) {
     const admission::work_class& work = this->class_of(request);
-    auto& queue = this->queues[request.profile.backend].queue_for(work, request.software);
+    auto& queue =
+        this->queues[request.profile.backend].queue_for(work, this->queued_version(request));
     const duration wait = queue.drain.expected_wait(queue.waiting.size());
     const auto latest = this->latest_send(request);
     if (latest && this->now + wait > *latest) {
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -42,6 +42,8 @@
     void update_suspect(const request_fingerprint& fingerprint);
     /// Records the incarnation and version of the target, and whether it is leaving.
     void record_target(const membership::directory_change& change);
+    /// Moves the queued requests of the backend that need a version to queues of their own.
+    void separate_versions(const backend_name& backend);
     /// Refuses the requests that wait for a version of which the backend has no target any more.
     void refuse_unserved(const backend_name& backend);
     /// Sends the queued requests of the backend for which a target has room.
@@ -94,6 +96,9 @@
     void send(request_state& request, const routing::route_choice& choice, send_cause cause);
     /// Whether a target is left that the request may be sent to; true if any version may serve it.
     [[nodiscard]] bool has_version_left(const request_state& request) const;
+    /// The version whose queue the request waits in; empty for the queue of all versions.
+    [[nodiscard]] std::optional<software_version>
+    queued_version(const request_state& request) const;
     /// Binds the stream to the version of the attempt that sent its first event.
     void bind(request_state& request, attempt_id attempt);
     /// Whether the target's record has changed since the request was sent, so that it isn't known
--- a/packages/requests/internal/dispatcher_versions.cpp
+++ b/packages/requests/internal/dispatcher_versions.cpp
@@ -28,6 +28,32 @@
     return !request.software || this->router.has_target(make_query(request));
 }
 
+std::optional<software_version>
+dispatcher::state::queued_version(const request_state& request) const {
+    return this->router.has_several_versions(request.profile.backend) ? request.software
+                                                                      : std::nullopt;
+}
+
+void dispatcher::state::separate_versions(const backend_name& backend) {
+    std::vector<request_id> bound;
+    for (const auto& [id, request] : this->requests) {
+        if (request.queued && request.software && request.profile.backend == backend) {
+            bound.push_back(id);
+        }
+    }
+    std::sort(bound.begin(), bound.end());
+    backend_queues& queues = this->queues[backend];
+    for (const request_id id : bound) {
+        request_state& request = this->requests.at(id);
+        queues.remove(id);
+        const admission::queued_request waiting{id, request.profile.caller, request.deadline};
+        auto& queue = queues.queue_for(this->class_of(request), request.software);
+        if (!queue.waiting.push(waiting)) {
+            this->refuse(request, refusal_reason::queue_full);
+        }
+    }
+}
+
 bool dispatcher::state::has_changed(const attempt_state& attempt) const {
     const auto known = this->targets.find(attempt.target);
     return known != this->targets.end() && (known->second.incarnation != attempt.incarnation ||
--- a/packages/requests/tests/software_versions_test.cpp
+++ b/packages/requests/tests/software_versions_test.cpp
@@ -445,8 +445,36 @@
 SCENARIO("streams that wait for their version hold up no others") {
     versions_fixture fixture;
     fixture.add("a1", v1, 1);
-    fixture.add("b1", v2, 1);
+    GIVEN("a full target of the only version, a stream that waits for it, and a request behind") {
+        fixture.arrive(1, v1);
+        const attempt_id running = fixture.sent_attempt();
+        fixture.arrive(2, v1);
+        fixture.arrive(3);
+        REQUIRE(fixture.subject.queued_requests() == 2);
+        WHEN("a target of another version is added") {
+            fixture.add("b1", v2, 1);
+            THEN("the request is sent there at once, and the stream waits on") {
+                REQUIRE(fixture.find<send_attempt>() != nullptr);
+                CHECK(fixture.find<send_attempt>()->request == request_id(3));
+                CHECK(fixture.sent_to() == "b1");
+                fixture.dispatch(attempt_completed{running});
+                REQUIRE(fixture.find<send_attempt>() != nullptr);
+                CHECK(fixture.find<send_attempt>()->request == request_id(2));
+                CHECK(fixture.sent_to() == "a1");
+                CHECK(fixture.subject.queued_requests() == 0);
+            }
+        }
+        WHEN("the target has room") {
+            fixture.dispatch(attempt_completed{running});
+            THEN("both are sent in order") {
+                CHECK(fixture.find<send_attempt>()->request == request_id(2));
+                fixture.dispatch(attempt_completed{fixture.sent_attempt()});
+                CHECK(fixture.find<send_attempt>()->request == request_id(3));
+            }
+        }
+    }
     GIVEN("a full target of one version, and two streams that wait for it") {
+        fixture.add("b1", v2, 1);
         fixture.arrive(1, v1);
         const attempt_id running = fixture.sent_attempt();
         REQUIRE(fixture.sent_to() == "a1");
@@ -507,6 +535,16 @@
             CHECK(fixture.has_refused(1, outcome_kind::not_run));
         }
     }
+    GIVEN("no target of its version, and requests that wait for the other one") {
+        for (std::uint64_t id = 10; id < 15; ++id) {
+            fixture.arrive(id);
+        }
+        REQUIRE(fixture.subject.queued_requests() == 1);
+        fixture.arrive(1, v1);
+        THEN("it is refused at once as not run") {
+            CHECK(fixture.has_refused(1, outcome_kind::not_run));
+        }
+    }
     GIVEN("only a leaving target of its version") {
         fixture.add("a1", v1);
         fixture.leave("a1", v1);
--- a/packages/routing/internal/router.cpp
+++ b/packages/routing/internal/router.cpp
@@ -51,6 +51,11 @@
     return this->impl->find_only_limited(query);
 }
 
+bool router::has_several_versions(const backend_name& backend) const {
+    const auto found = this->impl->pools.find(backend);
+    return found != this->impl->pools.end() && found->second.by_software.size() > 1;
+}
+
 bool router::has_target(const route_query& query) const {
     return this->impl->has_target(query);
 }
--- a/packages/routing/router.h
+++ b/packages/routing/router.h
@@ -69,6 +69,8 @@
     /// The limited targets of the backend that could take the request with a permit. Empty if an
     /// unlimited one could take it too, as soon as it has room.
     [[nodiscard]] std::vector<target_id> find_only_limited(const route_query& query) const;
+    /// Whether the backend's targets that take requests are of several versions.
+    [[nodiscard]] bool has_several_versions(const backend_name& backend) const;
     /// Whether any target could take the request, now or as soon as it has room or a permit.
     [[nodiscard]] bool has_target(const route_query& query) const;
     /// Whether long work could go on from this target, which is reserved for short work, to one of
