Routing: a draft may leave the reserve for a target that is full for now

can_leave_reserve asked for room at the other target. And where all targets are reserved and share the long work, nothing could leave any of them.

Another target of the version is enough, not reserved, or any if all are: the draft waits in the queue, as it did, and does not come straight back, since the router sends it to none but those.

--- a/packages/routing/internal/router_versions.cpp
+++ b/packages/routing/internal/router_versions.cpp
@@ -45,13 +45,19 @@
         return false;
     }
     const distance target_distance = known->second->target_distance;
-    const auto& in_use = (*tiers)[static_cast<std::size_t>(target_distance)].in_use;
-    const std::size_t reserved = this->reserved_count(found->second, *tiers, target_distance, now);
-    return std::any_of(in_use.begin() + static_cast<std::ptrdiff_t>(reserved), in_use.end(),
+    const auto index = static_cast<std::size_t>(target_distance);
+    const auto& in_use = (*tiers)[index].in_use;
+    const auto& all_in_use = found->second.by_distance[index].in_use;
+    const std::size_t all_reserved =
+        this->reserved_count(found->second, found->second.by_distance, target_distance, now);
+    // Where all targets are reserved, they share the long work.
+    const std::size_t first =
+        all_reserved == all_in_use.size()
+            ? 0
+            : this->reserved_count(found->second, *tiers, target_distance, now);
+    return std::any_of(in_use.begin() + static_cast<std::ptrdiff_t>(first), in_use.end(),
                        [&](const target_state* other) {
-                           return other->has_room() &&
-                                  other->long_running < this->local_long_work_limit(*other) &&
-                                  other->profile.id != target && !query.excludes(other->profile.id);
+                           return other->profile.id != target && !query.excludes(other->profile.id);
                        });
 }
 
--- a/packages/routing/router.h
+++ b/packages/routing/router.h
@@ -73,8 +73,9 @@
     [[nodiscard]] bool has_several_versions(const backend_name& backend) const;
     /// Whether any target could take the request, now or as soon as it has room or a permit.
     [[nodiscard]] bool has_target(const route_query& query) const;
-    /// Whether long work could go on from this target, which is reserved for short work, to one of
-    /// the same distance that is not, and has room.
+    /// Whether long work could go on from this target, which is reserved for short work, to another
+    /// one of the same distance, now or as soon as it has room: one that is not reserved, or any if
+    /// all are.
     [[nodiscard]] bool can_leave_reserve(const target_id& target, const route_query& query,
                                          time_point now) const;
     /// Empty if the target is unknown.
--- a/packages/routing/tests/software_versions_test.cpp
+++ b/packages/routing/tests/software_versions_test.cpp
@@ -132,6 +132,29 @@
                 CHECK(subject.can_leave_reserve(reserved, query(v1, urgency::long_work), now));
             }
         }
+        WHEN("the others of its version are full") {
+            for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
+                for (int i = 0; i < 16 && target_id(id) != reserved; ++i) {
+                    subject.record_sent(target_id(id), urgency::long_work, now);
+                }
+            }
+            THEN("long work can leave it, and waits for them") {
+                CHECK(subject.choose(query(v1, urgency::long_work), now).reason ==
+                      route_reason::no_room);
+                CHECK(subject.can_leave_reserve(reserved, query(v1, urgency::long_work), now));
+            }
+        }
+        WHEN("so much short work runs that all targets are reserved") {
+            for (int i = 0; i < 1000; ++i) {
+                subject.record_sent(reserved, urgency::short_work, time_point(1s));
+            }
+            THEN("long work can leave one for another of its version, but not for other versions") {
+                CHECK(subject.can_leave_reserve(reserved, query(v1, urgency::long_work), now));
+                subject.update_target(target(reserved.value(), v2));
+                CHECK_FALSE(
+                    subject.can_leave_reserve(reserved, query(v2, urgency::long_work), now));
+            }
+        }
         WHEN("it is the only one of its version") {
             subject.update_target(target(reserved.value(), v2));
             THEN("long work of that version runs there, and can't leave it") {
