Items: the events before a faulty one are reported before their run fails

An item could become one that no engine can resume, or its text could hold events twice. The events of one read were appended to the text before they were reported to the scheduler, and if a later one of the same read was malformed, out of order or too large, the run failed without the report. The next run was asked to go on after the last event that the scheduler knew: a run of the leading store then failed at its first event, which the text held already, again and again, and the text of a run that another store carried out was appended behind what was there.

The events are reported first, and the run fails after that.

--- a/packages/store/internal/item_run.cpp
+++ b/packages/store/internal/item_run.cpp
@@ -88,32 +88,40 @@
         return;
     }
     bool has_events = false;
+    std::string problem;
     for (const completions::server_sent_event& raw : this->parser.feed_events(data)) {
         const auto event = this->params.protocol.parse_event(raw);
         if (event && event->version) {
             this->version = event->version;
         }
         if (!this->version && this->params.needs_versions) {
-            this->fail(batch::run_failure::broken, "the stream does not state its weight version");
-            return;
+            problem = "the stream does not state its weight version";
+            break;
         }
         if (!event ||
             !this->params.text->append(*event, this->version.value_or(weight_version()))) {
-            this->fail(batch::run_failure::broken, "a stream event is malformed or out of order");
-            return;
+            problem = "a stream event is malformed or out of order";
+            break;
         }
         has_events = true;
     }
-    if (this->parser.is_over_limit()) {
-        this->fail(batch::run_failure::broken, "a stream event is larger than the limit");
-        return;
+    if (problem.empty() && this->parser.is_over_limit()) {
+        problem = "a stream event is larger than the limit";
     }
-    this->call->set_held_bytes(this->params.text->text.size() + this->parser.buffered_bytes());
-    if (!this->is_over && has_events) {
+    if (has_events) {
+        // Also before a failure: the next run resumes after the last event that was reported.
         const auto& versions = this->params.text->versions;
         this->notify(batch::run_progressed{this->params.action.run, this->params.text->last_event,
                                            *versions.begin(), *versions.rbegin()});
     }
+    if (this->is_over) {
+        return;
+    }
+    if (problem.empty()) {
+        this->call->set_held_bytes(this->params.text->text.size() + this->parser.buffered_bytes());
+    } else {
+        this->fail(batch::run_failure::broken, problem);
+    }
 }
 
 void item_run::on_end(http::call_result completion, const std::string& reason) {
