Requests, failing test: a resumed stream holds up others of its version

A stream that broke off waits for a target of its version that it was not sent to yet. While that target is full, streams of the same class and version that are taken up wait behind it, although the target that it can't go back to has room. Versions with few targets are where it shows. The test fails: the third stream is not sent to the target with room.

--- a/packages/requests/tests/software_versions_test.cpp
+++ b/packages/requests/tests/software_versions_test.cpp
@@ -480,6 +480,27 @@
     }
 }
 
+// A stream that had room at its version waited behind one that could not be sent there again.
+SCENARIO("a stream that waits for the last target it was not sent to holds up no others") {
+    versions_fixture fixture;
+    fixture.add("a1", v1, 1);
+    const attempt_id first = fixture.begin_stream(1);
+    fixture.add("a2", v1, 1);
+    fixture.arrive(2, v1);
+    REQUIRE(fixture.sent_to() == "a2");
+    fixture.dispatch(attempt_write_started{fixture.sent_attempt()});
+    GIVEN("a stream that broke off, while the other target of its version is full") {
+        fixture.fail(first);
+        REQUIRE(fixture.subject.queued_requests() == 1);
+        WHEN("another stream of the version is taken up") {
+            fixture.arrive(3, v1);
+            THEN("it is sent to the target that has room") {
+                CHECK(fixture.sent_to() == "a1");
+            }
+        }
+    }
+}
+
 // A stream that a caller took up again went on at any version.
 SCENARIO("a stream that is taken up goes on only at its version") {
     versions_fixture fixture;
