--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -90,11 +90,11 @@
       external_port(port_of(free_address())),
       heartbeat_timer([this] { this->send_heartbeats(); }) {
     const endpoint keeper{keeper_ip, static_cast<std::uint16_t>(std::stoi(this->external_port))};
-    this->service_replica = open_replica({"app", "app", "", "v1", endpoint{replica_ip, 0}, keeper});
+    this->service_replica = open_replica({"app", "app", "", endpoint{replica_ip, 0}, keeper});
     for (int i = 0; i < options.engines; ++i) {
         this->engine_replicas.push_back(
-            open_replica({"lm" + std::to_string(i), "lm", "m", "v1", endpoint{replica_ip, 0},
-                          keeper, options.events, options.slots, options.event_interval}));
+            open_replica({"lm" + std::to_string(i), "lm", "m", endpoint{replica_ip, 0}, keeper,
+                          options.events, options.slots, options.event_interval}));
     }
     for (std::size_t i = 0; i < options.group_size; ++i) {
         this->keeper_processes.push_back(
