HTTP server: a request whose client left in the middle of a stream ends

A planned stop waited until its limit for clients that had long left: libsoup waits for the next part of a stream and does not poll its socket, so the request stayed among the open ones after the exchange had closed the connection. Its memory stayed held too.

The exchange now ends the body once the socket is closed: libsoup writes, sees the closed connection and ends the request. Nothing can reach the client, so the stream does not look complete to it.

--- a/packages/http/internal/exchange.cpp
+++ b/packages/http/internal/exchange.cpp
@@ -76,6 +76,12 @@
         GSocket* socket = soup_server_message_get_socket(this->message.get());
         if (socket != nullptr) {
             g_socket_close(socket, nullptr);
+            if (this->is_streaming && g_socket_is_closed(socket) != FALSE) {
+                // libsoup waits for the next part of a stream, and notices the closed connection
+                // only when it writes one.
+                soup_message_body_complete(
+                    soup_server_message_get_response_body(this->message.get()));
+            }
         }
         soup_server_message_unpause(this->message.get());
     }
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -201,6 +201,59 @@
     }
 }
 
+// A request whose client had left in the middle of a stream stayed open for ever, so that a planned
+// stop waited for it.
+SCENARIO("a server that stops does not wait for clients that have left") {
+    client_and_server fixture;
+    bool is_idle = false;
+    const auto stop = [&] {
+        fixture.call.reset();
+        while (!fixture.disconnected && !fixture.timed_out) {
+            fixture.loop.run();
+        }
+        fixture.open_exchange.reset();
+        fixture.http_server->begin_stop([&] {
+            is_idle = true;
+            fixture.loop.quit();
+        });
+        while (!is_idle && !fixture.timed_out) {
+            fixture.loop.run();
+        }
+    };
+    fixture.send("hello");
+    REQUIRE(fixture.open_exchange);
+
+    WHEN("the client leaves before the response") {
+        stop();
+        THEN("the server is idle") {
+            CHECK(is_idle);
+        }
+    }
+    WHEN("the client leaves in the middle of a stream") {
+        fixture.open_exchange->begin_stream(200, "text/plain");
+        fixture.open_exchange->write("half");
+        while (fixture.data.empty() && !fixture.timed_out) {
+            fixture.loop.run();
+        }
+        stop();
+        THEN("the server is idle") {
+            CHECK(is_idle);
+        }
+    }
+    WHEN("the client leaves a stream of which a part waits to be sent") {
+        fixture.open_exchange->begin_stream(200, "text/plain");
+        fixture.open_exchange->write("half");
+        while (fixture.data.empty() && !fixture.timed_out) {
+            fixture.loop.run();
+        }
+        fixture.open_exchange->write("more");
+        stop();
+        THEN("the server is idle") {
+            CHECK(is_idle);
+        }
+    }
+}
+
 SCENARIO("a server reports the path of a request byte for byte") {
     for (const std::string& target :
          {std::string("/a/../b/./c"), std::string("/%41%2f%2F"), std::string("//a//"),
