Streams: tests of take-ups without keepers and in a rolling restart of the gateways

While no keeper answers, take-ups at other gateways are refused as not run and those at the gateway that began them go on; gateways whose callers leave during a lookup stop without fault.

--- a/tests/process/software_versions_test.cpp
+++ b/tests/process/software_versions_test.cpp
@@ -167,6 +167,63 @@
                 CHECK(count_mixed(streams) == 0);
             }
         }
+        WHEN("no keeper answers") {
+            const auto signal_keepers = [&](int signal_number) {
+                for (std::size_t i = 0; i < options.group_size; ++i) {
+                    test_fleet.keeper(i).signal(signal_number);
+                }
+            };
+            // Stopped keepers would not end with the fleet.
+            const std::shared_ptr<void> resumption(nullptr,
+                                                   [&](void*) { signal_keepers(SIGCONT); });
+            signal_keepers(SIGSTOP);
+            leave_all();
+            take_up_all(1, gateway_ips.size());
+            THEN("the other gateways refuse them as not run, and the one that began them knows "
+                 "them") {
+                wait_for_event(stream_events);
+                CHECK(count_going_on() == 0);
+                for (const auto& stream : streams) {
+                    CHECK(stream->call().head.status == 503);
+                }
+                take_up_all(0, gateway_ips.size());
+                wait_for_event(stream_events);
+                CHECK(count_going_on() == count);
+                CHECK(count_mixed(streams) == 0);
+            }
+            AND_WHEN("the clients leave before that, and the gateways stop") {
+                test_deployment.wait(30ms);
+                leave_all();
+                for (child_process* gateway : gateways) {
+                    gateway->signal(SIGTERM);
+                }
+                THEN("the gateways end without fault") {
+                    for (child_process* gateway : gateways) {
+                        CHECK(gateway->wait() == 0);
+                    }
+                }
+            }
+        }
+        WHEN("the gateways are restarted one after the other before each take-up") {
+            std::ptrdiff_t going_on = 0;
+            for (std::size_t i = 0; i < gateways.size(); ++i) {
+                gateways[i]->signal(SIGTERM);
+                leave_all();
+                gateways[i]->wait();
+                const std::string ip = gateway_ips[i];
+                gateways[i] = &test_deployment.add_process(
+                    "successor-" + ip, test_fleet.gateway_settings(ip, ip, "127.0.0.2"));
+                REQUIRE(test_deployment.run_until([&] { return test_fleet.reports_ready(ip); }));
+                take_up_all(i + 1, gateway_ips.size());
+                wait_for_event(6 + 2 * static_cast<int>(i));
+                going_on += count_going_on();
+            }
+            MESSAGE("take-ups that go on: ", going_on, " of ", 3 * count);
+            THEN("nearly all take-ups go on, and no stream holds events of two versions") {
+                CHECK(going_on * 100 >= 3 * count * 95);
+                CHECK(count_mixed(streams) == 0);
+            }
+        }
         WHEN("a client takes up a stream that nobody knows") {
             leave_all();
             client_stream unknown(test_deployment, "unknown", 4);
