--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -23,6 +23,8 @@
 /// Time from the acknowledgement of a configuration until no instance returns an older one.
 constexpr duration configuration_limit = std::chrono::milliseconds(2500);
 constexpr std::size_t items_per_job = 6;
+/// Tries of a client whose stream breaks, or who leaves it.
+constexpr int max_stream_tries = 4;
 
 json configuration(std::uint64_t version) {
     json document = json::parse(R"({
@@ -31,11 +33,15 @@
              "timeoutMs": 2000, "sloMs": 200, "service": "app", "maxAttempts": 3},
             {"name": "pay", "host": "shop", "pathPrefix": "/p/", "type": "non_idempotent",
              "timeoutMs": 2000, "sloMs": 200, "service": "app", "maxAttempts": 3},
+            {"name": "talk", "host": "shop", "pathPrefix": "/t/", "type": "streaming",
+             "timeoutMs": 15000, "sloMs": 2500, "service": "chat", "maxAttempts": 3,
+             "resumable": true},
             {"name": "drafts", "host": "shop", "pathPrefix": "/d/", "type": "rollout",
              "timeoutMs": 20000, "service": "lm", "maxAttempts": 5, "maxQueueS": 120,
              "dueMs": 7500, "resumable": true}],
         "services": [
             {"name": "app", "maxConns": 10},
+            {"name": "chat", "maxConns": 10},
             {"name": "lm", "maxConns": 10,
              "engine": {"slots": 4, "kvCapacity": 10000, "stride": 1, "models": [{"name": "m"}]}}],
         "limits": {}})");
@@ -121,8 +127,10 @@
 void soak_clients::run_random_action() {
     constexpr std::uint64_t percent = 100;
     const std::uint64_t draw = this->random() % percent;
-    if (draw < 40) {
+    if (draw < 32) {
         this->send_booking(true);
+    } else if (draw < 40) {
+        this->begin_stream();
     } else if (draw < 55) {
         this->send_booking(false);
     } else if (draw < 62) {
@@ -137,6 +145,47 @@
         this->publish_weights();
     }
     this->process_completed_calls();
+    this->update_streams();
+}
+
+void soak_clients::begin_stream() {
+    const std::string name = "talk" + std::to_string(++this->last_request_number);
+    open_stream added;
+    added.stream = std::make_unique<process_tests::client_stream>(this->test_deployment, name);
+    added.leave_after = static_cast<int>(this->random() % soak_fleet::engine_events) + 1;
+    added.stream->begin(this->random_gateway());
+    ++this->new_streams;
+    this->streams.push_back(std::move(added));
+}
+
+void soak_clients::update_streams() {
+    std::erase_if(this->streams, [this](open_stream& open) {
+        process_tests::client_stream& stream = *open.stream;
+        if (!open.goes_on && stream.goes_on()) {
+            open.goes_on = true;
+            ++(stream.tries() == 1 ? this->streams_begun : this->take_ups_going_on);
+        }
+        if (stream.versions().size() > 1) {
+            this->report("stream " + stream.call().header("X-Request-Id") +
+                         " holds events of two software versions");
+            return true;
+        }
+        const bool leaves = stream.has_event(open.leave_after);
+        if (!leaves && !stream.is_ended()) {
+            return false;
+        }
+        // A client that has received nothing begins anew.
+        if (stream.has_event(soak_fleet::engine_events) || !stream.has_event(1) ||
+            stream.tries() == max_stream_tries) {
+            return true;
+        }
+        stream.leave();
+        stream.take_up(this->random_gateway());
+        ++this->take_ups;
+        open.goes_on = false;
+        open.leave_after = soak_fleet::engine_events;
+        return false;
+    });
 }
 
 void soak_clients::send_booking(bool is_repeatable) {
@@ -381,7 +430,11 @@
     return "served=" + std::to_string(this->served) + " refused=" + std::to_string(this->refused) +
            " jobs=" + std::to_string(accepted) +
            " configurations=" + std::to_string(this->accepted_configuration_version) +
-           " weights=" + std::to_string(this->published_weights);
+           " weights=" + std::to_string(this->published_weights) +
+           " streams=" + std::to_string(this->streams_begun) + "/" +
+           std::to_string(this->new_streams) +
+           " take_ups=" + std::to_string(this->take_ups_going_on) + "/" +
+           std::to_string(this->take_ups);
 }
 
 } // namespace kingcupcart::soak
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "process/client_stream.h"
 #include "process/deployment.h"
 #include "soak/soak_fleet.h"
 
@@ -43,6 +44,12 @@
         std::unique_ptr<process_tests::client_call> call;
         std::function<void(const process_tests::client_call&)> on_complete;
     };
+    struct open_stream {
+        std::unique_ptr<process_tests::client_stream> stream;
+        /// The client leaves after this event.
+        int leave_after = 0;
+        bool goes_on = false;
+    };
     struct job {
         std::vector<std::string> items;
         std::uint64_t required_version = 1;
@@ -57,6 +64,9 @@
                std::function<void(const process_tests::client_call&)> on_complete);
     void process_completed_calls();
     void send_booking(bool is_repeatable);
+    void begin_stream();
+    /// Lets clients leave their streams after some events and take them up at any gateway.
+    void update_streams();
     void submit_job(const std::string& name);
     void read_random_job();
     void read_results(const std::string& name);
@@ -76,6 +86,7 @@
     std::vector<pending_call> pending_calls;
     std::vector<std::string> findings;
     std::map<std::string, job> jobs;
+    std::vector<open_stream> streams;
     /// Status codes of requests that must run at most once, by request ID; 0 until a response
     /// arrives.
     std::map<std::string, int> at_most_once_statuses;
@@ -87,6 +98,10 @@
     std::uint64_t published_weights = 1;
     std::size_t served = 0;
     std::size_t refused = 0;
+    std::size_t new_streams = 0;
+    std::size_t streams_begun = 0;
+    std::size_t take_ups = 0;
+    std::size_t take_ups_going_on = 0;
 };
 
 } // namespace kingcupcart::soak
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <utility>
 #include <variant>
 
 namespace kingcupcart::soak {
@@ -18,6 +19,7 @@
 constexpr int engine_slots = 4;
 constexpr std::size_t service_count = 2;
 constexpr std::size_t engine_count = 4;
+constexpr std::size_t chat_count = 6;
 
 const char* name_of(soak_fleet::role instance_role) {
     switch (instance_role) {
@@ -57,6 +59,15 @@
     }
     this->add_replicas(this->service_replicas, "app", "", service_count);
     this->add_replicas(this->engine_replicas, "lm", "m", engine_count);
+    for (std::size_t i = 1; i <= chat_count; ++i) {
+        stand_ins::platform_replica::parameters arguments;
+        arguments.id = "chat" + std::to_string(i);
+        arguments.service = "chat";
+        arguments.model = "chat";
+        arguments.software = i % 2 == 0 ? "v1" : "v2";
+        arguments.events_state_software = true;
+        this->add_replica(this->chat_replicas, std::move(arguments));
+    }
     this->send_heartbeats();
 }
 
@@ -67,22 +78,27 @@
         arguments.id = service + std::to_string(i);
         arguments.service = service;
         arguments.model = model;
-        arguments.address = endpoint{"127.0.1.40", 0};
-        arguments.events = engine_events;
-        arguments.slots = engine_slots;
-        arguments.event_interval = event_interval;
-        auto opened = value_or_error([&] { return stand_ins::platform_replica::open(arguments); });
-        replica added;
-        added.stand_in = std::move(std::get<std::unique_ptr<stand_ins::platform_replica>>(opened));
-        auto opened_proxy = value_or_error([&] {
-            return loopback_proxy::open(endpoint{"127.0.1.41", 0}, added.stand_in->address());
-        });
-        added.proxy = std::move(std::get<std::unique_ptr<loopback_proxy>>(opened_proxy));
-        added.stand_in->advertise(added.proxy->address());
-        replicas.push_back(std::move(added));
+        this->add_replica(replicas, std::move(arguments));
     }
 }
 
+void soak_fleet::add_replica(std::vector<replica>& replicas,
+                             stand_ins::platform_replica::parameters arguments) {
+    arguments.address = endpoint{"127.0.1.40", 0};
+    arguments.events = engine_events;
+    arguments.slots = engine_slots;
+    arguments.event_interval = event_interval;
+    auto opened = value_or_error([&] { return stand_ins::platform_replica::open(arguments); });
+    replica added;
+    added.stand_in = std::move(std::get<std::unique_ptr<stand_ins::platform_replica>>(opened));
+    auto opened_proxy = value_or_error([&] {
+        return loopback_proxy::open(endpoint{"127.0.1.41", 0}, added.stand_in->address());
+    });
+    added.proxy = std::move(std::get<std::unique_ptr<loopback_proxy>>(opened_proxy));
+    added.stand_in->advertise(added.proxy->address());
+    replicas.push_back(std::move(added));
+}
+
 std::string soak_fleet::instance_settings(const fleet_instance& instance,
                                           bool is_first_start) const {
     const std::string role = name_of(instance.instance_role);
@@ -239,7 +255,7 @@
 
 void soak_fleet::send_heartbeats() {
     ++this->heartbeat_rounds;
-    for (auto* replicas : {&this->service_replicas, &this->engine_replicas}) {
+    for (auto* replicas : {&this->service_replicas, &this->engine_replicas, &this->chat_replicas}) {
         for (std::size_t i = 0; i < replicas->size(); ++i) {
             const fleet_instance& keeper =
                 this->instance_at(role::keeper, this->heartbeat_rounds + i);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -66,6 +66,9 @@
     [[nodiscard]] std::vector<replica>& services() { return this->service_replicas; }
     [[nodiscard]] std::vector<replica>& engines() { return this->engine_replicas; }
 
+    /// Half of them run another software version than the others.
+    [[nodiscard]] std::vector<replica>& chats() { return this->chat_replicas; }
+
     [[nodiscard]] std::string callers_url(const fleet_instance& gateway) const;
     [[nodiscard]] std::string control_url(const fleet_instance& keeper) const;
 
@@ -77,6 +80,8 @@
                                                 bool is_first_start) const;
     void add_replicas(std::vector<replica>& replicas, const std::string& service,
                       const std::string& model, std::size_t count);
+    void add_replica(std::vector<replica>& replicas,
+                     stand_ins::platform_replica::parameters arguments);
     void launch(fleet_instance& instance, bool is_first_start);
     void send_heartbeats();
 
@@ -86,6 +91,7 @@
     std::vector<fleet_instance> instances;
     std::vector<replica> service_replicas;
     std::vector<replica> engine_replicas;
+    std::vector<replica> chat_replicas;
     std::vector<limited_time> limited_times;
     std::size_t heartbeat_rounds = 0;
     task::wakeup heartbeat_timer;
