Endless bytes: a store that was silent, and what a refused submission says

In three of 28 plays a submission beside was refused with 502, "no store answered in time". The landed scenario prints the body of such a refusal now; its checks are unchanged.

--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -249,8 +249,10 @@
                 for (const auto& server : servers) {
                     CHECK(server->flooded_count() > calls_at_once);
                 }
-                CHECK(test_deployment.call(test_fleet.submit_job_request("beside", {"b"}, 1))
-                          ->head.status == 202);
+                const auto beside =
+                    test_deployment.call(test_fleet.submit_job_request("beside", {"b"}, 1));
+                INFO(beside->body);
+                CHECK(beside->head.status == 202);
                 check_memory(test_fleet.gateway(), "gateway");
             }
         }
