Streams: the test without keepers waits until they have stopped

In one of four runs, beside other process tests, one of 30 take-ups at another gateway went on although all keepers had been sent SIGSTOP just before. Not traced; the test now waits until all their threads are stopped, and then expects none, as before.

--- a/tests/process/software_versions_test.cpp
+++ b/tests/process/software_versions_test.cpp
@@ -11,6 +11,8 @@
 #include <chrono>
 #include <csignal>
 #include <cstddef>
+#include <filesystem>
+#include <fstream>
 #include <memory>
 #include <numeric>
 #include <random>
@@ -36,6 +38,20 @@
                          [](const auto& stream) { return stream->versions().size() > 1; });
 }
 
+/// Whether all threads of the process are stopped by a signal.
+bool is_stopped(const child_process& process) {
+    const std::filesystem::path tasks = "/proc/" + std::to_string(process.id()) + "/task";
+    const std::filesystem::directory_iterator threads(tasks);
+    return std::all_of(begin(threads), end(threads), [](const auto& thread) {
+        std::ifstream file(thread.path() / "stat");
+        std::string text;
+        std::getline(file, text);
+        // The state follows the name, which is in parentheses.
+        const auto name_end = text.rfind(')');
+        return name_end != std::string::npos && text.substr(name_end + 2, 1) == "T";
+    });
+}
+
 } // namespace
 
 // A take-up went to any replica of the service, so that one stream held events of two software
@@ -177,6 +193,13 @@
             const std::shared_ptr<void> resumption(nullptr,
                                                    [&](void*) { signal_keepers(SIGCONT); });
             signal_keepers(SIGSTOP);
+            REQUIRE(test_deployment.run_until([&] {
+                bool are_stopped = true;
+                for (std::size_t i = 0; i < options.group_size; ++i) {
+                    are_stopped = are_stopped && is_stopped(test_fleet.keeper(i));
+                }
+                return are_stopped;
+            }));
             leave_all();
             take_up_all(1, gateway_ips.size());
             THEN("the other gateways refuse them as not run, and the one that began them knows "
