Comments: seven that did not stand alone

Cause: the read-through found comments that needed their neighbours, or figures of speech, to be understood. Comments only; no code changes.

--- a/packages/fleet/stream_records.h
+++ b/packages/fleet/stream_records.h
@@ -38,8 +38,8 @@
     void keeper_connected(const instance_id& keeper, const location& place);
     void keeper_lost(const instance_id& keeper);
 
-    /// Records a stream whose first event is about to be passed on, or that goes on. `timeout` is
-    /// the longest time that it can last.
+    /// Records a stream before its first event is forwarded, or renews the record of a resumed one.
+    /// `timeout` is the longest time that it can last.
     void record(const streams::stream_id& stream, const backend_name& backend,
                 const software_version& software, duration timeout);
     /// The version of a recorded stream turned out to be unknown.
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -27,7 +27,7 @@
     "content-type", "transfer-encoding", "content-length",   "upgrade", "server",
 };
 
-/// A stream whose caller has received a part of it, as far as the caller says so.
+/// Whether the request states that its caller has received a part of the stream already.
 bool is_take_up(const routed_call& call, const routes::route& route) {
     return route.kind == routes::route_kind::stream &&
            (call.resume_after > 0 || !call.resumes.value().empty());
--- a/packages/keeper/tests/stream_control_test.cpp
+++ b/packages/keeper/tests/stream_control_test.cpp
@@ -92,7 +92,7 @@
                const software_version& software = v1) {
         this->gateway(gateway).record(stream_id(stream), chat, software, timeout);
     }
-    /// The result of a lookup at the gateway; empty while it goes on.
+    /// The result of a lookup at the gateway; empty until it has ended.
     std::optional<streams::lookup_result> look_up(std::size_t gateway, const std::string& stream) {
         const auto result = std::make_shared<std::optional<streams::lookup_result>>();
         this->gateway(gateway).look_up(stream_id(stream), 5s,
--- a/packages/quorum/tests/repair_test.cpp
+++ b/packages/quorum/tests/repair_test.cpp
@@ -416,7 +416,7 @@
     }
 }
 
-// Guards against accepted commands that nobody serves any more: a leader that had gone counted as
+// Guards against accepted commands that no member can serve: a leader that had gone counted as
 // present for as long as the next election took, and disks were lost meanwhile.
 SCENARIO("a leader that is gone is replaced as soon as a follower that is gone") {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/packages/store/tests/item_run_test.cpp
+++ b/packages/store/tests/item_run_test.cpp
@@ -35,7 +35,7 @@
     return "id: " + std::to_string(number) + "\ndata: d\n\n";
 }
 
-/// A run of an item, and what the scheduler is told of it.
+/// A run of an item, and the messages that it sends to the scheduler.
 struct observed_run {
     http::raw_caller runner;
     partial_text text;
--- a/packages/streams/stream_lookup.h
+++ b/packages/streams/stream_lookup.h
@@ -24,7 +24,7 @@
     void record_answer(const instance_id& keeper, const std::optional<stream_record>& answer);
     /// The keeper can't answer any more.
     void record_lost(const instance_id& keeper);
-    /// Empty while the lookup goes on.
+    /// Empty until the lookup has ended.
     [[nodiscard]] std::optional<lookup_result> result(time_point now) const;
     /// When `take_due` or `result` changes without an answer.
     [[nodiscard]] time_point next_wakeup() const;
--- a/tests/process/software_versions_test.cpp
+++ b/tests/process/software_versions_test.cpp
@@ -28,7 +28,7 @@
 constexpr std::array<const char*, 3> gateway_ips = {"127.0.0.4", "127.0.0.6", "127.0.0.7"};
 constexpr int stream_events = 12;
 constexpr duration event_interval = 40ms;
-/// A request that nobody can serve is refused within this time.
+/// Time limit for the refusal of a request that cannot be served.
 constexpr duration refusal_time = 1s;
 
 using client_streams = std::vector<std::unique_ptr<client_stream>>;
