--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -60,7 +60,17 @@
     trial_decision = 39,
     stream_record_updates = 40,
     stream_lookup_request = 41,
-    stream_lookup_response = 42
+    stream_lookup_response = 42,
+    relay_lookup_request = 43,
+    relay_lookup_response = 44,
+    reach_report = 45,
+    relayed_call_request = 46,
+    relayed_response_head = 47,
+    relayed_response_data = 48,
+    relayed_response_end = 49,
+    relayed_call_failure = 50,
+    relayed_call_cancel = 51,
+    relayed_data_taken = 52
 };
 
 json number(message_number value) {
@@ -251,6 +261,34 @@
 template <>
 constexpr message_number message_number_of<stream_lookup_response> =
     message_number::stream_lookup_response;
+template <>
+constexpr message_number message_number_of<relay_lookup_request> =
+    message_number::relay_lookup_request;
+template <>
+constexpr message_number message_number_of<relay_lookup_response> =
+    message_number::relay_lookup_response;
+template <>
+constexpr message_number message_number_of<reach_report> = message_number::reach_report;
+template <>
+constexpr message_number message_number_of<relayed_call_request> =
+    message_number::relayed_call_request;
+template <>
+constexpr message_number message_number_of<relayed_response_head> =
+    message_number::relayed_response_head;
+template <>
+constexpr message_number message_number_of<relayed_response_data> =
+    message_number::relayed_response_data;
+template <>
+constexpr message_number message_number_of<relayed_response_end> =
+    message_number::relayed_response_end;
+template <>
+constexpr message_number message_number_of<relayed_call_failure> =
+    message_number::relayed_call_failure;
+template <>
+constexpr message_number message_number_of<relayed_call_cancel> =
+    message_number::relayed_call_cancel;
+template <>
+constexpr message_number message_number_of<relayed_data_taken> = message_number::relayed_data_taken;
 
 template <typename Message>
 json write(const Message& outgoing) {
@@ -459,6 +497,25 @@
      read_serializable<stream_lookup_request>},
     {message_number::stream_lookup_response, "stream_lookup_response",
      read_serializable<stream_lookup_response>},
+    {message_number::relay_lookup_request, "relay_lookup_request",
+     read_serializable<relay_lookup_request>},
+    {message_number::relay_lookup_response, "relay_lookup_response",
+     read_serializable<relay_lookup_response>},
+    {message_number::reach_report, "reach_report", read_serializable<reach_report>},
+    {message_number::relayed_call_request, "relayed_call_request",
+     read_serializable<relayed_call_request>},
+    {message_number::relayed_response_head, "relayed_response_head",
+     read_serializable<relayed_response_head>},
+    {message_number::relayed_response_data, "relayed_response_data",
+     read_serializable<relayed_response_data>},
+    {message_number::relayed_response_end, "relayed_response_end",
+     read_serializable<relayed_response_end>},
+    {message_number::relayed_call_failure, "relayed_call_failure",
+     read_serializable<relayed_call_failure>},
+    {message_number::relayed_call_cancel, "relayed_call_cancel",
+     read_serializable<relayed_call_cancel>},
+    {message_number::relayed_data_taken, "relayed_data_taken",
+     read_serializable<relayed_data_taken>},
 };
 
 } // namespace
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -326,4 +326,60 @@
     archive(value.call, value.status, value.total, value.results, value.body);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, relay_lookup_request& value) {
+    archive(value.lookup, value.backend);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, relay_candidate& value) {
+    archive(value.id, value.address, value.place.domain, value.place.region);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, relay_lookup_response& value) {
+    archive(value.lookup, value.candidates);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, reach_report& value) {
+    archive(value.cut_off);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, relayed_call_request& value) {
+    archive(value.call, value.name, value.host, value.method, value.path, value.headers, value.body,
+            value.max_wait, value.resume_after, value.resumes, value.backend, value.software);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, relayed_response_head& value) {
+    archive(value.call, value.status, value.content_type, value.headers, value.is_stream);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, relayed_response_data& value) {
+    archive(value.call, value.data);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, relayed_response_end& value) {
+    archive(value.call);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, relayed_call_failure& value) {
+    archive(value.call, value.may_have_run, value.reason, value.retry_after);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, relayed_call_cancel& value) {
+    archive(value.call);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, relayed_data_taken& value) {
+    archive(value.call, value.bytes);
+}
+
 } // namespace kingcupcart::wire
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -328,18 +328,112 @@
     std::optional<streams::stream_record> record;
 };
 
+/// Asks a keeper for gateways that may forward calls to the backend for the sender.
+struct relay_lookup_request {
+    /// Assigned by the sender; the response repeats it.
+    std::uint64_t lookup = 0;
+    backend_name backend;
+};
+
+/// A gateway that may forward calls for others.
+struct relay_candidate {
+    instance_id id;
+    /// The address at which it accepts links.
+    endpoint address;
+    location place;
+
+    friend bool operator==(const relay_candidate&, const relay_candidate&) = default;
+};
+
+struct relay_lookup_response {
+    std::uint64_t lookup = 0;
+    std::vector<relay_candidate> candidates;
+};
+
+/// The backends that the sending gateway is cut off from: those of which it can open a connection
+/// to no target.
+struct reach_report {
+    std::vector<backend_name> cut_off;
+};
+
+/// A caller's request that the sender can't forward itself, since it is cut off from the targets.
+/// The receiver forwards it, and never passes it on to another instance.
+struct relayed_call_request {
+    /// Assigned by the sender; all messages about the call repeat it.
+    std::uint64_t call = 0;
+    /// The caller's identifier of its attempt.
+    std::string name;
+    std::string host;
+    std::string method;
+    /// Path and query string.
+    std::string path;
+    std::vector<header_field> headers;
+    std::string body;
+    /// The remaining time of the caller or of the route, whichever is shorter.
+    std::chrono::milliseconds max_wait{};
+    /// Number of the last event of the stream that the caller has received.
+    std::uint64_t resume_after = 0;
+    /// The stream that the call continues; empty for a new one.
+    streams::stream_id resumes;
+    /// The service that the sender has chosen.
+    backend_name backend;
+    /// The version that began the stream; empty if any may serve.
+    std::optional<software_version> software;
+};
+
+/// The head of the target's response, unchanged.
+struct relayed_response_head {
+    std::uint64_t call = 0;
+    int status = 0;
+    std::string content_type;
+    std::vector<header_field> headers;
+    bool is_stream = false;
+};
+
+/// A part of the response's body; of a stream, complete events.
+struct relayed_response_data {
+    std::uint64_t call = 0;
+    std::string data;
+};
+
+struct relayed_response_end {
+    std::uint64_t call = 0;
+};
+
+/// The call has no response, or its response is incomplete.
+struct relayed_call_failure {
+    std::uint64_t call = 0;
+    /// False if the call did not run and never will.
+    bool may_have_run = true;
+    std::string reason;
+    /// Delay after which a retry may succeed; zero if unknown.
+    duration retry_after{};
+};
+
+/// The caller has left, or its time is over.
+struct relayed_call_cancel {
+    std::uint64_t call = 0;
+};
+
+/// The sender's caller took so many more bytes of the response.
+struct relayed_data_taken {
+    std::uint64_t call = 0;
+    std::uint64_t bytes = 0;
+};
+
 /// The order of the alternatives is that of their numbers on the wire.
-using message =
-    std::variant<hello, target_update, target_heartbeats, configuration_update,
-                 configuration_in_force, forward_call_request, forward_call_response, claim_request,
-                 claim_response, instance_update, consensus_message, forward_command, keepalive,
-                 fleet_update, routes_update, weights_update, store_registration,
-                 initial_members_update, store_report, leader_update, submit_job_request,
-                 read_results_request, item_body_request, end_job_request, batch_response,
-                 run_item_request, cancel_item_run, item_run_updates, target_leaving, limit_report,
-                 permit_demands, permit_grants, quarantine::crash_report,
-                 quarantine::completion_report, quarantine::trial_demand, quarantine::trial_end,
-                 quarantine::copy_report, quarantine::suspect_update, quarantine::trial_decision,
-                 stream_record_updates, stream_lookup_request, stream_lookup_response>;
+using message = std::variant<
+    hello, target_update, target_heartbeats, configuration_update, configuration_in_force,
+    forward_call_request, forward_call_response, claim_request, claim_response, instance_update,
+    consensus_message, forward_command, keepalive, fleet_update, routes_update, weights_update,
+    store_registration, initial_members_update, store_report, leader_update, submit_job_request,
+    read_results_request, item_body_request, end_job_request, batch_response, run_item_request,
+    cancel_item_run, item_run_updates, target_leaving, limit_report, permit_demands, permit_grants,
+    quarantine::crash_report, quarantine::completion_report, quarantine::trial_demand,
+    quarantine::trial_end, quarantine::copy_report, quarantine::suspect_update,
+    quarantine::trial_decision, stream_record_updates, stream_lookup_request,
+    stream_lookup_response, relay_lookup_request, relay_lookup_response, reach_report,
+    relayed_call_request, relayed_response_head, relayed_response_data, relayed_response_end,
+    relayed_call_failure, relayed_call_cancel, relayed_data_taken>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -78,6 +78,21 @@
             std::chrono::seconds(45), std::chrono::milliseconds(40)};
 }
 
+relayed_call_request example_relayed_call() {
+    return {6,
+            "attempt",
+            "shop",
+            "POST",
+            "/b/1?x=2",
+            {{"X-Request-Id", "attempt"}},
+            std::string("\0body", 5),
+            std::chrono::milliseconds(700),
+            3,
+            streams::stream_id("earlier"),
+            backend_name("chat"),
+            software_version("v1")};
+}
+
 std::vector<message> example_messages() {
     target_update target;
     target.record.id = target_id("e1");
@@ -128,7 +143,20 @@
         stream_record_updates{{{streams::stream_id("a"), backend_name("b"), std::nullopt, {}, {}}}},
         stream_lookup_request{4, streams::stream_id("attempt")},
         stream_lookup_response{4, example_stream()},
-        stream_lookup_response{5, std::nullopt}};
+        stream_lookup_response{5, std::nullopt},
+        relay_lookup_request{4, backend_name("chat")},
+        relay_lookup_response{4,
+                              {{instance_id("g"),
+                                endpoint{"127.0.0.1", 1},
+                                {failure_domain_id("a"), region_id("r")}}}},
+        reach_report{{backend_name("chat"), backend_name("app")}},
+        example_relayed_call(),
+        relayed_response_head{6, 200, "text/plain", {{"X-Stamp", "s"}}, true},
+        relayed_response_data{6, std::string("\0event", 6)},
+        relayed_response_end{6},
+        relayed_call_failure{6, false, "full", std::chrono::milliseconds(40)},
+        relayed_call_cancel{6},
+        relayed_data_taken{6, 6}};
 }
 
 /// Number of fields of the first item in the encoding of a submission with two items.
@@ -165,6 +193,21 @@
     }
 }
 
+SCENARIO("a relayed call arrives as it was sent") {
+    const auto decoded = value_or_error([] { return decode(encode(example_relayed_call())); });
+    REQUIRE(std::holds_alternative<message>(decoded));
+    const auto& call = std::get<relayed_call_request>(std::get<message>(decoded));
+    CHECK(call.name == "attempt");
+    CHECK(call.path == "/b/1?x=2");
+    CHECK(call.headers == example_relayed_call().headers);
+    CHECK(call.body == example_relayed_call().body);
+    CHECK(call.max_wait == std::chrono::milliseconds(700));
+    CHECK(call.resume_after == 3);
+    CHECK(call.resumes == streams::stream_id("earlier"));
+    CHECK(call.backend == backend_name("chat"));
+    CHECK(call.software == software_version("v1"));
+}
+
 SCENARIO("what is known of a request that crashes its targets arrives as it was sent") {
     const auto decoded = value_or_error([] { return decode(encode(example_suspect())); });
     REQUIRE(std::holds_alternative<message>(decoded));
