--- a/stand_ins/crashing_replica.h
+++ b/stand_ins/crashing_replica.h
@@ -41,6 +41,7 @@
 
     /// Crashes it without a request.
     void kill();
+    [[nodiscard]] const endpoint& address() const { return this->params.address; }
     /// When the run of each marked request began.
     [[nodiscard]] const std::vector<time_point>& fatal_runs() const {
         return this->fatal_run_times;
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 child_process::child_process(const std::vector<std::string>& command, const std::string& error_log,
-                             rlim_t max_file_size) {
+                             rlim_t max_file_size, const std::vector<std::string>& environment) {
     std::array<int, 2> pipe_ends{};
     if (pipe2(pipe_ends.data(), O_CLOEXEC) != 0) {
         throw std::runtime_error("cannot create a pipe");
@@ -42,14 +42,23 @@
         arguments.push_back(const_cast<char*>(argument.c_str()));
     }
     arguments.push_back(nullptr);
+    // Of a variable that stands twice, the first counts.
+    std::vector<char*> variables;
+    for (const std::string& variable : environment) {
+        variables.push_back(const_cast<char*>(variable.c_str()));
+    }
+    for (char** inherited = environ; *inherited != nullptr; ++inherited) {
+        variables.push_back(*inherited);
+    }
+    variables.push_back(nullptr);
     // The child inherits the limit; this process writes no file meanwhile.
     rlimit own_limit{};
     getrlimit(RLIMIT_FSIZE, &own_limit);
     rlimit child_limit = own_limit;
     child_limit.rlim_cur = std::min(max_file_size, own_limit.rlim_max);
     setrlimit(RLIMIT_FSIZE, &child_limit);
-    const int spawn_error =
-        posix_spawn(&this->pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    const int spawn_error = posix_spawn(&this->pid, arguments[0], &actions, nullptr,
+                                        arguments.data(), variables.data());
     setrlimit(RLIMIT_FSIZE, &own_limit);
     posix_spawn_file_actions_destroy(&actions);
     close(pipe_ends[1]);
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -16,9 +16,11 @@
     /// log lines may precede it where the log goes to standard output. Ends the process and throws
     /// `std::runtime_error` if its output ends, or pauses for 20 s, without that line.
     /// Standard error is appended to the file `error_log` unless that is empty. `max_file_size`
-    /// is as for `limit_file_size`, from the start of the process on.
+    /// is as for `limit_file_size`, from the start of the process on. Variables of `environment`,
+    /// as `NAME=value`, take the place of those of this process.
     explicit child_process(const std::vector<std::string>& command,
-                           const std::string& error_log = "", rlim_t max_file_size = RLIM_INFINITY);
+                           const std::string& error_log = "", rlim_t max_file_size = RLIM_INFINITY,
+                           const std::vector<std::string>& environment = {});
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -104,10 +104,11 @@
 }
 
 child_process& deployment::add_process(const std::string& name, const std::string& settings,
-                                       rlim_t max_file_size) {
+                                       rlim_t max_file_size,
+                                       const std::vector<std::string>& environment) {
     this->processes.push_back(std::make_unique<child_process>(
         std::vector<std::string>{KINGCUPCARTD, "--settings", this->write_settings(name, settings)},
-        "", max_file_size));
+        "", max_file_size, environment));
     return *this->processes.back();
 }
 
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -60,9 +60,10 @@
                                const std::vector<std::string>& extra_arguments = {});
 
     /// Starts an instance with these settings; `name` names the settings file. For
-    /// `max_file_size` see `child_process`.
+    /// `max_file_size` and `environment` see `child_process`.
     child_process& add_process(const std::string& name, const std::string& settings,
-                               rlim_t max_file_size = RLIM_INFINITY);
+                               rlim_t max_file_size = RLIM_INFINITY,
+                               const std::vector<std::string>& environment = {});
     /// The path of a file in the deployment's temporary folder.
     [[nodiscard]] std::string path_of(const std::string& name) const;
 
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -107,7 +107,8 @@
         this->start_store(i);
     }
     this->gateway_process = &this->test_deployment.add_process(
-        "gateway", this->gateway_settings("gateway", gateway_ip, keeper_ip));
+        "gateway", this->gateway_settings("gateway", gateway_ip, keeper_ip), RLIM_INFINITY,
+        options.gateway_environment);
     this->send_heartbeats();
 }
 
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -29,6 +29,8 @@
     std::size_t group_size = 1;
     /// Number of replicas of the service "app".
     std::size_t services = 1;
+    /// Environment variables of the first gateway.
+    std::vector<std::string> gateway_environment = {};
 };
 
 /// One gateway, and keepers and stores, as processes on loopback addresses, and stand-in replicas,
--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/process/loopback_proxy.cpp
@@ -1,5 +1,6 @@
-#include "soak/loopback_proxy.h"
+#include "process/loopback_proxy.h"
 
+#include "process/packet_filter.h"
 #include "task/g_pointer.h"
 #include "task/wakeup.h"
 
@@ -9,17 +10,21 @@
 #include <array>
 #include <utility>
 
-namespace kingcupcart::soak {
+namespace kingcupcart::process_tests {
 
 /// One connection through the proxy: two pumps, closed together.
 class loopback_proxy::proxied_connection : public std::enable_shared_from_this<proxied_connection> {
 public:
-    proxied_connection(const fault_mode& mode, GSocketConnection* accepted)
+    proxied_connection(const fault_mode& mode, std::size_t& request_count,
+                       GSocketConnection* accepted)
         : mode(mode),
+          request_count(request_count),
           cancellable(g_cancellable_new()),
           caller(task::g_pointer<GSocketConnection>::share(accepted)),
           upstream(*this, fault_mode::requests_stalled),
-          downstream(*this, fault_mode::responses_stalled) {}
+          downstream(*this, fault_mode::responses_stalled) {
+        this->filter_packets();
+    }
 
     void connect_to(const endpoint& destination) {
         const task::g_pointer<GSocketClient> client(g_socket_client_new());
@@ -32,6 +37,7 @@
     }
 
     void apply_fault_mode() {
+        this->filter_packets();
         this->upstream.resume();
         this->downstream.resume();
     }
@@ -57,10 +63,18 @@
     bool is_closed = false;
 
 private:
+    void filter_packets() {
+        if (!this->is_closed) {
+            drop_received_packets(
+                g_socket_get_fd(g_socket_connection_get_socket(this->caller.get())),
+                this->mode == fault_mode::silent);
+        }
+    }
+
     using connection_pointer = std::shared_ptr<proxied_connection>;
 
     /// One direction: reads a piece of data, delays it or holds it back, depending on the fault
-    /// mode, and writes it.
+    /// mode, and writes it. A piece of no bytes is the end, or the reset, of both sides.
     class pump {
     public:
         pump(proxied_connection& owner, fault_mode stalling_mode)
@@ -86,12 +100,9 @@
                     const auto [connection, reader] = take_user_data(data);
                     const gssize size =
                         g_input_stream_read_finish(G_INPUT_STREAM(source), result, nullptr);
-                    if (size <= 0) {
-                        connection->close(false);
-                    } else {
-                        reader->size = static_cast<std::size_t>(size);
-                        reader->forward();
-                    }
+                    reader->size = size > 0 ? static_cast<std::size_t>(size) : 0;
+                    reader->is_reset = size < 0;
+                    reader->forward();
                 },
                 this->make_user_data());
         }
@@ -99,8 +110,10 @@
             if (this->owner.is_closed) {
                 return;
             }
-            if (this->owner.mode == this->stalling_mode) {
+            if (this->owner.mode == this->stalling_mode || this->owner.mode == fault_mode::silent) {
                 this->is_stalled = true;
+            } else if (this->size == 0) {
+                this->owner.close(this->is_reset);
             } else if (this->owner.mode == fault_mode::delayed) {
                 this->delay_timer.arm(std::chrono::steady_clock::now() + delay);
             } else {
@@ -111,6 +124,9 @@
             if (this->owner.is_closed) {
                 return;
             }
+            if (this->stalling_mode == fault_mode::requests_stalled) {
+                ++this->owner.request_count;
+            }
             g_output_stream_write_all_async(
                 this->output, this->buffer.data(), this->size, G_PRIORITY_DEFAULT,
                 this->owner.cancellable.get(),
@@ -142,6 +158,7 @@
         GOutputStream* output = nullptr;
         std::array<char, 16384> buffer{};
         std::size_t size = 0;
+        bool is_reset = false;
         bool is_stalled = false;
         task::wakeup delay_timer;
     };
@@ -164,6 +181,7 @@
     }
 
     const fault_mode& mode;
+    std::size_t& request_count;
     task::g_pointer<GCancellable> cancellable;
     task::g_pointer<GSocketConnection> caller;
     task::g_pointer<GSocketConnection> target;
@@ -194,7 +212,8 @@
 
 void loopback_proxy::accept(GSocketConnection* accepted) {
     std::erase_if(this->connections, [](const auto& connection) { return connection->is_closed; });
-    this->connections.push_back(std::make_shared<proxied_connection>(this->mode, accepted));
+    this->connections.push_back(
+        std::make_shared<proxied_connection>(this->mode, this->request_count, accepted));
     this->connections.back()->connect_to(this->target);
 }
 
@@ -211,4 +230,4 @@
     }
 }
 
-} // namespace kingcupcart::soak
+} // namespace kingcupcart::process_tests
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -92,9 +92,10 @@
     replica added;
     added.stand_in = std::move(std::get<std::unique_ptr<stand_ins::platform_replica>>(opened));
     auto opened_proxy = value_or_error([&] {
-        return loopback_proxy::open(endpoint{"127.0.1.41", 0}, added.stand_in->address());
+        return process_tests::loopback_proxy::open(endpoint{"127.0.1.41", 0},
+                                                   added.stand_in->address());
     });
-    added.proxy = std::move(std::get<std::unique_ptr<loopback_proxy>>(opened_proxy));
+    added.proxy = std::move(std::get<std::unique_ptr<process_tests::loopback_proxy>>(opened_proxy));
     added.stand_in->advertise(added.proxy->address());
     replicas.push_back(std::move(added));
 }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -4,7 +4,7 @@
 #include "http/request.h"
 #include "process/child_process.h"
 #include "process/deployment.h"
-#include "soak/loopback_proxy.h"
+#include "process/loopback_proxy.h"
 #include "stand_ins/platform_replica.h"
 #include "task/wakeup.h"
 
@@ -31,7 +31,7 @@
     };
     struct replica {
         std::unique_ptr<stand_ins::platform_replica> stand_in;
-        std::unique_ptr<loopback_proxy> proxy;
+        std::unique_ptr<process_tests::loopback_proxy> proxy;
     };
     /// A time in which a plain service named a limit, in requests a second.
     struct limited_time {
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -35,8 +35,8 @@
 
 void apply_replica_fault(soak_fleet& fleet, const fault& planned, bool is_start) {
     auto& replicas = planned.index % 3 == 0 ? fleet.services() : fleet.engines();
-    loopback_proxy& proxy = *replicas[planned.index / 3 % replicas.size()].proxy;
-    using fault_mode = loopback_proxy::fault_mode;
+    process_tests::loopback_proxy& proxy = *replicas[planned.index / 3 % replicas.size()].proxy;
+    using fault_mode = process_tests::loopback_proxy::fault_mode;
     if (!is_start) {
         proxy.set_fault_mode(fault_mode::none);
     } else if (planned.fault_kind == kind::delay_replica) {
