Process tests: a test that waits does not spin

The event loop of a process test ran without a pause while it waited: setting a timer outside of its callback wakes the loop at once, and each round of deployment::run_until set a new one. One test took 95% of a core beside the processes that it observes. The timer is now set once and sets itself again in its callback. Conditions are looked at after each event and each 10 ms, as was meant.

--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -226,12 +226,14 @@
 
 bool deployment::run_until(const std::function<bool()>& condition) {
     const auto deadline = std::chrono::steady_clock::now() + max_wait;
+    // Armed in its callback only: elsewhere, that would wake the loop at once.
+    task::wakeup poll_timer(
+        [&] { poll_timer.arm(std::chrono::steady_clock::now() + poll_interval); });
+    poll_timer.arm_now();
     while (!condition()) {
         if (std::chrono::steady_clock::now() > deadline) {
             return false;
         }
-        task::wakeup poll_timer([] {});
-        poll_timer.arm(std::chrono::steady_clock::now() + poll_interval);
         g_main_context_iteration(this->loop.context(), TRUE);
     }
     return true;
