--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -104,10 +104,11 @@
 }
 
 child_process& deployment::add_process(const std::string& name, const std::string& settings,
-                                       rlim_t max_file_size) {
+                                       rlim_t max_file_size,
+                                       const std::vector<std::string>& environment) {
     this->processes.push_back(std::make_unique<child_process>(
         std::vector<std::string>{KINGCUPCARTD, "--settings", this->write_settings(name, settings)},
-        "", max_file_size));
+        "", max_file_size, environment));
     return *this->processes.back();
 }
 
@@ -225,12 +226,14 @@
 
 bool deployment::run_until(const std::function<bool()>& condition) {
     const auto deadline = std::chrono::steady_clock::now() + max_wait;
+    // Armed in its callback only: elsewhere, that would wake the loop at once.
+    task::wakeup poll_timer(
+        [&] { poll_timer.arm(std::chrono::steady_clock::now() + poll_interval); });
+    poll_timer.arm_now();
     while (!condition()) {
         if (std::chrono::steady_clock::now() > deadline) {
             return false;
         }
-        task::wakeup poll_timer([] {});
-        poll_timer.arm(std::chrono::steady_clock::now() + poll_interval);
         g_main_context_iteration(this->loop.context(), TRUE);
     }
     return true;
