Dispatcher interface: relayed attempts, probes and changes of paths

Groundwork, for callers of an instance that reaches no target: the messages by which the executor reports evidence of paths, the actions that relay a request and probe a path, and the limits. The dispatcher does not use them yet, and the executors' bodies are placeholders, which no action reaches while dispatcher_limits::tracks_paths is false.

--- a/model/baseline_policy.h
+++ b/model/baseline_policy.h
@@ -56,6 +56,9 @@
         this->send_waiting_requests(arrived.profile.backend);
     }
     void process(const requests::attempt_write_started& /*started*/) {}
+    void process(const requests::attempt_opened& /*opened*/) {}
+    void process(const requests::attempt_reached& /*reached*/) {}
+    void process(const requests::attempt_silent& /*silent*/) {}
     void process(const requests::attempt_progressed& /*progressed*/) {}
     void process(const requests::attempt_paused& /*paused*/) {}
     void process(const requests::attempt_completed& completed) {
@@ -72,6 +75,7 @@
     }
     void process(const requests::attempt_failed& /*failed*/) {}
     void process(const requests::caller_disconnected& /*disconnected*/) {}
+    void process(const requests::probe_ended& /*ended*/) {}
     void process(const requests::timer_expired& /*expired*/) {}
 
     void send_waiting_requests(const backend_name& backend) {
--- a/model/request_simulation.h
+++ b/model/request_simulation.h
@@ -194,6 +194,14 @@
         });
     }
 
+    // The simulated network has no cuts, and the policies do not track paths.
+
+    void execute(std::size_t /*instance_index*/, const requests::relay_attempt& /*relayed*/) {}
+
+    void execute(std::size_t /*instance_index*/, const requests::probe_path& /*probe*/) {}
+
+    void execute(std::size_t /*instance_index*/, const requests::paths_changed& /*changed*/) {}
+
     void execute(std::size_t /*instance_index*/, const requests::select_attempt& /*selected*/) {}
 
     void execute(std::size_t /*instance_index*/, const requests::bind_stream& /*bound*/) {}
--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -37,6 +37,7 @@
         return status_gateway_timeout;
     case requests::refusal_reason::no_target:
     case requests::refusal_reason::stopping:
+    case requests::refusal_reason::no_path:
         return status_unavailable;
     case requests::refusal_reason::unknown_class:
         return status_bad_request;
@@ -138,6 +139,18 @@
                *this->find(action.request));
 }
 
+// The dispatcher does not track paths here, so it neither relays requests nor probes paths.
+
+void frontend::execute(const requests::relay_attempt& action) {
+    this->dispatch(requests::attempt_failed{action.attempt, requests::attempt_failure::no_relay});
+}
+
+void frontend::execute(const requests::probe_path& action) {
+    this->dispatch(requests::probe_ended{action.target, false, {}});
+}
+
+void frontend::execute(const requests::paths_changed& /*action*/) {}
+
 void frontend::execute(const requests::select_attempt& action) {
     std::visit([&](auto& active_call) { active_call->select(action.attempt); },
                *this->find(action.request));
--- a/packages/entry/internal/frontend.h
+++ b/packages/entry/internal/frontend.h
@@ -84,11 +84,14 @@
     void dispatch(const requests::message& incoming);
     void execute(const requests::actions& actions);
     void execute(const requests::send_attempt& action);
+    void execute(const requests::relay_attempt& action);
     void execute(const requests::select_attempt& action);
     void execute(const requests::bind_stream& action);
     void execute(const requests::cancel_attempt& action);
     void execute(const requests::complete_request& action);
     void execute(const requests::refuse_request& action);
+    void execute(const requests::probe_path& action);
+    void execute(const requests::paths_changed& action);
 
     [[nodiscard]] any_call* find(request_id request);
     void remove_call(request_id request);
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -96,11 +96,14 @@
     void log_rate_limited(const std::string& name, const requests::refuse_request& refused);
     void execute(const requests::actions& pending);
     void on(const requests::send_attempt& action);
+    void on(const requests::relay_attempt& action);
     void on(const requests::select_attempt& selected);
     void on(const requests::bind_stream& bound);
     void on(const requests::cancel_attempt& cancelled);
     void on(const requests::complete_request& completed);
     void on(const requests::refuse_request& refused);
+    void on(const requests::probe_path& action);
+    void on(const requests::paths_changed& changed);
     void finish(request_id request, const char* outcome);
 
     parameters params;
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -208,6 +208,17 @@
     found->second.call->start_attempt(action, *target);
 }
 
+void forwarder::on(const requests::relay_attempt& action) {
+    this->inbox.push_back(
+        requests::attempt_failed{action.attempt, requests::attempt_failure::no_relay});
+}
+
+void forwarder::on(const requests::probe_path& action) {
+    this->inbox.push_back(requests::probe_ended{action.target, false, {}});
+}
+
+void forwarder::on(const requests::paths_changed& /*changed*/) {}
+
 void forwarder::on(const requests::select_attempt& selected) {
     const auto found = this->calls.find(selected.request);
     if (found != this->calls.end()) {
--- a/packages/requests/actions.h
+++ b/packages/requests/actions.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/units.h"
+#include "paths/path_change.h"
 #include "requests/outcome_kind.h"
 #include "requests/refusal_reason.h"
 #include "routing/route_choice.h"
@@ -26,6 +27,31 @@
     tokens resume_after;
     send_cause cause = send_cause::first;
     routing::route_choice choice;
+    /// Time after which a connection that has not opened counts as failed.
+    duration open_timeout{};
+};
+
+/// Have another instance forward the request to a target of the backend. The caller already
+/// received the first `resume_after` tokens.
+struct relay_attempt {
+    request_id request;
+    attempt_id attempt;
+    tokens resume_after;
+    /// The version that the rest of the stream has to come from; empty if any may serve.
+    std::optional<software_version> software;
+    backend_name backend;
+};
+
+/// Open a connection to the target, send nothing and report the result as `probe_ended`.
+struct probe_path {
+    target_id target;
+    /// Time after which a connection that has not opened counts as failed.
+    duration open_timeout{};
+};
+
+/// Paths to targets were lost or regained, or `dispatcher::cut_off_backends` has changed.
+struct paths_changed {
+    std::vector<paths::path_change> changes;
 };
 
 /// Forward this attempt's output to the caller from now on.
@@ -65,8 +91,9 @@
     target_id limited_target = target_id();
 };
 
-using action = std::variant<send_attempt, select_attempt, bind_stream, cancel_attempt,
-                            complete_request, refuse_request>;
+using action =
+    std::variant<send_attempt, relay_attempt, select_attempt, bind_stream, cancel_attempt,
+                 complete_request, refuse_request, probe_path, paths_changed>;
 using actions = std::vector<action>;
 
 } // namespace kingcupcart::requests
--- a/packages/requests/dispatcher.h
+++ b/packages/requests/dispatcher.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -25,6 +26,8 @@
 /// A state machine without I/O: it receives messages and returns actions. It ensures the
 /// guarantee about requests that a single process can give: a request that is not repeatable and
 /// whose transmission to a target started is neither sent again nor reported as not run.
+///
+/// A request whose backend this instance is cut off from is relayed by another instance.
 class dispatcher {
 public:
     /// Counts what it sends in `permits`, and reports the requests under which connections break to
@@ -63,6 +66,11 @@
     /// that are still open at `deadline` get their final response then.
     [[nodiscard]] actions begin_stop(time_point deadline, time_point now);
 
+    /// Sets how the dispatcher learns whether a connection to the target is kept open.
+    void set_kept_connections(std::function<bool(const target_id&)> has_kept_connection);
+
+    /// Backends to whose targets this instance can open no connection.
+    [[nodiscard]] std::vector<backend_name> cut_off_backends(time_point now) const;
     /// When `handle` must next receive `timer_expired`; empty without a pending timer.
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
     /// Whether the request is running or queued.
--- a/packages/requests/dispatcher_limits.h
+++ b/packages/requests/dispatcher_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "paths/path_limits.h"
 #include "routing/router_limits.h"
 
 #include <chrono>
@@ -11,8 +12,17 @@
 /// Parameters of the dispatch policy.
 struct dispatcher_limits {
     routing::router_limits routing;
-    /// Maximum number of attempts per request, whatever their cause.
+    paths::path_limits paths;
+    /// The caller of the dispatcher reports each connection that opens, and executes `probe_path`.
+    /// Otherwise no instance counts as cut off from a backend.
+    bool tracks_paths = false;
+    /// Maximum number of attempts per request, whatever their cause. Those that reached no target
+    /// are not counted.
     std::size_t max_attempts = 4;
+    /// Maximum number of attempts per request whose connection was not established.
+    std::size_t max_unreachable = 4;
+    /// Maximum number of instances that are asked to relay a request.
+    std::size_t max_relays = 2;
     /// Retry budget, which retries, hedges and resumes draw on: its share of the requests, and the
     /// number of attempts that it can save up.
     double retry_share = 0.1;
--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -117,6 +117,14 @@
     return std::exchange(this->impl->output, {});
 }
 
+void dispatcher::set_kept_connections(std::function<bool(const target_id&)> has_kept_connection) {
+    this->impl->has_kept_connection = std::move(has_kept_connection);
+}
+
+std::vector<backend_name> dispatcher::cut_off_backends(time_point now) const {
+    return this->impl->paths.cut_off_backends(now);
+}
+
 std::optional<time_point> dispatcher::next_wakeup() const {
     return this->impl->timers.next();
 }
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -16,6 +16,7 @@
                          quarantine::crash_account* shared_crashes)
     : limits(limits),
       router(std::move(local_location), limits.routing, seed),
+      paths(limits.paths, seed),
       own_permits({}, seed),
       permits(shared_permits == nullptr ? &this->own_permits : shared_permits),
       crashes(shared_crashes),
@@ -365,7 +366,8 @@
         this->router.record_cached(attempt.target, request.profile.prefix, this->now);
     }
     this->output.push_back(send_attempt{request.profile.id, this->last_attempt, attempt.target,
-                                        request.delivered_tokens, cause, choice});
+                                        request.delivered_tokens, cause, choice,
+                                        this->paths.open_timeout(attempt.target)});
     this->arm_hedge_timer(request);
     this->arm_stall_timer(request);
 }
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -2,6 +2,7 @@
 
 #include "admission/duration_estimate.h"
 #include "admission/retry_budget.h"
+#include "paths/path_table.h"
 #include "permits/permit_account.h"
 #include "quarantine/crash_account.h"
 #include "requests/dispatcher.h"
@@ -11,6 +12,7 @@
 #include "requests/internal/timer_queue.h"
 #include "routing/router.h"
 
+#include <functional>
 #include <optional>
 #include <random>
 #include <unordered_map>
@@ -25,11 +27,15 @@
 
     void on(const request_arrived& arrived);
     void on(const attempt_write_started& started);
+    void on(const attempt_opened& opened);
+    void on(const attempt_reached& reached);
+    void on(const attempt_silent& silent);
     void on(const attempt_progressed& progressed);
     void on(const attempt_paused& paused);
     void on(const attempt_completed& completed);
     void on(const attempt_failed& failed);
     void on(const caller_disconnected& disconnected);
+    void on(const probe_ended& ended);
     void on(const timer_expired& expired);
     void announce_stop(time_point deadline);
     void begin_stop(time_point deadline);
@@ -51,6 +57,9 @@
 
     dispatcher_limits limits;
     routing::router router;
+    paths::path_table paths;
+    /// Empty if no connection is known to be kept.
+    std::function<bool(const target_id&)> has_kept_connection;
     std::unordered_map<work_class_name, admission::work_class> classes;
     std::unordered_map<backend_name, backend_queues> queues;
     std::unordered_map<request_id, request_state> requests;
--- a/packages/requests/internal/names.cpp
+++ b/packages/requests/internal/names.cpp
@@ -40,6 +40,8 @@
         return "quarantined";
     case refusal_reason::unknown_software:
         return "unknown-software";
+    case refusal_reason::no_path:
+        return "no-path";
     }
     return "?";
 }
--- a/packages/requests/refusal_reason.h
+++ b/packages/requests/refusal_reason.h
@@ -17,7 +17,9 @@
     /// Targets have ended under this request.
     quarantined,
     /// The version of the stream's software is not known.
-    unknown_software
+    unknown_software,
+    /// This instance reaches no target of the backend, and no other instance took the request.
+    no_path
 };
 
 [[nodiscard]] const char* to_string(refusal_reason reason);
--- a/packages/requests/request_profile.h
+++ b/packages/requests/request_profile.h
@@ -23,6 +23,12 @@
     bool resumable = false;
     /// The response is forwarded to the caller as it arrives.
     bool is_streamed = false;
+    /// Another instance may be asked to forward the request if this one is cut off from the
+    /// backend.
+    bool may_relay = false;
+    /// Another instance relays the request. It is not relayed again, and refused at once where it
+    /// would have to wait for room.
+    bool is_relayed = false;
     /// The run continues when the caller disconnects, because it cannot be undone.
     bool continues_after_disconnect = false;
     std::vector<prefix_hash> prefix;
--- a/packages/requests/tests/invariants_test.cpp
+++ b/packages/requests/tests/invariants_test.cpp
@@ -271,6 +271,12 @@
         }
     }
 
+    void check_action(const relay_attempt& /*relayed*/) {}
+
+    void check_action(const probe_path& /*probe*/) {}
+
+    void check_action(const paths_changed& /*changed*/) {}
+
     void check_action(const select_attempt& selected) {
         request_history& history = this->histories.at(selected.request);
         // A request that is not repeatable may complete after its caller received `unknown`.
