Requests: a call whose targets are out of reach is relayed by another instance

What callers saw: while an instance had lost its links to all targets, each of its calls was sent to the same targets, hedged to another one as unreachable, and ended with its deadline. Cause: a connection that does not open is told per attempt, and no decision is drawn from it for the backend; and there was no other way for the call.

The dispatcher keeps a table of paths. When it says that the instance is cut off from a backend, a call that may be repeated uses a kept connection with room, once; any other is relayed, or refused at once as no-path. Calls that wait in the queue, for a connection to open, or for a target that does not acknowledge what was written, are sent on in the same way when the cut is noticed; calls that run over kept connections are left alone. A broken or stalled resumable stream goes on at a relay behind the last event and with its version. Two relays are asked at most. Nothing is probed while no call needs the backend.

Why a refusal as not run stays true: each attempt, relayed or not, marks the request as written; only a relay that declines takes the mark back, and only if it was the first one to set it. A request that must not be repeated goes elsewhere only without the mark. Attempts that reached no target do not count towards max_attempts and need no retry budget; their number is bounded by 4. A relayed attempt takes no permit, counts no crash, tells the router nothing and binds no stream, since the relay does all this. A request that is relayed to this instance is not relayed again, and refused as not run where it would wait for room. Targets that were ejected in a cut are taken back when it ends.

--- a/packages/requests/internal/dispatcher.cpp
+++ b/packages/requests/internal/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "requests/internal/dispatcher_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace kingcupcart::requests {
@@ -30,7 +31,7 @@
 dispatcher& dispatcher::operator=(dispatcher&&) noexcept = default;
 
 actions dispatcher::handle(const message& incoming, time_point now) {
-    this->impl->now = now;
+    this->impl->begin(now);
     std::visit([this](const auto& alternative) { this->impl->on(alternative); }, incoming);
     return std::exchange(this->impl->output, {});
 }
@@ -44,8 +45,9 @@
 
 actions dispatcher::update_target(const membership::directory_change& change, time_point now) {
     using membership::directory_event;
-    this->impl->now = now;
+    this->impl->begin(now);
     this->impl->record_target(change);
+    this->impl->record_path(change);
     const backend_name previous_backend = this->impl->router.backend_of(change.record.id);
     const bool had_several_versions =
         this->impl->router.has_several_versions(change.record.backend);
@@ -65,6 +67,7 @@
     case directory_event::stale:
         return {};
     }
+    this->impl->update_paths();
     if (!had_several_versions && this->impl->router.has_several_versions(change.record.backend)) {
         this->impl->separate_versions(change.record.backend);
     }
@@ -78,7 +81,7 @@
 }
 
 actions dispatcher::update_permits(const target_id& target, time_point now) {
-    this->impl->now = now;
+    this->impl->begin(now);
     const backend_name backend = this->impl->router.backend_of(target);
     this->impl->send_queued(backend);
     this->impl->await_permits(backend);
@@ -87,7 +90,7 @@
 }
 
 actions dispatcher::update_suspect(const request_fingerprint& fingerprint, time_point now) {
-    this->impl->now = now;
+    this->impl->begin(now);
     this->impl->update_suspect(fingerprint);
     return std::exchange(this->impl->output, {});
 }
@@ -106,13 +109,13 @@
 }
 
 actions dispatcher::announce_stop(time_point deadline, time_point now) {
-    this->impl->now = now;
+    this->impl->begin(now);
     this->impl->announce_stop(deadline);
     return std::exchange(this->impl->output, {});
 }
 
 actions dispatcher::begin_stop(time_point deadline, time_point now) {
-    this->impl->now = now;
+    this->impl->begin(now);
     this->impl->begin_stop(deadline);
     return std::exchange(this->impl->output, {});
 }
@@ -126,7 +129,9 @@
 }
 
 std::optional<time_point> dispatcher::next_wakeup() const {
-    return this->impl->timers.next();
+    const auto timer = this->impl->timers.next();
+    const auto path = this->impl->next_path_wakeup();
+    return timer && path ? std::min(*timer, *path) : (timer ? timer : path);
 }
 
 bool dispatcher::has_request(request_id request) const {
--- a/packages/requests/internal/dispatcher_preemption.cpp
+++ b/packages/requests/internal/dispatcher_preemption.cpp
@@ -16,7 +16,8 @@
 
 void dispatcher::state::preempt_long_work(const backend_name& backend) {
     time_point& last = this->last_preemption[backend];
-    if (this->now - last < preemption_interval) {
+    // While the instance is cut off, preempted drafts could not go on at other targets.
+    if (this->now - last < preemption_interval || this->is_cut_off(backend)) {
         return;
     }
     last = this->now;
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -65,7 +65,9 @@
     const bool is_waiting = this->queues[stored.profile.backend].is_waiting(
         known_class->first, this->queued_version(stored));
     if (is_waiting && this->has_version_left(stored)) {
-        this->enqueue(stored);
+        const bool may_wait = !stored.profile.is_relayed ||
+                              !this->router.find_only_limited(make_query(stored)).empty();
+        this->enqueue_or_decline(stored, may_wait);
         return;
     }
     if (stored.kind == urgency::short_work) {
@@ -79,9 +81,13 @@
 
 void dispatcher::state::on(const attempt_write_started& started) {
     const auto found = this->attempts.find(started.attempt);
-    if (found != this->attempts.end()) {
-        this->requests.at(found->second.request).write_started = true;
+    if (found == this->attempts.end() || found->second.is_written) {
+        return;
     }
+    request_state& request = this->requests.at(found->second.request);
+    found->second.is_written = true;
+    found->second.is_first_written = !request.write_started;
+    request.write_started = true;
 }
 
 void dispatcher::state::on(const attempt_progressed& progressed) {
@@ -95,7 +101,9 @@
         this->end_changed_attempt(*changed);
         return;
     }
-    if (!attempt.has_output) {
+    if (attempt.is_relayed) {
+        attempt.has_output = true;
+    } else if (!attempt.has_output) {
         attempt.has_output = true;
         this->router.record_first_output(attempt.target, attempt.kind, attempt.sent, this->now);
     } else {
@@ -142,7 +150,7 @@
         this->end_changed_attempt(*changed);
         return;
     }
-    if (!attempt.has_output) {
+    if (!attempt.has_output && !attempt.is_relayed) {
         attempt.has_output = true;
         this->router.record_first_output(attempt.target, attempt.kind, attempt.sent, this->now);
     }
@@ -159,38 +167,6 @@
     this->send_queued(backend);
 }
 
-void dispatcher::state::on(const attempt_failed& failed) {
-    const auto found = this->attempts.find(failed.attempt);
-    if (found == this->attempts.end()) {
-        return;
-    }
-    const target_id target = found->second.target;
-    request_state& request = this->requests.at(found->second.request);
-    const backend_name backend = request.profile.backend;
-    const bool was_selected = request.selected == failed.attempt;
-    // The new record may have arrived after events of the new process were passed on.
-    const bool is_unknown =
-        was_selected && request.profile.resumable && this->has_changed(found->second);
-    if (was_selected) {
-        request.selected.reset();
-    }
-    const auto known_target = this->targets.find(target);
-    const bool is_leaving = known_target != this->targets.end() && known_target->second.leaving;
-    const bool is_suspicious = failed.failure == attempt_failure::disconnected && !is_leaving;
-    this->end_attempt(request, failed.attempt,
-                      is_suspicious ? quarantine::attempt_end::disconnected
-                                    : quarantine::attempt_end::unclear);
-    if (failed.failure != attempt_failure::declined) {
-        this->router.record_failed(target, this->now);
-    }
-    if (is_unknown) {
-        this->break_off(request, failed.attempt, target);
-    } else if (request.active_attempts.empty()) {
-        this->retry_or_refuse(request, failed.failure, was_selected);
-    }
-    this->send_queued(backend);
-}
-
 void dispatcher::state::on(const caller_disconnected& disconnected) {
     const auto found = this->requests.find(disconnected.request);
     if (found == this->requests.end()) {
@@ -209,34 +185,6 @@
     this->send_queued(backend);
 }
 
-void dispatcher::state::on(const timer_expired& /*expired*/) {
-    while (const auto due = this->timers.pop_due(this->now)) {
-        const auto found = this->requests.find(due->request);
-        if (found == this->requests.end()) {
-            continue;
-        }
-        switch (due->timer_purpose) {
-        case timer_queue::purpose::deadline:
-            this->handle_deadline(found->second);
-            break;
-        case timer_queue::purpose::latest_send:
-            if (found->second.queued || found->second.held) {
-                this->refuse_for_stop(found->second);
-            }
-            break;
-        case timer_queue::purpose::permit:
-            this->handle_permit_due(found->second);
-            break;
-        case timer_queue::purpose::hedge:
-            this->hedge(found->second);
-            break;
-        case timer_queue::purpose::stall:
-            this->check_stall(found->second);
-            break;
-        }
-    }
-}
-
 void dispatcher::state::send_queued(const backend_name& backend) {
     const auto found = this->queues.find(backend);
     if (found == this->queues.end()) {
@@ -249,8 +197,7 @@
                 this->refuse_for_stop(request);
                 continue;
             }
-            send_cause cause = request.attempt_count == 0 ? send_cause::first : send_cause::retry;
-            cause = request.preempted ? send_cause::moved : cause;
+            const send_cause cause = next_cause(request);
             if (!this->pass_quarantine(request, cause)) {
                 continue;
             }
@@ -274,6 +221,13 @@
     found->second.delete_unused();
 }
 
+send_cause dispatcher::state::next_cause(const request_state& request) {
+    if (request.preempted) {
+        return send_cause::moved;
+    }
+    return request.attempt_count == 0 ? send_cause::first : send_cause::retry;
+}
+
 void dispatcher::state::enqueue(request_state& request) {
     const admission::work_class& work = this->class_of(request);
     auto& queue =
@@ -304,6 +258,10 @@
     if (!this->pass_quarantine(request, cause)) {
         return;
     }
+    if (this->is_cut_off(request.profile.backend)) {
+        this->send_despite_cut(request, cause);
+        return;
+    }
     const auto choice = this->route(request, request.profile.repeatable);
     if (choice.target) {
         this->send(request, choice, cause);
@@ -313,7 +271,7 @@
     const bool may_wait = request.software && this->has_version_left(request);
     if (choice.reason == routing::route_reason::no_room ||
         choice.reason == routing::route_reason::no_permit || may_wait) {
-        this->enqueue(request);
+        this->enqueue_or_decline(request, choice.reason == routing::route_reason::no_permit);
     } else {
         this->refuse(request, refusal_reason::no_target, retry_after_no_target);
     }
@@ -337,105 +295,6 @@
     return this->router.choose(query, this->now);
 }
 
-void dispatcher::state::send(request_state& request, const routing::route_choice& choice,
-                             send_cause cause) {
-    this->last_attempt = attempt_id(this->last_attempt.value() + 1);
-    attempt_state attempt;
-    attempt.request = request.profile.id;
-    attempt.target = *choice.target;
-    if (const auto known = this->targets.find(attempt.target); known != this->targets.end()) {
-        attempt.incarnation = known->second.incarnation;
-        attempt.software = known->second.software;
-    }
-    attempt.kind = request.kind;
-    attempt.sent = this->now;
-    attempt.resume_after = request.delivered_tokens;
-    this->attempts.emplace(this->last_attempt, attempt);
-    request.is_paused = false;
-    request.active_attempts.push_back(this->last_attempt);
-    request.tried_targets.push_back(attempt.target);
-    ++request.attempt_count;
-    this->stop_awaiting_permit(request);
-    this->permits->take(attempt.target, this->now);
-    for (const target_id& passed_over : choice.without_permit) {
-        this->permits->add_spare_demand(passed_over, this->now);
-    }
-    this->record_begin(request, this->last_attempt);
-    this->router.record_sent(attempt.target, request.kind, this->now);
-    if (!request.profile.prefix.empty()) {
-        this->router.record_cached(attempt.target, request.profile.prefix, this->now);
-    }
-    this->output.push_back(send_attempt{request.profile.id, this->last_attempt, attempt.target,
-                                        request.delivered_tokens, cause, choice,
-                                        this->paths.open_timeout(attempt.target)});
-    this->arm_hedge_timer(request);
-    this->arm_stall_timer(request);
-}
-
-void dispatcher::state::retry_or_refuse(request_state& request, attempt_failure failure,
-                                        bool was_selected) {
-    const auto reason = failure == attempt_failure::unreachable ? refusal_reason::target_unreachable
-                                                                : refusal_reason::target_failed;
-    const bool has_attempts = request.attempt_count < this->max_attempts(request);
-    const bool is_budget_exempt = failure == attempt_failure::unreachable;
-    if (request.reported_unknown || !request.can_retry() || !has_attempts ||
-        !(is_budget_exempt || this->budget.try_withdraw())) {
-        this->refuse(request, reason, retry_after_no_target);
-        return;
-    }
-    this->route_and_send(request, was_selected ? send_cause::resume : send_cause::retry);
-}
-
-bool dispatcher::state::select(request_state& request, attempt_id attempt) {
-    if (request.selected == attempt) {
-        return true;
-    }
-    if (this->attempts.at(attempt).resume_after != request.delivered_tokens) {
-        this->cancel(request, attempt);
-        return false;
-    }
-    request.selected = attempt;
-    this->output.push_back(select_attempt{request.profile.id, attempt});
-    return true;
-}
-
-void dispatcher::state::cancel_others(request_state& request, attempt_id selected_attempt) {
-    const std::vector<attempt_id> active_attempts = request.active_attempts;
-    for (const attempt_id attempt : active_attempts) {
-        if (attempt != selected_attempt) {
-            this->cancel(request, attempt);
-        }
-    }
-}
-
-void dispatcher::state::cancel(request_state& request, attempt_id attempt) {
-    const attempt_state& cancelled = this->attempts.at(attempt);
-    const duration waited = this->now - cancelled.sent;
-    const duration expected =
-        this->router.expected_first_output(request.profile.backend, request.kind);
-    if (!cancelled.has_output && waited > expected && expected > duration::zero()) {
-        // A later attempt was faster; the wait so far is a lower bound of this one's time to first
-        // output.
-        this->router.record_first_output(cancelled.target, cancelled.kind, cancelled.sent,
-                                         this->now);
-        this->attempts.at(attempt).has_output = true;
-    }
-    this->end_attempt(request, attempt, quarantine::attempt_end::unclear);
-    this->output.push_back(cancel_attempt{attempt});
-}
-
-void dispatcher::state::end_attempt(request_state& request, attempt_id attempt,
-                                    quarantine::attempt_end how) {
-    if (this->crashes != nullptr) {
-        this->crashes->end(attempt, how, this->now);
-    }
-    const attempt_state& finished = this->attempts.at(attempt);
-    this->router.record_finished(finished.target, finished.kind, finished.sent, finished.has_output,
-                                 this->now);
-    std::erase(request.active_attempts, attempt);
-    this->attempts.erase(attempt);
-}
-
 void dispatcher::state::refuse(request_state& request, refusal_reason reason,
                                duration retry_after) {
     const auto outcome = request.write_started ? outcome_kind::unknown : outcome_kind::not_run;
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -25,6 +25,8 @@
     state(location local_location, dispatcher_limits limits, std::uint64_t seed,
           permits::permit_account* shared_permits, quarantine::crash_account* shared_crashes);
 
+    /// Has to be called before each of the others, which may return actions.
+    void begin(time_point current);
     void on(const request_arrived& arrived);
     void on(const attempt_write_started& started);
     void on(const attempt_opened& opened);
@@ -54,6 +56,12 @@
     void refuse_unserved(const backend_name& backend);
     /// Sends the queued requests of the backend for which a target has room.
     void send_queued(const backend_name& backend);
+    /// Records of which targets the paths count.
+    void record_path(const membership::directory_change& change);
+    /// Reports changed paths. Sends what a cut that began or ended concerns.
+    void update_paths();
+    /// When `on(timer_expired)` has to be called for the paths to targets; empty if it has not.
+    [[nodiscard]] std::optional<time_point> next_path_wakeup() const;
 
     dispatcher_limits limits;
     routing::router router;
@@ -84,7 +92,11 @@
     /// otherwise.
     [[nodiscard]] bool may_preempt(const request_state& request,
                                    const attempt_state& attempt) const;
+    [[nodiscard]] static send_cause next_cause(const request_state& request);
     void enqueue(request_state& request);
+    /// Has the request wait, or refuses it if another instance relays it and may find room
+    /// elsewhere. Permits of a target are the same for all instances.
+    void enqueue_or_decline(request_state& request, bool waits_for_permit);
     void route_and_send(request_state& request, send_cause cause);
     /// Refuses the request, or has it wait for a permit, if all its targets are limited. Returns
     /// false if it was refused.
@@ -124,6 +136,29 @@
     void unbind_if_changed(const request_state& request);
     /// Ends the answer, since the version of an event that was passed on is unknown.
     void break_off(request_state& request, attempt_id attempt, const target_id& target);
+    /// Whether this instance can open connections to no target of the backend.
+    [[nodiscard]] bool is_cut_off(const backend_name& backend) const;
+    /// Time that a connection to the target may take to open; zero for the client's own limit.
+    [[nodiscard]] duration open_timeout(const target_id& target) const;
+    void record_opened(const target_id& target, duration opening);
+    void record_unopened(const target_id& target, duration elapsed);
+    /// Discards old evidence, and probes the paths that are due.
+    void check_paths();
+    /// Sends the request over a kept connection, has another instance relay it, or refuses it.
+    void send_despite_cut(request_state& request, send_cause cause);
+    /// Chooses among the targets to which connections are kept that are not known to be dead.
+    [[nodiscard]] routing::route_choice route_over_kept_connections(const request_state& request,
+                                                                    bool allows_limited);
+    [[nodiscard]] bool may_be_relayed(const request_state& request) const;
+    void relay(request_state& request);
+    /// Sends the backend's requests elsewhere that wait for targets or connections out of reach.
+    void reroute(const backend_name& backend);
+    /// Does so for this request, if it waits for such a target.
+    void reroute(request_state& request);
+    [[nodiscard]] bool is_stranded(const request_state& request) const;
+    /// Resumes a stream elsewhere whose target may have been cut off too.
+    void relay_stalled(request_state& request, duration silence);
+    void handle_failed_relay(const attempt_failed& failed);
     void retry_or_refuse(request_state& request, attempt_failure failure, bool was_selected);
     void arm_hedge_timer(const request_state& request);
     void arm_stall_timer(const request_state& request);
@@ -165,6 +200,10 @@
     admission::retry_budget budget;
     std::unordered_map<backend_name, time_point> last_preemption;
     attempt_id last_attempt{0};
+    /// The backends that were last reported as cut off.
+    std::vector<backend_name> cut_off;
+    /// Targets whose kept connections the actions use that are not executed yet.
+    std::vector<target_id> taken_connections;
 };
 
 } // namespace kingcupcart::requests
--- a/packages/requests/internal/dispatcher_timers.cpp
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -14,9 +14,38 @@
 
 } // namespace
 
+void dispatcher::state::on(const timer_expired& /*expired*/) {
+    while (const auto due = this->timers.pop_due(this->now)) {
+        const auto found = this->requests.find(due->request);
+        if (found == this->requests.end()) {
+            continue;
+        }
+        switch (due->timer_purpose) {
+        case timer_queue::purpose::deadline:
+            this->handle_deadline(found->second);
+            break;
+        case timer_queue::purpose::latest_send:
+            if (found->second.queued || found->second.held) {
+                this->refuse_for_stop(found->second);
+            }
+            break;
+        case timer_queue::purpose::permit:
+            this->handle_permit_due(found->second);
+            break;
+        case timer_queue::purpose::hedge:
+            this->hedge(found->second);
+            break;
+        case timer_queue::purpose::stall:
+            this->check_stall(found->second);
+            break;
+        }
+    }
+    this->check_paths();
+}
+
 void dispatcher::state::arm_hedge_timer(const request_state& request) {
     const bool may_hedge = request.kind == urgency::short_work && request.profile.repeatable &&
-                           request.attempt_count < this->max_attempts(request);
+                           request.sent_count() < this->max_attempts(request);
     if (!may_hedge) {
         return;
     }
@@ -54,14 +83,17 @@
 void dispatcher::state::hedge(request_state& request) {
     const bool is_waiting =
         !request.queued && !request.selected && !request.active_attempts.empty();
-    if (!is_waiting || request.attempt_count >= this->max_attempts(request)) {
+    if (!is_waiting || request.sent_count() >= this->max_attempts(request)) {
         return;
     }
     const attempt_state& newest = this->attempts.at(request.active_attempts.back());
-    if (newest.has_output || !this->may_send_copy(request) || !this->budget.try_withdraw()) {
+    if (newest.has_output || newest.is_relayed || !this->may_send_copy(request) ||
+        !this->budget.try_withdraw()) {
         return;
     }
-    const auto choice = this->route(request, false, false);
+    const auto choice = this->is_cut_off(request.profile.backend)
+                            ? this->route_over_kept_connections(request, false)
+                            : this->route(request, false, false);
     if (choice.target) {
         this->send(request, choice, send_cause::hedge);
     } else {
@@ -70,6 +102,9 @@
 }
 
 void dispatcher::state::check_stall(request_state& request) {
+    if (request.selected && this->attempts.at(*request.selected).is_relayed) {
+        return;
+    }
     const duration delay = this->stall_delay(request);
     if (!request.selected || request.is_paused) {
         // Before its first output a stream is covered by hedges, and a paused one is not silent.
@@ -92,7 +127,14 @@
     }
     const bool is_alone = request.active_attempts.size() == 1;
     if (!is_alone || !this->may_send_copy(request) ||
-        request.attempt_count >= this->max_attempts(request) || !this->budget.try_withdraw()) {
+        request.sent_count() >= this->max_attempts(request)) {
+        return;
+    }
+    if (this->is_cut_off(request.profile.backend)) {
+        this->relay_stalled(request, silence);
+        return;
+    }
+    if (!this->budget.try_withdraw()) {
         return;
     }
     const auto choice = this->route(request, false, false);
--- a/packages/requests/internal/dispatcher_versions.cpp
+++ b/packages/requests/internal/dispatcher_versions.cpp
@@ -19,6 +19,9 @@
         return;
     }
     const attempt_state& began = this->attempts.at(attempt);
+    if (began.is_relayed) {
+        return;
+    }
     request.is_bound = true;
     request.software = began.software;
     this->output.push_back(
--- a/packages/requests/internal/request_state.h
+++ b/packages/requests/internal/request_state.h
@@ -40,6 +40,12 @@
     /// An event of the stream was passed on.
     bool is_bound = false;
     std::size_t attempt_count = 0;
+    /// Attempts that certainly reached no target, and among them those whose connection was not
+    /// established.
+    std::size_t unsent_count = 0;
+    std::size_t unreachable_count = 0;
+    /// Attempts that were given to other instances.
+    std::size_t relay_count = 0;
     bool queued = false;
     /// Queued because its attempt was preempted on a target that short work needed.
     bool preempted = false;
@@ -48,6 +54,10 @@
     /// The callers received the outcome `unknown`, and the run continues.
     bool reported_unknown = false;
 
+    /// Number of attempts that may have reached a target.
+    [[nodiscard]] std::size_t sent_count() const {
+        return this->attempt_count - this->unsent_count;
+    }
     [[nodiscard]] bool can_retry() const {
         return this->profile.repeatable || !this->write_started;
     }
--- a/packages/requests/tests/invariants_test.cpp
+++ b/packages/requests/tests/invariants_test.cpp
@@ -18,17 +18,24 @@
 const location local_location{failure_domain_id("a1"), region_id("a")};
 const backend_name model("m");
 constexpr std::int64_t response_tokens = 8;
+constexpr duration short_deadline = 5s;
+constexpr duration long_deadline = 20s;
+constexpr int max_relays = 2;
 const std::vector<software_version> versions{software_version("1"), software_version("2")};
 
 /// Simulates targets that refuse, break, stall, respond late, complete twice and start again as
 /// another software version, connected to one dispatcher. Checks each action of the dispatcher
-/// against the history of its request.
+/// against the history of its request. With cuts, the instance also loses its paths to some or all
+/// targets now and then, and has other instances that answer, decline or break relay its requests.
 class failure_simulation {
 public:
-    explicit failure_simulation(std::uint64_t seed)
-        : random(seed), subject(local_location, {}, seed) {
-        this->subject.set_classes({{work_class_name("short"), urgency::short_work, 5s, 20},
-                                   {work_class_name("long"), urgency::long_work, 20s, 20}});
+    failure_simulation(std::uint64_t seed, bool has_cuts)
+        : random(seed), subject(local_location, make_limits(has_cuts), seed), has_cuts(has_cuts) {
+        this->subject.set_kept_connections(
+            [this](const target_id& /*target*/) { return this->chance(0.3); });
+        this->subject.set_classes(
+            {{work_class_name("short"), urgency::short_work, short_deadline, 20},
+             {work_class_name("long"), urgency::long_work, long_deadline, 20}});
         for (int i = 0; i < 4; ++i) {
             this->targets.push_back({versions[static_cast<std::size_t>(i) % 2], 1});
             this->announce(i, membership::directory_event::added, false);
@@ -43,6 +50,9 @@
             if (this->chance(0.02)) {
                 this->toggle_leaving(static_cast<int>(this->random() % 4));
             }
+            if (this->has_cuts && this->chance(0.02)) {
+                this->toggle_cut();
+            }
             if (this->chance(0.01)) {
                 this->restart(static_cast<int>(this->random() % 4));
             }
@@ -51,6 +61,7 @@
             }
             this->advance(20ms);
         }
+        this->unreachable.clear();
         this->advance(300s);
         CHECK(this->subject.open_requests() == 0);
         for (const auto& [id, history] : this->histories) {
@@ -62,6 +73,9 @@
 private:
     struct request_history {
         bool repeatable = false;
+        bool is_relayed = false;
+        time_point due;
+        int relays = 0;
         int transmissions = 0;
         int completions = 0;
         bool is_finished = false;
@@ -83,6 +97,8 @@
         std::size_t target_index = 0;
         /// The target as it was when the request was sent.
         target sent_to;
+        bool is_relayed = false;
+        bool is_written = false;
     };
     struct event {
         time_point due;
@@ -94,6 +110,11 @@
         }
     };
 
+    static dispatcher_limits make_limits(bool has_cuts) {
+        dispatcher_limits limits;
+        limits.tracks_paths = has_cuts;
+        return limits;
+    }
     bool chance(double probability) {
         return std::bernoulli_distribution(probability)(this->random);
     }
@@ -136,6 +157,18 @@
         this->announce(target, membership::directory_event::restarted, false);
     }
 
+    void toggle_cut() {
+        const bool was_cut = !this->unreachable.empty();
+        this->unreachable.clear();
+        const bool takes_all = this->chance(0.7);
+        for (std::size_t i = 0; i < this->targets.size() && !was_cut; ++i) {
+            if (takes_all || this->chance(0.5)) {
+                this->unreachable.insert(target_id(std::to_string(i)));
+            }
+        }
+        this->refuses = this->chance(0.5);
+    }
+
     void arrive() {
         request_profile profile;
         profile.id = request_id(++this->last_request);
@@ -148,6 +181,11 @@
         if (profile.resumable && this->chance(0.1)) {
             profile.software = versions[this->random() % versions.size()];
         }
+        profile.is_relayed = this->has_cuts && this->chance(0.2);
+        profile.may_relay = !profile.is_relayed && this->chance(0.9);
+        const bool is_long = profile.work_class == work_class_name("long");
+        this->histories[profile.id].due = this->now + (is_long ? long_deadline : short_deadline);
+        this->histories[profile.id].is_relayed = profile.is_relayed;
         this->histories[profile.id].repeatable = profile.repeatable;
         this->histories[profile.id].software = profile.software;
         this->dispatch(request_arrived{profile});
@@ -200,20 +238,33 @@
             return;
         }
         if (const auto* started = std::get_if<attempt_write_started>(&incoming)) {
-            const attempt& simulated = this->attempts.at(started->attempt);
+            attempt& simulated = this->attempts.at(started->attempt);
             if (simulated.is_cancelled) {
                 return; // a cancelled attempt is never written to a socket
             }
+            simulated.is_written = true;
             request_history& history = this->histories.at(simulated.request);
             ++history.transmissions;
             CHECK((history.repeatable || history.transmissions == 1));
         }
+        if (const auto* failed = std::get_if<attempt_failed>(&incoming)) {
+            const attempt& simulated = this->attempts.at(failed->attempt);
+            if (failed->failure == attempt_failure::declined && simulated.is_written &&
+                !simulated.is_cancelled) {
+                --this->histories.at(simulated.request).transmissions;
+            }
+        }
         this->dispatch(incoming);
     }
 
     /// Checks an event that was passed on: its version is known, and that of the whole stream.
     void check_version(const attempt& sender) {
         request_history& history = this->histories.at(sender.request);
+        if (sender.is_relayed) {
+            // The other instance records the stream.
+            CHECK((!history.software || history.software == sender.sent_to.software));
+            return;
+        }
         CHECK(this->targets[sender.target_index].incarnation == sender.sent_to.incarnation);
         CHECK(history.is_bound);
         CHECK(history.software == sender.sent_to.software);
@@ -237,45 +288,113 @@
         CHECK(sent.resume_after.count() == history.delivered_tokens);
         CHECK((history.repeatable || history.transmissions == 0));
         const auto index = static_cast<std::size_t>(std::stoi(sent.target.value()));
-        this->attempts[sent.attempt] = {sent.request, sent.resume_after.count(), false, index,
-                                        this->targets[index]};
+        this->attempts[sent.attempt] = {sent.request, sent.resume_after.count(), false,
+                                        index,        this->targets[index],      false,
+                                        false};
         CHECK((!history.software || history.software == this->targets[index].software));
         this->simulate_attempt(sent);
     }
 
     /// Schedules the events of an attempt, chosen at random.
     void simulate_attempt(const send_attempt& sent) {
-        if (this->chance(0.15)) {
-            this->schedule(this->random_duration(5ms),
+        const bool is_cut = this->unreachable.contains(sent.target);
+        if (is_cut && this->chance(0.3)) {
+            this->simulate_dead_connection(sent);
+            return;
+        }
+        if (is_cut || this->chance(0.15)) {
+            const bool is_refused = !is_cut || this->refuses;
+            this->schedule(is_refused ? this->random_duration(5ms) : sent.open_timeout,
                            attempt_failed{sent.attempt, attempt_failure::unreachable});
             return;
         }
+        this->schedule(0ms, attempt_opened{sent.attempt, 1ms});
+        this->schedule(0ms, attempt_write_started{sent.attempt});
+        this->schedule(0ms, attempt_reached{sent.attempt});
+        this->simulate_response(sent.attempt, sent.resume_after);
+    }
+
+    /// A kept connection, over which nothing arrives any more.
+    void simulate_dead_connection(const send_attempt& sent) {
         this->schedule(0ms, attempt_write_started{sent.attempt});
+        if (this->refuses) {
+            this->schedule(this->random_duration(50ms),
+                           attempt_failed{sent.attempt, attempt_failure::disconnected});
+            return;
+        }
+        this->schedule(300ms, attempt_silent{sent.attempt});
+        if (this->chance(0.3)) {
+            this->schedule(1s, attempt_reached{sent.attempt});
+        }
+    }
+
+    void simulate_response(attempt_id attempt, tokens resume_after) {
         duration event_delay = this->random_duration(50ms);
-        const std::int64_t remaining_tokens = response_tokens - sent.resume_after.count();
+        const std::int64_t remaining_tokens = response_tokens - resume_after.count();
         const bool is_slow = this->chance(0.2);
         for (std::int64_t i = 0; i < remaining_tokens; ++i) {
             event_delay += this->random_duration(is_slow ? 900ms : 20ms);
             if (this->chance(0.03)) {
-                this->schedule(event_delay, attempt_failed{sent.attempt, attempt_failure::broken});
+                this->schedule(event_delay, attempt_failed{attempt, attempt_failure::broken});
                 return;
             }
             if (this->chance(0.01)) {
                 return; // the attempt stalls and never completes
             }
-            this->schedule(event_delay, attempt_progressed{sent.attempt, tokens(1)});
+            this->schedule(event_delay, attempt_progressed{attempt, tokens(1)});
         }
-        this->schedule(event_delay, attempt_completed{sent.attempt});
+        this->schedule(event_delay, attempt_completed{attempt});
         if (this->chance(0.1)) {
-            this->schedule(event_delay + 1ms, attempt_completed{sent.attempt});
+            this->schedule(event_delay + 1ms, attempt_completed{attempt});
         }
     }
 
-    void check_action(const relay_attempt& /*relayed*/) {}
+    void check_action(const relay_attempt& relayed) {
+        request_history& history = this->histories.at(relayed.request);
+        CHECK(this->has_cuts);
+        CHECK_FALSE(history.is_relayed);
+        CHECK((!history.is_finished || history.is_disconnected));
+        CHECK((history.repeatable || history.transmissions == 0));
+        CHECK(relayed.resume_after.count() == history.delivered_tokens);
+        CHECK(relayed.software == history.software);
+        CHECK(++history.relays <= max_relays);
+        target relay;
+        relay.software = relayed.software.value_or(versions[this->random() % versions.size()]);
+        this->attempts[relayed.attempt] = {
+            relayed.request, relayed.resume_after.count(), false, 0, relay, true, false};
+        if (this->chance(0.1)) {
+            this->schedule(this->random_duration(5ms),
+                           attempt_failed{relayed.attempt, attempt_failure::no_relay});
+            return;
+        }
+        this->schedule(0ms, attempt_write_started{relayed.attempt});
+        if (this->chance(0.2)) {
+            const auto failure =
+                this->chance(0.7) ? attempt_failure::declined : attempt_failure::broken;
+            this->schedule(this->random_duration(5ms), attempt_failed{relayed.attempt, failure});
+            return;
+        }
+        this->simulate_response(relayed.attempt, relayed.resume_after);
+    }
 
-    void check_action(const probe_path& /*probe*/) {}
+    void check_action(const probe_path& probe) {
+        const bool is_open = !this->unreachable.contains(probe.target);
+        const duration time = is_open || this->refuses ? 1ms : probe.open_timeout;
+        this->schedule(time, probe_ended{probe.target, is_open, time});
+    }
 
-    void check_action(const paths_changed& /*changed*/) {}
+    void check_action(const paths_changed& changed) {
+        CHECK(this->has_cuts);
+        for (const paths::path_change& change : changed.changes) {
+            CHECK(change.backend == model);
+            CHECK(this->lost.contains(change.target) != change.is_lost);
+            if (change.is_lost) {
+                this->lost.insert(change.target);
+            } else {
+                this->lost.erase(change.target);
+            }
+        }
+    }
 
     void check_action(const select_attempt& selected) {
         request_history& history = this->histories.at(selected.request);
@@ -307,6 +426,7 @@
         CHECK(history.completions == 1);
         if (history.repeatable) {
             CHECK_FALSE(history.is_finished);
+            CHECK(this->now <= history.due);
             CHECK(history.delivered_tokens == response_tokens);
             this->check_version(this->attempts.at(*history.selected));
         }
@@ -316,6 +436,13 @@
     void check_action(const refuse_request& refused) {
         request_history& history = this->histories.at(refused.request);
         CHECK(history.completions == 0);
+        if (!history.is_finished) {
+            CHECK(this->now <= history.due);
+        } else {
+            // The run went on after its callers got the outcome `unknown`.
+            CHECK_FALSE(history.repeatable);
+            CHECK(refused.outcome == outcome_kind::unknown);
+        }
         if (refused.outcome == outcome_kind::not_run) {
             CHECK(history.transmissions == 0);
         }
@@ -329,6 +456,12 @@
     std::map<attempt_id, attempt> attempts;
     std::vector<target> targets;
     std::set<target_id> leaving;
+    bool has_cuts = false;
+    /// Targets to which no connection opens, which fails at once or by its timeout.
+    std::set<target_id> unreachable;
+    bool refuses = false;
+    /// Targets whose paths were reported as lost.
+    std::set<target_id> lost;
     std::priority_queue<event, std::vector<event>, std::greater<>> events;
     std::uint64_t last_request = 0;
     std::uint64_t last_event = 0;
@@ -339,6 +472,13 @@
 SCENARIO("the guarantees about requests hold under any mixture of failures") {
     for (std::uint64_t seed = 1; seed <= 300; ++seed) {
         CAPTURE(seed);
-        failure_simulation(seed).run();
+        failure_simulation(seed, false).run();
+    }
+}
+
+SCENARIO("the guarantees about requests hold while the paths to targets come and go") {
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        CAPTURE(seed);
+        failure_simulation(seed, true).run();
     }
 }
--- a/packages/routing/internal/router_state.cpp
+++ b/packages/routing/internal/router_state.cpp
@@ -225,7 +225,7 @@
                                    choice_context& context, candidate& best) {
     const auto& tier = context.tiers[static_cast<std::size_t>(target_distance)].in_use;
     const std::size_t size = range.end - range.begin;
-    if (size <= this->limits.sample_size) {
+    if (size <= this->limits.sample_size || !context.query.only.empty()) {
         for (std::size_t i = range.begin; i < range.end; ++i) {
             this->consider(*tier[i], room, context, best);
         }
--- a/packages/routing/route_query.h
+++ b/packages/routing/route_query.h
@@ -22,12 +22,16 @@
     std::optional<software_version> software;
     /// Targets that the request was sent to before.
     std::vector<target_id> excluded;
+    /// Only these targets are considered; empty if any may serve.
+    std::vector<target_id> only;
     /// Chained block hashes of the prompt, shortest prefix first; empty without a prompt.
     std::vector<prefix_hash> prefix;
 
     [[nodiscard]] bool excludes(const target_id& target) const {
-        return std::find(this->excluded.begin(), this->excluded.end(), target) !=
-               this->excluded.end();
+        const auto contains = [&](const std::vector<target_id>& targets) {
+            return std::find(targets.begin(), targets.end(), target) != targets.end();
+        };
+        return contains(this->excluded) || (!this->only.empty() && !contains(this->only));
     }
 };
 
--- a/packages/routing/tests/routing_test.cpp
+++ b/packages/routing/tests/routing_test.cpp
@@ -38,6 +38,32 @@
 
 } // namespace
 
+SCENARIO("the router considers no others if a query names its targets") {
+    router subject(local_location, {}, 1);
+    for (int i = 0; i < 100; ++i) {
+        subject.update_target(target("t" + std::to_string(i), local_location, 1));
+    }
+    route_query named = query();
+    named.only = {target_id("t70"), target_id("t71")};
+    subject.record_sent(target_id("t70"), urgency::short_work, {});
+    THEN("it finds the one that has room in a large pool") {
+        CHECK(subject.choose(named, {}).target == target_id("t71"));
+    }
+    THEN("there is no room if they are full") {
+        subject.record_sent(target_id("t71"), urgency::short_work, {});
+        CHECK(subject.choose(named, {}).reason == route_reason::no_room);
+    }
+    THEN("an excluded one is not chosen") {
+        named.excluded = {target_id("t71")};
+        CHECK(subject.choose(named, {}).reason == route_reason::no_room);
+    }
+    THEN("one that was ejected is used") {
+        subject.record_failed(target_id("t71"), {});
+        named.only = {target_id("t71")};
+        CHECK(subject.choose(named, {}).target == target_id("t71"));
+    }
+}
+
 SCENARIO("the router prefers near targets with free slots") {
     router subject(local_location, {}, 1);
     GIVEN("no target") {
