Requests: the wait for a lost path is not taken for a slow target

What callers would have seen: after a cut, hedges came later. Cause: an attempt that is given up for another one counts its wait as a time to first output, which raises the median of the pool.

--- a/packages/requests/internal/dispatcher_paths.cpp
+++ b/packages/requests/internal/dispatcher_paths.cpp
@@ -273,7 +273,9 @@
     while (!request.active_attempts.empty()) {
         const attempt_id newest = request.active_attempts.back();
         request.unsent_count += this->attempts.at(newest).is_written ? 0 : 1;
-        this->cancel(request, newest);
+        // The wait for a lost path says nothing of how fast the target is.
+        this->end_attempt(request, newest, quarantine::attempt_end::unclear);
+        this->output.push_back(cancel_attempt{newest});
     }
     this->route_and_send(request, cause);
 }
--- a/packages/requests/tests/paths_test.cpp
+++ b/packages/requests/tests/paths_test.cpp
@@ -771,6 +771,45 @@
     }
 }
 
+// The wait of a call for a connection that does not open is no sign of a slow target.
+SCENARIO("a cut does not change how long a call waits for its hedge") {
+    path_fixture fixture(2, 100);
+    const auto hedge_delay = [&] {
+        const request_id call = fixture.arrive();
+        const auto due = fixture.subject.next_wakeup();
+        REQUIRE(due.has_value());
+        fixture.answer();
+        CHECK(!fixture.subject.has_request(call));
+        const duration delay = *due - fixture.now;
+        // Old timers would come before those of the next call.
+        fixture.advance(deadline, true);
+        return delay;
+    };
+    for (int i = 0; i < 50; ++i) {
+        fixture.arrive();
+        fixture.now += 20ms;
+        fixture.answer();
+    }
+    fixture.advance(deadline, true);
+    const duration before = hedge_delay();
+    CHECK(before < 100ms);
+    // Calls that may not be repeated wait for connections, which no hedge shortens.
+    for (int i = 0; i < 40; ++i) {
+        fixture.arrive(call_kind::once);
+    }
+    fixture.arrive(call_kind::once);
+    fixture.time_out_opening();
+    fixture.time_out_opening();
+    CHECK(fixture.all<cancel_attempt>().size() == 40);
+    for (const relay_attempt& relayed : fixture.all<relay_attempt>()) {
+        fixture.answer_relayed(relayed.attempt);
+    }
+    CHECK(fixture.subject.open_requests() == 0);
+    fixture.advance(deadline, true);
+    CHECK(!fixture.is_cut_off());
+    CHECK(hedge_delay() <= before);
+}
+
 SCENARIO("nothing is probed while no call needs the backend") {
     path_fixture fixture;
     fixture.answer_relayed(fixture.cut_off(call_kind::once));
