Settings: a link address for gateways

Groundwork for callers of a gateway that reaches no target. Another gateway forwards their calls, for which it has to accept links. [gateway] address names where, and relayed-calls bounds what it forwards for others at a time.

--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -53,6 +53,7 @@
 constexpr std::int64_t max_port = 65535;
 constexpr std::int64_t max_tolerated_losses = 4;
 constexpr std::int64_t max_local_runs = 100000;
+constexpr std::int64_t max_relayed_calls = 100000;
 
 outcome<fleet_settings> read_fleet(ini_section& section) {
     fleet_settings settings;
@@ -73,6 +74,12 @@
     BOOST_LEAF_ASSIGN(settings.fleet, read_fleet(section));
     BOOST_LEAF_ASSIGN(settings.callers, section.address("callers"));
     BOOST_LEAF_ASSIGN(settings.ready, section.address("ready"));
+    BOOST_LEAF_ASSIGN(settings.address, section.optional_address("address"));
+    BOOST_LEAF_AUTO(relayed_calls,
+                    section.integer_or("relayed-calls",
+                                       static_cast<std::int64_t>(settings.relayed_calls),
+                                       {0, max_relayed_calls}));
+    settings.relayed_calls = static_cast<std::size_t>(relayed_calls);
     BOOST_LEAF_ASSIGN(settings.body_limit, section.integer_or("body-limit", settings.body_limit,
                                                               {1024, max_body_limit}));
     BOOST_LEAF_ASSIGN(
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -161,3 +161,33 @@
         }
     }
 }
+
+SCENARIO("a gateway forwards calls of others only where its settings say so") {
+    const auto with_lines = [](const std::string& lines) {
+        return "[instance]\nid = g1\nfailure-domain = north-a\nregion = north\nroles = gateway\n"
+               "admin = 127.0.0.1:7002\n[gateway]\ncallers = 127.0.0.1:7000\n"
+               "ready = 127.0.0.1:7001\nseeds = 127.0.0.1:7100\n" +
+               lines;
+    };
+    const auto read_gateway = [&](const std::string& lines) {
+        const auto result = read_settings(with_lines(lines));
+        REQUIRE(std::holds_alternative<process_settings>(result));
+        return *std::get<process_settings>(result).gateway;
+    };
+    GIVEN("no address for links") {
+        CHECK(!read_gateway("").address);
+    }
+    GIVEN("an address for links and a bound") {
+        const auto gateway = read_gateway("address = 127.0.0.1:7003\nrelayed-calls = 40\n");
+        CHECK(gateway.address == endpoint{"127.0.0.1", 7003});
+        CHECK(gateway.relayed_calls == 40);
+    }
+    GIVEN("an address without a port") {
+        CHECK(message_for(with_lines("address = 127.0.0.1\n")).find("[gateway] address") !=
+              std::string::npos);
+    }
+    GIVEN("a bound that is no count") {
+        CHECK(message_for(with_lines("relayed-calls = -1\n")).find("[gateway] relayed-calls") !=
+              std::string::npos);
+    }
+}
