Relays: no herd on few of them while most gateways are cut off

With 60% of a fleet cut off, the rest carry 2.5 times their calls, so that one relay that gets more than others refuses. In a simulation of 249 gateways under a manual clock the busiest relay got 3.4 times the mean of all: keepers drew relays at random, and so named some of them far more often. Keepers now name those first that they named longest ago.

--- a/packages/relays/internal/reach_table.cpp
+++ b/packages/relays/internal/reach_table.cpp
@@ -50,8 +50,8 @@
         others.insert(others.end(), own.begin(), own.end());
         own.clear();
     }
-    std::shuffle(own.begin(), own.end(), this->random);
-    std::shuffle(others.begin(), others.end(), this->random);
+    this->sort(own);
+    this->sort(others);
     const std::size_t count = std::min(max_candidates, relays);
     const std::size_t from_others =
         std::min(others.size(), count - std::min(own.size(), max_of_domain));
@@ -59,9 +59,22 @@
                                    own.begin() + static_cast<std::ptrdiff_t>(count - from_others));
     drawn.insert(drawn.end(), others.begin(),
                  others.begin() + static_cast<std::ptrdiff_t>(from_others));
+    ++this->draws;
+    for (const instance_id& id : drawn) {
+        this->gateways.at(id).last_draw = this->draws;
+    }
     return drawn;
 }
 
+void reach_table::sort(std::vector<instance_id>& candidates) {
+    std::shuffle(candidates.begin(), candidates.end(), this->random);
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [this](const instance_id& left, const instance_id& right) {
+                         return this->gateways.at(left).last_draw <
+                                this->gateways.at(right).last_draw;
+                     });
+}
+
 std::size_t reach_table::cut_off_count() const {
     return static_cast<std::size_t>(
         std::count_if(this->gateways.begin(), this->gateways.end(),
--- a/packages/relays/internal/relay_choice.cpp
+++ b/packages/relays/internal/relay_choice.cpp
@@ -66,7 +66,17 @@
 
 void relay_choice::call_refused(const instance_id& relay, const backend_name& backend,
                                 time_point now) {
-    this->relays[relay].refused_until[backend] = now + this->limits.refusal_pause;
+    refusal& last = this->relays[relay].refusals[backend];
+    // Calls that were sent before the first refusal may be refused, too.
+    if (last.pause == duration::zero() || last.until <= now) {
+        last.pause = std::clamp(2 * last.pause, this->limits.refusal_pause,
+                                this->limits.longest_refusal_pause);
+    }
+    last.until = now + last.pause;
+}
+
+void relay_choice::call_accepted(const instance_id& relay, const backend_name& backend) {
+    this->relays[relay].refusals.erase(backend);
 }
 
 std::optional<instance_id> relay_choice::choose(const backend_name& backend,
@@ -95,7 +105,7 @@
         std::count_if(listed->second.begin(), listed->second.end(), [&](const instance_id& id) {
             return is_usable(this->relays.at(id), backend, now);
         });
-    return static_cast<std::size_t>(usable) < this->limits.first_links;
+    return static_cast<std::size_t>(usable) < this->limits.scarce_relays;
 }
 
 bool relay_choice::has_candidates(const backend_name& backend,
@@ -198,8 +208,8 @@
 
 bool relay_choice::is_usable(const relay_state& state, const backend_name& backend,
                              time_point now) {
-    const auto refused = state.refused_until.find(backend);
-    const bool is_refusing = refused != state.refused_until.end() && now < refused->second;
+    const auto refused = state.refusals.find(backend);
+    const bool is_refusing = refused != state.refusals.end() && now < refused->second.until;
     const bool is_lost = state.link == link_state::none && now < state.lost_until;
     return !is_refusing && !is_lost;
 }
--- a/packages/relays/reach_table.h
+++ b/packages/relays/reach_table.h
@@ -14,7 +14,8 @@
 namespace kingcupcart::relays {
 
 /// The gateways that forward calls for others, with the backends that each is cut off from. Names
-/// relays to those that ask, at random, so that they spread. A state machine without I/O.
+/// relays to those that ask, those first that were named longest ago, so that calls spread. A state
+/// machine without I/O.
 class reach_table {
 public:
     explicit reach_table(std::uint64_t seed);
@@ -41,9 +42,15 @@
     struct gateway_state {
         location place;
         std::set<backend_name> cut_off;
+        /// Number of the draw that named the gateway last; 0 if none did.
+        std::uint64_t last_draw = 0;
     };
 
+    /// Sorts by the time of the last draw, those that were never named in random order.
+    void sort(std::vector<instance_id>& candidates);
+
     std::mt19937_64 random;
+    std::uint64_t draws = 0;
     std::map<instance_id, gateway_state> gateways;
 };
 
--- a/packages/relays/relay_choice.h
+++ b/packages/relays/relay_choice.h
@@ -39,11 +39,13 @@
     void call_sent(const instance_id& relay);
     void call_ended(const instance_id& relay, time_point now);
     void call_refused(const instance_id& relay, const backend_name& backend, time_point now);
+    /// The relay has begun to respond.
+    void call_accepted(const instance_id& relay, const backend_name& backend);
 
     /// The relay with an open link that gets the next call; empty if there is none.
     [[nodiscard]] std::optional<instance_id>
     choose(const backend_name& backend, const std::set<instance_id>& passed_over, time_point now);
-    /// Whether fewer relays can be used than links are wanted for the backend.
+    /// Whether only few relays can be used for the backend.
     [[nodiscard]] bool is_scarce(const backend_name& backend, time_point now) const;
     /// Whether a relay other than those is known for the backend, usable at present or not.
     [[nodiscard]] bool has_candidates(const backend_name& backend,
@@ -67,6 +69,10 @@
 private:
     enum class link_state { none, dialling, open };
 
+    struct refusal {
+        time_point until{};
+        duration pause{};
+    };
     struct relay_state {
         location place;
         link_state link = link_state::none;
@@ -75,7 +81,7 @@
         time_point idle_since{};
         time_point lost_until{};
         /// By backend.
-        std::map<backend_name, time_point> refused_until;
+        std::map<backend_name, refusal> refusals;
     };
 
     [[nodiscard]] std::size_t distance(const location& place) const;
