Relaying: lines and counters of calls are the gateway's

The gateway logs and counts each relayed call once, with what it knows of the request. The client's and the server's own lines about the same calls are for debugging, and their counters are dropped; lines about links, lookups and calls that never reach the gateway stay.

--- a/packages/relaying/internal/relay_client_state.cpp
+++ b/packages/relaying/internal/relay_client_state.cpp
@@ -218,8 +218,8 @@
     unsent->request.headers.clear();
     unsent->request.body = std::string();
     this->choice.call_sent(relay);
-    spdlog::info("call sent to relay request={} relay={} waited_ms={}", request.name, relay.value(),
-                 waited / std::chrono::milliseconds(1));
+    spdlog::debug("call sent to relay request={} relay={} waited_ms={}", request.name,
+                  relay.value(), waited / std::chrono::milliseconds(1));
     this->params.metrics->observe("relay_wait_seconds", waited);
     // Opens a further link where those that are open are loaded.
     this->open_links(request.backend, {});
@@ -339,6 +339,7 @@
                                     const wire::relayed_response_head& head) {
     if (const call_state call = this->find_call(relay, head.call)) {
         call->has_head = true;
+        this->choice.call_accepted(relay, call->request.backend);
         call->notify.on_head({head.status, head.content_type, head.headers}, head.is_stream);
     }
 }
@@ -400,11 +401,9 @@
         this->choice.call_ended(ended->relay, this->params.time->now());
     }
     if (result != relay_result::complete) {
-        spdlog::warn("relayed call failed request={} relay={} outcome={} reason=\"{}\"",
-                     ended->request.name, ended->relay.value(), to_string(result), reason);
+        spdlog::debug("relayed call failed request={} relay={} outcome={} reason=\"{}\"",
+                      ended->request.name, ended->relay.value(), to_string(result), reason);
     }
-    this->params.metrics->count(std::string("relay_calls_total{outcome=\"") + to_string(result) +
-                                "\"}");
     this->schedule();
     ended->notify.on_complete(result, reason, retry_after);
 }
--- a/packages/relaying/internal/relay_server_state.cpp
+++ b/packages/relaying/internal/relay_server_state.cpp
@@ -143,7 +143,6 @@
     } else if (running >= this->params.max_calls) {
         this->refuse(request, created, "the relay forwards too many calls of other gateways");
     } else {
-        this->params.metrics->count("relay_calls_received_total");
         this->params.on_call(std::move(request), std::make_shared<relayed_exchange>(created));
     }
     this->export_metrics();
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -415,7 +415,7 @@
     std::uint64_t call = 0;
 };
 
-/// The sender's caller took so many more bytes of the response.
+/// The sender's caller took so many more bytes of the response; 0 acknowledges its end or failure.
 struct relayed_data_taken {
     std::uint64_t call = 0;
     std::uint64_t bytes = 0;
