Keepers name gateways that can forward calls for one that is cut off

A gateway that reaches no target of a service asks a keeper for others that do. relay_directory knows the linked gateways with a link address, from their hello, and the backends that each reports to be cut off from; it answers with up to six, three of the asker's failure domain, without the asker and without those that are cut off from the backend. It is kept by link: a report counts while the link that it came over is the newest of the gateway, so that one of an earlier incarnation, or over a link that the gateway has given up before the keeper noticed, is dropped with it.

Ways weighed: gateways ask three others by rendezvous hash, without keepers; each then finds out by itself who is cut off, with a message for each that it asks in vain, and the hash doesn't follow the cut. Keepers have links to all gateways anyhow, and learn of a cut with one message of each gateway.

--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -1,5 +1,7 @@
 #include "keeper/internal/fleet_control.h"
 
+#include "base/stable_hash.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -21,6 +23,7 @@
       limits(this->make_limit_parameters()),
       crashes(this->make_crash_parameters()),
       streams({this->params.time, this->params.send_to_instance}),
+      relays({this->params.send_to_instance, stable_hash(this->params.instance.value())}),
       orders({this->params.instance, this->params.protocol, &this->targets.directory(),
               this->params.time, this->params.limits, this->params.settings.order_lease,
               [this] {
@@ -191,7 +194,8 @@
     return messages;
 }
 
-void fleet_control::instance_connected(const wire::hello& hello) {
+void fleet_control::instance_connected(std::uint64_t link, const wire::hello& hello) {
+    this->relays.connected(link, hello);
     if (hello.role == wire::instance_role::keeper) {
         const instance_id id(hello.address.to_string());
         if (this->params.replicated_group->members().address_of(id) == nullptr) {
@@ -205,7 +209,8 @@
     }
 }
 
-void fleet_control::instance_disconnected(const wire::hello& hello) {
+void fleet_control::instance_disconnected(std::uint64_t link, const wire::hello& hello) {
+    this->relays.disconnected(link, hello.instance);
     this->limits.instance_disconnected(hello.instance);
     this->crashes.instance_disconnected(hello.instance);
     if (hello.role == wire::instance_role::store) {
@@ -225,9 +230,10 @@
     }
 }
 
-void fleet_control::handle_message(const wire::hello& from, const wire::message& message) {
+void fleet_control::handle_message(std::uint64_t link, const wire::hello& from,
+                                   const wire::message& message) {
     if (this->crashes.handle(from.instance, message) ||
-        this->streams.handle(from.instance, message)) {
+        this->streams.handle(from.instance, message) || this->relays.handle(link, from, message)) {
         return;
     }
     if (const auto* update = std::get_if<wire::target_update>(&message)) {
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -9,6 +9,7 @@
 #include "keeper/internal/crash_control.h"
 #include "keeper/internal/keeper_codec.h"
 #include "keeper/internal/limit_control.h"
+#include "keeper/internal/relay_directory.h"
 #include "keeper/internal/store_registry.h"
 #include "keeper/internal/stream_control.h"
 #include "keeper/internal/target_control.h"
@@ -21,6 +22,7 @@
 #include "wire/messages.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -58,18 +60,21 @@
     void handle(const control_call& call);
     /// Messages that an instance receives when it connects.
     [[nodiscard]] std::vector<wire::message> initial_messages() const;
-    void instance_connected(const wire::hello& hello);
-    void instance_disconnected(const wire::hello& hello);
+    /// `link` is the number of the link; later ones have higher numbers.
+    void instance_connected(std::uint64_t link, const wire::hello& hello);
+    void instance_disconnected(std::uint64_t link, const wire::hello& hello);
     void export_metrics() {
         this->orders.responses().export_metrics(*this->params.metrics);
         this->crashes.export_metrics(*this->params.metrics);
         this->streams.export_metrics(*this->params.metrics);
+        this->relays.export_metrics(*this->params.metrics);
     }
     [[nodiscard]] std::size_t target_count() const { return this->targets.directory().size(); }
     /// Sends all target records over the link that was opened to another keeper, which has missed
     /// earlier updates.
     void keeper_connected(const instance_id& keeper);
-    void handle_message(const wire::hello& from, const wire::message& message);
+    /// `link` is 0 for a message that came over a link that this keeper has dialled.
+    void handle_message(std::uint64_t link, const wire::hello& from, const wire::message& message);
     void applied(const replicated::command& command);
     /// The whole replicated state was replaced by a snapshot.
     void restored();
@@ -109,6 +114,7 @@
     limit_control limits;
     crash_control crashes;
     stream_control streams;
+    relay_directory relays;
     weight_orders orders;
     bool is_bootstrapping = false;
     task::wakeup maintenance_timer;
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -112,7 +112,7 @@
              [this](bool is_leader) { this->leadership_changed(is_leader); },
              [this](const instance_id& /*from*/, const wire::message& message) {
                  if (this->fleet) {
-                     this->fleet->handle_message({}, message);
+                     this->fleet->handle_message(0, {}, message);
                  }
              },
              [this](const instance_id& keeper) {
@@ -254,7 +254,7 @@
              spdlog::info("link lost instance={} reason=\"{}\"", lost.hello.instance.value(),
                           reason);
              if (this->fleet) {
-                 this->fleet->instance_disconnected(lost.hello);
+                 this->fleet->instance_disconnected(number, lost.hello);
              }
              this->pending_deletion.push_back(std::move(lost.link));
              this->cleanup_timer.arm_now();
@@ -267,7 +267,7 @@
         return;
     }
     if (this->fleet && !std::holds_alternative<wire::hello>(incoming)) {
-        this->fleet->handle_message(from.hello, incoming);
+        this->fleet->handle_message(number, from.hello, incoming);
         return;
     }
     if (const auto* greeting = std::get_if<wire::hello>(&incoming)) {
@@ -277,7 +277,7 @@
                 this->params.settings.keeper->control ? instance_id(greeting->address.to_string())
                                                       : greeting->instance);
         }
-        this->send_initial_messages(from);
+        this->send_initial_messages(number, from);
     } else if (const auto* update = std::get_if<wire::target_update>(&incoming)) {
         this->relay(number, update->record);
     } else if (const auto* report = std::get_if<wire::configuration_in_force>(&incoming)) {
@@ -305,13 +305,13 @@
     });
 }
 
-void keeper::send_initial_messages(linked_instance& recipient) {
+void keeper::send_initial_messages(std::uint64_t number, linked_instance& recipient) {
     recipient.link->send(this->make_hello());
     if (this->fleet) {
         for (const wire::message& message : this->fleet->initial_messages()) {
             recipient.link->send(message);
         }
-        this->fleet->instance_connected(recipient.hello);
+        this->fleet->instance_connected(number, recipient.hello);
         return;
     }
     if (recipient.hello.role == wire::instance_role::keeper) {
@@ -327,7 +327,7 @@
         }
     }
     const wire::instance_update update{{recipient.hello.instance, recipient.hello.address}};
-    for (auto& [number, other] : this->linked_instances) {
+    for (auto& [other_number, other] : this->linked_instances) {
         const bool is_other = other.link && other.hello.role == wire::instance_role::entry &&
                               other.hello.instance != recipient.hello.instance;
         if (is_other && !other.hello.instance.value().empty()) {
--- a/packages/keeper/internal/keeper.h
+++ b/packages/keeper/internal/keeper.h
@@ -73,7 +73,7 @@
     void accept(GSocketConnection* connection);
     void receive(std::uint64_t number, wire::message incoming);
     void claim(std::uint64_t number, const wire::claim_request& request);
-    void send_initial_messages(linked_instance& recipient);
+    void send_initial_messages(std::uint64_t number, linked_instance& recipient);
     /// Sends the target's record to the linked instances at other locations.
     void relay(std::uint64_t from, const membership::target_record& record);
     /// Sends the replicated state to the linked instances that use it.
