Relaying: what a relay holds for others counts in its callers' budget

A whole response waits at the relay until the caller at the other gateway takes it. Of 256 calls at a time, each of which may hold 16 MB, no bound kept the relay from its memory limit.

--- a/packages/relaying/internal/exchange_state.cpp
+++ b/packages/relaying/internal/exchange_state.cpp
@@ -35,6 +35,7 @@
     this->parts.emplace_back(part);
     this->waiting_bytes += part.size();
     this->flush();
+    this->update_held();
 }
 
 void relayed_exchange::state::end() {
@@ -91,6 +92,7 @@
 void relayed_exchange::state::taken(std::uint64_t bytes) {
     if (bytes == 0) {
         this->closed = this->is_last_sent;
+        this->update_held();
         return;
     }
     if (bytes > this->untaken) {
@@ -98,7 +100,9 @@
                      this->call, this->origin_id.value(), bytes, this->untaken);
     }
     this->untaken -= std::min<std::size_t>(bytes, this->untaken);
+    this->taken_bytes += static_cast<std::int64_t>(bytes);
     this->flush();
+    this->update_held();
     if (this->on_sent) {
         // The callback may replace itself.
         const auto callback = this->on_sent;
@@ -113,6 +117,43 @@
     this->parts.clear();
     this->waiting_bytes = 0;
     this->untaken = 0;
+    this->update_held();
+    this->notify_cancelled();
+}
+
+void relayed_exchange::state::set_budget(const std::shared_ptr<http::caller_budget>& budget,
+                                         std::size_t size_of_request,
+                                         std::function<void(const std::string& reason)> cut) {
+    this->request_bytes = size_of_request;
+    this->share.emplace(budget, http::caller_budget::share::caller{
+                                    [this] { return this->taken_bytes; }, std::move(cut)});
+    this->update_held();
+}
+
+void relayed_exchange::state::discard(const std::string& reason) {
+    if (this->closed || this->is_last_sent) {
+        return;
+    }
+    this->parts.clear();
+    this->waiting_bytes = 0;
+    this->notify_cancelled();
+    this->last = wire::relayed_call_failure{this->call, true, reason, {}};
+    this->flush();
+    this->update_held();
+}
+
+void relayed_exchange::state::update_held() {
+    if (!this->share) {
+        return;
+    }
+    if (this->closed) {
+        this->share.reset();
+        return;
+    }
+    this->share->set(this->unsent_bytes() + (this->is_ended() ? 0 : this->request_bytes));
+}
+
+void relayed_exchange::state::notify_cancelled() {
     const auto callback = std::exchange(this->on_cancel, nullptr);
     if (callback && !this->is_ended()) {
         callback();
--- a/packages/relaying/internal/exchange_state.h
+++ b/packages/relaying/internal/exchange_state.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "http/caller_budget.h"
 #include "http/response_head.h"
 #include "relaying/relayed_exchange.h"
 #include "wire/messages.h"
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +43,12 @@
     void taken(std::uint64_t bytes);
     /// Calls back unless the response is complete, and discards it.
     void cancel();
+    /// Has what is held for the call, its request included, count in the budget. `cut` is called
+    /// when it has to be given up; `discard` is to follow in a later iteration of the event loop.
+    void set_budget(const std::shared_ptr<http::caller_budget>& budget, std::size_t request_bytes,
+                    std::function<void(const std::string& reason)> cut);
+    /// Gives up what waits to be sent, and ends the call visibly.
+    void discard(const std::string& reason);
 
     [[nodiscard]] std::uint64_t number() const { return this->call; }
     [[nodiscard]] const instance_id& origin() const { return this->origin_id; }
@@ -55,6 +63,10 @@
     std::function<void()> on_cancel;
 
 private:
+    void update_held();
+    /// Calls back once, unless the response is complete.
+    void notify_cancelled();
+
     std::uint64_t call;
     instance_id origin_id;
     functions link;
@@ -65,6 +77,10 @@
     std::size_t waiting_bytes = 0;
     /// Bytes that were sent and not taken.
     std::size_t untaken = 0;
+    std::int64_t taken_bytes = 0;
+    std::size_t request_bytes = 0;
+    /// Set while anything may be held, if the server has a budget.
+    std::optional<http::caller_budget::share> share;
     /// The end or failure, sent after the parts.
     std::optional<wire::message> last;
     bool has_begun_stream = false;
--- a/packages/relaying/internal/relay_server_state.cpp
+++ b/packages/relaying/internal/relay_server_state.cpp
@@ -21,6 +21,7 @@
     : params(std::move(arguments)),
       cleanup_timer([this] { this->pending_deletion.clear(); }),
       flush_timer([this] { this->flush_stalled(); }),
+      cut_timer([this] { this->end_cut_calls(); }),
       idle_timer([this] {
           if (this->calls.empty() && this->params.on_idle) {
               this->params.on_idle();
@@ -45,6 +46,7 @@
     this->listener.reset();
     this->idle_timer.disarm();
     this->flush_timer.disarm();
+    this->cut_timer.disarm();
     const auto cancelled = std::exchange(this->calls, {});
     for (const auto& [key, call] : cancelled) {
         call->cancel();
@@ -143,6 +145,14 @@
     } else if (running >= this->params.max_calls) {
         this->refuse(request, created, "the relay forwards too many calls of other gateways");
     } else {
+        if (this->params.budget) {
+            created->set_budget(this->params.budget, request.body.size(),
+                                [weak, key](const std::string& reason) {
+                                    if (const auto server = weak.lock()) {
+                                        server->cut(key, reason);
+                                    }
+                                });
+        }
         this->params.on_call(std::move(request), std::make_shared<relayed_exchange>(created));
     }
     this->export_metrics();
@@ -192,6 +202,21 @@
     }
 }
 
+void relay_server::shared_state::cut(const call_key& key, const std::string& reason) {
+    this->cut_calls.emplace(key, reason);
+    this->cut_timer.arm_now();
+}
+
+void relay_server::shared_state::end_cut_calls() {
+    for (const auto& [key, reason] : std::exchange(this->cut_calls, {})) {
+        if (const call_state call = this->find(key)) {
+            spdlog::warn("relayed call cut origin={} held_bytes={} reason=\"{}\"",
+                         call->origin().value(), call->unsent_bytes(), reason);
+            call->discard(reason);
+        }
+    }
+}
+
 void relay_server::shared_state::remove(const call_key& key) {
     this->calls.erase(key);
     this->export_metrics();
--- a/packages/relaying/internal/relay_server_state.h
+++ b/packages/relaying/internal/relay_server_state.h
@@ -54,6 +54,9 @@
                 const std::string& reason);
     bool send(std::uint64_t link, const wire::message& message);
     void flush_stalled();
+    /// Ends the call in the next iteration, since the memory is short.
+    void cut(const call_key& key, const std::string& reason);
+    void end_cut_calls();
     void remove(const call_key& key);
     [[nodiscard]] call_state find(const call_key& key) const;
     /// Calls whose responses are not complete, or wait to be sent.
@@ -65,12 +68,15 @@
     std::map<std::uint64_t, accepted_link> links;
     std::uint64_t last_link_number = 0;
     std::map<call_key, call_state> calls;
+    /// With the reason.
+    std::map<call_key, std::string> cut_calls;
     bool is_stopping = false;
     /// Closed links, destroyed in the next event loop iteration because one of their own callbacks
     /// may still be running.
     std::vector<std::unique_ptr<wire::peer_link>> pending_deletion;
     task::wakeup cleanup_timer;
     task::wakeup flush_timer;
+    task::wakeup cut_timer;
     task::wakeup idle_timer;
 };
 
--- a/packages/relaying/relay_server.h
+++ b/packages/relaying/relay_server.h
@@ -9,6 +9,12 @@
 #include <functional>
 #include <memory>
 
+namespace kingcupcart::http {
+
+class caller_budget;
+
+} // namespace kingcupcart::http
+
 namespace kingcupcart::telemetry {
 
 class metric_set;
@@ -35,6 +41,8 @@
         std::function<void()> on_idle;
         /// Further calls are refused as not run.
         std::size_t max_calls = 256;
+        /// Counts what is held for the calls, and ends those that hold too much; may be null.
+        std::shared_ptr<http::caller_budget> budget = nullptr;
     };
 
     /// Fails with `input_output` if the address can't be bound.
--- a/packages/relaying/tests/relayed_calls_test.cpp
+++ b/packages/relaying/tests/relayed_calls_test.cpp
@@ -536,3 +536,52 @@
         start();
     }
 }
+
+// Whole responses to callers who don't read them wait at the relay.
+SCENARIO("a relay that holds too much for others ends the calls that take nothing") {
+    relaying_fleet fleet;
+    const auto budget = std::make_shared<http::caller_budget>(fleet.time, 4'000'000);
+    test_relay& relay = fleet.add_relay("r1", 256, budget);
+    const auto start = [&](const std::string& name, bool is_paused) {
+        auto call = fleet.start(make_request(name));
+        call->handle->set_paused(is_paused);
+        const std::size_t before = relay.calls.size();
+        REQUIRE(fleet.run_until([&] { return relay.calls.size() == before + 1; }));
+        return call;
+    };
+    GIVEN("a response that is not read, for which there is room") {
+        auto idle = start("idle", true);
+        relay.calls.back().exchange->respond(ok, std::string(3'000'000, 'i'));
+        CHECK(budget->held_bytes() >= 3'000'000);
+        fleet.run_for(600ms);
+        CHECK(!idle->result);
+        WHEN("another one arrives, whose caller reads") {
+            auto reading = start("reading", false);
+            relay.calls.back().exchange->respond(ok, std::string(3'000'000, 'r'));
+            THEN("the first one ends visibly, and the other one is served") {
+                REQUIRE(fleet.run_until([&] { return reading->result && idle->result; }));
+                CHECK(reading->result == relay_result::complete);
+                CHECK(reading->body.size() == 3'000'000);
+                CHECK(idle->result == relay_result::broken);
+                CHECK(idle->body.size() < 3'000'000);
+                CHECK(fleet.run_until([&] { return relay.server->open_count() == 0; }));
+                CHECK(budget->held_bytes() == 0);
+            }
+        }
+        WHEN("its caller leaves") {
+            idle.reset();
+            CHECK(fleet.run_until([&] { return budget->held_bytes() == 0; }));
+        }
+    }
+    GIVEN("a stream that is cut while its target still sends") {
+        auto idle = start("idle", true);
+        relayed_exchange& exchange = *relay.calls.back().exchange;
+        exchange.begin_stream(ok);
+        exchange.write(std::string(5'000'000, 'e'));
+        THEN("its target's work is cancelled") {
+            CHECK(fleet.run_until([&] { return relay.calls.back().is_cancelled; }));
+            CHECK(fleet.run_until([&] { return idle->result.has_value(); }));
+            CHECK(idle->result == relay_result::broken);
+        }
+    }
+}
--- a/packages/relaying/tests/relaying_fleet.cpp
+++ b/packages/relaying/tests/relaying_fleet.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-test_relay::test_relay(const clock& time, std::string name, std::size_t max_calls)
+test_relay::test_relay(const clock& time, std::string name, std::size_t max_calls,
+                       std::shared_ptr<http::caller_budget> budget)
     : id(std::move(name)) {
     relay_server::parameters arguments;
     arguments.address = {"127.0.0.1", 0};
@@ -42,6 +43,7 @@
     };
     arguments.on_idle = [this] { ++this->idle_count; };
     arguments.max_calls = max_calls;
+    arguments.budget = std::move(budget);
     auto opened = value_or_error([&] { return relay_server::open(std::move(arguments)); });
     REQUIRE(std::holds_alternative<std::unique_ptr<relay_server>>(opened));
     this->server = std::get<std::unique_ptr<relay_server>>(std::move(opened));
@@ -87,9 +89,10 @@
     this->loop.leave();
 }
 
-test_relay& relaying_fleet::add_relay(const std::string& id, std::size_t max_calls) {
+test_relay& relaying_fleet::add_relay(const std::string& id, std::size_t max_calls,
+                                      std::shared_ptr<http::caller_budget> budget) {
     auto& relay = this->relays[id];
-    relay = std::make_unique<test_relay>(this->time, id, max_calls);
+    relay = std::make_unique<test_relay>(this->time, id, max_calls, std::move(budget));
     this->candidates.push_back(relay->candidate());
     return *relay;
 }
--- a/packages/relaying/tests/relaying_fleet.h
+++ b/packages/relaying/tests/relaying_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/system_clock.h"
+#include "http/caller_budget.h"
 #include "relaying/relay_client.h"
 #include "relaying/relay_server.h"
 #include "relaying/relayed_exchange.h"
@@ -41,7 +42,8 @@
         bool is_cancelled = false;
     };
 
-    test_relay(const clock& time, std::string id, std::size_t max_calls);
+    test_relay(const clock& time, std::string id, std::size_t max_calls,
+               std::shared_ptr<http::caller_budget> budget);
 
     [[nodiscard]] wire::relay_candidate candidate() const;
     void stop() { this->server.reset(); }
@@ -77,7 +79,8 @@
     relaying_fleet& operator=(const relaying_fleet&) = delete;
 
     /// Starts a relay, and has the keeper name it.
-    test_relay& add_relay(const std::string& id, std::size_t max_calls = 256);
+    test_relay& add_relay(const std::string& id, std::size_t max_calls = 256,
+                          std::shared_ptr<http::caller_budget> budget = nullptr);
     /// Has the keeper name an instance that was not started here.
     void name(const std::string& id, const endpoint& address);
     std::unique_ptr<test_call> start(const wire::relayed_call_request& request,
