Relaying: the event loop sleeps while a call waits for a link

A call that waited while links to relays were dialled woke the event loop without pause once the answer of the keepers was 300 ms old: the time at which they may be asked again had passed, and the timer was set to it again.

--- a/packages/relaying/internal/relay_client_state.cpp
+++ b/packages/relaying/internal/relay_client_state.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -155,9 +156,10 @@
     }
     for (const auto& [number, call] : this->calls) {
         if (call->relay == instance_id()) {
-            consider(call->started_at + max_link_wait);
+            consider(call->started_at + std::min<duration>(max_link_wait, call->request.max_wait));
             const auto lookup = this->lookups.next(call->request.backend, max_exhausted_age);
-            if (lookup) {
+            // One that is overdue waits for the links that are being opened.
+            if (lookup && *lookup > this->params.time->now()) {
                 consider(*lookup);
             }
         }
--- a/packages/relaying/tests/relayed_calls_test.cpp
+++ b/packages/relaying/tests/relayed_calls_test.cpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace kingcupcart;
@@ -442,6 +443,23 @@
             }
         }
     }
+    GIVEN("four relays that accept connections and never answer") {
+        std::vector<task::listening_socket> silent;
+        for (int i = 0; i < 4; ++i) {
+            auto opened = task::listening_socket::open({"127.0.0.1", 0});
+            REQUIRE(opened);
+            fleet.name("silent" + std::to_string(i), opened->bound);
+            silent.push_back(std::move(*opened));
+        }
+        auto call = fleet.start(make_request("call"));
+        const std::size_t before = fleet.iterations;
+        REQUIRE(fleet.run_until([&] { return call->result.has_value(); }));
+        THEN("the event loop sleeps while the call waits") {
+            CHECK(call->result == relay_result::no_relay);
+            CHECK(fleet.metric("relay_dials_failed_total") == 4);
+            CHECK(fleet.iterations - before < 100);
+        }
+    }
     GIVEN("an address at which another instance has started") {
         test_relay& relay = fleet.add_relay("r1");
         fleet.candidates.front().id = instance_id("earlier");
--- a/packages/relaying/tests/relaying_fleet.cpp
+++ b/packages/relaying/tests/relaying_fleet.cpp
@@ -132,6 +132,7 @@
     timeout.arm(system_clock().now() + max_time);
     while (!condition() && !is_over) {
         g_main_context_iteration(this->loop.context(), TRUE);
+        ++this->iterations;
     }
     return condition();
 }
--- a/packages/relaying/tests/relaying_fleet.h
+++ b/packages/relaying/tests/relaying_fleet.h
@@ -100,6 +100,8 @@
     bool is_keeper_reachable = true;
     bool does_keeper_answer = true;
     std::size_t lookups = 0;
+    /// Iterations of the event loop.
+    std::size_t iterations = 0;
     std::unique_ptr<relay_client> client;
 
 private:
