--- a/packages/requests/tests/paths_test.cpp
+++ b/packages/requests/tests/paths_test.cpp
@@ -184,11 +184,10 @@
                     CHECK(!fixture.has<send_attempt>());
                 }
             }
-            AND_THEN("targets hold none of the calls, and no permit is used") {
+            AND_THEN("targets hold none of the calls") {
                 for (int i = 0; i < 5; ++i) {
                     CHECK(fixture.subject.running_on(fixture.target(i)) == 0);
                 }
-                CHECK(fixture.permits.sent_recently(target_id(), fixture.now) == 0);
             }
         }
     }
@@ -218,6 +217,41 @@
         }
     }
 
+    GIVEN("a call that waits for a permit when the cut is noticed") {
+        path_fixture limited(2);
+        std::vector<send_attempt> opening_attempts;
+        for (int i = 0; i < 2; ++i) {
+            limited.arrive(call_kind::once);
+            opening_attempts.push_back(limited.one<send_attempt>());
+        }
+        for (int i = 0; i < 2; ++i) {
+            permits::target_limit limit{limited.target(i), incarnation_id(), {}, limited.now};
+            limit.rate = requests_per_second(1.0);
+            limited.permits.apply(limit);
+        }
+        const request_id waiting = limited.arrive();
+        CHECK(limited.subject.queued_requests() == 1);
+        const auto waiting_demands = [&] {
+            std::uint32_t count = 0;
+            for (const permits::permit_demand& demand :
+                 limited.permits.collect_demands(limited.now)) {
+                count += demand.waiting;
+            }
+            return count;
+        };
+        CHECK(waiting_demands() == 1);
+        for (const send_attempt& sent : opening_attempts) {
+            limited.dispatch(attempt_failed{sent.attempt, attempt_failure::unreachable});
+        }
+        THEN("it is relayed, and the permit is left to the relay") {
+            const auto relays = limited.all<relay_attempt>();
+            CHECK(std::any_of(relays.begin(), relays.end(),
+                              [&](const auto& attempt) { return attempt.request == waiting; }));
+            limited.now += 1s;
+            CHECK(waiting_demands() == 0);
+        }
+    }
+
     GIVEN("an instance that is cut off, and a call that may not be relayed") {
         fixture.cut_off();
         fixture.may_relay = false;
