Requests: the relay decides on a request that may end targets

What callers would have seen: a request under which a connection broke waited, at an instance that is cut off, until a copy had ended there or a trial was granted, and then once more at the relay. Cause: the dispatcher asked the crash account before it knew that the request would be relayed, and a trial that is granted to the instance that is cut off is not used up there, so the keeper grants none to the relay meanwhile. A request that goes to a relay is no longer held here, one that is held when the cut is noticed is released to a relay, and one under suspicion uses no kept connection. A quarantined one is refused here, as before.

--- a/packages/requests/internal/dispatcher_paths.cpp
+++ b/packages/requests/internal/dispatcher_paths.cpp
@@ -157,9 +157,16 @@
 
 void dispatcher::state::send_despite_cut(request_state& request, send_cause cause) {
     this->paths.record_needed(request.profile.backend, this->now);
+    // The relay decides whether the request has to wait: a trial that is granted to this instance
+    // would keep the relay from one.
+    const quarantine::send_decision decision = this->decide_quarantine(request);
+    if (decision.permission == quarantine::send_permission::refused) {
+        this->refuse(request, refusal_reason::quarantined, decision.retry_after);
+        return;
+    }
     // A request that must not be repeated could not leave a connection that turns out to be dead.
-    const bool may_use_kept =
-        request.profile.repeatable && !request.profile.is_relayed && request.sent_count() == 0;
+    const bool may_use_kept = request.profile.repeatable && !request.profile.is_relayed &&
+                              request.sent_count() == 0 && this->may_send_copy(request);
     if (may_use_kept) {
         const auto choice = this->route_over_kept_connections(request, true);
         if (choice.target) {
@@ -221,7 +228,7 @@
 }
 
 bool dispatcher::state::is_stranded(const request_state& request) const {
-    if (request.queued) {
+    if (request.queued || request.held) {
         return true;
     }
     if (request.active_attempts.empty() || request.reported_unknown || !request.can_retry()) {
@@ -263,7 +270,8 @@
          !this->budget.try_withdraw())) {
         return;
     }
-    const send_cause cause = next_cause(request);
+    const send_cause cause = request.held.value_or(next_cause(request));
+    this->stop_holding(request);
     if (request.queued) {
         this->stop_awaiting_permit(request);
         this->queues[request.profile.backend].remove(request.profile.id);
--- a/packages/requests/internal/dispatcher_quarantine.cpp
+++ b/packages/requests/internal/dispatcher_quarantine.cpp
@@ -50,12 +50,14 @@
     this->crashes->begin(attempt, *request.profile.fingerprint, target, incarnation, this->now);
 }
 
+quarantine::send_decision dispatcher::state::decide_quarantine(const request_state& request) const {
+    return this->crashes == nullptr || !request.profile.fingerprint
+               ? quarantine::send_decision()
+               : this->crashes->decide(*request.profile.fingerprint, this->now);
+}
+
 bool dispatcher::state::pass_quarantine(request_state& request, send_cause cause) {
-    if (this->crashes == nullptr || !request.profile.fingerprint) {
-        return true;
-    }
-    const request_fingerprint& fingerprint = *request.profile.fingerprint;
-    const quarantine::send_decision decision = this->crashes->decide(fingerprint, this->now);
+    const quarantine::send_decision decision = this->decide_quarantine(request);
     switch (decision.permission) {
     case quarantine::send_permission::free:
     case quarantine::send_permission::alone:
@@ -75,7 +77,7 @@
         request.preempted = false;
     }
     request.held = cause;
-    this->crashes->add_waiting(fingerprint);
+    this->crashes->add_waiting(*request.profile.fingerprint);
     return false;
 }
 
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -58,6 +58,10 @@
     if (this->stop_deadline) {
         this->limit_by_stop(stored);
     }
+    if (this->is_cut_off(stored.profile.backend)) {
+        this->send_despite_cut(stored, send_cause::first);
+        return;
+    }
     if (!this->pass_quarantine(stored, send_cause::first)) {
         return;
     }
@@ -255,13 +259,13 @@
 }
 
 void dispatcher::state::route_and_send(request_state& request, send_cause cause) {
-    if (!this->pass_quarantine(request, cause)) {
-        return;
-    }
     if (this->is_cut_off(request.profile.backend)) {
         this->send_despite_cut(request, cause);
         return;
     }
+    if (!this->pass_quarantine(request, cause)) {
+        return;
+    }
     const auto choice = this->route(request, request.profile.repeatable);
     if (choice.target) {
         this->send(request, choice, cause);
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -107,6 +107,7 @@
     /// Whether the crash account permits an attempt of the request now. Otherwise the request is
     /// held, with the cause of its next attempt, or refused.
     [[nodiscard]] bool pass_quarantine(request_state& request, send_cause cause);
+    [[nodiscard]] quarantine::send_decision decide_quarantine(const request_state& request) const;
     /// Whether another copy may be sent while an attempt of the request runs.
     [[nodiscard]] bool may_send_copy(const request_state& request) const;
     void stop_holding(request_state& request);
--- a/packages/requests/tests/paths_test.cpp
+++ b/packages/requests/tests/paths_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -37,6 +38,8 @@
     bool may_relay = true;
     bool is_relayed = false;
     std::size_t max_attempts = 0;
+    /// Each request has a fingerprint of its own if this is empty.
+    std::optional<request_fingerprint> fingerprint;
 
     explicit path_fixture(int targets = 5, int slots = 4)
         : subject(local_location, limits(), 1, &this->permits, &this->crashes) {
@@ -80,7 +83,8 @@
         profile.may_relay = this->may_relay;
         profile.is_relayed = this->is_relayed;
         profile.max_attempts = this->max_attempts;
-        profile.fingerprint = request_fingerprint(1, this->last_request);
+        profile.fingerprint =
+            this->fingerprint.value_or(request_fingerprint(1, this->last_request));
         this->dispatch(request_arrived{profile});
         return profile.id;
     }
@@ -805,6 +809,58 @@
     }
 }
 
+// The relay decides on a request under which targets may have ended: a trial that is granted to
+// the instance that is cut off would keep it from one.
+SCENARIO("a request under which a connection broke is relayed without a decision") {
+    path_fixture fixture;
+    const request_fingerprint suspect(7, 7);
+    fixture.fingerprint = suspect;
+    fixture.arrive();
+    const auto first = fixture.one<send_attempt>();
+    fixture.dispatch(attempt_write_started{first.attempt});
+    fixture.dispatch(attempt_failed{first.attempt, attempt_failure::disconnected});
+    CHECK(fixture.has<send_attempt>());
+    const request_id held = fixture.arrive();
+    CHECK(fixture.latest.empty());
+
+    GIVEN("a copy that waits until the first one has ended, when a cut is noticed") {
+        fixture.fingerprint.reset();
+        fixture.arrive(call_kind::once);
+        fixture.time_out_opening();
+        fixture.time_out_opening();
+        THEN("it is relayed") {
+            const auto relays = fixture.all<relay_attempt>();
+            CHECK(std::any_of(relays.begin(), relays.end(),
+                              [&](const auto& attempt) { return attempt.request == held; }));
+        }
+        AND_WHEN("another copy arrives") {
+            fixture.fingerprint = suspect;
+            fixture.kept = {fixture.target(4)};
+            fixture.arrive();
+            THEN("it is relayed at once, and not sent over a kept connection") {
+                CHECK(fixture.has<relay_attempt>());
+            }
+        }
+        AND_WHEN("it is quarantined") {
+            quarantine::suspect_update update;
+            update.fingerprint = suspect;
+            update.state = quarantine::suspect_state::quarantined;
+            update.crashes = 3;
+            update.next_trial_in = 30s;
+            for (const char* id : {"x1", "x2", "x3"}) {
+                update.latest.push_back(
+                    {target_id(id), incarnation_id(1), quarantine::crash_status::proven, true, 1s});
+            }
+            fixture.crashes.handle(update, fixture.now);
+            fixture.fingerprint = suspect;
+            fixture.arrive();
+            THEN("it is refused") {
+                CHECK(fixture.one<refuse_request>().reason == refusal_reason::quarantined);
+            }
+        }
+    }
+}
+
 // The wait of a call for a connection that does not open is no sign of a slow target.
 SCENARIO("a cut does not change how long a call waits for its hedge") {
     path_fixture fixture(2, 100);
