--- a/packages/requests/internal/dispatcher_paths.cpp
+++ b/packages/requests/internal/dispatcher_paths.cpp
@@ -11,6 +11,8 @@
 
 /// Time within which a cut that ends is noticed.
 constexpr duration retry_after_no_path = std::chrono::seconds(1);
+/// Another instance may have room at once; the delay is for a caller that asks none.
+constexpr duration retry_after_no_room = std::chrono::seconds(1);
 /// Silence of a stream after which it is resumed elsewhere while the instance is cut off. A target
 /// whose kept connection still works sends within that time.
 constexpr duration lost_stream_silence = std::chrono::milliseconds(400);
@@ -301,7 +303,7 @@
 
 void dispatcher::state::enqueue_or_decline(request_state& request, bool waits_for_permit) {
     if (request.profile.is_relayed && !waits_for_permit) {
-        this->refuse(request, refusal_reason::queue_full, retry_after_no_path);
+        this->refuse(request, refusal_reason::queue_full, retry_after_no_room);
         return;
     }
     this->enqueue(request);
