HTTP client: evidence of lost paths

Callers of a gateway that had lost its links to all targets waited for their whole deadline: a connection that hung while it opened had 3 s, as long as the route's time, and on a kept connection nothing told a path that drops all packets from a server that takes its time.

Cause: the client's only bound was the kernel's timeout of an established connection, for every target and every phase of a call.

The client now reports what its socket shows. A call has a bound for the opening of its connection, of the client or of the request (`open_timeout`); when it passes, the socket is looked at first, so that a process that was held up takes a connection that has opened meanwhile. `on_open` reports the time of each opening. `on_silent` reports that the server's kernel has acknowledged nothing for 300 ms while a part of the request is in flight; the call goes on. SIOCOUTQ tells whether anything is unacknowledged, TCP_INFO whether it is in flight and when the last acknowledgement came, so a full receive window, whose probes are answered, is no silence. Where a system lacks TCP_INFO, only a request of which no byte was acknowledged counts; where it lacks SIOCOUTQ, none does. One timer a call is armed at its first write. `has_idle` and `close_idle` tell of kept connections and close them.

--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "base/response_limits.h"
 #include "http/request.h"
 #include "http/response_head.h"
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -44,6 +46,11 @@
         duration read_interval{};
         /// Shared by the clients of a task. A client without one has its own.
         std::shared_ptr<response_budget> budget = nullptr;
+        /// A call whose connection is not open by then ends as `unreachable`. With zero, the kernel
+        /// decides when to give up.
+        duration open_timeout{};
+        /// See `callbacks::on_silent`.
+        duration silence_limit = std::chrono::milliseconds(300);
     };
 
     struct callbacks {
@@ -53,6 +60,15 @@
         std::function<void(std::string_view)> on_data;
         /// Called once, and no other callback follows.
         std::function<void(call_result, const std::string& reason)> on_complete;
+        /// Called when a new connection has been established, with the time that it took. May be
+        /// null.
+        std::function<void(duration opening)> on_open = nullptr;
+        /// Called at most once, and the call goes on: for `silence_limit`, the server's kernel has
+        /// acknowledged nothing, although part of the request is in flight, and no byte of a
+        /// response has arrived. A server whose kernel acknowledges the request but that does not
+        /// respond, or whose receive window is full, is not silent. Never called if the system does
+        /// not report what is unacknowledged. May be null.
+        std::function<void()> on_silent = nullptr;
     };
 
     /// A call in progress. The destructor cancels it and calls none of the callbacks.
@@ -94,6 +110,11 @@
     /// it ends as `unreachable`, before this function returns.
     [[nodiscard]] std::unique_ptr<call> start(const request& outgoing, callbacks notify);
 
+    /// Whether a repeatable request to the server would use a kept connection.
+    [[nodiscard]] bool has_idle(const endpoint& server) const;
+    /// Closes the kept connections to the server; calls in progress are not affected.
+    void close_idle(const endpoint& server);
+
     [[nodiscard]] const response_budget& budget() const;
 
 private:
--- a/packages/http/internal/client.cpp
+++ b/packages/http/internal/client.cpp
@@ -52,6 +52,14 @@
     return *this->impl->budget;
 }
 
+bool client::has_idle(const endpoint& server) const {
+    return this->impl->idle_connections.contains(server);
+}
+
+void client::close_idle(const endpoint& server) {
+    this->impl->idle_connections.close(server);
+}
+
 std::unique_ptr<client::call> client::start(const request& outgoing, callbacks notify) {
     auto encoded = value_or_error([&] { return encode(outgoing); });
     auto created = std::make_shared<call::state>(outgoing, std::move(notify), this->impl);
--- a/packages/http/internal/client_state.cpp
+++ b/packages/http/internal/client_state.cpp
@@ -9,6 +9,8 @@
 client::shared_state::shared_state(const clock& time, const parameters& settings)
     : time(time),
       limits(settings.limits),
+      open_timeout(settings.open_timeout),
+      silence_limit(settings.silence_limit),
       budget(settings.budget ? settings.budget
                              : std::make_shared<response_budget>(settings.limits.budget_bytes)),
       idle_connections(time),
--- a/packages/http/internal/client_state.h
+++ b/packages/http/internal/client_state.h
@@ -27,6 +27,8 @@
 
     const clock& time;
     response_limits limits;
+    duration open_timeout;
+    duration silence_limit;
     std::shared_ptr<response_budget> budget;
     connection_pool idle_connections;
     /// Null if responses are read as data arrives.
--- a/packages/http/internal/connection.cpp
+++ b/packages/http/internal/connection.cpp
@@ -3,12 +3,16 @@
 #include "http/internal/read_coalescer.h"
 #include "task/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <cerrno>
+#include <chrono>
+#include <cstddef>
 #include <cstring>
 #include <utility>
 
@@ -112,6 +116,10 @@
     }
 }
 
+bool connection::has_connected() const {
+    return g_socket_condition_check(this->socket.get(), G_IO_OUT) != 0;
+}
+
 outcome<void> connection::finish_connecting() {
     GError* problem = nullptr;
     if (g_socket_check_connect_result(this->socket.get(), &problem) == FALSE) {
@@ -156,4 +164,25 @@
     return size >= 0 || errno != EAGAIN;
 }
 
+connection::send_state connection::sending() const {
+    send_state state;
+    int unacknowledged = 0;
+    if (ioctl(this->descriptor, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged <= 0) {
+        return state;
+    }
+    state.unacknowledged_bytes = static_cast<std::size_t>(unacknowledged);
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    constexpr std::size_t needed_bytes =
+        offsetof(tcp_info, tcpi_last_ack_recv) + sizeof(info.tcpi_last_ack_recv);
+    // A system that emulates sockets may lack the option, or leave the structure empty.
+    if (getsockopt(this->descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        size < needed_bytes || info.tcpi_state == 0) {
+        return state;
+    }
+    state.is_in_flight = info.tcpi_unacked > 0;
+    state.since_acknowledgement = std::chrono::milliseconds(info.tcpi_last_ack_recv);
+    return state;
+}
+
 } // namespace kingcupcart::http
--- a/packages/http/internal/connection.h
+++ b/packages/http/internal/connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/outcome.h"
 #include "task/g_pointer.h"
@@ -31,6 +32,16 @@
         std::string problem;
     };
 
+    /// What the peer's kernel has acknowledged of the written bytes.
+    struct send_state {
+        /// 0 also if the system does not report it.
+        std::size_t unacknowledged_bytes = 0;
+        /// Whether some of these are on their way. If none are, the peer's receive window is full.
+        bool is_in_flight = false;
+        /// Time since the last acknowledgement; empty if the system reports the bytes alone.
+        std::optional<duration> since_acknowledgement;
+    };
+
     /// Bytes of one read at most.
     static constexpr std::size_t read_buffer_bytes = 64UL * 1024;
 
@@ -55,6 +66,8 @@
     /// Calls the handler no more, so that the kernel's buffer fills up and the peer has to wait.
     void stop_reading();
 
+    /// Whether the attempt to connect has succeeded or failed.
+    [[nodiscard]] bool has_connected() const;
     /// Fails if the connection could not be established, with `not_found` if the address refuses
     /// it.
     [[nodiscard]] outcome<void> finish_connecting();
@@ -63,6 +76,7 @@
     [[nodiscard]] outcome<std::size_t> write(std::string_view bytes);
     /// Whether bytes have arrived that were not read, or the connection has ended.
     [[nodiscard]] bool has_input() const;
+    [[nodiscard]] send_state sending() const;
 
 private:
     connection(endpoint peer, task::g_pointer<GSocket> created);
--- a/packages/http/internal/connection_pool.cpp
+++ b/packages/http/internal/connection_pool.cpp
@@ -32,14 +32,29 @@
     while (!idle.empty()) {
         idle_connection last = std::move(idle.back());
         idle.pop_back();
-        // The event loop may not have noticed yet that the connection became readable.
-        if (last.expires_at > this->time.now() && !last.open->has_input()) {
+        if (this->is_usable(last)) {
             return std::move(last.open);
         }
     }
     return nullptr;
 }
 
+bool connection_pool::contains(const endpoint& peer) const {
+    const auto found = this->connections.find(peer);
+    return found != this->connections.end() &&
+           std::any_of(found->second.rbegin(), found->second.rend(),
+                       [&](const idle_connection& idle) { return this->is_usable(idle); });
+}
+
+void connection_pool::close(const endpoint& peer) {
+    this->connections.erase(peer);
+}
+
+bool connection_pool::is_usable(const idle_connection& idle) const {
+    // The event loop may not have noticed yet that the connection became readable.
+    return idle.expires_at > this->time.now() && !idle.open->has_input();
+}
+
 void connection_pool::add(std::unique_ptr<connection> unused,
                           std::optional<duration> keep_alive_time) {
     const duration usable = keep_alive_time ? *keep_alive_time - keep_alive_margin : max_idle_time;
--- a/packages/http/internal/connection_pool.h
+++ b/packages/http/internal/connection_pool.h
@@ -24,6 +24,10 @@
 
     /// The connection that was used last; null if there is none.
     [[nodiscard]] std::unique_ptr<connection> take(const endpoint& peer);
+    /// Whether `take` would return a connection.
+    [[nodiscard]] bool contains(const endpoint& peer) const;
+    /// Closes all connections to the peer.
+    void close(const endpoint& peer);
     /// `keep_alive_time` is the idle timeout that the peer announced, if any.
     void add(std::unique_ptr<connection> unused, std::optional<duration> keep_alive_time);
 
@@ -33,6 +37,7 @@
         time_point expires_at{};
     };
 
+    [[nodiscard]] bool is_usable(const idle_connection& idle) const;
     void remove(const endpoint& peer, const connection* closed);
     void close_expired();
 
--- a/packages/http/internal/pending_call.cpp
+++ b/packages/http/internal/pending_call.cpp
@@ -4,6 +4,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -17,6 +18,8 @@
 constexpr duration drain_limit_time = std::chrono::seconds(5);
 /// Reads from one connection in one iteration of the event loop, while each fills the buffer.
 constexpr int max_reads_per_iteration = 4;
+/// Shortest time between two looks at what the server's kernel has acknowledged.
+constexpr duration min_silence_interval = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -27,7 +30,11 @@
       parser(this->owner->limits, outgoing.method == "HEAD"),
       budget_share(this->owner->budget, [this](const std::string& reason) { this->cut(reason); }),
       drain_timer([this] { this->abort(); }),
+      opening_timer([this] { this->check_opening(); }),
+      silence_timer([this] { this->check_acknowledgement(); }),
       max_response_bytes(outgoing.max_response_bytes),
+      open_timeout(outgoing.open_timeout > duration::zero() ? outgoing.open_timeout
+                                                            : this->owner->open_timeout),
       is_repeatable(outgoing.repeatable) {}
 
 client::call::state::~state() = default;
@@ -49,6 +56,7 @@
 }
 
 void client::call::state::start_connecting() {
+    this->dialled_at = this->owner->time.now();
     auto dialled = value_or_error([&] { return connection::dial(this->outgoing.server); });
     if (const auto* problem = std::get_if<error>(&dialled)) {
         this->finish(call_result::unreachable, problem->message);
@@ -56,15 +64,62 @@
     }
     this->link = std::get<std::unique_ptr<connection>>(std::move(dialled));
     this->is_connecting = true;
+    if (this->open_timeout > duration::zero()) {
+        this->opening_timer.arm(this->dialled_at + this->open_timeout);
+    }
     this->link->set_handler([self = this->shared_from_this()] { self->on_ready(); });
     this->link->await_writable(true);
 }
 
 void client::call::state::start_writing() {
     this->notify.on_write_started();
-    if (!this->is_over) {
-        this->write_some();
+    if (this->is_over) {
+        return;
     }
+    if (this->notify.on_silent && this->owner->silence_limit > duration::zero()) {
+        this->silence_timer.arm(this->owner->time.now() + this->owner->silence_limit);
+    }
+    this->write_some();
+}
+
+void client::call::state::check_opening() {
+    const auto self = this->shared_from_this();
+    // If this process was held up, the connection may have opened in time.
+    if (this->link->has_connected()) {
+        this->on_ready();
+        return;
+    }
+    this->finish(call_result::unreachable,
+                 "connection not open after " +
+                     std::to_string(this->open_timeout / std::chrono::milliseconds(1)) + " ms");
+}
+
+void client::call::state::check_acknowledgement() {
+    const auto self = this->shared_from_this();
+    if (this->is_over || this->has_write_failed) {
+        return;
+    }
+    const connection::send_state sending = this->link->sending();
+    if (sending.unacknowledged_bytes == 0 && this->outgoing.bytes.empty()) {
+        return;
+    }
+    if (this->is_silent(sending)) {
+        this->notify.on_silent();
+        return;
+    }
+    const duration limit = this->owner->silence_limit;
+    const duration passed = sending.since_acknowledgement.value_or(duration::zero());
+    this->silence_timer.arm(
+        this->owner->time.now() +
+        (passed < limit ? std::max(limit - passed, min_silence_interval) : limit));
+}
+
+bool client::call::state::is_silent(const connection::send_state& sending) const {
+    if (sending.since_acknowledgement) {
+        return sending.is_in_flight && *sending.since_acknowledgement >= this->owner->silence_limit;
+    }
+    // The bytes alone don't tell a full receive window, but that has taken part of the request.
+    return sending.unacknowledged_bytes > 0 && sending.unacknowledged_bytes >= this->written_bytes;
 }
 
 void client::call::state::write_some() {
@@ -82,7 +137,6 @@
     this->link->await_writable(!is_written);
     if (is_written) {
         this->outgoing.bytes = std::string();
-        this->written_bytes = 0;
         if (this->is_paused) {
             this->link->stop_reading();
         }
@@ -92,12 +146,18 @@
 void client::call::state::on_ready() {
     if (this->is_connecting) {
         this->is_connecting = false;
+        this->opening_timer.disarm();
         const auto connected = value_or_error([&] { return this->link->finish_connecting(); });
         if (const auto* problem = std::get_if<error>(&connected)) {
             this->finish(call_result::unreachable, problem->message);
             return;
         }
-        this->start_writing();
+        if (!this->is_over && this->notify.on_open) {
+            this->notify.on_open(this->owner->time.now() - this->dialled_at);
+        }
+        if (!this->is_over) {
+            this->start_writing();
+        }
         return;
     }
     if (!this->outgoing.bytes.empty() && !this->has_write_failed) {
@@ -136,6 +196,7 @@
         this->parser.finish();
         break;
     case connection::read_status::data:
+        this->silence_timer.disarm();
         this->parser.feed(received.data);
         break;
     }
@@ -276,6 +337,8 @@
 void client::call::state::close_connection() {
     this->is_draining = false;
     this->drain_timer.disarm();
+    this->opening_timer.disarm();
+    this->silence_timer.disarm();
     this->link.reset();
     this->owner->remove_open(this->shared_from_this());
 }
--- a/packages/http/internal/pending_call.h
+++ b/packages/http/internal/pending_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "http/client.h"
 #include "http/internal/connection.h"
 #include "http/internal/request_encoder.h"
@@ -38,6 +39,11 @@
 private:
     void start_connecting();
     void start_writing();
+    /// Ends the call if its connection is not open yet.
+    void check_opening();
+    /// Notifies the owner if the server's kernel does not acknowledge the request.
+    void check_acknowledgement();
+    [[nodiscard]] bool is_silent(const connection::send_state& sending) const;
     void write_some();
     void on_ready();
     /// Reads a bounded number of bytes, so that one connection can't keep the event loop busy.
@@ -59,8 +65,14 @@
     response_parser parser;
     response_budget::share budget_share;
     task::timer drain_timer;
+    /// Armed while the connection opens.
+    task::timer opening_timer;
+    /// Armed from the first write until the server's kernel has acknowledged the request.
+    task::timer silence_timer;
     std::unique_ptr<connection> link;
     std::size_t max_response_bytes;
+    duration open_timeout;
+    time_point dialled_at{};
     std::size_t written_bytes = 0;
     std::size_t received_bytes = 0;
     /// Part of the body that the owner holds.
--- a/packages/http/request.h
+++ b/packages/http/request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/header_field.h"
 
 #include <cstddef>
@@ -22,6 +23,8 @@
     /// A response with a longer body ends as broken, so that a server that sends without end does
     /// not exhaust the memory; 0 for no limit.
     std::size_t max_response_bytes = 16UL * 1024 * 1024;
+    /// Replaces the client's `open_timeout` for this request, unless it is zero.
+    duration open_timeout{};
 };
 
 } // namespace kingcupcart::http
--- a/packages/http/tests/raw_caller.h
+++ b/packages/http/tests/raw_caller.h
@@ -7,6 +7,7 @@
 #include "task/wakeup.h"
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,14 +28,19 @@
     int status = 0;
     std::optional<call_result> end;
     std::string reason;
+    bool has_write_started = false;
+    /// Time that the connection took to open; empty if none was opened.
+    std::optional<duration> opening;
+    std::size_t silences = 0;
 
-    explicit raw_caller(duration read_interval = duration::zero()) {
+    explicit raw_caller(duration read_interval = duration::zero(),
+                        duration open_timeout = duration::zero()) {
         this->loop.enter();
         // The caller keeps all that it receives.
         response_limits limits;
         limits.budget_bytes = 1024UL * 1024 * 1024;
-        this->http_client =
-            std::make_unique<client>(this->time, client::parameters{limits, read_interval});
+        this->http_client = std::make_unique<client>(
+            this->time, client::parameters{limits, read_interval, nullptr, open_timeout});
         this->timeout = std::make_unique<task::wakeup>([this] { this->loop.quit(); });
     }
     ~raw_caller() {
@@ -53,15 +59,21 @@
         this->data.clear();
         this->status = 0;
         this->end.reset();
+        this->has_write_started = false;
+        this->opening.reset();
+        this->silences = 0;
         this->timeout->arm(this->time.now() + max_wait);
         this->call = this->http_client->start(
-            outgoing, {[] {}, [this](const response_head& head) { this->status = head.status; },
+            outgoing, {[this] { this->has_write_started = true; },
+                       [this](const response_head& head) { this->status = head.status; },
                        [this](std::string_view part) { this->data += part; },
                        [this](call_result result, const std::string& problem) {
                            this->end = result;
                            this->reason = problem;
                            this->loop.quit();
-                       }});
+                       },
+                       [this](duration time_taken) { this->opening = time_taken; },
+                       [this] { ++this->silences; }});
         if (!this->end) {
             this->loop.run();
         }
