HTTP client: a response with a status that is none ends the call at once

Callers of a target that answered with a status from 000 to 099 waited until their deadline and got 504. Those of one that answered with 600 to 999 got that status with the target's body as their answer.

Cause: the parser took each status below 200 for that of an interim response. It skipped the head and went on to read the response from whatever followed on the connection: nothing, the body, or bytes that belonged to no call. It had no upper bound either. In the same way the body that an interim response announced was parsed as the next response.

A status is 100 to 599 (RFC 9110, section 15). Any other is malformed now as soon as its status line is complete: the attempt ends as broken and its connection is closed, so the dispatcher tries what may be repeated elsewhere. A line that breaks off within such a status is broken as well, and not a response that the server's end has cut short. An interim response that announces a body ends the call in the same way; RFC 9110 and 9112 forbid one. "Content-Length: 0" is passed over, as before.

--- a/packages/forwarding/tests/forwarded_call_test.cpp
+++ b/packages/forwarding/tests/forwarded_call_test.cpp
@@ -229,6 +229,31 @@
     }
 }
 
+// Callers waited until their deadline for a target that answered with the status 000, and got the
+// body of one that answered with 600.
+SCENARIO("a response with a status that is none reaches no caller") {
+    for (const char* status : {"000", "099", "600", "999"}) {
+        for (const bool is_stream : {false, true}) {
+            SUBCASE(("When: a server answers a " + std::string(is_stream ? "stream" : "call") +
+                     " with the status " + status)
+                        .c_str()) {
+                streamed_call call(is_stream);
+                http::scripted_server faulty(
+                    {{"HTTP/1.1 " + std::string(status) + " None\r\nContent-Length: 2\r\n\r\nno"}});
+                call.attempt(1, faulty.address(), 0, std::chrono::seconds(2));
+                THEN("the attempt has failed at once, and another one can serve the caller") {
+                    CHECK(call.has_failed(attempt_failure::broken));
+                    CHECK_FALSE(call.has_response);
+                    CHECK_FALSE(call.has_started);
+                    http::scripted_server sound({{whole_stream(first_event + second_event)}});
+                    call.attempt(2, sound, 0);
+                    CHECK(call.delivered == first_event + second_event);
+                }
+            }
+        }
+    }
+}
+
 // A target that sends faster than its caller reads, or without end, must not fill the memory.
 SCENARIO("a stream without end is held in memory up to a limit") {
     const std::string endless_head = stream_head + "\r\n";
--- a/packages/http/internal/response_parser.cpp
+++ b/packages/http/internal/response_parser.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/response_parser.h"
 
+#include "base/http_status.h"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -23,6 +25,9 @@
 constexpr std::size_t head_memory_factor = 2;
 /// What each response begins with.
 constexpr std::string_view version_prefix = "HTTP/1.";
+/// Position of the status in the status line, and the first digits that it may have.
+constexpr std::size_t status_position = 9;
+constexpr std::string_view status_classes = "12345";
 
 /// Beast's parser for a single message, interim or final.
 class message_parser final : public beast::http::basic_parser<false> {
@@ -41,6 +46,11 @@
         return this->is_header_done() && this->status < first_final_status;
     }
 
+    /// The head of an interim response ends it, so what it announces would be taken for the next.
+    [[nodiscard]] bool announces_body() const {
+        return this->chunked() || this->content_length().value_or(0) > 0;
+    }
+
     response_head head;
     /// Memory of `head`, in bytes.
     std::size_t head_bytes = 0;
@@ -56,7 +66,11 @@
     }
 
     void on_response_impl(int code, beast::string_view /*reason*/, int /*version*/,
-                          error_code& /*problem*/) override {
+                          error_code& problem) override {
+        if (!is_http_status(code)) {
+            problem = beast::http::error::bad_status;
+            return;
+        }
         this->status = static_cast<unsigned>(code);
         this->head.status = code;
     }
@@ -177,12 +191,8 @@
         }
     }
 
-    /// The first bytes of a status line are checked here, since the parser looks at whole lines.
     [[nodiscard]] bool is_well_formed() const {
-        const std::size_t size = std::min(this->unparsed.size(), version_prefix.size());
-        return this->failure.empty() &&
-               (this->parser->status != 0 ||
-                std::string_view(this->unparsed).substr(0, size) == version_prefix.substr(0, size));
+        return this->failure.empty() && (this->parser->status != 0 || this->may_be_status_line());
     }
 
     std::optional<message_parser> parser;
@@ -194,6 +204,15 @@
     bool is_cut_short = false;
 
 private:
+    /// The first bytes of a status line are checked here, since the parser looks at whole lines.
+    [[nodiscard]] bool may_be_status_line() const {
+        const std::string_view line = this->unparsed;
+        const std::size_t size = std::min(line.size(), version_prefix.size());
+        return line.substr(0, size) == version_prefix.substr(0, size) &&
+               (line.size() <= status_position ||
+                status_classes.find(line[status_position]) != std::string_view::npos);
+    }
+
     void start_message() { this->parser.emplace(this->limits, this->is_head_request); }
 
     /// Removes the bytes that it parsed. Returns false if it needs more of them.
@@ -229,6 +248,8 @@
         this->interim_bytes += size;
         if (this->parser->status == status_switching_protocols) {
             this->failure = "the peer switches to another protocol";
+        } else if (this->parser->announces_body()) {
+            this->failure = "an interim response has a body";
         } else if (this->interim_bytes > this->limits.interim_bytes) {
             this->is_over_limit = true;
             this->failure = "the interim responses are longer than " +
