Log and count attempts that never opened a connection

Callers of a gateway that had lost its links to all targets waited until their deadline, and nothing in its log told a lost path from a slow target: an attempt whose connection hung while it opened left only the line that it was sent. Such an attempt now names its target and how long it waited when its call's deadline, its caller or another attempt ends it, and attempts_unopened_total counts it; failed attempts are counted by kind, so targets that ended (unreachable at once, disconnected) stand apart.

The fixture of forwarded_call_test gets a set of metrics, which the call now needs.

--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -57,7 +57,7 @@
     outgoing.max_response_bytes = this->params.is_stream ? 0 : this->params.max_response_bytes;
     added.call = this->params.client->start(
         outgoing,
-        {[this, attempt] { this->params.notify(requests::attempt_write_started{attempt}); },
+        {[this, attempt] { this->on_write_started(attempt); },
          [this, attempt](const http::response_head& head) { this->on_head(attempt, head); },
          [this, attempt](std::string_view data) { this->on_data(attempt, data); },
          [this, attempt](http::call_result completion, const std::string& reason) {
@@ -65,6 +65,14 @@
          }});
 }
 
+void forwarded_call::on_write_started(attempt_id attempt) {
+    const auto found = this->attempts.find(attempt);
+    if (found != this->attempts.end()) {
+        found->second->is_write_started = true;
+    }
+    this->params.notify(requests::attempt_write_started{attempt});
+}
+
 void forwarded_call::on_head(attempt_id attempt, const http::response_head& head) {
     auto found = this->attempts.find(attempt);
     if (found != this->attempts.end()) {
@@ -208,7 +216,8 @@
                                      : (this->params.time->now() - response->sent_at) /
                                            std::chrono::milliseconds(1),
                  reason);
-    this->cancel(attempt);
+    this->params.metrics->count(std::string("attempts_failed_total{kind=\"") + kind + "\"}");
+    this->remove(attempt);
     this->params.notify(requests::attempt_failed{attempt, failure});
 }
 
@@ -235,6 +244,23 @@
 }
 
 void forwarded_call::cancel(attempt_id attempt) {
+    const auto found = this->attempts.find(attempt);
+    if (found != this->attempts.end() && !found->second->is_write_started) {
+        this->log_unopened(attempt, *found->second);
+    }
+    this->remove(attempt);
+}
+
+void forwarded_call::log_unopened(attempt_id attempt, const attempt_response& response) const {
+    spdlog::info("attempt cancelled before a connection was open request={} attempt={} target={} "
+                 "incarnation={} waited_ms={}",
+                 this->params.call.name, attempt.value(), response.target.value(),
+                 response.incarnation.value(),
+                 (this->params.time->now() - response.sent_at) / std::chrono::milliseconds(1));
+    this->params.metrics->count("attempts_unopened_total");
+}
+
+void forwarded_call::remove(attempt_id attempt) {
     const auto found = this->attempts.find(attempt);
     if (found == this->attempts.end()) {
         return;
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -12,6 +12,7 @@
 #include "membership/target_record.h"
 #include "requests/actions.h"
 #include "requests/messages.h"
+#include "telemetry/metric_set.h"
 
 #include <functional>
 #include <map>
@@ -41,6 +42,7 @@
         std::function<void(const requests::message&)> notify;
         /// Called with the head of each response, which may say something of its target.
         std::function<void(const observed_request&, const http::response_head&)> head_received;
+        telemetry::metric_set* metrics = nullptr;
     };
 
     explicit forwarded_call(parameters arguments);
@@ -77,11 +79,14 @@
         completions::event_parser parser;
         std::size_t last_event = 0;
         bool is_matching = false;
+        /// A connection to the target was open, and the request began to be written to it.
+        bool is_write_started = false;
         target_id target;
         incarnation_id incarnation;
         time_point sent_at{};
     };
 
+    void on_write_started(attempt_id attempt);
     void on_head(attempt_id attempt, const http::response_head& head);
     void on_data(attempt_id attempt, std::string_view data);
     void on_stream_data(attempt_id attempt, attempt_response& response, std::string_view data);
@@ -91,6 +96,9 @@
     /// `kind` and `reason` are for the log.
     void fail_attempt(attempt_id attempt, requests::attempt_failure failure, const char* kind,
                       const std::string& reason);
+    void log_unopened(attempt_id attempt, const attempt_response& response) const;
+    /// Closes the attempt's connection.
+    void remove(attempt_id attempt);
 
     parameters params;
     std::map<attempt_id, std::unique_ptr<attempt_response>> attempts;
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -125,6 +125,7 @@
         observe_response(*this->params.fleet, this->params.protocol, request, head);
         this->checks->record_response(request);
     };
+    arguments.metrics = this->params.metrics;
     this->calls.emplace(
         profile.id,
         open_call{std::make_unique<forwarded_call>(std::move(arguments)), profile.backend, now});
--- a/packages/forwarding/tests/forwarded_call_test.cpp
+++ b/packages/forwarding/tests/forwarded_call_test.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarded_call.h"
+#include "forwarding/tests/unanswering_host.h"
 #include "http/response_budget.h"
 #include "http/tests/flooding_server.h"
 #include "http/tests/raw_caller.h"
@@ -45,6 +46,7 @@
 /// as it progresses, as the dispatcher does.
 struct streamed_call {
     http::raw_caller runner;
+    telemetry::metric_set metrics;
     std::optional<forwarded_call> call;
     std::string delivered;
     bool has_started = false;
@@ -85,6 +87,7 @@
         arguments.max_response_bytes = response_limit;
         arguments.time = &this->runner.time;
         arguments.client = this->runner.http_client.get();
+        arguments.metrics = &this->metrics;
         arguments.notify = [this](const requests::message& message) { this->receive(message); };
         this->call.emplace(std::move(arguments));
     }
@@ -229,6 +232,50 @@
     }
 }
 
+// A lost path looked like a slow target: nothing told of an attempt that the deadline ended.
+SCENARIO("an attempt that ends before its connection is open is counted") {
+    GIVEN("a host that answers no attempt to connect") {
+        const unanswering_host host;
+        streamed_call call(false);
+        call.attempt(1, host.address(), 0, std::chrono::milliseconds(100));
+        REQUIRE_FALSE(call.outcome);
+        WHEN("the attempt is cancelled") {
+            call.call->cancel(attempt_id(1));
+            THEN("it counts as never opened") {
+                CHECK(call.metrics.exposition().find("attempts_unopened_total 1") !=
+                      std::string::npos);
+            }
+        }
+    }
+    GIVEN("a target that has the request and does not respond") {
+        http::scripted_server server({{""}});
+        streamed_call call(false);
+        call.attempt(1, server.address(), 0, std::chrono::milliseconds(100));
+        WHEN("the attempt is cancelled") {
+            call.call->cancel(attempt_id(1));
+            THEN("it does not") {
+                CHECK(call.metrics.exposition().find("attempts_unopened_total") ==
+                      std::string::npos);
+            }
+        }
+    }
+    GIVEN("a target that refuses connections") {
+        streamed_call call(false);
+        const endpoint refusing = [] {
+            const http::loopback_listener ended = http::loopback_listener::open();
+            close(ended.socket);
+            return ended.bound;
+        }();
+        call.attempt(1, refusing, 0, http::raw_caller::max_time);
+        THEN("the attempt has failed as unreachable, and is counted as that") {
+            CHECK(call.has_failed(attempt_failure::unreachable));
+            CHECK(call.metrics.exposition().find("attempts_failed_total{kind=\"unreachable\"} 1") !=
+                  std::string::npos);
+            CHECK(call.metrics.exposition().find("attempts_unopened_total") == std::string::npos);
+        }
+    }
+}
+
 // A target that sends faster than its caller reads, or without end, must not fill the memory.
 SCENARIO("a stream without end is held in memory up to a limit") {
     const std::string endless_head = stream_head + "\r\n";
