Gateway: responses and refusals to callers in files of their own

What sends responses and refusals to a caller becomes caller_responder, the mapping of failures to refusals becomes refusals.h.

--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -1,12 +1,11 @@
 #include "gateway/internal/gateway.h"
 
+#include "gateway/internal/refusals.h"
+
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <array>
-#include <cctype>
-#include <string_view>
 #include <utility>
 
 namespace kingcupcart::gateway {
@@ -15,18 +14,8 @@
 
 /// Limit of the body of a load balancer's readiness request, in bytes.
 constexpr std::int64_t ready_body_limit = 4096;
-/// Delay after which a refused caller may retry; full targets usually have free slots again by
-/// then.
-constexpr duration retry_after_default = std::chrono::milliseconds(100);
 /// Upper limit of the time that a submission waits for a store: the time that callers wait.
 constexpr duration submission_max_wait = std::chrono::milliseconds(2500);
-/// Header fields that apply to a single connection, and those that this gateway's server sets
-/// itself.
-constexpr std::array<std::string_view, 10> not_forwarded_fields = {
-    "connection",   "keep-alive",        "proxy-connection", "te",      "trailer",
-    "content-type", "transfer-encoding", "content-length",   "upgrade", "server",
-};
-
 /// Whether the request states that its caller has received a part of the stream already.
 bool is_take_up(const routed_call& call, const routes::route& route) {
     return route.kind == routes::route_kind::stream &&
@@ -39,55 +28,6 @@
     });
 }
 
-refusal make_refusal(streams::lookup_outcome outcome) {
-    switch (outcome) {
-    case streams::lookup_outcome::stream_unknown:
-        return {refusal_kind::not_run, "no gateway or keeper knows the stream", {}};
-    case streams::lookup_outcome::version_unknown:
-        return {refusal_kind::not_run, "the software version that began the stream is unknown", {}};
-    case streams::lookup_outcome::found:
-    case streams::lookup_outcome::unanswered:
-        break;
-    }
-    return {refusal_kind::not_run, "no keeper could say which software version began the stream",
-            retry_after_default};
-}
-
-bool is_forwarded_field(const std::string& name) {
-    std::string lower = name;
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-    return std::find(not_forwarded_fields.begin(), not_forwarded_fields.end(), lower) ==
-           not_forwarded_fields.end();
-}
-
-void add_headers(http::exchange& exchange, const http::response_head& head) {
-    for (const header_field& field : head.headers) {
-        if (is_forwarded_field(field.name)) {
-            exchange.add_header(field.name.c_str(), field.value);
-        }
-    }
-}
-
-refusal make_refusal(const forwarding::call_failure& failure) {
-    refusal details;
-    details.reason = requests::to_string(failure.reason);
-    details.retry_after =
-        failure.retry_after > duration::zero() ? failure.retry_after : retry_after_default;
-    if (failure.reason == requests::refusal_reason::quarantined) {
-        // A delay of zero means that a retry would not succeed.
-        details.retry_after = failure.retry_after;
-    }
-    if (failure.outcome == requests::outcome_kind::not_run) {
-        details.kind = refusal_kind::not_run;
-    } else {
-        details.kind = failure.reason == requests::refusal_reason::deadline_passed
-                           ? refusal_kind::too_late
-                           : refusal_kind::failed;
-    }
-    return details;
-}
-
 } // namespace
 
 outcome<std::unique_ptr<gateway>> gateway::open(parameters arguments) {
@@ -150,6 +90,9 @@
         *this->params.time, this->params.settings.gateway->fleet.seed_links(),
         this->params.parse_route_table, std::move(keeper_callbacks));
 
+    this->responder = std::make_unique<caller_responder>(caller_responder::parameters{
+        this->params.callers, &this->fleet->streams(), &this->metrics});
+
     take_ups::parameters resumption_arguments;
     resumption_arguments.time = this->params.time;
     resumption_arguments.streams = &this->fleet->streams();
@@ -237,8 +180,9 @@
     } else if (this->is_draining) {
         // Connections that were kept open stay with this instance until it closes them.
         const auto* routed = std::get_if<routed_call>(&call);
-        this->refuse(*exchange, routed == nullptr ? "" : routed->request_name,
-                     {refusal_kind::not_run, "this gateway is stopping", retry_after_default});
+        this->responder->refuse(
+            *exchange, routed == nullptr ? "" : routed->request_name,
+            {refusal_kind::not_run, "this gateway is stopping", retry_after_default});
     } else if (const auto* routed = std::get_if<routed_call>(&call)) {
         this->handle_routed_call(std::move(exchange), *routed);
     } else if (const auto* results = std::get_if<read_results_call>(&call)) {
@@ -248,32 +192,26 @@
     } else if (const auto* end_job = std::get_if<end_job_call>(&call)) {
         this->stores->end_job(std::move(exchange), *end_job);
     } else {
-        this->refuse(*exchange, "",
-                     {refusal_kind::malformed, std::get<malformed_call>(call).reason, {}});
+        this->responder->refuse(
+            *exchange, "", {refusal_kind::malformed, std::get<malformed_call>(call).reason, {}});
     }
 }
 
-void gateway::refuse(http::exchange& exchange, const std::string& name, const refusal& details) {
-    spdlog::info("request refused request={} outcome={} reason=\"{}\"", name,
-                 to_string(details.kind), details.reason);
-    this->metrics.count(std::string("requests_refused_total{outcome=\"") + to_string(details.kind) +
-                        "\"}");
-    this->params.callers.refuse(exchange, details);
-}
-
 void gateway::handle_routed_call(std::unique_ptr<http::exchange> exchange,
                                  const routed_call& call) {
     const auto table = this->fleet->routes();
     if (table == nullptr) {
-        this->refuse(*exchange, call.request_name,
-                     {refusal_kind::not_run, "this gateway has not received any routes yet",
-                      retry_after_default});
+        this->responder->refuse(*exchange, call.request_name,
+                                {refusal_kind::not_run,
+                                 "this gateway has not received any routes yet",
+                                 retry_after_default});
         return;
     }
     const routes::route* route = table->find(call.host, call.path);
     if (route == nullptr) {
-        this->refuse(*exchange, call.request_name,
-                     {refusal_kind::no_route, "no route matches " + call.host + call.path, {}});
+        this->responder->refuse(
+            *exchange, call.request_name,
+            {refusal_kind::no_route, "no route matches " + call.host + call.path, {}});
     } else if (route->kind == routes::route_kind::batch) {
         this->submit_job(std::move(exchange), call, *route);
     } else if (is_take_up(call, *route)) {
@@ -288,7 +226,8 @@
     auto parsed =
         value_or_error([&] { return this->params.callers.parse_job(*exchange, call, route); });
     if (const auto* problem = std::get_if<error>(&parsed)) {
-        this->refuse(*exchange, call.request_name, {refusal_kind::malformed, problem->message, {}});
+        this->responder->refuse(*exchange, call.request_name,
+                                {refusal_kind::malformed, problem->message, {}});
         return;
     }
     const duration max_wait =
@@ -312,7 +251,7 @@
         make_fingerprint({forwarded.request.method, route.name.value(), call.host,
                           forwarded.request.path, forwarded.request.body});
     forwarded.origin = origin;
-    forwarded.notify = this->respond_to(exchange, call, route);
+    forwarded.notify = this->responder->respond_to(exchange, call, route.timeout);
     const request_id request = this->forwarder->start(route, std::move(forwarded));
     exchange->on_disconnect([this, request] { this->forwarder->cancel(request); });
     exchange->on_sent([this, request] { this->forwarder->stream_sent(request); });
@@ -321,7 +260,7 @@
 void gateway::take_up(std::unique_ptr<http::exchange> exchange, const routed_call& call,
                       const routes::route& route) {
     if (call.resumes.value().empty()) {
-        this->refuse_take_up(
+        this->responder->refuse_take_up(
             *exchange, call, "unnamed",
             {refusal_kind::not_run, "the request does not name the stream that it continues", {}});
         return;
@@ -332,8 +271,8 @@
 void gateway::continue_take_up(std::unique_ptr<http::exchange> exchange, const routed_call& call,
                                const streams::lookup_result& result) {
     if (result.outcome != streams::lookup_outcome::found) {
-        this->refuse_take_up(*exchange, call, streams::to_string(result.outcome),
-                             make_refusal(result.outcome));
+        this->responder->refuse_take_up(*exchange, call, streams::to_string(result.outcome),
+                                        make_refusal(result.outcome));
         return;
     }
     const streams::stream_record& record = *result.record;
@@ -342,10 +281,11 @@
     const auto table = this->fleet->routes();
     const routes::route* route = table->find(call.host, call.path);
     if (route == nullptr || !is_take_up(call, *route) || !is_served_by(*route, origin.backend)) {
-        this->refuse_take_up(*exchange, call, "not-routed",
-                             {refusal_kind::not_run,
-                              "the service that began the stream no longer serves the route",
-                              {}});
+        this->responder->refuse_take_up(
+            *exchange, call, "not-routed",
+            {refusal_kind::not_run,
+             "the service that began the stream no longer serves the route",
+             {}});
         return;
     }
     spdlog::info("stream taken up request={} stream={} after={} backend={} software={} age_ms={} "
@@ -356,48 +296,6 @@
     this->forward(std::move(exchange), call, *route, origin);
 }
 
-void gateway::refuse_take_up(http::exchange& exchange, const routed_call& call, const char* outcome,
-                             const refusal& details) {
-    spdlog::info("stream not taken up request={} stream={} after={} outcome={}", call.request_name,
-                 call.resumes.value(), call.resume_after, outcome);
-    this->metrics.count(std::string("stream_take_ups_total{outcome=\"") + outcome + "\"}");
-    this->refuse(exchange, call.request_name, details);
-}
-
-forwarding::response_callbacks gateway::respond_to(const std::shared_ptr<http::exchange>& exchange,
-                                                   const routed_call& call,
-                                                   const routes::route& route) {
-    const std::string& name = call.request_name;
-    forwarding::response_callbacks callbacks;
-    callbacks.on_stream_bound =
-        [this, stream = call.resumes.value().empty() ? streams::stream_id(name) : call.resumes,
-         timeout = route.timeout](const auto& origin) {
-            if (origin) {
-                this->fleet->streams().record(stream, origin->backend, origin->software, timeout);
-            } else {
-                this->fleet->streams().withdraw(stream, timeout);
-            }
-        };
-    callbacks.on_response = [exchange](const http::response_head& head, std::string_view body) {
-        add_headers(*exchange, head);
-        exchange->respond(head.status, head.content_type, body);
-    };
-    callbacks.on_stream_started = [exchange](const http::response_head& head) {
-        add_headers(*exchange, head);
-        exchange->begin_stream(head.status, head.content_type);
-    };
-    callbacks.on_stream_data = [exchange](std::string_view data) { exchange->write(data); };
-    callbacks.unsent_bytes = [exchange] { return exchange->unsent_bytes(); };
-    callbacks.on_stream_ended = [exchange] { exchange->end_stream(); };
-    callbacks.on_failure = [this, exchange, name](const forwarding::call_failure& failure) {
-        // The exchange closes a stream without its last chunk, so that it does not look complete.
-        if (!exchange->is_streaming()) {
-            this->refuse(*exchange, name, make_refusal(failure));
-        }
-    };
-    return callbacks;
-}
-
 void gateway::on(const admin::report_request& request) {
     nlohmann::ordered_json status;
     status["instance"] = this->params.settings.instance.value();
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -6,6 +6,7 @@
 #include "fleet/keeper_client.h"
 #include "forwarding/forwarder.h"
 #include "gateway/caller_protocol.h"
+#include "gateway/internal/caller_responder.h"
 #include "gateway/internal/gateway_message.h"
 #include "gateway/internal/store_client.h"
 #include "gateway/internal/take_ups.h"
@@ -69,13 +70,6 @@
     /// The stream that the call takes up was looked up.
     void continue_take_up(std::unique_ptr<http::exchange> exchange, const routed_call& call,
                           const streams::lookup_result& result);
-    void refuse_take_up(http::exchange& exchange, const routed_call& call, const char* outcome,
-                        const refusal& details);
-    void refuse(http::exchange& exchange, const std::string& name, const refusal& details);
-    /// Callbacks that send the response to the caller.
-    [[nodiscard]] forwarding::response_callbacks
-    respond_to(const std::shared_ptr<http::exchange>& exchange, const routed_call& call,
-               const routes::route& route);
     void check_drained();
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] wire::hello make_hello() const;
@@ -92,6 +86,7 @@
     std::function<void()> on_drained;
     std::unique_ptr<store_client> stores;
     std::unique_ptr<fleet::keeper_client> fleet;
+    std::unique_ptr<caller_responder> responder;
     std::unique_ptr<take_ups> resumptions;
     std::unique_ptr<forwarding::forwarder> forwarder;
     std::unique_ptr<http::server> callers_server;
