Relays: several backends share the links to them

Keepers name relays by backend, and an instance has four links at most. One that was cut off from three backends opened two links for each of the first two, and had none left for the third: its calls ended without a relay, or links of the others were closed for them in turn. A relay that is linked is now used for each backend until it refuses its calls; it is then passed over, and those that were named for that backend are dialled. The new section of relay_choice_test failed before: no relay was chosen for the third backend. relays_test: 1,036 assertions pass, relaying_test 1,669.

--- a/packages/relaying/internal/relay_client_state.cpp
+++ b/packages/relaying/internal/relay_client_state.cpp
@@ -101,7 +101,7 @@
             this->addresses.insert_or_assign(candidate.id, candidate.address);
         }
     }
-    this->choice.set_candidates(*backend, candidates, this->params.time->now());
+    this->choice.set_candidates(*backend, candidates);
     this->open_links(*backend, {});
     this->run_now.arm_now();
 }
--- a/packages/relays/internal/relay_choice.cpp
+++ b/packages/relays/internal/relay_choice.cpp
@@ -8,29 +8,19 @@
 relay_choice::relay_choice(location place, relay_limits limits, std::uint64_t seed)
     : place(std::move(place)), limits(limits), random(seed) {}
 
-void relay_choice::set_candidates(const backend_name& backend, const std::vector<relay>& candidates,
-                                  time_point now) {
-    std::vector<instance_id> ids;
-    for (const instance_id& id : this->candidates[backend]) {
-        const relay_state& state = this->relays.at(id);
-        if (state.link != link_state::none && is_usable(state, backend, now)) {
-            ids.push_back(id);
-        }
-    }
+void relay_choice::set_candidates(const backend_name& backend,
+                                  const std::vector<relay>& candidates) {
+    std::set<instance_id>& named = this->candidates[backend];
+    named.clear();
     for (const relay& candidate : candidates) {
         this->relays[candidate.id].place = candidate.place;
-        if (std::find(ids.begin(), ids.end(), candidate.id) == ids.end()) {
-            ids.push_back(candidate.id);
-        }
-    }
-    this->candidates[backend] = std::move(ids);
-    std::set<instance_id> named;
-    for (const auto& [name, listed] : this->candidates) {
-        named.insert(listed.begin(), listed.end());
+        named.insert(candidate.id);
     }
     std::erase_if(this->relays, [&](const auto& entry) {
         return entry.second.link == link_state::none && entry.second.calls == 0 &&
-               !named.contains(entry.first);
+               std::none_of(
+                   this->candidates.begin(), this->candidates.end(),
+                   [&](const auto& listed) { return listed.second.contains(entry.first); });
     });
 }
 
@@ -97,23 +87,19 @@
 }
 
 bool relay_choice::is_scarce(const backend_name& backend, time_point now) const {
-    const auto listed = this->candidates.find(backend);
-    if (listed == this->candidates.end()) {
-        return true;
-    }
     const auto usable =
-        std::count_if(listed->second.begin(), listed->second.end(), [&](const instance_id& id) {
-            return is_usable(this->relays.at(id), backend, now);
+        std::count_if(this->relays.begin(), this->relays.end(), [&](const auto& entry) {
+            return this->is_usable(entry.first, entry.second, backend, now);
         });
     return static_cast<std::size_t>(usable) < this->limits.scarce_relays;
 }
 
 bool relay_choice::has_candidates(const backend_name& backend,
                                   const std::set<instance_id>& passed_over) const {
-    const auto listed = this->candidates.find(backend);
-    return listed != this->candidates.end() &&
-           std::any_of(listed->second.begin(), listed->second.end(),
-                       [&](const instance_id& id) { return !passed_over.contains(id); });
+    return std::any_of(this->relays.begin(), this->relays.end(), [&](const auto& entry) {
+        return !passed_over.contains(entry.first) &&
+               this->is_candidate(entry.first, entry.second, backend);
+    });
 }
 
 std::vector<instance_id> relay_choice::choose_dials(const backend_name& backend,
@@ -158,13 +144,9 @@
     if (this->link_count() < this->limits.max_links) {
         return std::nullopt;
     }
-    const auto listed = this->candidates.find(backend);
     for (const auto& [id, state] : this->relays) {
-        const bool is_candidate =
-            listed != this->candidates.end() &&
-            std::find(listed->second.begin(), listed->second.end(), id) != listed->second.end();
         if (state.link == link_state::open && state.calls == 0 &&
-            !(is_candidate && is_usable(state, backend, now))) {
+            !this->is_usable(id, state, backend, now)) {
             return id;
         }
     }
@@ -206,25 +188,28 @@
                       [](const auto& entry) { return entry.second.link != link_state::none; }));
 }
 
-bool relay_choice::is_usable(const relay_state& state, const backend_name& backend,
-                             time_point now) {
+bool relay_choice::is_candidate(const instance_id& relay, const relay_state& state,
+                                const backend_name& backend) const {
+    const auto named = this->candidates.find(backend);
+    return (named != this->candidates.end() && named->second.contains(relay)) ||
+           (state.link != link_state::none && !state.refusals.contains(backend));
+}
+
+bool relay_choice::is_usable(const instance_id& relay, const relay_state& state,
+                             const backend_name& backend, time_point now) const {
     const auto refused = state.refusals.find(backend);
     const bool is_refusing = refused != state.refusals.end() && now < refused->second.until;
     const bool is_lost = state.link == link_state::none && now < state.lost_until;
-    return !is_refusing && !is_lost;
+    return !is_refusing && !is_lost && this->is_candidate(relay, state, backend);
 }
 
 std::map<std::size_t, std::vector<instance_id>>
 relay_choice::usable(const backend_name& backend, const std::set<instance_id>& passed_over,
                      link_state link, time_point now) const {
     std::map<std::size_t, std::vector<instance_id>> found;
-    const auto listed = this->candidates.find(backend);
-    if (listed == this->candidates.end()) {
-        return found;
-    }
-    for (const instance_id& id : listed->second) {
-        const relay_state& state = this->relays.at(id);
-        if (state.link == link && !passed_over.contains(id) && is_usable(state, backend, now)) {
+    for (const auto& [id, state] : this->relays) {
+        if (state.link == link && !passed_over.contains(id) &&
+            this->is_usable(id, state, backend, now)) {
             found[this->distance(state.place)].push_back(id);
         }
     }
--- a/packages/relays/relay_choice.h
+++ b/packages/relays/relay_choice.h
@@ -25,10 +25,9 @@
 public:
     relay_choice(location place, relay_limits limits, std::uint64_t seed);
 
-    /// Replaces the relays that are known for the backend, apart from those with a link that take
-    /// its calls.
-    void set_candidates(const backend_name& backend, const std::vector<relay>& candidates,
-                        time_point now);
+    /// Replaces the relays that keepers have named for the backend. Others that have a link are
+    /// used for it, too, until they refuse its calls.
+    void set_candidates(const backend_name& backend, const std::vector<relay>& candidates);
 
     void link_dialled(const instance_id& relay);
     void link_opened(const instance_id& relay, time_point now);
@@ -86,9 +85,12 @@
 
     [[nodiscard]] std::size_t distance(const location& place) const;
     [[nodiscard]] std::size_t link_count() const;
-    /// Whether the relay, which is a candidate, may get a call of the backend.
-    [[nodiscard]] static bool is_usable(const relay_state& state, const backend_name& backend,
-                                        time_point now);
+    /// Whether the relay is one of those that may forward calls of the backend.
+    [[nodiscard]] bool is_candidate(const instance_id& relay, const relay_state& state,
+                                    const backend_name& backend) const;
+    /// Whether such a relay may get a call, or be dialled for one, now.
+    [[nodiscard]] bool is_usable(const instance_id& relay, const relay_state& state,
+                                 const backend_name& backend, time_point now) const;
     /// The usable candidates of the backend whose link is in this state, by distance.
     [[nodiscard]] std::map<std::size_t, std::vector<instance_id>>
     usable(const backend_name& backend, const std::set<instance_id>& passed_over, link_state link,
@@ -99,7 +101,7 @@
     location place;
     relay_limits limits;
     std::mt19937_64 random;
-    std::map<backend_name, std::vector<instance_id>> candidates;
+    std::map<backend_name, std::set<instance_id>> candidates;
     std::map<instance_id, relay_state> relays;
 };
 
--- a/packages/relays/tests/cut_fleet_test.cpp
+++ b/packages/relays/tests/cut_fleet_test.cpp
@@ -213,7 +213,7 @@
         for (const instance_id& id : this->table.draw(each.self, chat)) {
             candidates.push_back(this->gateways[this->index.at(id)].self);
         }
-        each.choice.set_candidates(chat, candidates, this->time.now());
+        each.choice.set_candidates(chat, candidates);
     }
     /// Returns whether the call waits no longer.
     bool send(std::size_t origin, waiting_call& call) {
--- a/packages/relays/tests/relay_choice_test.cpp
+++ b/packages/relays/tests/relay_choice_test.cpp
@@ -68,8 +68,7 @@
     asking.choice.set_candidates(chat,
                                  {make_relay("c1", "c", "south"), make_relay("b1", "b", "north"),
                                   make_relay("a1", "a", "north"), make_relay("b2", "b", "north"),
-                                  make_relay("a2", "a", "north")},
-                                 asking.time.now());
+                                  make_relay("a2", "a", "north")});
 
     GIVEN("no link") {
         CHECK(asking.chosen().empty());
@@ -123,8 +122,7 @@
                 CHECK(seen.contains("a1"));
             }
             THEN("it may still get calls of another backend") {
-                asking.choice.set_candidates(app, {make_relay("a1", "a", "north")},
-                                             asking.time.now());
+                asking.choice.set_candidates(app, {make_relay("a1", "a", "north")});
                 CHECK(asking.choice.choose(app, {}, asking.time.now()) == instance_id("a1"));
             }
         }
@@ -149,7 +147,7 @@
             }
         }
         WHEN("the keepers name others") {
-            asking.choice.set_candidates(chat, {make_relay("b3", "b", "north")}, asking.time.now());
+            asking.choice.set_candidates(chat, {make_relay("b3", "b", "north")});
             THEN("the relays with links stay in use") {
                 CHECK(asking.dial().empty());
                 CHECK(asking.chosen().starts_with("a"));
@@ -157,7 +155,7 @@
         }
         WHEN("the keepers name others than those that refuse") {
             asking.choice.call_refused(instance_id("a1"), chat, asking.time.now());
-            asking.choice.set_candidates(chat, {make_relay("b3", "b", "north")}, asking.time.now());
+            asking.choice.set_candidates(chat, {make_relay("b3", "b", "north")});
             THEN("those get no calls any more") {
                 asking.time.advance(asking.limits.refusal_pause);
                 for (int i = 0; i < 20; ++i) {
@@ -182,7 +180,7 @@
     for (int i = 0; i < 8; ++i) {
         many.push_back(make_relay("a" + std::to_string(i), "a", "north"));
     }
-    asking.choice.set_candidates(chat, many, asking.time.now());
+    asking.choice.set_candidates(chat, many);
 
     GIVEN("relays that refuse one after the other") {
         std::size_t links = 0;
@@ -224,6 +222,40 @@
             }
         }
     }
+    GIVEN("three backends, for which keepers have named different relays") {
+        asking.open();
+        const backend_name other("other");
+        asking.choice.set_candidates(
+            app, {make_relay("a10", "a", "north"), make_relay("a11", "a", "north")});
+        asking.choice.set_candidates(
+            other, {make_relay("a12", "a", "north"), make_relay("a13", "a", "north")});
+        THEN("they share the links") {
+            for (const backend_name& backend : {app, other}) {
+                CHECK(asking.open(backend).empty());
+                CHECK(asking.choice.choose(backend, {}, asking.time.now()));
+            }
+        }
+        WHEN("the linked relays refuse calls of one of them") {
+            for (const char* id : {"a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7"}) {
+                asking.choice.call_refused(instance_id(id), other, asking.time.now());
+            }
+            THEN("links to the relays that were named for it are opened") {
+                CHECK(asking.open(other) ==
+                      std::vector<instance_id>{instance_id("a12"), instance_id("a13")});
+                CHECK(asking.choice.choose(other, {}, asking.time.now()));
+            }
+            THEN("those who refused are not asked again while others are named") {
+                asking.time.advance(asking.limits.longest_refusal_pause);
+                asking.open(other);
+                for (int i = 0; i < 20; ++i) {
+                    const auto chosen = asking.choice.choose(other, {}, asking.time.now());
+                    REQUIRE(chosen);
+                    CHECK(chosen->value().starts_with("a1"));
+                    CHECK(chosen->value().size() == 3);
+                }
+            }
+        }
+    }
     GIVEN("links that all take calls") {
         for (std::size_t i = 0; i < asking.limits.max_links; ++i) {
             for (const instance_id& relay : asking.open()) {
