--- a/packages/relaying/internal/relay_client_state.cpp
+++ b/packages/relaying/internal/relay_client_state.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -100,7 +101,7 @@
             this->addresses.insert_or_assign(candidate.id, candidate.address);
         }
     }
-    this->choice.set_candidates(*backend, candidates, this->params.time->now());
+    this->choice.set_candidates(*backend, candidates);
     this->open_links(*backend, {});
     this->run_now.arm_now();
 }
@@ -155,9 +156,10 @@
     }
     for (const auto& [number, call] : this->calls) {
         if (call->relay == instance_id()) {
-            consider(call->started_at + max_link_wait);
+            consider(call->started_at + std::min<duration>(max_link_wait, call->request.max_wait));
             const auto lookup = this->lookups.next(call->request.backend, max_exhausted_age);
-            if (lookup) {
+            // One that is overdue waits for the links that are being opened.
+            if (lookup && *lookup > this->params.time->now()) {
                 consider(*lookup);
             }
         }
