Forwarding: attempts that another gateway makes, and probes of paths

Callers of a gateway that had lost its links to all targets of a service waited until their deadline. The dispatcher now decides when such a call goes to another gateway; this executes it. An attempt's response comes over one of two transports, a connection to its target or a relayed attempt, behind one concept, and takes the same way from there: its head is checked against the request (it is the target's, unchanged), stream events are parsed and passed on one by one, a caller that reads slowly pauses it, and what it holds counts in the budget of responses. What a relay's response says of its target isn't recorded here, and neither is where its stream began: the relay does both.

The dispatcher learns of openings, first bytes, silence, refusals and kept connections. Kept connections of a silent target are closed, since a request on one of them would not arrive either. Probes open a connection and send nothing. Paths and backends that are lost or regained are logged with their evidence and age, counted, and reported to the keepers, also on each new link to one; relays are looked up as soon as a backend is cut off. Keepers are asked nearest first, and the next one if an answer may be missing.

--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -13,6 +13,8 @@
 
 /// Targets stay in the directory until a keeper reports their removal.
 constexpr duration unlimited_lease = std::chrono::hours(24 * 365);
+/// A question that was asked this long ago has been answered, or its keeper does not respond.
+constexpr duration answer_time = std::chrono::seconds(2);
 
 instance_id id_of(const endpoint& address) {
     return instance_id(address.to_string());
@@ -41,6 +43,7 @@
                     [this](const instance_id& keeper, const wire::message& message) {
                         return this->links.send(keeper, message);
                     }),
+      place(this->notify.make_hello().place),
       links(time, {this->notify.make_hello,
                    [this](const instance_id& keeper) {
                        spdlog::info("connected to keeper keeper={}", keeper.value());
@@ -65,6 +68,27 @@
     }
 }
 
+bool keeper_client::ask_nearest(const wire::message& question) {
+    const time_point now = this->time.now();
+    this->asked_in_a_row = now < this->last_asked_at + answer_time ? this->asked_in_a_row + 1 : 0;
+    this->last_asked_at = now;
+    std::vector<instance_id> keepers = this->links.ids();
+    std::erase_if(keepers, [&](const instance_id& id) { return !this->links.is_open(id); });
+    const auto distance_to = [&](const instance_id& id) {
+        const auto found = this->keeper_places.find(id);
+        if (found == this->keeper_places.end() || found->second.region != this->place.region) {
+            return 2;
+        }
+        return found->second.domain == this->place.domain ? 0 : 1;
+    };
+    std::stable_sort(keepers.begin(), keepers.end(),
+                     [&](const instance_id& left, const instance_id& right) {
+                         return distance_to(left) < distance_to(right);
+                     });
+    return !keepers.empty() &&
+           this->links.send(keepers[this->asked_in_a_row % keepers.size()], question);
+}
+
 bool keeper_client::has_confirmed_routes() const {
     return this->table != nullptr && this->route_confirmations.size() >= this->keeper_majority;
 }
@@ -89,7 +113,10 @@
         this->known_crashes.handle(*decision, from);
     } else if (const auto* response = std::get_if<wire::stream_lookup_response>(&message)) {
         this->known_streams.handle(*response, from);
+    } else if (const auto* found = std::get_if<wire::relay_lookup_response>(&message)) {
+        this->notify.relays_found(*found);
     } else if (const auto* greeting = std::get_if<wire::hello>(&message)) {
+        this->keeper_places.insert_or_assign(from, greeting->place);
         this->known_streams.keeper_connected(from, greeting->place);
     } else if (const auto* initial_members = std::get_if<wire::initial_members_update>(&message)) {
         this->notify.initial_members_received(initial_members->initial_members);
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/ids.h"
+#include "base/location.h"
 #include "fleet/crash_monitor.h"
 #include "fleet/stream_records.h"
 #include "fleet/target_limits.h"
@@ -40,6 +41,9 @@
         std::function<void()> stores_changed;
         std::function<void(const std::vector<quorum::member>&)> initial_members_received;
         std::function<void(const instance_id& keeper)> keeper_connected;
+        /// Set by instances that look up relays.
+        std::function<void(const wire::relay_lookup_response&)> relays_found =
+            [](const wire::relay_lookup_response&) {};
     };
 
     /// `seeds` are the link addresses of some keepers; these report the addresses of the others.
@@ -66,6 +70,10 @@
         return this->links.send(keeper, message);
     }
     void send_to_all(const wire::message& message) { this->links.send_to_all(message); }
+    /// Sends a question to one keeper: to the nearest one whose link is open, and to the next one
+    /// if the last question was asked so recently that it may not have been answered. Returns false
+    /// if no link is open.
+    bool ask_nearest(const wire::message& question);
     /// Marks the target as leaving after it said so in a response, and notifies the keepers. The
     /// mark outlasts updates of the keepers until another incarnation of the target starts.
     void mark_leaving(const target_id& target, incarnation_id incarnation);
@@ -96,6 +104,12 @@
     target_limits known_limits;
     crash_monitor known_crashes;
     stream_records known_streams;
+    location place;
+    /// Where the keepers are, as far as they said so.
+    std::map<instance_id, location> keeper_places;
+    time_point last_asked_at{};
+    /// Keepers that were asked one after the other since the last pause.
+    std::size_t asked_in_a_row = 0;
     group::member_links links;
 };
 
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -26,9 +26,16 @@
 #include <unordered_map>
 #include <vector>
 
+namespace kingcupcart::relaying {
+
+class relay_client;
+
+} // namespace kingcupcart::relaying
+
 namespace kingcupcart::forwarding {
 
 class forwarded_call;
+class path_monitor;
 class target_checks;
 
 /// Forwards requests to the targets of their routes: executes the actions of the request dispatcher
@@ -50,6 +57,9 @@
         std::function<void()> on_call_ended;
         /// Memory of the responses, shared with the other clients of the task.
         std::shared_ptr<http::response_budget> budget = nullptr;
+        /// Passes requests on while this instance is cut off from their service; null if it has
+        /// none relayed.
+        relaying::relay_client* relays = nullptr;
     };
 
     explicit forwarder(parameters arguments);
@@ -75,6 +85,8 @@
     void permits_changed(const target_id& target);
     /// Whether a request under which targets may have ended may be sent has changed.
     void suspect_changed(const request_fingerprint& fingerprint);
+    /// A link to the keeper was opened.
+    void keeper_connected(const instance_id& keeper);
 
     [[nodiscard]] std::size_t open_count() const { return this->calls.size(); }
 
@@ -111,6 +123,7 @@
     requests::dispatcher dispatcher;
     http::client client;
     std::unique_ptr<target_checks> checks;
+    std::unique_ptr<path_monitor> paths;
     std::unordered_map<request_id, open_call> calls;
     std::unordered_map<attempt_id, request_id> attempts;
     std::uint64_t last_request = 0;
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -19,69 +19,164 @@
     return status >= status_ok && status < status_multiple_choices;
 }
 
-requests::attempt_failure failure_of(http::call_result completion) {
+} // namespace
+
+forwarded_call::forwarded_call(parameters arguments) : params(std::move(arguments)) {}
+
+forwarded_call::~forwarded_call() = default;
+
+forwarded_call::attempt_end forwarded_call::make_end(http::call_result completion,
+                                                     const std::string& reason) {
+    attempt_end end{std::nullopt, http::to_string(completion), reason};
     switch (completion) {
+    case http::call_result::complete:
+        break;
     case http::call_result::unreachable:
-        return requests::attempt_failure::unreachable;
+        end.failure = requests::attempt_failure::unreachable;
+        break;
     case http::call_result::disconnected:
-        return requests::attempt_failure::disconnected;
-    case http::call_result::complete:
+        end.failure = requests::attempt_failure::disconnected;
+        break;
     case http::call_result::broken:
+        end.failure = requests::attempt_failure::broken;
         break;
     }
-    return requests::attempt_failure::broken;
+    return end;
 }
 
-} // namespace
+forwarded_call::attempt_end forwarded_call::make_end(relaying::relay_result completion,
+                                                     const std::string& reason) {
+    attempt_end end{std::nullopt, relaying::to_string(completion), reason};
+    switch (completion) {
+    case relaying::relay_result::complete:
+        break;
+    case relaying::relay_result::no_relay:
+        end.failure = requests::attempt_failure::no_relay;
+        break;
+    case relaying::relay_result::declined:
+        end.failure = requests::attempt_failure::declined;
+        break;
+    case relaying::relay_result::broken:
+        end.failure = requests::attempt_failure::broken;
+        break;
+    }
+    return end;
+}
 
-forwarded_call::forwarded_call(parameters arguments) : params(std::move(arguments)) {}
+engines::forwarded_request forwarded_call::remaining_request(tokens delivered) const {
+    engines::forwarded_request request = this->params.call.request;
+    request.time_left = this->params.deadline - this->params.time->now();
+    request.resume_after += static_cast<std::size_t>(delivered.count());
+    return request;
+}
 
-forwarded_call::~forwarded_call() = default;
+forwarded_call::attempt_response& forwarded_call::add_attempt(attempt_id attempt,
+                                                              std::size_t resume_after) {
+    auto response = std::make_unique<attempt_response>();
+    attempt_response& added = *response;
+    added.last_event = resume_after;
+    added.sent_at = this->params.time->now();
+    this->attempts.emplace(attempt, std::move(response));
+    return added;
+}
 
 void forwarded_call::start_attempt(const requests::send_attempt& action,
                                    const membership::target_record& target) {
     const attempt_id attempt = action.attempt;
-    engines::forwarded_request request = this->params.call.request;
-    request.time_left = this->params.deadline - this->params.time->now();
-    request.resume_after =
-        request.resume_after + static_cast<std::size_t>(action.resume_after.count());
-    auto response = std::make_unique<attempt_response>();
-    attempt_response& added = *response;
-    added.last_event = request.resume_after;
+    const engines::forwarded_request request = this->remaining_request(action.resume_after);
+    attempt_response& added = this->add_attempt(attempt, request.resume_after);
     added.target = target.id;
     added.incarnation = target.incarnation;
-    added.sent_at = this->params.time->now();
-    this->attempts.emplace(attempt, std::move(response));
+    added.is_opening = true;
     http::request outgoing = this->params.protocol.forward(request, target);
     // The length of a stream is not limited, only that of its events.
     outgoing.max_response_bytes = this->params.is_stream ? 0 : this->params.max_response_bytes;
-    added.call = this->params.client->start(
+    outgoing.open_timeout = action.open_timeout;
+    added.transport.set(this->params.client->start(
         outgoing,
         {[this, attempt] { this->on_write_started(attempt); },
-         [this, attempt](const http::response_head& head) { this->on_head(attempt, head); },
+         [this, attempt](const http::response_head& head) { this->on_target_head(attempt, head); },
          [this, attempt](std::string_view data) { this->on_data(attempt, data); },
          [this, attempt](http::call_result completion, const std::string& reason) {
-             this->on_end(attempt, completion, reason);
-         }});
+             this->on_end(attempt, make_end(completion, reason));
+         },
+         [this, attempt](duration opening) {
+             this->params.notify(requests::attempt_opened{attempt, opening});
+         },
+         [this, attempt, server = target.address] { this->on_silent(attempt, server); }}));
+}
+
+void forwarded_call::start_attempt(const requests::relay_attempt& action) {
+    const attempt_id attempt = action.attempt;
+    if (this->params.relays == nullptr) {
+        this->params.notify(requests::attempt_failed{attempt, requests::attempt_failure::no_relay});
+        return;
+    }
+    engines::forwarded_request remaining = this->remaining_request(action.resume_after);
+    attempt_response& added = this->add_attempt(attempt, remaining.resume_after);
+    relayed_attempt::parameters arguments;
+    arguments.attempt = attempt;
+    wire::relayed_call_request& request = arguments.request;
+    request.name = this->params.call.name;
+    request.host = this->params.call.host;
+    request.method = std::move(remaining.method);
+    request.path = std::move(remaining.path);
+    request.headers = std::move(remaining.headers);
+    request.body = std::move(remaining.body);
+    request.max_wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::max(remaining.time_left, duration::zero()));
+    request.resume_after = remaining.resume_after;
+    request.resumes = this->params.call.resumes;
+    request.backend = action.backend;
+    request.software = action.software;
+    arguments.passed_over = this->tried_relays;
+    arguments.time = this->params.time;
+    arguments.relays = this->params.relays;
+    arguments.metrics = this->params.metrics;
+    arguments.budget = this->params.budget;
+    arguments.on_sent = [this, attempt](const instance_id& relay) {
+        this->tried_relays.push_back(relay);
+        this->on_write_started(attempt);
+    };
+    arguments.on_head = [this, attempt](const http::response_head& head) {
+        this->on_head(attempt, head);
+    };
+    arguments.on_data = [this, attempt](std::string_view data) { this->on_data(attempt, data); };
+    arguments.on_end = [this, attempt](relaying::relay_result completion,
+                                       const std::string& reason) {
+        this->on_end(attempt, make_end(completion, reason));
+    };
+    added.transport.set(std::make_unique<relayed_attempt>(std::move(arguments)));
 }
 
 void forwarded_call::on_write_started(attempt_id attempt) {
     const auto found = this->attempts.find(attempt);
     if (found != this->attempts.end()) {
-        found->second->is_write_started = true;
+        found->second->is_opening = false;
     }
     this->params.notify(requests::attempt_write_started{attempt});
 }
 
-void forwarded_call::on_head(attempt_id attempt, const http::response_head& head) {
-    auto found = this->attempts.find(attempt);
-    if (found != this->attempts.end()) {
-        const attempt_response& response = *found->second;
-        this->params.head_received(
-            {response.target, response.incarnation, this->params.call.name, response.sent_at},
-            head);
-        found = this->attempts.find(attempt);
+void forwarded_call::on_silent(attempt_id attempt, const endpoint& server) {
+    // A request that is sent on one of them would not arrive either.
+    this->params.client->close_idle(server);
+    this->params.notify(requests::attempt_silent{attempt});
+}
+
+void forwarded_call::on_target_head(attempt_id attempt, const http::response_head& head) {
+    this->params.notify(requests::attempt_reached{attempt});
+    const auto found = this->attempts.find(attempt);
+    if (found == this->attempts.end()) {
+        return;
     }
+    const attempt_response& response = *found->second;
+    this->params.head_received(
+        {response.target, response.incarnation, this->params.call.name, response.sent_at}, head);
+    this->on_head(attempt, head);
+}
+
+void forwarded_call::on_head(attempt_id attempt, const http::response_head& head) {
+    const auto found = this->attempts.find(attempt);
     if (found == this->attempts.end()) {
         return;
     }
@@ -118,6 +213,10 @@
         return;
     }
     response.body += data;
+    if (response.body.size() > this->params.max_response_bytes) {
+        this->fail_attempt(attempt, requests::attempt_failure::broken, broken_kind,
+                           "the response is longer than the limit");
+    }
 }
 
 void forwarded_call::on_stream_data(attempt_id attempt, attempt_response& response,
@@ -166,21 +265,18 @@
     }
     const auto& unsent_bytes = this->params.call.notify.unsent_bytes;
     const std::size_t unsent = unsent_bytes ? unsent_bytes() : 0;
-    const attempt_response& response = *found->second;
+    attempt_response& response = *found->second;
     if (this->flow.update(unsent)) {
-        response.call->set_paused(this->flow.is_paused());
+        response.transport.set_paused(this->flow.is_paused());
         this->params.notify(
             requests::attempt_paused{this->selected_attempt, this->flow.is_paused()});
     }
     // Last, because it may end the attempt.
-    if (response.call) {
-        response.call->set_held_bytes(response.body.size() + response.parser.buffered_bytes() +
+    response.transport.set_held_bytes(response.body.size() + response.parser.buffered_bytes() +
                                       unsent);
-    }
 }
 
-void forwarded_call::on_end(attempt_id attempt, http::call_result completion,
-                            const std::string& reason) {
+void forwarded_call::on_end(attempt_id attempt, const attempt_end& end) {
     const auto found = this->attempts.find(attempt);
     if (found == this->attempts.end()) {
         return;
@@ -188,16 +284,16 @@
     const attempt_response& response = *found->second;
     const bool ends_in_event = this->params.is_stream && is_success(response.head.status) &&
                                !response.parser.is_between_events();
-    if (completion == http::call_result::complete && ends_in_event) {
+    if (end.failure) {
+        this->fail_attempt(attempt, *end.failure, end.kind, end.reason);
+    } else if (ends_in_event) {
         this->fail_attempt(attempt, requests::attempt_failure::broken, broken_kind,
                            "the stream ends within an event");
-        return;
-    }
-    if (completion == http::call_result::complete && response.is_matching) {
+    } else if (!response.is_matching) {
+        this->fail_attempt(attempt, requests::attempt_failure::broken, end.kind, end.reason);
+    } else {
         this->params.notify(requests::attempt_completed{attempt});
-        return;
     }
-    this->fail_attempt(attempt, failure_of(completion), http::to_string(completion), reason);
 }
 
 void forwarded_call::fail_attempt(attempt_id attempt, requests::attempt_failure failure,
@@ -245,7 +341,7 @@
 
 void forwarded_call::cancel(attempt_id attempt) {
     const auto found = this->attempts.find(attempt);
-    if (found != this->attempts.end() && !found->second->is_write_started) {
+    if (found != this->attempts.end() && found->second->is_opening) {
         this->log_unopened(attempt, *found->second);
     }
     this->remove(attempt);
@@ -265,7 +361,7 @@
     if (found == this->attempts.end()) {
         return;
     }
-    found->second->call.reset();
+    found->second->transport.reset();
     // The object stays until the call ends, which later attempts may delay for long.
     found->second->body = std::string();
     found->second->parser = {};
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -1,15 +1,20 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "base/ids.h"
+#include "base/units.h"
 #include "completions/event_parser.h"
 #include "engines/target_protocol.h"
 #include "forwarding/call_parameters.h"
+#include "forwarding/internal/attempt_transport.h"
 #include "forwarding/response_observer.h"
 #include "http/client.h"
 #include "http/flow_control.h"
+#include "http/response_budget.h"
 #include "http/response_head.h"
 #include "membership/target_record.h"
+#include "relaying/relay_client.h"
 #include "requests/actions.h"
 #include "requests/messages.h"
 #include "telemetry/metric_set.h"
@@ -37,6 +42,10 @@
         std::size_t max_response_bytes = 0;
         const clock* time = nullptr;
         http::client* client = nullptr;
+        /// Null if no other gateway is asked to relay the request.
+        relaying::relay_client* relays = nullptr;
+        /// Memory of relayed responses; null if it is not limited.
+        std::shared_ptr<http::response_budget> budget = nullptr;
         /// Passes a message to the dispatcher, whose actions are executed before the next event
         /// loop iteration.
         std::function<void(const requests::message&)> notify;
@@ -52,6 +61,8 @@
 
     void start_attempt(const requests::send_attempt& action,
                        const membership::target_record& target);
+    /// Has another gateway forward the request. Fails as `no_relay` if none is ever asked.
+    void start_attempt(const requests::relay_attempt& action);
     /// Sends this attempt's response to the caller; its stream begins at once.
     void select_attempt(attempt_id attempt);
     /// Reports where the stream has begun; empty if that turned out to be unknown.
@@ -72,32 +83,49 @@
 
 private:
     struct attempt_response {
-        std::unique_ptr<http::client::call> call;
+        attempt_transport transport;
         http::response_head head;
         /// The response received so far, or the part of a stream that has not been forwarded yet.
         std::string body;
         completions::event_parser parser;
         std::size_t last_event = 0;
         bool is_matching = false;
-        /// A connection to the target was open, and the request began to be written to it.
-        bool is_write_started = false;
+        /// Waits for a connection to its target.
+        bool is_opening = false;
+        /// Empty if the attempt is relayed.
         target_id target;
         incarnation_id incarnation;
         time_point sent_at{};
     };
 
+    /// How an attempt ended; `kind` and `reason` are for the log.
+    struct attempt_end {
+        /// Empty if the response is complete.
+        std::optional<requests::attempt_failure> failure;
+        const char* kind = "";
+        std::string reason;
+    };
+
+    static attempt_end make_end(http::call_result completion, const std::string& reason);
+    static attempt_end make_end(relaying::relay_result completion, const std::string& reason);
+
+    /// The request to send after the caller received this many further events.
+    [[nodiscard]] engines::forwarded_request remaining_request(tokens delivered) const;
+    attempt_response& add_attempt(attempt_id attempt, std::size_t resume_after);
     void on_write_started(attempt_id attempt);
+    void on_silent(attempt_id attempt, const endpoint& server);
+    void on_target_head(attempt_id attempt, const http::response_head& head);
     void on_head(attempt_id attempt, const http::response_head& head);
     void on_data(attempt_id attempt, std::string_view data);
     void on_stream_data(attempt_id attempt, attempt_response& response, std::string_view data);
     /// Pauses the selected attempt while much of the stream is unsent.
     void control_flow();
-    void on_end(attempt_id attempt, http::call_result completion, const std::string& reason);
+    void on_end(attempt_id attempt, const attempt_end& end);
     /// `kind` and `reason` are for the log.
     void fail_attempt(attempt_id attempt, requests::attempt_failure failure, const char* kind,
                       const std::string& reason);
     void log_unopened(attempt_id attempt, const attempt_response& response) const;
-    /// Closes the attempt's connection.
+    /// Ends the attempt's call.
     void remove(attempt_id attempt);
 
     parameters params;
@@ -105,6 +133,8 @@
     /// Cancelled attempts, each of which may still be in one of its own callbacks; destroyed with
     /// the call.
     std::vector<std::unique_ptr<attempt_response>> pending_deletion;
+    /// Relays that the request was sent to.
+    std::vector<instance_id> tried_relays;
     attempt_id selected_attempt;
     int response_status = 0;
     bool is_streaming = false;
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/forwarder.h"
 
 #include "forwarding/internal/forwarded_call.h"
+#include "forwarding/internal/path_monitor.h"
 #include "forwarding/internal/target_checks.h"
 #include "forwarding/response_observer.h"
 
@@ -22,6 +23,7 @@
 requests::dispatcher_limits make_limits() {
     requests::dispatcher_limits limits;
     limits.hedge_floor = std::chrono::milliseconds(60);
+    limits.tracks_paths = true;
     return limits;
 }
 
@@ -34,8 +36,15 @@
                  &this->params.fleet->limits().account(), &this->params.fleet->crashes().account()),
       client(*this->params.time, {this->params.limits, {}, this->params.budget}),
       checks(std::make_unique<target_checks>(*this->params.time, *this->params.fleet)),
+      paths(std::make_unique<path_monitor>(path_monitor::parameters{
+          this->params.time, this->params.fleet, this->params.relays, this->params.metrics,
+          [this](const requests::probe_ended& ended) { this->dispatch(ended); }})),
       dispatcher_timer([this] { this->dispatch(requests::timer_expired{}); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {
+    this->dispatcher.set_kept_connections([this](const target_id& id) {
+        const membership::target_record* target = this->params.fleet->targets().find(id);
+        return target != nullptr && this->client.has_idle(target->address);
+    });
     if (this->params.fleet->routes() != nullptr) {
         this->routes_changed();
     }
@@ -60,6 +69,7 @@
 
 void forwarder::target_changed(const membership::directory_change& change) {
     this->execute(this->dispatcher.update_target(change, this->params.time->now()));
+    this->process_unless_busy();
 }
 
 void forwarder::permits_changed(const target_id& target) {
@@ -72,6 +82,10 @@
     this->process_unless_busy();
 }
 
+void forwarder::keeper_connected(const instance_id& keeper) {
+    this->paths->report_to(keeper);
+}
+
 backend_name forwarder::choose_service(const routes::route& route) {
     const auto total = std::accumulate(
         route.shares.begin(), route.shares.end(), std::uint64_t{0},
@@ -100,7 +114,7 @@
         profile.backend = call.origin->backend;
         profile.software = call.origin->software;
     } else {
-        profile.backend = this->choose_service(route);
+        profile.backend = call.service ? *call.service : this->choose_service(route);
     }
     profile.work_class = work_class_name(route.name.value());
     profile.repeatable = call.request.is_repeatable;
@@ -110,6 +124,8 @@
     profile.objective = route.latency_objective;
     profile.max_attempts = route.max_attempts;
     profile.fingerprint = call.fingerprint;
+    profile.may_relay = call.may_relay && this->params.relays != nullptr;
+    profile.is_relayed = call.is_relayed;
 
     forwarded_call::parameters arguments;
     arguments.call = std::move(call);
@@ -119,6 +135,8 @@
     arguments.max_response_bytes = this->params.max_response_bytes;
     arguments.time = this->params.time;
     arguments.client = &this->client;
+    arguments.relays = this->params.relays;
+    arguments.budget = this->params.budget;
     arguments.notify = [this](const requests::message& message) { this->dispatch(message); };
     arguments.head_received = [this](const observed_request& request,
                                      const http::response_head& head) {
@@ -210,15 +228,23 @@
 }
 
 void forwarder::on(const requests::relay_attempt& action) {
-    this->inbox.push_back(
-        requests::attempt_failed{action.attempt, requests::attempt_failure::no_relay});
+    const auto found = this->calls.find(action.request);
+    if (found == this->calls.end()) {
+        this->dispatch(
+            requests::attempt_failed{action.attempt, requests::attempt_failure::no_relay});
+        return;
+    }
+    this->attempts.emplace(action.attempt, action.request);
+    found->second.call->start_attempt(action);
 }
 
 void forwarder::on(const requests::probe_path& action) {
-    this->inbox.push_back(requests::probe_ended{action.target, false, {}});
+    this->paths->probe(action);
 }
 
-void forwarder::on(const requests::paths_changed& /*changed*/) {}
+void forwarder::on(const requests::paths_changed& changed) {
+    this->paths->update(changed, this->dispatcher.cut_off_backends(this->params.time->now()));
+}
 
 void forwarder::on(const requests::select_attempt& selected) {
     const auto found = this->calls.find(selected.request);
--- a/packages/forwarding/response_callbacks.h
+++ b/packages/forwarding/response_callbacks.h
@@ -20,7 +20,8 @@
     std::function<void(std::string_view)> on_stream_data;
     std::function<void()> on_stream_ended;
     /// Called once before the first data of a resumable stream, and with an empty origin if it
-    /// turns out that the version of what was passed on is unknown. May be null.
+    /// turns out that the version of what was passed on is unknown. Not called for what another
+    /// gateway relays, which records the stream itself. May be null.
     std::function<void(const std::optional<stream_origin>&)> on_stream_bound;
     /// Returns the bytes passed to `on_stream_data` that were not sent to the caller yet. May be
     /// null if the caller is never slow.
