Gateway: calls of other gateways are forwarded, and own ones relayed

With [gateway] address set, a gateway accepts links from others and forwards their calls by its own routes, to the service that the sender chose, with the caller's identifier, headers, body, remaining time and fingerprint. It never relays them again. A call without a route, or one that takes up a stream without naming its version or of a service that left the route, is declined as not run; a refusal keeps whether the call may have run, its reason and its delay. Streams are recorded here, under the name that their caller knows. A cancelled call or a lost link ends the request at its target. A planned stop refuses new calls as not run and waits until the other side has received the end of those in progress.

The gateway's hello carries the address, so that the keepers can name it. Calls of own callers may be relayed from now on.

--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/gateway.h"
 
 #include "gateway/internal/refusals.h"
+#include "gateway/internal/route_checks.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
@@ -16,18 +17,6 @@
 constexpr std::int64_t ready_body_limit = 4096;
 /// Upper limit of the time that a submission waits for a store: the time that callers wait.
 constexpr duration submission_max_wait = std::chrono::milliseconds(2500);
-/// Whether the request states that its caller has received a part of the stream already.
-bool is_take_up(const routed_call& call, const routes::route& route) {
-    return route.kind == routes::route_kind::stream &&
-           (call.resume_after > 0 || !call.resumes.value().empty());
-}
-
-bool is_served_by(const routes::route& route, const backend_name& service) {
-    return std::any_of(route.shares.begin(), route.shares.end(), [&](const auto& share) {
-        return share.service == service && share.weight > 0;
-    });
-}
-
 } // namespace
 
 outcome<std::unique_ptr<gateway>> gateway::open(parameters arguments) {
@@ -45,7 +34,10 @@
       caller_memory(std::make_shared<http::caller_budget>(
           *this->params.time, this->params.settings.responses.budget_bytes)) {}
 
-gateway::~gateway() = default;
+gateway::~gateway() {
+    // Calls that end with the members below no longer lead to a drained gateway.
+    this->on_drained = nullptr;
+}
 
 outcome<void> gateway::open_servers() {
     const settings::gateway_settings& gateway_settings = *this->params.settings.gateway;
@@ -57,6 +49,25 @@
                                          on_request, this->caller_memory));
     BOOST_LEAF_ASSIGN(this->ready_server,
                       http::server::open(gateway_settings.ready, ready_body_limit, on_request));
+    return this->open_relayed_calls();
+}
+
+outcome<void> gateway::open_relayed_calls() {
+    const settings::gateway_settings& gateway_settings = *this->params.settings.gateway;
+    if (!gateway_settings.address) {
+        return {};
+    }
+    relayed_calls::parameters arguments;
+    arguments.address = *gateway_settings.address;
+    arguments.max_calls = gateway_settings.relayed_calls;
+    arguments.time = this->params.time;
+    arguments.make_hello = [this] { return this->make_hello(); };
+    arguments.metrics = &this->metrics;
+    arguments.fleet = this->fleet.get();
+    arguments.forwarder = this->forwarder.get();
+    arguments.on_idle = [this] { this->check_drained(); };
+    arguments.budget = this->caller_memory;
+    BOOST_LEAF_ASSIGN(this->calls_of_others, relayed_calls::open(std::move(arguments)));
     return {};
 }
 
@@ -85,11 +96,27 @@
         this->stores->stores_changed(this->fleet->stores());
     };
     keeper_callbacks.initial_members_received = [](const std::vector<quorum::member>&) {};
-    keeper_callbacks.keeper_connected = [](const instance_id&) {};
+    keeper_callbacks.keeper_connected = [this](const instance_id& keeper) {
+        this->forwarder->keeper_connected(keeper);
+    };
+    keeper_callbacks.relays_found = [this](const wire::relay_lookup_response& response) {
+        this->relays->handle(response);
+    };
     this->fleet = std::make_unique<fleet::keeper_client>(
         *this->params.time, this->params.settings.gateway->fleet.seed_links(),
         this->params.parse_route_table, std::move(keeper_callbacks));
 
+    relaying::relay_client::parameters relay_arguments;
+    relay_arguments.time = this->params.time;
+    relay_arguments.make_hello = [this] { return this->make_hello(); };
+    relay_arguments.place = this->params.settings.place;
+    relay_arguments.self = this->params.settings.instance;
+    relay_arguments.ask_keeper = [this](const wire::message& question) {
+        return this->fleet->ask_nearest(question);
+    };
+    relay_arguments.metrics = &this->metrics;
+    this->relays = std::make_unique<relaying::relay_client>(std::move(relay_arguments));
+
     this->responder = std::make_unique<caller_responder>(caller_responder::parameters{
         this->params.callers, &this->fleet->streams(), &this->metrics});
 
@@ -118,6 +145,7 @@
         static_cast<std::size_t>(this->params.settings.gateway->response_limit);
     arguments.on_call_ended = [this] { this->check_drained(); };
     arguments.budget = this->responses;
+    arguments.relays = this->relays.get();
     this->forwarder = std::make_unique<forwarding::forwarder>(std::move(arguments));
 }
 
@@ -127,6 +155,9 @@
     hello.incarnation = this->params.incarnation;
     hello.place = this->params.settings.place;
     hello.role = wire::instance_role::gateway;
+    if (const auto& address = this->params.settings.gateway->address) {
+        hello.address = *address;
+    }
     return hello;
 }
 
@@ -151,18 +182,26 @@
 void gateway::on(stop_started& started) {
     this->is_stopping = true;
     this->is_draining = true;
-    spdlog::info("refusing new requests open_requests={} open_batch_calls={}",
-                 this->forwarder->open_count(), this->stores->open_count());
+    spdlog::info("refusing new requests open_requests={} open_batch_calls={} open_relayed_calls={}",
+                 this->forwarder->open_count(), this->stores->open_count(),
+                 this->open_relayed_count());
     this->on_drained = std::move(started.on_drained);
     this->forwarder->begin_stop(started.deadline);
     this->callers_server->begin_stop([this] { this->check_drained(); });
+    if (this->calls_of_others) {
+        this->calls_of_others->begin_stop();
+    }
     this->check_drained();
 }
 
 void gateway::check_drained() {
+    if (!this->on_drained) {
+        return;
+    }
     const bool is_idle = this->forwarder->open_count() == 0 && this->stores->open_count() == 0 &&
-                         this->resumptions->open_count() == 0 && this->callers_server->is_idle();
-    if (!this->on_drained || !is_idle) {
+                         this->resumptions->open_count() == 0 && this->callers_server->is_idle() &&
+                         this->open_relayed_count() == 0;
+    if (!is_idle) {
         return;
     }
     // A request that arrives from now on is not read, so its caller knows that it did not run.
@@ -173,6 +212,10 @@
     callback();
 }
 
+std::size_t gateway::open_relayed_count() const {
+    return this->calls_of_others ? this->calls_of_others->open_count() : 0;
+}
+
 void gateway::handle_request(std::unique_ptr<http::exchange> exchange) {
     const caller_call call = this->params.callers.parse_call(*exchange);
     if (std::holds_alternative<readiness_call>(call)) {
@@ -214,7 +257,7 @@
             {refusal_kind::no_route, "no route matches " + call.host + call.path, {}});
     } else if (route->kind == routes::route_kind::batch) {
         this->submit_job(std::move(exchange), call, *route);
-    } else if (is_take_up(call, *route)) {
+    } else if (is_take_up(*route, call.resume_after, call.resumes)) {
         this->take_up(std::move(exchange), call, *route);
     } else {
         this->forward(std::move(exchange), call, *route);
@@ -241,6 +284,7 @@
     const std::shared_ptr<http::exchange> exchange = std::move(received);
     forwarding::call_parameters forwarded;
     forwarded.name = call.request_name;
+    forwarded.host = call.host;
     forwarded.request.method = exchange->method();
     forwarded.request.path = exchange->path();
     forwarded.request.headers = exchange->headers();
@@ -251,6 +295,8 @@
         make_fingerprint({forwarded.request.method, route.name.value(), call.host,
                           forwarded.request.path, forwarded.request.body});
     forwarded.origin = origin;
+    forwarded.resumes = call.resumes;
+    forwarded.may_relay = true;
     forwarded.notify = this->responder->respond_to(exchange, call, route.timeout);
     const request_id request = this->forwarder->start(route, std::move(forwarded));
     exchange->on_disconnect([this, request] { this->forwarder->cancel(request); });
@@ -280,7 +326,8 @@
     // The routes may have changed during the lookup.
     const auto table = this->fleet->routes();
     const routes::route* route = table->find(call.host, call.path);
-    if (route == nullptr || !is_take_up(call, *route) || !is_served_by(*route, origin.backend)) {
+    if (route == nullptr || !is_take_up(*route, call.resume_after, call.resumes) ||
+        !is_served_by(*route, origin.backend)) {
         this->responder->refuse_take_up(
             *exchange, call, "not-routed",
             {refusal_kind::not_run,
@@ -307,6 +354,8 @@
     status["open_requests"] = this->forwarder->open_count();
     status["open_batch_calls"] = this->stores->open_count();
     status["open_take_ups"] = this->resumptions->open_count();
+    status["open_relayed_calls"] = this->open_relayed_count();
+    status["open_calls_at_relays"] = this->relays->open_count();
     this->metrics.set("gateway_open_requests", static_cast<double>(this->forwarder->open_count()));
     this->metrics.set("gateway_targets", static_cast<double>(this->fleet->targets().size()));
     this->fleet->limits().export_metrics(this->metrics);
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -8,15 +8,18 @@
 #include "gateway/caller_protocol.h"
 #include "gateway/internal/caller_responder.h"
 #include "gateway/internal/gateway_message.h"
+#include "gateway/internal/relayed_calls.h"
 #include "gateway/internal/store_client.h"
 #include "gateway/internal/take_ups.h"
 #include "http/caller_budget.h"
 #include "http/response_budget.h"
 #include "http/server.h"
+#include "relaying/relay_client.h"
 #include "settings/process_settings.h"
 #include "streams/lookup_result.h"
 #include "telemetry/metric_set.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -49,6 +52,7 @@
 private:
     explicit gateway(parameters arguments);
     outcome<void> open_servers();
+    outcome<void> open_relayed_calls();
     void open_fleet();
     void open_forwarder();
 
@@ -71,6 +75,8 @@
     void continue_take_up(std::unique_ptr<http::exchange> exchange, const routed_call& call,
                           const streams::lookup_result& result);
     void check_drained();
+    /// Calls of other gateways.
+    [[nodiscard]] std::size_t open_relayed_count() const;
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] wire::hello make_hello() const;
 
@@ -88,9 +94,12 @@
     std::unique_ptr<fleet::keeper_client> fleet;
     std::unique_ptr<caller_responder> responder;
     std::unique_ptr<take_ups> resumptions;
+    std::unique_ptr<relaying::relay_client> relays;
     std::unique_ptr<forwarding::forwarder> forwarder;
     std::unique_ptr<http::server> callers_server;
     std::unique_ptr<http::server> ready_server;
+    /// Null if this gateway forwards no calls for others.
+    std::unique_ptr<relayed_calls> calls_of_others;
 };
 
 } // namespace kingcupcart::gateway
