--- a/packages/requests/internal/dispatcher_paths.cpp
+++ b/packages/requests/internal/dispatcher_paths.cpp
@@ -11,6 +11,8 @@
 
 /// Time within which a cut that ends is noticed.
 constexpr duration retry_after_no_path = std::chrono::seconds(1);
+/// Another instance may have room at once; the delay is for a caller that asks none.
+constexpr duration retry_after_no_room = std::chrono::seconds(1);
 /// Silence of a stream after which it is resumed elsewhere while the instance is cut off. A target
 /// whose kept connection still works sends within that time.
 constexpr duration lost_stream_silence = std::chrono::milliseconds(400);
@@ -157,9 +159,16 @@
 
 void dispatcher::state::send_despite_cut(request_state& request, send_cause cause) {
     this->paths.record_needed(request.profile.backend, this->now);
+    // The relay decides whether the request has to wait: a trial that is granted to this instance
+    // would keep the relay from one.
+    const quarantine::send_decision decision = this->decide_quarantine(request);
+    if (decision.permission == quarantine::send_permission::refused) {
+        this->refuse(request, refusal_reason::quarantined, decision.retry_after);
+        return;
+    }
     // A request that must not be repeated could not leave a connection that turns out to be dead.
-    const bool may_use_kept =
-        request.profile.repeatable && !request.profile.is_relayed && request.sent_count() == 0;
+    const bool may_use_kept = request.profile.repeatable && !request.profile.is_relayed &&
+                              request.sent_count() == 0 && this->may_send_copy(request);
     if (may_use_kept) {
         const auto choice = this->route_over_kept_connections(request, true);
         if (choice.target) {
@@ -221,7 +230,7 @@
 }
 
 bool dispatcher::state::is_stranded(const request_state& request) const {
-    if (request.queued) {
+    if (request.queued || request.held) {
         return true;
     }
     if (request.active_attempts.empty() || request.reported_unknown || !request.can_retry()) {
@@ -263,7 +272,8 @@
          !this->budget.try_withdraw())) {
         return;
     }
-    const send_cause cause = next_cause(request);
+    const send_cause cause = request.held.value_or(next_cause(request));
+    this->stop_holding(request);
     if (request.queued) {
         this->stop_awaiting_permit(request);
         this->queues[request.profile.backend].remove(request.profile.id);
@@ -293,7 +303,7 @@
 
 void dispatcher::state::enqueue_or_decline(request_state& request, bool waits_for_permit) {
     if (request.profile.is_relayed && !waits_for_permit) {
-        this->refuse(request, refusal_reason::queue_full, retry_after_no_path);
+        this->refuse(request, refusal_reason::queue_full, retry_after_no_room);
         return;
     }
     this->enqueue(request);
