A relay that stops cuts no call that is on its way to it

A call that its gateway had sent just before the relay ended was reported as one that may have run, though the relay never read it: a planned stop of one gateway cost a caller of another one an answer. A relay that is idle can't know what is on its way. It now says on its links that it is stopping (relay_stopping) and counts each as open until the other side has closed it, which happens once its calls have ended; until then it reads and refuses as not run. It accepts no further links.

--- a/packages/relaying/internal/relay_client_state.cpp
+++ b/packages/relaying/internal/relay_client_state.cpp
@@ -67,7 +67,7 @@
     }
     spdlog::debug("relayed call cancelled request={} relay={}", cancelled->request.name,
                   cancelled->relay.value());
-    this->schedule();
+    this->run_now.arm_now();
 }
 
 void relay_client::shared_state::set_paused(const call_state& changed, bool is_paused) {
@@ -127,7 +127,7 @@
         this->on_lost(relay, "not open in time");
     }
     for (const instance_id& relay : this->choice.idle_links(now)) {
-        spdlog::info("relay link closed relay={} reason=\"idle\"", relay.value());
+        spdlog::info("relay link closed relay={} reason=\"no calls\"", relay.value());
         this->choice.link_closed(relay);
         this->close_link(relay);
     }
@@ -212,19 +212,20 @@
     const duration waited = now - unsent->started_at;
     wire::relayed_call_request request = unsent->request;
     request.max_wait -= std::chrono::duration_cast<std::chrono::milliseconds>(waited);
-    if (!this->links.at(relay).link->send(request)) {
-        spdlog::warn("relay link takes no more request={} relay={}", request.name, relay.value());
+    if (!this->links.at(relay).link->send(std::move(request))) {
+        spdlog::warn("relay link takes no more request={} relay={}", unsent->request.name,
+                     relay.value());
         return false;
     }
     unsent->relay = relay;
     unsent->request.headers.clear();
     unsent->request.body = std::string();
     this->choice.call_sent(relay);
-    spdlog::debug("call sent to relay request={} relay={} waited_ms={}", request.name,
+    spdlog::debug("call sent to relay request={} relay={} waited_ms={}", unsent->request.name,
                   relay.value(), waited / std::chrono::milliseconds(1));
     this->params.metrics->observe("relay_wait_seconds", waited);
     // Opens a further link where those that are open are loaded.
-    this->open_links(request.backend, {});
+    this->open_links(unsent->request.backend, {});
     if (unsent->notify.on_sent) {
         const auto on_sent = unsent->notify.on_sent;
         on_sent();
@@ -386,6 +387,13 @@
                  failure.retry_after);
 }
 
+void relay_client::shared_state::on(const instance_id& relay,
+                                    const wire::relay_stopping& /*stopping*/) {
+    spdlog::info("relay is stopping relay={}", relay.value());
+    this->choice.link_stopping(relay, this->params.time->now());
+    this->run_now.arm_now();
+}
+
 void relay_client::shared_state::acknowledge(call::state& received) {
     const auto found = this->links.find(received.relay);
     if (received.untaken_bytes == 0 || found == this->links.end()) {
@@ -406,7 +414,8 @@
         spdlog::debug("relayed call failed request={} relay={} outcome={} reason=\"{}\"",
                       ended->request.name, ended->relay.value(), to_string(result), reason);
     }
-    this->schedule();
+    // A link may be idle now, and its relay stopping.
+    this->run_now.arm_now();
     ended->notify.on_complete(result, reason, retry_after);
 }
 
--- a/packages/relaying/internal/relay_client_state.h
+++ b/packages/relaying/internal/relay_client_state.h
@@ -65,6 +65,7 @@
     void on(const instance_id& relay, const wire::relayed_response_data& data);
     void on(const instance_id& relay, const wire::relayed_response_end& end);
     void on(const instance_id& relay, const wire::relayed_call_failure& failure);
+    void on(const instance_id& relay, const wire::relay_stopping& stopping);
     void acknowledge(call::state& received);
     void finish(const call_state& ended, relay_result result, const std::string& reason,
                 duration retry_after = {});
--- a/packages/relaying/internal/relay_server_state.cpp
+++ b/packages/relaying/internal/relay_server_state.cpp
@@ -23,7 +23,7 @@
       flush_timer([this] { this->flush_stalled(); }),
       cut_timer([this] { this->end_cut_calls(); }),
       idle_timer([this] {
-          if (this->calls.empty() && this->params.on_idle) {
+          if (this->open_count() == 0 && this->params.on_idle) {
               this->params.on_idle();
           }
       }) {}
@@ -33,13 +33,24 @@
                                                            [this](GSocketConnection* connection) {
                                                                this->accept(connection);
                                                            }));
+    this->bound = this->listener->address();
     spdlog::info("relay listening address={}", this->address().to_string());
     return {};
 }
 
 void relay_server::shared_state::begin_stop() {
-    spdlog::info("relay stops calls={}", this->calls.size());
+    spdlog::info("relay stops calls={} links={}", this->calls.size(), this->links.size());
     this->is_stopping = true;
+    this->listener.reset();
+    for (const auto& [number, accepted] : this->links) {
+        if (accepted.origin != instance_id()) {
+            accepted.link->send(wire::relay_stopping{});
+        }
+    }
+}
+
+std::size_t relay_server::shared_state::open_count() const {
+    return this->calls.size() + (this->is_stopping ? this->links.size() : 0);
 }
 
 void relay_server::shared_state::close() {
@@ -92,6 +103,7 @@
         }
     }
     this->export_metrics();
+    this->check_idle();
 }
 
 void relay_server::shared_state::receive(std::uint64_t link, wire::message message) {
@@ -114,6 +126,9 @@
 
 void relay_server::shared_state::on(std::uint64_t link, const wire::hello& hello) {
     this->links.at(link).origin = hello.instance;
+    if (this->is_stopping) {
+        this->send(link, wire::relay_stopping{});
+    }
     spdlog::info("link of a relayed gateway opened origin={}", hello.instance.value());
     this->export_metrics();
 }
@@ -220,7 +235,11 @@
 void relay_server::shared_state::remove(const call_key& key) {
     this->calls.erase(key);
     this->export_metrics();
-    if (this->calls.empty()) {
+    this->check_idle();
+}
+
+void relay_server::shared_state::check_idle() {
+    if (this->open_count() == 0) {
         this->idle_timer.arm_now();
     }
 }
--- a/packages/relaying/internal/relay_server_state.h
+++ b/packages/relaying/internal/relay_server_state.h
@@ -29,8 +29,8 @@
     void begin_stop();
     /// Cancels all calls.
     void close();
-    [[nodiscard]] const endpoint& address() const { return this->listener->address(); }
-    [[nodiscard]] std::size_t open_count() const { return this->calls.size(); }
+    [[nodiscard]] const endpoint& address() const { return this->bound; }
+    [[nodiscard]] std::size_t open_count() const;
 
 private:
     /// Number of the link, and number of the call on it.
@@ -58,12 +58,15 @@
     void cut(const call_key& key, const std::string& reason);
     void end_cut_calls();
     void remove(const call_key& key);
+    void check_idle();
     [[nodiscard]] call_state find(const call_key& key) const;
     /// Calls whose responses are not complete, or wait to be sent.
     [[nodiscard]] std::size_t running_count() const;
     void export_metrics();
 
     parameters params;
+    endpoint bound;
+    /// Null while stopping.
     std::unique_ptr<wire::listener> listener;
     std::map<std::uint64_t, accepted_link> links;
     std::uint64_t last_link_number = 0;
--- a/packages/relaying/relay_server.h
+++ b/packages/relaying/relay_server.h
@@ -37,7 +37,7 @@
         std::function<wire::hello()> make_hello;
         telemetry::metric_set* metrics = nullptr;
         std::function<void(wire::relayed_call_request, std::shared_ptr<relayed_exchange>)> on_call;
-        /// The last open call has ended.
+        /// Nothing is open any more.
         std::function<void()> on_idle;
         /// Further calls are refused as not run.
         std::size_t max_calls = 256;
@@ -54,9 +54,10 @@
 
     /// The bound address, with the actual port.
     [[nodiscard]] const endpoint& address() const;
-    /// Calls whose end the other side has not acknowledged.
+    /// Calls whose end the other side has not acknowledged. After `begin_stop` also links that the
+    /// other side has not closed, over which a call may be on its way.
     [[nodiscard]] std::size_t open_count() const;
-    /// Refuses new calls as not run; those in progress go on.
+    /// Refuses new links, and new calls as not run; those in progress go on.
     void begin_stop();
 
 private:
--- a/packages/relays/internal/relay_choice.cpp
+++ b/packages/relays/internal/relay_choice.cpp
@@ -31,6 +31,7 @@
 void relay_choice::link_opened(const instance_id& relay, time_point now) {
     relay_state& state = this->relays[relay];
     state.link = link_state::open;
+    state.is_stopping = false;
     state.idle_since = now;
 }
 
@@ -44,6 +45,13 @@
     this->relays[relay].link = link_state::none;
 }
 
+void relay_choice::link_stopping(const instance_id& relay, time_point now) {
+    relay_state& state = this->relays[relay];
+    state.is_stopping = true;
+    // Its successor may start at the same address.
+    state.lost_until = now + this->limits.lost_link_pause;
+}
+
 void relay_choice::call_sent(const instance_id& relay) {
     ++this->relays[relay].calls;
 }
@@ -157,7 +165,7 @@
     std::vector<instance_id> idle;
     for (const auto& [id, state] : this->relays) {
         if (state.link == link_state::open && state.calls == 0 &&
-            state.idle_since + this->limits.max_idle <= now) {
+            (state.is_stopping || state.idle_since + this->limits.max_idle <= now)) {
             idle.push_back(id);
         }
     }
@@ -200,7 +208,8 @@
     const auto refused = state.refusals.find(backend);
     const bool is_refusing = refused != state.refusals.end() && now < refused->second.until;
     const bool is_lost = state.link == link_state::none && now < state.lost_until;
-    return !is_refusing && !is_lost && this->is_candidate(relay, state, backend);
+    const bool is_stopping = state.link != link_state::none && state.is_stopping;
+    return !is_refusing && !is_lost && !is_stopping && this->is_candidate(relay, state, backend);
 }
 
 std::map<std::size_t, std::vector<instance_id>>
--- a/packages/relays/relay_choice.h
+++ b/packages/relays/relay_choice.h
@@ -33,8 +33,10 @@
     void link_opened(const instance_id& relay, time_point now);
     /// The link was lost, or could not be opened.
     void link_lost(const instance_id& relay, time_point now);
-    /// The link was closed because it was idle.
+    /// The link was closed by this instance.
     void link_closed(const instance_id& relay);
+    /// The relay takes no further calls over its link.
+    void link_stopping(const instance_id& relay, time_point now);
     void call_sent(const instance_id& relay);
     void call_ended(const instance_id& relay, time_point now);
     void call_refused(const instance_id& relay, const backend_name& backend, time_point now);
@@ -60,7 +62,7 @@
     /// opened; empty unless there are as many links as allowed.
     [[nodiscard]] std::optional<instance_id> replaceable_link(const backend_name& backend,
                                                               time_point now) const;
-    /// Links that have been idle for too long.
+    /// Links that have been idle for too long, or whose relays are stopping and have no calls.
     [[nodiscard]] std::vector<instance_id> idle_links(time_point now) const;
     /// When the next link will have been idle for too long; empty if no link is idle.
     [[nodiscard]] std::optional<time_point> next_idle() const;
@@ -79,6 +81,7 @@
         /// When the last call ended, or the link was opened.
         time_point idle_since{};
         time_point lost_until{};
+        bool is_stopping = false;
         /// By backend.
         std::map<backend_name, refusal> refusals;
     };
--- a/packages/relays/tests/relay_choice_test.cpp
+++ b/packages/relays/tests/relay_choice_test.cpp
@@ -163,6 +163,26 @@
                 }
             }
         }
+        WHEN("a relay is stopping while it has a call") {
+            asking.send("a1", 1);
+            asking.choice.link_stopping(instance_id("a1"), asking.time.now());
+            THEN("it gets no further calls, and another one is dialled") {
+                for (int i = 0; i < 20; ++i) {
+                    CHECK(asking.chosen() == "a2");
+                }
+                CHECK(asking.dial().size() == 1);
+            }
+            THEN("its link is closed once the call has ended, and not dialled again at once") {
+                CHECK(asking.choice.idle_links(asking.time.now()).empty());
+                asking.choice.call_ended(instance_id("a1"), asking.time.now());
+                CHECK(asking.choice.idle_links(asking.time.now()) ==
+                      std::vector<instance_id>{instance_id("a1")});
+                asking.choice.link_closed(instance_id("a1"));
+                const auto dialled = asking.dial();
+                REQUIRE(dialled.size() == 1);
+                CHECK(dialled.front() != instance_id("a1"));
+            }
+        }
         WHEN("a link is lost") {
             asking.choice.link_lost(instance_id("a1"), asking.time.now());
             THEN("its relay is not dialled again at once") {
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -70,7 +70,8 @@
     relayed_response_end = 49,
     relayed_call_failure = 50,
     relayed_call_cancel = 51,
-    relayed_data_taken = 52
+    relayed_data_taken = 52,
+    relay_stopping = 53
 };
 
 json number(message_number value) {
@@ -289,6 +290,8 @@
     message_number::relayed_call_cancel;
 template <>
 constexpr message_number message_number_of<relayed_data_taken> = message_number::relayed_data_taken;
+template <>
+constexpr message_number message_number_of<relay_stopping> = message_number::relay_stopping;
 
 template <typename Message>
 json write(const Message& outgoing) {
@@ -516,6 +519,7 @@
      read_serializable<relayed_call_cancel>},
     {message_number::relayed_data_taken, "relayed_data_taken",
      read_serializable<relayed_data_taken>},
+    {message_number::relay_stopping, "relay_stopping", read_serializable<relay_stopping>},
 };
 
 } // namespace
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -377,6 +377,9 @@
     archive(value.call);
 }
 
+template <typename Archive>
+void serialize(Archive& /*archive*/, relay_stopping& /*value*/) {}
+
 template <typename Archive>
 void serialize(Archive& archive, relayed_data_taken& value) {
     archive(value.call, value.bytes);
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -421,6 +421,10 @@
     std::uint64_t bytes = 0;
 };
 
+/// The sending relay is stopping: the receiver sends it no further calls, and closes the link when
+/// its calls have ended.
+struct relay_stopping {};
+
 /// The order of the alternatives is that of their numbers on the wire.
 using message = std::variant<
     hello, target_update, target_heartbeats, configuration_update, configuration_in_force,
@@ -434,6 +438,6 @@
     quarantine::trial_decision, stream_record_updates, stream_lookup_request,
     stream_lookup_response, relay_lookup_request, relay_lookup_response, reach_report,
     relayed_call_request, relayed_response_head, relayed_response_data, relayed_response_end,
-    relayed_call_failure, relayed_call_cancel, relayed_data_taken>;
+    relayed_call_failure, relayed_call_cancel, relayed_data_taken, relay_stopping>;
 
 } // namespace kingcupcart::wire
