Wire: a response with a status that is none is rejected

Callers of one instance could get as their answer a status that another instance had accepted from its target: what comes over a link was taken as it was.

Cause: the decoder of a forwarded call's response checked only that the status fits an int; that of a relayed response's head converted any number.

A status is 100 to 599 in both now, or the message is malformed and the link closes. A forwarded call's response may have none, as for a call that has not run; it is 0 on the wire, as before. What is encoded doesn't change.

Evidence: wire_test, "a response with a status that is none is rejected", on the code before: 24 assertions, 14 failed (first: -1 in a relayed head is not rejected). With the change wire_test passes: 13 cases, 1,493 assertions.

--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -404,7 +404,7 @@
 message read_forward_call_response(field_reader& fields) {
     forward_call_response decoded;
     decoded.call = fields.number();
-    decoded.status = fields.integer();
+    decoded.status = fields.optional_http_status();
     decoded.outcome = fields.text();
     decoded.reason = fields.text();
     decoded.headers = read_headers(fields);
--- a/packages/wire/internal/field_reader.h
+++ b/packages/wire/internal/field_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/endpoint.h"
+#include "base/http_status.h"
 #include "base/outcome.h"
 
 #include <nlohmann/json.hpp>
@@ -51,6 +52,24 @@
         return static_cast<int>(
             this->number_up_to(static_cast<std::uint64_t>(std::numeric_limits<int>::max())));
     }
+    /// Reads the status of a response.
+    int http_status() {
+        const int status = this->integer();
+        if (!is_http_status(status)) {
+            this->mark_invalid();
+            return 0;
+        }
+        return status;
+    }
+    /// Reads the status of a response; 0 if there is none.
+    int optional_http_status() {
+        const int status = this->integer();
+        if (status != 0 && !is_http_status(status)) {
+            this->mark_invalid();
+            return 0;
+        }
+        return status;
+    }
     bool boolean() {
         const auto* field = this->next_field(&nlohmann::json::is_boolean);
         return field != nullptr && field->get<bool>();
--- a/packages/wire/internal/input_archive.h
+++ b/packages/wire/internal/input_archive.h
@@ -25,6 +25,9 @@
         (this->load(values), ...);
     }
 
+    /// Loads the status of a response.
+    void http_status(int& status) { status = this->fields.http_status(); }
+
     /// Loads a last field that `output_archive::trailing` omits if it is empty.
     template <typename Field>
     void trailing(Field& value) {
--- a/packages/wire/internal/output_archive.h
+++ b/packages/wire/internal/output_archive.h
@@ -29,6 +29,8 @@
         (this->save(values), ...);
     }
 
+    void http_status(int status) { this->save(status); }
+
     /// Saves the last field of a vector's element unless it is empty. Records without it are thus
     /// the same as before the field was added.
     template <typename Field>
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -354,7 +354,9 @@
 
 template <typename Archive>
 void serialize(Archive& archive, relayed_response_head& value) {
-    archive(value.call, value.status, value.content_type, value.headers, value.is_stream);
+    archive(value.call);
+    archive.http_status(value.status);
+    archive(value.content_type, value.headers, value.is_stream);
 }
 
 template <typename Archive>
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -94,6 +94,7 @@
 /// The response to a forwarded request, or the reason why there is none.
 struct forward_call_response {
     std::uint64_t call = 0;
+    /// 0 if there is no response.
     int status = 0;
     std::string outcome;
     std::string reason;
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -193,6 +193,27 @@
     }
 }
 
+// An instance passed on any status that another one had accepted from its target.
+SCENARIO("a response with a status that is none is rejected") {
+    for (const int status : {-1, 1, 99, 600, 999, 1000, 65736}) {
+        CAPTURE(status);
+        CHECK(is_rejected(encode(forward_call_response{3, status, "answered", "", {}, "no"})));
+        CHECK(is_rejected(encode(relayed_response_head{6, status, "text/plain", {}, false})));
+    }
+    for (const int status : {100, 200, 404, 599}) {
+        CAPTURE(status);
+        CHECK_FALSE(is_rejected(encode(forward_call_response{3, status, "answered", "", {}, ""})));
+        CHECK_FALSE(is_rejected(encode(relayed_response_head{6, status, "", {}, true})));
+    }
+    GIVEN("no status") {
+        THEN(
+            "it is rejected in the head of a response, but a forwarded call may have no response") {
+            CHECK(is_rejected(encode(relayed_response_head{6, 0, "text/plain", {}, false})));
+            CHECK_FALSE(is_rejected(encode(forward_call_response{3, 0, "not-run", "", {}, ""})));
+        }
+    }
+}
+
 SCENARIO("a relayed call arrives as it was sent") {
     const auto decoded = value_or_error([] { return decode(encode(example_relayed_call())); });
     REQUIRE(std::holds_alternative<message>(decoded));
