Socket options: what decides when an idle connection ends

A comment said that the count of keep-alive probes decides it. With TCP_USER_TIMEOUT, which we set as well, the kernel ends the connection at the first probe that is due after that timeout, whatever the count. Comments only.

--- a/packages/task/internal/socket_options.cpp
+++ b/packages/task/internal/socket_options.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr unsigned milliseconds_per_second = 1000;
-/// Unacknowledged probes after which the kernel closes an idle connection.
+/// Probes of an idle connection within the timeout. Once they are unacknowledged, the kernel closes
+/// the connection; with TCP_USER_TIMEOUT it does so at the first probe that is due after the
+/// timeout, whatever the count.
 constexpr int probe_count = 2;
 
 } // namespace
