--- a/packages/relays/relay_choice.h
+++ b/packages/relays/relay_choice.h
@@ -25,17 +25,18 @@
 public:
     relay_choice(location place, relay_limits limits, std::uint64_t seed);
 
-    /// Replaces the relays that are known for the backend, apart from those with a link that take
-    /// its calls.
-    void set_candidates(const backend_name& backend, const std::vector<relay>& candidates,
-                        time_point now);
+    /// Replaces the relays that keepers have named for the backend. Others that have a link are
+    /// used for it, too, until they refuse its calls.
+    void set_candidates(const backend_name& backend, const std::vector<relay>& candidates);
 
     void link_dialled(const instance_id& relay);
     void link_opened(const instance_id& relay, time_point now);
     /// The link was lost, or could not be opened.
     void link_lost(const instance_id& relay, time_point now);
-    /// The link was closed because it was idle.
+    /// The link was closed by this instance.
     void link_closed(const instance_id& relay);
+    /// The relay takes no further calls over its link.
+    void link_stopping(const instance_id& relay, time_point now);
     void call_sent(const instance_id& relay);
     void call_ended(const instance_id& relay, time_point now);
     void call_refused(const instance_id& relay, const backend_name& backend, time_point now);
@@ -61,7 +62,7 @@
     /// opened; empty unless there are as many links as allowed.
     [[nodiscard]] std::optional<instance_id> replaceable_link(const backend_name& backend,
                                                               time_point now) const;
-    /// Links that have been idle for too long.
+    /// Links that have been idle for too long, or whose relays are stopping and have no calls.
     [[nodiscard]] std::vector<instance_id> idle_links(time_point now) const;
     /// When the next link will have been idle for too long; empty if no link is idle.
     [[nodiscard]] std::optional<time_point> next_idle() const;
@@ -80,15 +81,19 @@
         /// When the last call ended, or the link was opened.
         time_point idle_since{};
         time_point lost_until{};
+        bool is_stopping = false;
         /// By backend.
         std::map<backend_name, refusal> refusals;
     };
 
     [[nodiscard]] std::size_t distance(const location& place) const;
     [[nodiscard]] std::size_t link_count() const;
-    /// Whether the relay, which is a candidate, may get a call of the backend.
-    [[nodiscard]] static bool is_usable(const relay_state& state, const backend_name& backend,
-                                        time_point now);
+    /// Whether the relay is one of those that may forward calls of the backend.
+    [[nodiscard]] bool is_candidate(const instance_id& relay, const relay_state& state,
+                                    const backend_name& backend) const;
+    /// Whether such a relay may get a call, or be dialled for one, now.
+    [[nodiscard]] bool is_usable(const instance_id& relay, const relay_state& state,
+                                 const backend_name& backend, time_point now) const;
     /// The usable candidates of the backend whose link is in this state, by distance.
     [[nodiscard]] std::map<std::size_t, std::vector<instance_id>>
     usable(const backend_name& backend, const std::set<instance_id>& passed_over, link_state link,
@@ -99,7 +104,7 @@
     location place;
     relay_limits limits;
     std::mt19937_64 random;
-    std::map<backend_name, std::vector<instance_id>> candidates;
+    std::map<backend_name, std::set<instance_id>> candidates;
     std::map<instance_id, relay_state> relays;
 };
 
