A link that is given up during its handshake leaves no memory behind

A process grew by about 24 KB for each instance that it dialled in vain: one that accepts connections and doesn't answer, such as a frozen one. Cause: a connection of websocketpp binds a shared pointer to itself in the handler that waits for the handshake, and it is released only when input arrives or ends. The links of a group and of clients of keepers had the same fault, once every 2 to 3 s. The session now ends the input when it is destroyed, after its callbacks are removed.

Found by the leak check of a sanitizer build of relaying_test (7 connections).

--- a/packages/wire/internal/websocket_session.cpp
+++ b/packages/wire/internal/websocket_session.cpp
@@ -44,6 +44,24 @@
         this->endpoint.clear_error_channels(websocketpp::log::elevel::all);
     }
 
+    /// A connection whose handshake is not complete holds itself until its input ends.
+    ~session_base() {
+        if (!this->connection) {
+            return;
+        }
+        this->connection->set_write_handler(
+            [](websocketpp::connection_hdl, char const*, std::size_t) {
+                return websocketpp::lib::error_code();
+            });
+        this->connection->set_open_handler(nullptr);
+        this->connection->set_message_handler(nullptr);
+        this->connection->set_close_handler(nullptr);
+        this->connection->set_fail_handler(nullptr);
+        this->connection->eof();
+    }
+    session_base(const session_base&) = delete;
+    session_base& operator=(const session_base&) = delete;
+
     void set_connection(connection_ptr created) {
         this->connection = std::move(created);
         this->connection->set_max_message_size(websocket_session::max_message_size);
--- a/packages/wire/tests/link_memory_test.cpp
+++ b/packages/wire/tests/link_memory_test.cpp
@@ -1,4 +1,5 @@
 #include "task/event_loop.h"
+#include "task/listening_socket.h"
 #include "wire/listener.h"
 #include "wire/messages.h"
 #include "wire/peer_link.h"
@@ -82,3 +83,38 @@
     }
     loop.leave();
 }
+
+// Guards against a process that grows with each instance that it dials in vain: the session of a
+// link whose handshake was not complete held itself.
+SCENARIO("a link that is given up during its handshake leaves no memory behind") {
+    constexpr std::size_t link_count = 100;
+    constexpr std::size_t max_left_per_link = 1000;
+    task::event_loop loop;
+    loop.enter();
+    GIVEN("an instance that accepts connections and never answers") {
+        auto silent = task::listening_socket::open({"127.0.0.1", 0});
+        REQUIRE(silent);
+        const auto dial_and_give_up = [&] {
+            auto link = peer_link::dial(silent->bound,
+                                        {[] {}, [](const message&) {}, [](const std::string&) {}});
+            // Until the request of the handshake was sent.
+            while (link->bytes_sent() == 0) {
+                g_main_context_iteration(loop.context(), TRUE);
+            }
+            link.reset();
+            while (g_main_context_iteration(loop.context(), FALSE) != FALSE) {
+            }
+        };
+        dial_and_give_up();
+        const std::size_t before = allocated_bytes();
+        WHEN("many links to it are given up") {
+            for (std::size_t i = 0; i < link_count; ++i) {
+                dial_and_give_up();
+            }
+            THEN("the memory that is used does not grow") {
+                CHECK(allocated_bytes() < before + link_count * max_left_per_link);
+            }
+        }
+    }
+    loop.leave();
+}
