Relayed calls: the limit of attempts holds over all instances

A route's limit of attempts names the targets that one try of a caller may be sent to. The dispatcher counted a relayed attempt as one, and its relay began to count anew: with a limit of two, a call that was broken at its first relay could have run at three targets. The dispatcher now gives a relay the attempts that are left but one, which a second relay gets if the first is lost with the call, and takes them back where the relay says that the call did not run. The relay keeps to the smaller one of this and its route's limit.

--- a/packages/forwarding/call_parameters.h
+++ b/packages/forwarding/call_parameters.h
@@ -8,6 +8,7 @@
 #include "forwarding/stream_origin.h"
 #include "streams/stream_id.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -33,6 +34,8 @@
     std::optional<backend_name> service;
     /// The stream that the request continues; empty for a new one.
     streams::stream_id resumes;
+    /// Targets that the request may be sent to; 0 for as many as the route allows.
+    std::size_t max_attempts = 0;
     /// Another gateway may be asked to forward the request.
     bool may_relay = false;
     /// Another gateway has relayed the request to this one.
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <string_view>
 #include <utility>
 
@@ -129,6 +130,7 @@
     request.resumes = this->params.call.resumes;
     request.backend = action.backend;
     request.software = action.software;
+    request.max_attempts = static_cast<std::uint32_t>(action.max_attempts);
     arguments.passed_over = this->tried_relays;
     arguments.time = this->params.time;
     arguments.relays = this->params.relays;
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -27,6 +27,14 @@
     return limits;
 }
 
+/// 0 if neither the route nor the call sets a limit.
+std::size_t max_attempts(const routes::route& route, const call_parameters& call) {
+    if (route.max_attempts == 0 || call.max_attempts == 0) {
+        return std::max(route.max_attempts, call.max_attempts);
+    }
+    return std::min(route.max_attempts, call.max_attempts);
+}
+
 } // namespace
 
 forwarder::forwarder(parameters arguments)
@@ -122,7 +130,7 @@
     profile.is_streamed = is_stream;
     profile.deadline = max_wait;
     profile.objective = route.latency_objective;
-    profile.max_attempts = route.max_attempts;
+    profile.max_attempts = max_attempts(route, call);
     profile.fingerprint = call.fingerprint;
     profile.may_relay = call.may_relay && this->params.relays != nullptr;
     profile.is_relayed = call.is_relayed;
--- a/packages/forwarding/tests/relayed_attempt_test.cpp
+++ b/packages/forwarding/tests/relayed_attempt_test.cpp
@@ -229,6 +229,8 @@
             CHECK(sent.headers == std::vector<header_field>{{"X-Caller", "c"}});
             CHECK(sent.body == "body");
             CHECK(sent.backend == service);
+            // One of the route's two attempts is left to another relay.
+            CHECK(sent.max_attempts == 1);
             CHECK(sent.max_wait < 3s);
             CHECK(sent.max_wait > 1s);
             CHECK(gateway.runner.time.now() - begin < 2s);
--- a/packages/gateway/internal/relayed_calls.cpp
+++ b/packages/gateway/internal/relayed_calls.cpp
@@ -97,6 +97,7 @@
     } else if (is_served_by(route, request.backend)) {
         forwarded.service = request.backend;
     }
+    forwarded.max_attempts = request.max_attempts;
     forwarded.is_relayed = true;
     const request_id started = this->params.forwarder->start(route, std::move(forwarded));
     exchange->on_cancel([this, started] {
--- a/packages/gateway/tests/relayed_calls_test.cpp
+++ b/packages/gateway/tests/relayed_calls_test.cpp
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -222,9 +223,20 @@
             request.resumes = streams::stream_id("r0");
             check_declined(request);
         }
-        WHEN("this gateway is stopping") {
+        WHEN("this gateway stops to take calls, after one over a link that is still open") {
+            relay.start(relay_fixture::make_request("/once/1"));
+            relay.wait_for_end();
+            REQUIRE(relay.result == relay_result::complete);
             relay.subject->begin_stop();
-            check_declined(relay_fixture::make_request("/once/1"));
+            relay.runner.pause_for(50ms);
+            THEN("nothing is open any more, and a further call is not sent") {
+                CHECK(relay.subject->open_count() == 0);
+                CHECK(relay.is_idle);
+                relay.start(relay_fixture::make_request("/once/2"));
+                relay.wait_for_end();
+                CHECK(relay.result == relay_result::no_relay);
+                CHECK(target.requests().size() == 1);
+            }
         }
     }
     GIVEN("no target of the service") {
@@ -244,6 +256,28 @@
             CHECK(relay.result == relay_result::broken);
         }
     }
+    GIVEN("two targets whose connections break under a request that may be repeated") {
+        const std::vector<http::scripted_reply> replies(4,
+                                                        {"", http::scripted_reply::ending::close});
+        const http::scripted_server first(replies);
+        const http::scripted_server second(replies);
+        relay.fleet.add_target("a", service, v1, first.address());
+        relay.fleet.add_target("b", service, v1, second.address());
+        wire::relayed_call_request request = relay_fixture::make_request("/stream/1");
+        const auto sent_to = [&](std::uint32_t max_attempts) {
+            request.max_attempts = max_attempts;
+            relay.start(request);
+            relay.wait_for_end();
+            CHECK(relay.result == relay_result::broken);
+            return first.requests().size() + second.requests().size();
+        };
+        THEN("it is sent to as many of them as the other gateway and the route allow") {
+            CHECK(sent_to(1) == 1);
+        }
+        THEN("the route's limit holds, too") {
+            CHECK(sent_to(9) == 2);
+        }
+    }
     GIVEN("a stream in progress") {
         const http::scripted_server target(
             {{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: " +
--- a/packages/requests/actions.h
+++ b/packages/requests/actions.h
@@ -8,6 +8,7 @@
 #include "requests/refusal_reason.h"
 #include "routing/route_choice.h"
 
+#include <cstddef>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -40,6 +41,8 @@
     /// The version that the rest of the stream has to come from; empty if any may serve.
     std::optional<software_version> software;
     backend_name backend;
+    /// Targets that the other instance may send the request to.
+    std::size_t max_attempts = 0;
 };
 
 /// Open a connection to the target, send nothing and report the result as `probe_ended`.
--- a/packages/requests/internal/attempt_state.h
+++ b/packages/requests/internal/attempt_state.h
@@ -5,6 +5,8 @@
 #include "base/units.h"
 #include "base/urgency.h"
 
+#include <cstddef>
+
 namespace kingcupcart::requests {
 
 /// State of one attempt: a request sent to one target, or given to another instance.
@@ -23,6 +25,8 @@
     /// Another instance forwards the request. It counts the attempts at targets and records the
     /// version of a stream.
     bool is_relayed = false;
+    /// Targets that the attempt may be sent to; several only if it is relayed.
+    std::size_t target_limit = 1;
     /// Transmission has started, and it was the request's first one.
     bool is_written = false;
     bool is_first_written = false;
--- a/packages/requests/internal/dispatcher_failures.cpp
+++ b/packages/requests/internal/dispatcher_failures.cpp
@@ -83,7 +83,7 @@
     }
     const bool has_not_run = !ended.is_written || failed.failure == attempt_failure::declined;
     if (has_not_run) {
-        ++request.unsent_count;
+        request.unsent_count += ended.target_limit;
         if (ended.is_first_written && !request.reported_unknown) {
             request.write_started = false;
         }
--- a/packages/requests/internal/dispatcher_paths.cpp
+++ b/packages/requests/internal/dispatcher_paths.cpp
@@ -219,14 +219,18 @@
     attempt.sent = this->now;
     attempt.resume_after = request.delivered_tokens;
     attempt.is_relayed = true;
+    const std::size_t most = this->max_attempts(request);
+    const std::size_t left = most - std::min(request.sent_count(), most);
+    // Leaves one to a second relay, should the first be lost with the request.
+    attempt.target_limit = left > 1 ? left - 1 : 1;
     this->attempts.emplace(this->last_attempt, attempt);
     request.is_paused = false;
     request.active_attempts.push_back(this->last_attempt);
-    ++request.attempt_count;
+    request.attempt_count += attempt.target_limit;
     ++request.relay_count;
     this->output.push_back(relay_attempt{request.profile.id, this->last_attempt,
                                          request.delivered_tokens, request.software,
-                                         request.profile.backend});
+                                         request.profile.backend, attempt.target_limit});
 }
 
 bool dispatcher::state::is_stranded(const request_state& request) const {
@@ -282,7 +286,8 @@
     }
     while (!request.active_attempts.empty()) {
         const attempt_id newest = request.active_attempts.back();
-        request.unsent_count += this->attempts.at(newest).is_written ? 0 : 1;
+        const attempt_state& cancelled = this->attempts.at(newest);
+        request.unsent_count += cancelled.is_written ? 0 : cancelled.target_limit;
         // The wait for a lost path says nothing of how fast the target is.
         this->end_attempt(request, newest, quarantine::attempt_end::unclear);
         this->output.push_back(cancel_attempt{newest});
--- a/packages/requests/tests/paths_test.cpp
+++ b/packages/requests/tests/paths_test.cpp
@@ -175,6 +175,8 @@
             CHECK(relayed.backend == app);
             CHECK(fixture.has<paths_changed>());
             CHECK(fixture.is_cut_off());
+            // Of four attempts, one is left to another relay.
+            CHECK(relayed.max_attempts == 3);
             AND_THEN("its response completes it") {
                 fixture.answer_relayed(relayed.attempt);
                 CHECK(fixture.one<select_attempt>().attempt == relayed.attempt);
@@ -196,6 +198,27 @@
         }
     }
 
+    GIVEN("a call that may be repeated, and a relay that is lost with it") {
+        const attempt_id first = fixture.cut_off();
+        CHECK(fixture.one<relay_attempt>().max_attempts == 3);
+        fixture.dispatch(attempt_write_started{first});
+        fixture.dispatch(attempt_failed{first, attempt_failure::broken});
+        THEN("another one may send it to the only target that is left") {
+            const auto second = fixture.one<relay_attempt>();
+            CHECK(second.max_attempts == 1);
+            fixture.dispatch(attempt_write_started{second.attempt});
+            fixture.dispatch(attempt_failed{second.attempt, attempt_failure::broken});
+            CHECK(fixture.has<refuse_request>());
+        }
+    }
+    GIVEN("a call that may be repeated, and a relay that declines it") {
+        const attempt_id first = fixture.cut_off();
+        fixture.dispatch(attempt_write_started{first});
+        fixture.dispatch(attempt_failed{first, attempt_failure::declined});
+        THEN("another one may send it to as many targets") {
+            CHECK(fixture.one<relay_attempt>().max_attempts == 3);
+        }
+    }
     GIVEN("calls that wait for connections and for room when the cut is noticed") {
         path_fixture full(2, 1);
         const request_id first = full.arrive(call_kind::once);
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -349,7 +349,8 @@
 template <typename Archive>
 void serialize(Archive& archive, relayed_call_request& value) {
     archive(value.call, value.name, value.host, value.method, value.path, value.headers, value.body,
-            value.max_wait, value.resume_after, value.resumes, value.backend, value.software);
+            value.max_wait, value.resume_after, value.resumes, value.backend, value.software,
+            value.max_attempts);
 }
 
 template <typename Archive>
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -380,6 +380,8 @@
     backend_name backend;
     /// The version that began the stream; empty if any may serve.
     std::optional<software_version> software;
+    /// Targets that the receiver may send the call to; 0 for as many as the route allows.
+    std::uint32_t max_attempts = 0;
 };
 
 /// The head of the target's response, unchanged.
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -90,7 +90,8 @@
             3,
             streams::stream_id("earlier"),
             backend_name("chat"),
-            software_version("v1")};
+            software_version("v1"),
+            2};
 }
 
 std::vector<message> example_messages() {
@@ -223,6 +224,7 @@
     CHECK(call.path == "/b/1?x=2");
     CHECK(call.headers == example_relayed_call().headers);
     CHECK(call.body == example_relayed_call().body);
+    CHECK(call.max_attempts == 2);
     CHECK(call.max_wait == std::chrono::milliseconds(700));
     CHECK(call.resume_after == 3);
     CHECK(call.resumes == streams::stream_id("earlier"));
