Relaying: a full link delays what a call tells its relay, and drops none of it

Callers saw: responses that stopped after 256 KiB and ended at their deadline; and a caller who left went on costing its target the whole run. The relay counted such calls as running until the link closed, and a planned stop waited for them.

Cause: a link takes no message while more than 8 MiB are unsent, as after two requests with large bodies. The client ignored that for cancellations and acknowledgements, which are sent once.

Evidence: relaying_test, "what a call tells its relay waits while large requests fill the link".

They wait in order at the link now, are sent again every 20 ms while any waits, and go before further requests, so that these don't keep the link full. A link that is lost drops them with its calls.

--- a/packages/relaying/internal/relay_client_state.cpp
+++ b/packages/relaying/internal/relay_client_state.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t max_request_bytes = wire::peer_link::max_unsent_bytes;
 /// The data that was delivered is acknowledged in steps of this size.
 constexpr std::uint64_t acknowledged_bytes = 8UL * 1024;
+/// Time after which messages that a full link did not take are sent again.
+constexpr duration flush_interval = std::chrono::milliseconds(20);
 /// Keepers are asked again for relays after this time, earlier if few or none of them can be used.
 constexpr duration max_answer_age = std::chrono::seconds(30);
 constexpr duration max_scarce_age = std::chrono::seconds(1);
@@ -63,7 +65,7 @@
     this->choice.call_ended(cancelled->relay, this->params.time->now());
     const auto found = this->links.find(cancelled->relay);
     if (found != this->links.end()) {
-        found->second.link->send(wire::relayed_call_cancel{cancelled->request.call});
+        this->notify_relay(found->second, wire::relayed_call_cancel{cancelled->request.call});
     }
     spdlog::debug("relayed call cancelled request={} relay={}", cancelled->request.name,
                   cancelled->relay.value());
@@ -118,10 +120,11 @@
     const auto self = this->shared_from_this();
     const time_point now = this->params.time->now();
     std::vector<instance_id> hanging;
-    for (const auto& [relay, link] : this->links) {
+    for (auto& [relay, link] : this->links) {
         if (!link.is_open && link.deadline <= now) {
             hanging.push_back(relay);
         }
+        send_waiting(link);
     }
     for (const instance_id& relay : hanging) {
         this->on_lost(relay, "not open in time");
@@ -153,6 +156,9 @@
         if (!link.is_open) {
             consider(link.deadline);
         }
+        if (!link.waiting.empty()) {
+            consider(this->params.time->now() + flush_interval);
+        }
     }
     for (const auto& [number, call] : this->calls) {
         if (call->relay == instance_id()) {
@@ -212,7 +218,8 @@
     const duration waited = now - unsent->started_at;
     wire::relayed_call_request request = unsent->request;
     request.max_wait -= std::chrono::duration_cast<std::chrono::milliseconds>(waited);
-    if (!this->links.at(relay).link->send(std::move(request))) {
+    relay_link& link = this->links.at(relay);
+    if (!send_waiting(link) || !link.link->send(std::move(request))) {
         spdlog::warn("relay link takes no more request={} relay={}", unsent->request.name,
                      relay.value());
         return false;
@@ -363,7 +370,7 @@
 void relay_client::shared_state::on(const instance_id& relay,
                                     const wire::relayed_response_end& end) {
     if (const call_state call = this->find_call(relay, end.call)) {
-        this->links.at(relay).link->send(wire::relayed_data_taken{end.call, 0});
+        this->notify_relay(this->links.at(relay), wire::relayed_data_taken{end.call, 0});
         if (call->has_head) {
             this->finish(call, relay_result::complete, "");
         } else {
@@ -378,7 +385,7 @@
     if (!call) {
         return;
     }
-    this->links.at(relay).link->send(wire::relayed_data_taken{failure.call, 0});
+    this->notify_relay(this->links.at(relay), wire::relayed_data_taken{failure.call, 0});
     const bool is_declined = !failure.may_have_run && !call->has_head;
     if (is_declined) {
         this->choice.call_refused(relay, call->request.backend, this->params.time->now());
@@ -399,10 +406,25 @@
     if (received.untaken_bytes == 0 || found == this->links.end()) {
         return;
     }
-    found->second.link->send(
+    this->notify_relay(
+        found->second,
         wire::relayed_data_taken{received.request.call, std::exchange(received.untaken_bytes, 0)});
 }
 
+void relay_client::shared_state::notify_relay(relay_link& link, const wire::message& message) {
+    link.waiting.push_back(message);
+    if (!send_waiting(link)) {
+        this->schedule();
+    }
+}
+
+bool relay_client::shared_state::send_waiting(relay_link& link) {
+    while (!link.waiting.empty() && link.link->send(link.waiting.front())) {
+        link.waiting.pop_front();
+    }
+    return link.waiting.empty();
+}
+
 void relay_client::shared_state::finish(const call_state& ended, relay_result result,
                                         const std::string& reason, duration retry_after) {
     this->calls.erase(ended->request.call);
--- a/packages/relaying/internal/relay_client_state.h
+++ b/packages/relaying/internal/relay_client_state.h
@@ -11,6 +11,7 @@
 #include "wire/peer_link.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -43,6 +44,8 @@
         bool is_open = false;
         /// The link is given up if it is not open by then.
         time_point deadline{};
+        /// Cancellations and acknowledgements that a full link did not take.
+        std::deque<wire::message> waiting;
     };
 
     /// Closes links that hang or idle, and sends the calls that can be sent.
@@ -54,6 +57,10 @@
     void try_send(const call_state& unsent);
     /// Returns false if the link takes no more at present.
     bool send(const call_state& unsent, const instance_id& relay);
+    /// Sends a cancellation or an acknowledgement, later if the link takes no more at present.
+    void notify_relay(relay_link& link, const wire::message& message);
+    /// Returns false if some still wait.
+    static bool send_waiting(relay_link& link);
     /// Opens links for the backend; returns whether one is being opened.
     bool open_links(const backend_name& backend, const std::set<instance_id>& passed_over);
     void dial(const instance_id& relay);
--- a/packages/relaying/tests/relayed_calls_test.cpp
+++ b/packages/relaying/tests/relayed_calls_test.cpp
@@ -244,6 +244,48 @@
     }
 }
 
+// A cancellation or an acknowledgement that a full link did not take was dropped: targets worked on
+// for callers that had left, and responses stopped at a window.
+SCENARIO("what a call tells its relay waits while large requests fill the link") {
+    relaying_fleet fleet;
+    test_relay& relay = fleet.add_relay("r1");
+    const auto fill_link = [&] {
+        std::vector<std::unique_ptr<test_call>> large;
+        for (const char* name : {"large", "larger", "largest"}) {
+            large.push_back(fleet.start(make_request(name, std::string(8'000'000, 'b'))));
+        }
+        REQUIRE(fleet.run_until([&] { return large[0]->is_sent && large[1]->is_sent; }));
+        // All arrives later.
+        REQUIRE(relay.calls.size() == 1);
+        return large;
+    };
+
+    GIVEN("a call in progress") {
+        auto call = fleet.start(make_request("attempt"));
+        REQUIRE(fleet.run_until([&] { return relay.calls.size() == 1; }));
+        test_relay::received_call& received = relay.calls.front();
+        WHEN("its caller leaves while the link is full") {
+            const auto large = fill_link();
+            call.reset();
+            THEN("its work ends at the relay") {
+                CHECK(fleet.run_until([&] { return received.is_cancelled; }));
+            }
+        }
+        WHEN("its response arrives while the link is full") {
+            const auto large = fill_link();
+            received.exchange->respond(ok, std::string(2'000'000, 'r'));
+            THEN("it is complete, and no longer held by the relay") {
+                CHECK(fleet.run_until([&] { return call->result.has_value(); }));
+                CHECK(call->result == relay_result::complete);
+                CHECK(call->body.size() == 2'000'000);
+                CHECK(fleet.run_until([&] { return relay.calls.size() >= 3; }));
+                const std::size_t others = relay.calls.size() - 1;
+                CHECK(fleet.run_until([&] { return relay.server->open_count() == others; }));
+            }
+        }
+    }
+}
+
 SCENARIO("a relay refuses at once what it can't take") {
     relaying_fleet fleet;
     GIVEN("a relay that forwards as many calls as it may") {
