Requests: a request that can't be sent says nothing of the paths to targets

Callers saw: after one request whose path has a space or a control character, or a header field that can't be written, the calls of others to the same service were relayed by another gateway, or refused with "no-path" where none is asked, as in a store that fetches scores. The path of a scorer is any text that a job names.

Cause: the HTTP client ends such a call as unreachable before it starts, without a connection. The dispatcher took this for a lost path, tried the next target, and with the second loss believed that the instance is cut off from the service. Routing counted a failure of each target, too.

A failure that the client reports before the call has started is one of its own, `unsendable`: it is no evidence of the target, isn't tried at others, and the request is refused at once as not run.

--- a/packages/entry/internal/frontend.cpp
+++ b/packages/entry/internal/frontend.cpp
@@ -40,6 +40,7 @@
     case requests::refusal_reason::no_path:
         return status_unavailable;
     case requests::refusal_reason::unknown_class:
+    case requests::refusal_reason::unsendable:
         return status_bad_request;
     case requests::refusal_reason::target_unreachable:
     case requests::refusal_reason::target_failed:
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -88,6 +88,7 @@
     added.target = target.id;
     added.incarnation = target.incarnation;
     added.is_opening = true;
+    added.is_starting = true;
     http::request outgoing = this->params.protocol.forward(request, target);
     // The length of a stream is not limited, only that of its events.
     outgoing.max_response_bytes = this->params.is_stream ? 0 : this->params.max_response_bytes;
@@ -98,12 +99,13 @@
          [this, attempt](const http::response_head& head) { this->on_target_head(attempt, head); },
          [this, attempt](std::string_view data) { this->on_data(attempt, data); },
          [this, attempt](http::call_result completion, const std::string& reason) {
-             this->on_end(attempt, make_end(completion, reason));
+             this->on_target_end(attempt, completion, reason);
          },
          [this, attempt](duration opening) {
              this->params.notify(requests::attempt_opened{attempt, opening});
          },
          [this, attempt, server = target.address] { this->on_silent(attempt, server); }}));
+    added.is_starting = false;
 }
 
 void forwarded_call::start_attempt(const requests::relay_attempt& action) {
@@ -175,6 +177,18 @@
     this->on_head(attempt, head);
 }
 
+void forwarded_call::on_target_end(attempt_id attempt, http::call_result completion,
+                                   const std::string& reason) {
+    attempt_end end = make_end(completion, reason);
+    const auto found = this->attempts.find(attempt);
+    // The client ends a call before it has started only if no target could be sent the request.
+    if (found != this->attempts.end() && found->second->is_starting) {
+        end.failure = requests::attempt_failure::unsendable;
+        end.kind = "unsendable";
+    }
+    this->on_end(attempt, end);
+}
+
 void forwarded_call::on_head(attempt_id attempt, const http::response_head& head) {
     const auto found = this->attempts.find(attempt);
     if (found == this->attempts.end()) {
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -92,6 +92,8 @@
         bool is_matching = false;
         /// Waits for a connection to its target.
         bool is_opening = false;
+        /// The client's call is being started.
+        bool is_starting = false;
         /// Empty if the attempt is relayed.
         target_id target;
         incarnation_id incarnation;
@@ -115,6 +117,7 @@
     void on_write_started(attempt_id attempt);
     void on_silent(attempt_id attempt, const endpoint& server);
     void on_target_head(attempt_id attempt, const http::response_head& head);
+    void on_target_end(attempt_id attempt, http::call_result completion, const std::string& reason);
     void on_head(attempt_id attempt, const http::response_head& head);
     void on_data(attempt_id attempt, std::string_view data);
     void on_stream_data(attempt_id attempt, attempt_response& response, std::string_view data);
--- a/packages/requests/internal/dispatcher_failures.cpp
+++ b/packages/requests/internal/dispatcher_failures.cpp
@@ -13,6 +13,8 @@
         return refusal_reason::target_unreachable;
     case attempt_failure::no_relay:
         return refusal_reason::no_path;
+    case attempt_failure::unsendable:
+        return refusal_reason::unsendable;
     case attempt_failure::declined:
     case attempt_failure::broken:
     case attempt_failure::disconnected:
@@ -49,7 +51,8 @@
     this->end_attempt(request, failed.attempt,
                       is_suspicious ? quarantine::attempt_end::disconnected
                                     : quarantine::attempt_end::unclear);
-    if (failed.failure != attempt_failure::declined) {
+    const bool is_unsendable = failed.failure == attempt_failure::unsendable;
+    if (failed.failure != attempt_failure::declined && !is_unsendable) {
         this->router.record_failed(target, this->now);
     }
     if (failed.failure == attempt_failure::unreachable) {
@@ -57,6 +60,9 @@
         ++request.unreachable_count;
         this->record_unopened(target, elapsed);
     }
+    if (is_unsendable) {
+        ++request.unsent_count;
+    }
     if (is_unknown) {
         this->break_off(request, failed.attempt, target);
     } else if (request.active_attempts.empty()) {
@@ -101,7 +107,8 @@
     const bool may_reconnect = !is_unreachable ||
                                request.unreachable_count < this->limits.max_unreachable ||
                                this->is_cut_off(request.profile.backend);
-    if (request.reported_unknown || !request.can_retry() || !has_attempts || !may_reconnect ||
+    if (failure == attempt_failure::unsendable || request.reported_unknown ||
+        !request.can_retry() || !has_attempts || !may_reconnect ||
         !(is_budget_exempt || this->budget.try_withdraw())) {
         this->refuse(request, reason_of(failure), retry_after_failure);
         return;
--- a/packages/requests/internal/names.cpp
+++ b/packages/requests/internal/names.cpp
@@ -42,6 +42,8 @@
         return "unknown-software";
     case refusal_reason::no_path:
         return "no-path";
+    case refusal_reason::unsendable:
+        return "unsendable";
     }
     return "?";
 }
--- a/packages/requests/messages.h
+++ b/packages/requests/messages.h
@@ -66,7 +66,9 @@
     /// have ended.
     disconnected,
     /// No instance could be had that relays the request, and nothing was sent.
-    no_relay
+    no_relay,
+    /// The request has content that can't be sent to any target; nothing was sent.
+    unsendable
 };
 
 struct attempt_failed {
--- a/packages/requests/refusal_reason.h
+++ b/packages/requests/refusal_reason.h
@@ -19,7 +19,9 @@
     /// The version of the stream's software is not known.
     unknown_software,
     /// This instance reaches no target of the backend, and no other instance took the request.
-    no_path
+    no_path,
+    /// The request has content that can't be sent to any target.
+    unsendable
 };
 
 [[nodiscard]] const char* to_string(refusal_reason reason);
