Requests: a call on a dead connection is hedged through a relay

Callers whose call had been written to a kept connection just before a cut waited there until their deadline: one hedge went to a target whose connection did not open, and none followed.

A hedge whose connection does not open is followed by another, and where the instance is cut off the next one goes through a relay. The first attempt stays, so a relay that declines costs nothing. Evidence: the new case fails without the change (no relayed attempt); requests_test with it: 34 cases, 2,807,579 assertions pass.

--- a/packages/requests/internal/dispatcher_failures.cpp
+++ b/packages/requests/internal/dispatcher_failures.cpp
@@ -67,6 +67,9 @@
         this->break_off(request, failed.attempt, target);
     } else if (request.active_attempts.empty()) {
         this->retry_or_refuse(request, failed.failure, was_selected);
+    } else if (failed.failure == attempt_failure::unreachable) {
+        // It was a hedge, and the attempt that it is to cover still waits.
+        this->hedge(request);
     }
     this->update_paths();
     this->send_queued(backend);
@@ -94,7 +97,10 @@
             request.write_started = false;
         }
     }
-    this->retry_or_refuse(request, has_not_run ? attempt_failure::no_relay : failed.failure, false);
+    if (request.active_attempts.empty()) {
+        this->retry_or_refuse(request, has_not_run ? attempt_failure::no_relay : failed.failure,
+                              false);
+    }
     this->send_queued(backend);
 }
 
--- a/packages/requests/internal/dispatcher_timers.cpp
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -83,7 +83,9 @@
 void dispatcher::state::hedge(request_state& request) {
     const bool is_waiting =
         !request.queued && !request.selected && !request.active_attempts.empty();
-    if (!is_waiting || request.sent_count() >= this->max_attempts(request)) {
+    if (!is_waiting || !request.profile.repeatable ||
+        request.unreachable_count >= this->limits.max_unreachable ||
+        request.sent_count() >= this->max_attempts(request)) {
         return;
     }
     const attempt_state& newest = this->attempts.at(request.active_attempts.back());
@@ -91,11 +93,13 @@
         !this->budget.try_withdraw()) {
         return;
     }
-    const auto choice = this->is_cut_off(request.profile.backend)
-                            ? this->route_over_kept_connections(request, false)
-                            : this->route(request, false, false);
+    const bool is_cut_off = this->is_cut_off(request.profile.backend);
+    const auto choice = is_cut_off ? this->route_over_kept_connections(request, false)
+                                   : this->route(request, false, false);
     if (choice.target) {
         this->send(request, choice, send_cause::hedge);
+    } else if (is_cut_off && this->may_be_relayed(request)) {
+        this->relay(request);
     } else {
         this->budget.refund();
     }
--- a/packages/requests/tests/paths_test.cpp
+++ b/packages/requests/tests/paths_test.cpp
@@ -923,6 +923,53 @@
     CHECK(hedge_delay() <= before);
 }
 
+// A call that had been written to a kept connection waited for its deadline there, if the system
+// did not tell that its bytes were not acknowledged.
+SCENARIO("a call that waits on a dead connection is served through a relay") {
+    path_fixture fixture;
+    GIVEN("a call that may be repeated, written to a connection on which nothing is heard") {
+        const request_id request = fixture.arrive();
+        const attempt_id written = fixture.one<send_attempt>().attempt;
+        fixture.dispatch(attempt_write_started{written});
+        while (!fixture.has<send_attempt>() || fixture.one<send_attempt>().attempt == written) {
+            REQUIRE(fixture.subject.next_wakeup());
+            fixture.now = *fixture.subject.next_wakeup();
+            REQUIRE(fixture.now < time_point(100s) + deadline);
+            fixture.dispatch(timer_expired{});
+        }
+        WHEN("the connections of its hedges do not open") {
+            fixture.time_out_opening();
+            fixture.time_out_opening();
+            const attempt_id relayed = fixture.one<relay_attempt>().attempt;
+            THEN("a relay answers it") {
+                fixture.answer_relayed(relayed);
+                CHECK(fixture.one<complete_request>().request == request);
+                CHECK(fixture.one<cancel_attempt>().attempt == written);
+            }
+            AND_WHEN("the relay declines it") {
+                fixture.dispatch(attempt_failed{relayed, attempt_failure::declined});
+                THEN("it still waits for the first response") {
+                    CHECK(!fixture.has<refuse_request>());
+                    fixture.dispatch(attempt_completed{written});
+                    CHECK(fixture.one<complete_request>().request == request);
+                }
+            }
+        }
+    }
+    GIVEN("a call that must not be repeated") {
+        fixture.arrive(call_kind::once);
+        const attempt_id written = fixture.one<send_attempt>().attempt;
+        fixture.dispatch(attempt_write_started{written});
+        WHEN("the instance turns out to be cut off") {
+            fixture.cut_off();
+            THEN("it is sent nowhere else") {
+                CHECK(fixture.all<relay_attempt>().size() == 1);
+                CHECK(fixture.subject.has_request(request_id(1)));
+            }
+        }
+    }
+}
+
 SCENARIO("nothing is probed while no call needs the backend") {
     path_fixture fixture;
     fixture.answer_relayed(fixture.cut_off(call_kind::once));
