Relaying: a call that no relay can forward keeps no other call from the relays

Callers saw: at a gateway without a path, calls were refused with "no-path" although relays had room, from 250 ms up to 8 s after a call that each relay refuses: one whose request is quarantined, whose route is not known there yet, or that continues a stream of a version without targets.

Cause: the gateway takes any refusal of a relay for a sign that this relay has no room or no path for the service, and sends it none of the service's calls for a pause that doubles.

Evidence: relaying_test, "a relay that refuses a call because of the call": before, the next call does not reach the only relay within 200 ms.

A refusal says now whether its reason lies in the call. The relay's gateway knows: the reasons of the dispatcher are divided in one place, and what the gateway declines by itself always concerns the call. A relay that is full, cut off or stopping is passed over as before.

--- a/packages/gateway/internal/relayed_calls.cpp
+++ b/packages/gateway/internal/relayed_calls.cpp
@@ -111,7 +111,7 @@
     spdlog::info("relayed call refused request={} from={} may_have_run=false reason=\"{}\"",
                  request.name, exchange.origin().value(), reason);
     this->count("not-run");
-    exchange.refuse(false, reason, duration::zero());
+    exchange.decline(reason, duration::zero());
 }
 
 forwarding::response_callbacks relayed_calls::respond_to(const exchange_pointer& exchange,
@@ -144,17 +144,26 @@
         this->count("answered");
         exchange->end_stream();
     };
-    callbacks.on_failure = [this, exchange,
-                            name = request.name](const forwarding::call_failure& failure) {
-        const bool may_have_run = failure.outcome != requests::outcome_kind::not_run;
-        const std::string reason = requests::to_string(failure.reason);
-        spdlog::info("relayed call refused request={} from={} may_have_run={} reason=\"{}\" "
-                     "retry_after_ms={}",
-                     name, exchange->origin().value(), may_have_run, reason,
-                     failure.retry_after / std::chrono::milliseconds(1));
-        this->count(requests::to_string(failure.outcome));
-        exchange->refuse(may_have_run, reason, failure.retry_after);
-    };
+    callbacks.on_failure =
+        [this, exchange, name = request.name,
+         is_bound = request.software.has_value()](const forwarding::call_failure& failure) {
+            const bool may_have_run = failure.outcome != requests::outcome_kind::not_run;
+            const std::string reason = requests::to_string(failure.reason);
+            spdlog::info("relayed call refused request={} from={} may_have_run={} reason=\"{}\" "
+                         "retry_after_ms={}",
+                         name, exchange->origin().value(), may_have_run, reason,
+                         failure.retry_after / std::chrono::milliseconds(1));
+            this->count(requests::to_string(failure.outcome));
+            // That a stream's version has no target left says nothing of other calls.
+            const bool concerns_call =
+                requests::concerns_request(failure.reason) ||
+                (is_bound && failure.reason == requests::refusal_reason::no_target);
+            if (!may_have_run && concerns_call) {
+                exchange->decline(reason, failure.retry_after);
+            } else {
+                exchange->refuse(may_have_run, reason, failure.retry_after);
+            }
+        };
     return callbacks;
 }
 
--- a/packages/relaying/internal/exchange_state.cpp
+++ b/packages/relaying/internal/exchange_state.cpp
@@ -48,10 +48,18 @@
 
 void relayed_exchange::state::fail(bool may_have_run, const std::string& reason,
                                    duration retry_after) {
+    this->fail({this->call, may_have_run, reason, retry_after, false});
+}
+
+void relayed_exchange::state::decline(const std::string& reason, duration retry_after) {
+    this->fail({this->call, false, reason, retry_after, true});
+}
+
+void relayed_exchange::state::fail(wire::relayed_call_failure failure) {
     if (this->is_ended() || this->closed) {
         return;
     }
-    this->last = wire::relayed_call_failure{this->call, may_have_run, reason, retry_after};
+    this->last = std::move(failure);
     this->flush();
 }
 
@@ -137,7 +145,7 @@
     this->parts.clear();
     this->waiting_bytes = 0;
     this->notify_cancelled();
-    this->last = wire::relayed_call_failure{this->call, true, reason, {}};
+    this->last = wire::relayed_call_failure{this->call, true, reason, {}, false};
     this->flush();
     this->update_held();
 }
--- a/packages/relaying/internal/exchange_state.h
+++ b/packages/relaying/internal/exchange_state.h
@@ -36,6 +36,8 @@
     void append(std::string_view part);
     void end();
     void fail(bool may_have_run, const std::string& reason, duration retry_after);
+    /// Ends the call as not run for a reason that lies in it.
+    void decline(const std::string& reason, duration retry_after);
 
     /// Sends as much as the link and the window take.
     void flush();
@@ -63,6 +65,7 @@
     std::function<void()> on_cancel;
 
 private:
+    void fail(wire::relayed_call_failure failure);
     void update_held();
     /// Calls back once, unless the response is complete.
     void notify_cancelled();
--- a/packages/relaying/internal/relay_client_state.cpp
+++ b/packages/relaying/internal/relay_client_state.cpp
@@ -387,7 +387,7 @@
     }
     this->notify_relay(this->links.at(relay), wire::relayed_data_taken{failure.call, 0});
     const bool is_declined = !failure.may_have_run && !call->has_head;
-    if (is_declined) {
+    if (is_declined && !failure.concerns_call) {
         this->choice.call_refused(relay, call->request.backend, this->params.time->now());
     }
     this->finish(call, is_declined ? relay_result::declined : relay_result::broken, failure.reason,
--- a/packages/relaying/internal/relayed_exchange.cpp
+++ b/packages/relaying/internal/relayed_exchange.cpp
@@ -50,6 +50,10 @@
     this->impl->fail(has_run, reason, retry_after);
 }
 
+void relayed_exchange::decline(const std::string& reason, duration retry_after) {
+    this->impl->decline(reason, retry_after);
+}
+
 std::size_t relayed_exchange::unsent_bytes() const {
     return this->impl->unsent_bytes();
 }
--- a/packages/relaying/relayed_exchange.h
+++ b/packages/relaying/relayed_exchange.h
@@ -35,6 +35,9 @@
     /// a retry may succeed; zero if unknown.
     void refuse(bool has_run, const std::string& reason, duration retry_after);
 
+    /// Refuses a call as not run because of the call itself: this instance may take others.
+    void decline(const std::string& reason, duration retry_after);
+
     /// Bytes of the body that the origin's caller has not taken yet.
     [[nodiscard]] std::size_t unsent_bytes() const;
     /// Sets the callback for bytes that the origin's caller took.
--- a/packages/relaying/tests/relayed_calls_test.cpp
+++ b/packages/relaying/tests/relayed_calls_test.cpp
@@ -367,6 +367,22 @@
             CHECK(later->result == relay_result::no_relay);
         }
     }
+    // A request that each gateway refuses kept the calls of others from all relays.
+    GIVEN("a relay that refuses a call because of the call") {
+        test_relay& relay = fleet.add_relay("r1");
+        auto refused = fleet.start(make_request("refused"));
+        REQUIRE(fleet.run_until([&] { return relay.calls.size() == 1; }));
+        relay.calls.front().exchange->decline("no route", 0ms);
+        REQUIRE(fleet.run_until([&] { return refused->result.has_value(); }));
+        CHECK(refused->result == relay_result::declined);
+        WHEN("another call follows") {
+            auto next = fleet.start(make_request("next"));
+            THEN("the relay gets it at once") {
+                CHECK(fleet.run_until([&] { return relay.calls.size() == 2; }, 200ms));
+                CHECK(!next->result);
+            }
+        }
+    }
     GIVEN("two relays, one of which refuses") {
         test_relay& refusing = fleet.add_relay("r1", 0);
         test_relay& other = fleet.add_relay("r2");
--- a/packages/requests/internal/names.cpp
+++ b/packages/requests/internal/names.cpp
@@ -48,6 +48,27 @@
     return "?";
 }
 
+bool concerns_request(refusal_reason reason) {
+    switch (reason) {
+    case refusal_reason::deadline_passed:
+    case refusal_reason::unknown_class:
+    case refusal_reason::quarantined:
+    case refusal_reason::unknown_software:
+    case refusal_reason::unsendable:
+        return true;
+    case refusal_reason::queue_full:
+    case refusal_reason::would_be_late:
+    case refusal_reason::no_target:
+    case refusal_reason::rate_limited:
+    case refusal_reason::target_unreachable:
+    case refusal_reason::target_failed:
+    case refusal_reason::stopping:
+    case refusal_reason::no_path:
+        break;
+    }
+    return false;
+}
+
 const char* to_string(send_cause cause) {
     switch (cause) {
     case send_cause::first:
--- a/packages/requests/refusal_reason.h
+++ b/packages/requests/refusal_reason.h
@@ -25,5 +25,7 @@
 };
 
 [[nodiscard]] const char* to_string(refusal_reason reason);
+/// Whether the reason lies in the request, so that it says nothing of the requests that follow.
+[[nodiscard]] bool concerns_request(refusal_reason reason);
 
 } // namespace kingcupcart::requests
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -371,7 +371,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, relayed_call_failure& value) {
-    archive(value.call, value.may_have_run, value.reason, value.retry_after);
+    archive(value.call, value.may_have_run, value.reason, value.retry_after, value.concerns_call);
 }
 
 template <typename Archive>
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -409,6 +409,8 @@
     std::string reason;
     /// Delay after which a retry may succeed; zero if unknown.
     duration retry_after{};
+    /// The reason lies in the call; the sender takes others.
+    bool concerns_call = false;
 };
 
 /// The caller has left, or its time is over.
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -154,7 +154,7 @@
         relayed_response_head{6, 200, "text/plain", {{"X-Stamp", "s"}}, true},
         relayed_response_data{6, std::string("\0event", 6)},
         relayed_response_end{6},
-        relayed_call_failure{6, false, "full", std::chrono::milliseconds(40)},
+        relayed_call_failure{6, false, "full", std::chrono::milliseconds(40), true},
         relayed_call_cancel{6},
         relayed_data_taken{6, 6},
         relay_stopping{}};
