HTTP client: a check that ends late looks at its connection first

Callers saw: a gateway whose event loop runs late, on a busy machine or after it was frozen, goes on to relay or refuse calls although the paths to its targets are sound again: each probe of a path that is bounded by 100 ms fails, and renews the loss.

Cause: the check's timer and its connection become ready in the same iteration of the event loop, and the timer is served first.

Evidence: http_test, listening_check_test.cpp, "this process is held up for longer than the time limit": before, a process that listens is found `unknown`, three times of three, and so is one that has ended. Both are found now, three times of three.

The timer takes the result of a connection that has been decided.

--- a/packages/http/internal/listening_check.cpp
+++ b/packages/http/internal/listening_check.cpp
@@ -17,7 +17,7 @@
 
 listening_check::listening_check(const clock& time, const endpoint& address, duration max_time,
                                  std::function<void(result)> on_result)
-    : on_result(std::move(on_result)), timer([this] { this->end(this->found); }) {
+    : on_result(std::move(on_result)), timer([this] { this->handle_timer(); }) {
     auto dialled = value_or_error([&] { return connection::dial(address); });
     if (const auto* problem = std::get_if<error>(&dialled)) {
         // Reported from the event loop, too.
@@ -39,6 +39,15 @@
     this->end(problem == nullptr ? result::listening : result_of(*problem));
 }
 
+void listening_check::handle_timer() {
+    // If this process was held up, the connection may have opened in time.
+    if (this->link && this->link->has_connected()) {
+        this->handle_ready();
+    } else {
+        this->end(this->found);
+    }
+}
+
 void listening_check::end(result found) {
     this->timer.disarm();
     this->link.reset();
--- a/packages/http/listening_check.h
+++ b/packages/http/listening_check.h
@@ -34,6 +34,7 @@
 private:
     void end(result found);
     void handle_ready();
+    void handle_timer();
 
     std::function<void(result)> on_result;
     std::unique_ptr<connection> link;
--- a/packages/http/tests/listening_check_test.cpp
+++ b/packages/http/tests/listening_check_test.cpp
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <optional>
+#include <thread>
 #include <vector>
 
 using namespace kingcupcart;
@@ -21,7 +22,9 @@
 
 constexpr duration max_time = std::chrono::milliseconds(300);
 
-std::optional<listening_check::result> check_address(const endpoint& address) {
+/// The process is held up for `delay` once the connection is being opened.
+std::optional<listening_check::result> check_address(const endpoint& address,
+                                                     duration delay = duration::zero()) {
     system_clock time;
     task::event_loop loop;
     loop.enter();
@@ -31,6 +34,7 @@
             found = result;
             loop.quit();
         });
+        std::this_thread::sleep_for(delay);
         loop.run();
     }
     loop.leave();
@@ -48,10 +52,20 @@
             }
             close(listener.socket);
         }
+        // A gateway whose event loop was late took each probe of a sound path for a failed one.
+        WHEN("this process is held up for longer than the time limit") {
+            THEN("it is found listening") {
+                CHECK(check_address(listener.bound, 2 * max_time) ==
+                      listening_check::result::listening);
+            }
+            close(listener.socket);
+        }
         WHEN("it has ended") {
             close(listener.socket);
             THEN("connections are refused") {
                 CHECK(check_address(listener.bound) == listening_check::result::refused);
+                CHECK(check_address(listener.bound, 2 * max_time) ==
+                      listening_check::result::refused);
             }
         }
     }
