Soak: gateways that are cut off from all replicas

The clients judge more, with all options: the events of a stream come in order and none is missing or comes twice; no stream ends as complete before its last event; each call has a response, or its connection has ended, 8 s after the faults.

--- a/tests/process/client_stream.cpp
+++ b/tests/process/client_stream.cpp
@@ -54,9 +54,11 @@
 void client_stream::update() {
     std::istringstream lines(this->current->body);
     int number = 0;
+    int expected = this->received_before;
     for (std::string line; std::getline(lines, line) && !lines.eof();) {
         if (line.starts_with("id: ")) {
             number = std::stoi(line.substr(4));
+            this->has_broken_order = this->has_broken_order || number != ++expected;
         } else if (line.starts_with("data: ")) {
             this->seen_versions.insert(line.substr(6, line.find(' ', 6) - 6));
             this->last_event = std::max(this->last_event, number);
--- a/tests/process/client_stream.h
+++ b/tests/process/client_stream.h
@@ -25,6 +25,8 @@
     bool goes_on();
     bool has_event(int number);
     [[nodiscard]] bool is_ended() const { return this->current->is_completed; }
+    /// Whether an event is missing or came twice, in a try or between two.
+    [[nodiscard]] bool is_broken() const { return this->has_broken_order; }
     [[nodiscard]] int tries() const { return this->try_count; }
     [[nodiscard]] const client_call& call() const { return *this->current; }
     /// The software versions that the stream's events name.
@@ -41,6 +43,7 @@
     int last_event;
     /// The last event of the tries before the current one.
     int received_before = 0;
+    bool has_broken_order = false;
     std::set<std::string> seen_versions;
     std::unique_ptr<client_call> current;
 };
--- a/tests/process/replica_paths.h
+++ b/tests/process/replica_paths.h
@@ -4,6 +4,7 @@
 #include "process/dead_end.h"
 #include "process/loopback_proxy.h"
 
+#include <array>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -30,6 +31,10 @@
     one_way
 };
 
+inline constexpr std::array<path_fault, 6> path_faults = {
+    path_fault::hang,           path_fault::refuse,           path_fault::refuse_and_silence,
+    path_fault::reset_and_hang, path_fault::reset_and_refuse, path_fault::one_way};
+
 [[nodiscard]] std::string name_of(path_fault fault);
 
 /// The paths of one gateway process to replicas, which lead through proxies of its own, so that
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -48,12 +48,19 @@
 }
 
 std::vector<fault_sequence> sequences_of(const fault_options& options) {
+    using std::chrono::milliseconds;
     using std::chrono::seconds;
     std::vector<fault_sequence> sequences = fault_sequences();
     if (options.has_named_limits) {
         // Longer than instances have to take notice of a limit.
         sequences.back() = {{kind::name_limit}, seconds(6), seconds(9), seconds(1)};
     }
+    if (options.has_cut_gateways) {
+        // Two sequences, so that cuts overlap.
+        const fault_sequence cuts{
+            {kind::cut_gateways}, milliseconds(100), seconds(4), milliseconds(300)};
+        sequences.insert(sequences.end(), 2, cuts);
+    }
     return sequences;
 }
 
@@ -97,10 +104,28 @@
         return "reset replica";
     case kind::name_limit:
         return "replica names limit";
+    case kind::cut_gateways:
+        return "cut gateways off";
     }
     return "?";
 }
 
+/// Adds the fault; every third cut of gateways comes and goes.
+void add_fault(std::vector<fault>& plan, const fault& planned) {
+    // The lower digits choose the gateways and the way in which their connections fail.
+    constexpr std::size_t digits_of_cut = 1000;
+    constexpr duration flap_time = std::chrono::milliseconds(150);
+    if (planned.fault_kind != kind::cut_gateways || planned.index / digits_of_cut % 3 != 0) {
+        plan.push_back(planned);
+        return;
+    }
+    fault flap = planned;
+    flap.active_time = flap_time;
+    for (; flap.at < planned.at + planned.active_time; flap.at += 2 * flap_time) {
+        plan.push_back(flap);
+    }
+}
+
 } // namespace
 
 std::vector<fault> plan_faults(std::uint64_t seed, duration length, const fault_options& options) {
@@ -122,7 +147,7 @@
             planned.index = random();
             planned.at = at;
             planned.active_time = random_duration(sequence.min_length, sequence.max_length);
-            plan.push_back(planned);
+            add_fault(plan, planned);
             at += planned.active_time + sequence.min_gap +
                   random_duration(duration::zero(), sequence.min_gap);
         }
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -16,6 +16,8 @@
     /// Replicas that name a limit of the requests that they take. Leaves out the faults of the
     /// replicas' connections, which change when requests arrive.
     bool has_named_limits = false;
+    /// Gateways that are cut off from all replicas.
+    bool has_cut_gateways = false;
 };
 
 /// A fault that is injected into the fleet and removed after a while.
@@ -46,7 +48,9 @@
         stall_responses,
         reset_replica,
         /// The plain service names a limit of the requests that it takes.
-        name_limit
+        name_limit,
+        /// Gateways are cut off from all replicas.
+        cut_gateways
     };
     kind fault_kind = kind::kill_gateway;
     /// Index of the instance or replica, taken modulo their count.
--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -170,6 +170,18 @@
                          " holds events of two software versions");
             return true;
         }
+        if (stream.is_broken()) {
+            this->report("stream " + stream.call().header("X-Request-Id") +
+                         " lacks an event or holds one twice");
+            return true;
+        }
+        const bool is_complete = stream.is_ended() && stream.call().head.status == status_ok &&
+                                 stream.call().result == http::call_result::complete;
+        if (is_complete && !stream.has_event(soak_fleet::engine_events)) {
+            this->report("stream " + stream.call().header("X-Request-Id") +
+                         " ended as complete before its last event");
+            return true;
+        }
         const bool leaves = stream.has_event(open.leave_after);
         if (!leaves && !stream.is_ended()) {
             return false;
@@ -384,6 +396,9 @@
         this->test_deployment.wait(std::chrono::milliseconds(50));
         this->process_completed_calls();
     }
+    if (!this->pending_calls.empty()) {
+        this->report(std::to_string(this->pending_calls.size()) + " calls have no response");
+    }
     this->pending_calls.clear();
     const time_point recovery_deadline = std::chrono::steady_clock::now() + recovery_limit;
     const auto is_complete = [this](const auto& item) {
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-soak_fleet::soak_fleet(process_tests::deployment& test_deployment)
+soak_fleet::soak_fleet(process_tests::deployment& test_deployment, bool has_cut_gateways)
     : test_deployment(test_deployment),
       link_port(port_of(process_tests::free_address())),
       external_port(port_of(process_tests::free_address())),
@@ -51,6 +51,10 @@
             instance.id = name_of(instance_role) + std::to_string(i);
             instance.ip =
                 "127.0.1." + std::to_string(static_cast<std::size_t>(instance_role) * 10 + i);
+            if (has_cut_gateways && instance_role == role::gateway) {
+                instance.paths = std::make_unique<process_tests::replica_paths>(
+                    test_deployment.path_of(instance.id + "-routes"));
+            }
             this->instances.push_back(std::move(instance));
         }
     }
@@ -97,6 +101,11 @@
     });
     added.proxy = std::move(std::get<std::unique_ptr<process_tests::loopback_proxy>>(opened_proxy));
     added.stand_in->advertise(added.proxy->address());
+    for (const fleet_instance& instance : this->instances) {
+        if (instance.paths) {
+            instance.paths->add(added.proxy->address());
+        }
+    }
     replicas.push_back(std::move(added));
 }
 
@@ -136,7 +145,8 @@
     std::ofstream(settings_path) << this->instance_settings(instance, is_first_start);
     instance.process = std::make_unique<process_tests::child_process>(
         std::vector<std::string>{KINGCUPCARTD, "--settings", settings_path},
-        this->test_deployment.path_of(instance.id + ".log"));
+        this->test_deployment.path_of(instance.id + ".log"), RLIM_INFINITY,
+        instance.paths ? instance.paths->environment() : std::vector<std::string>());
     instance.is_paused = false;
     instance.is_stopping = false;
 }
@@ -192,6 +202,17 @@
     }
 }
 
+void soak_fleet::cut(fleet_instance& gateway, process_tests::path_fault fault) {
+    ++gateway.cuts;
+    gateway.paths->cut(fault);
+}
+
+void soak_fleet::heal(fleet_instance& gateway) {
+    if (--gateway.cuts == 0) {
+        gateway.paths->heal();
+    }
+}
+
 void soak_fleet::begin_limit(std::size_t service, int rate) {
     service %= this->service_replicas.size();
     this->service_replicas[service].stand_in->name_limit(std::to_string(rate));
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -5,6 +5,7 @@
 #include "process/child_process.h"
 #include "process/deployment.h"
 #include "process/loopback_proxy.h"
+#include "process/replica_paths.h"
 #include "stand_ins/platform_replica.h"
 #include "task/wakeup.h"
 
@@ -26,6 +27,10 @@
         std::string ip;
         /// Null while the instance is down.
         std::unique_ptr<process_tests::child_process> process;
+        /// Of a gateway, if gateways are to be cut off.
+        std::unique_ptr<process_tests::replica_paths> paths;
+        /// Cuts of its paths that go on.
+        std::size_t cuts = 0;
         bool is_paused = false;
         bool is_stopping = false;
     };
@@ -41,7 +46,8 @@
         time_point end{};
     };
 
-    explicit soak_fleet(process_tests::deployment& test_deployment);
+    /// Gateways can be cut off from replicas only if `has_cut_gateways`.
+    soak_fleet(process_tests::deployment& test_deployment, bool has_cut_gateways);
 
     /// Restarts the instance if it is down, with its disk as it is.
     void start(fleet_instance& instance);
@@ -54,6 +60,9 @@
     /// The system refuses all writes of the process to files until `accept_writes`.
     void refuse_writes(fleet_instance& instance);
     void accept_writes(fleet_instance& instance);
+    /// Cuts the gateway off from all replicas, until `heal` was called as often.
+    static void cut(fleet_instance& gateway, process_tests::path_fault fault);
+    static void heal(fleet_instance& gateway);
     /// The service names the limit, in requests a second, until `end_limit`.
     void begin_limit(std::size_t service, int rate);
     void end_limit(std::size_t service);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -90,6 +90,20 @@
     }
 }
 
+void apply_cut(soak_fleet& fleet, const fault& planned, bool is_start) {
+    const auto& path_faults = process_tests::path_faults;
+    const std::size_t choice = planned.index / path_faults.size();
+    const std::size_t first = choice / soak_fleet::instances_per_role;
+    for (std::size_t i = 0; i <= choice % soak_fleet::instances_per_role; ++i) {
+        soak_fleet::fleet_instance& gateway = fleet.instance_at(role::gateway, first + i);
+        if (is_start) {
+            soak_fleet::cut(gateway, path_faults[planned.index % path_faults.size()]);
+        } else {
+            soak_fleet::heal(gateway);
+        }
+    }
+}
+
 void apply_fault(soak_fleet& fleet, const fault& planned, bool is_start) {
     if (planned.fault_kind == kind::name_limit) {
         constexpr std::size_t max_rate = 5;
@@ -102,6 +116,8 @@
                 fleet.end_limit(planned.index + i);
             }
         }
+    } else if (planned.fault_kind == kind::cut_gateways) {
+        apply_cut(fleet, planned, is_start);
     } else if (planned.fault_kind >= kind::delay_replica) {
         apply_replica_fault(fleet, planned, is_start);
     } else if (planned.fault_kind != kind::kill_all) {
@@ -139,7 +155,7 @@
 
 bool run_soak(std::uint64_t seed, duration length, const fault_options& options) {
     process_tests::deployment test_deployment;
-    soak_fleet fleet(test_deployment);
+    soak_fleet fleet(test_deployment, options.has_cut_gateways);
     soak_clients clients(test_deployment, fleet, seed);
     const auto run_for = [&](duration time) {
         const time_point end = std::chrono::steady_clock::now() + time;
@@ -183,18 +199,19 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    static const std::array<option, 6> long_options{{{"seed", required_argument, nullptr, 's'},
+    static const std::array<option, 7> long_options{{{"seed", required_argument, nullptr, 's'},
                                                      {"seeds", required_argument, nullptr, 'n'},
                                                      {"seconds", required_argument, nullptr, 't'},
                                                      {"refused-writes", no_argument, nullptr, 'w'},
                                                      {"named-limits", no_argument, nullptr, 'l'},
+                                                     {"cut-gateways", no_argument, nullptr, 'c'},
                                                      {nullptr, 0, nullptr, 0}}};
     std::uint64_t seed = 1;
     std::uint64_t seeds = 1;
     long seconds = 10;
     fault_options options;
     for (int option_character = 0; option_character != -1;) {
-        option_character = getopt_long(argc, argv, "s:n:t:wl", long_options.data(), nullptr);
+        option_character = getopt_long(argc, argv, "s:n:t:wlc", long_options.data(), nullptr);
         switch (option_character) {
         case -1:
             break;
@@ -213,9 +230,12 @@
         case 'l':
             options.has_named_limits = true;
             break;
+        case 'c':
+            options.has_cut_gateways = true;
+            break;
         default:
             std::fputs("usage: soak [--seed FIRST] [--seeds COUNT] [--seconds OF_FAULTS] "
-                       "[--refused-writes] [--named-limits]\n",
+                       "[--refused-writes] [--named-limits] [--cut-gateways]\n",
                        stderr);
             return 2;
         }
