--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -94,6 +94,7 @@
 /// The response to a forwarded request, or the reason why there is none.
 struct forward_call_response {
     std::uint64_t call = 0;
+    /// 0 if there is no response.
     int status = 0;
     std::string outcome;
     std::string reason;
@@ -415,12 +416,16 @@
     std::uint64_t call = 0;
 };
 
-/// The sender's caller took so many more bytes of the response.
+/// The sender's caller took so many more bytes of the response; 0 acknowledges its end or failure.
 struct relayed_data_taken {
     std::uint64_t call = 0;
     std::uint64_t bytes = 0;
 };
 
+/// The sending relay is stopping: the receiver sends it no further calls, and closes the link when
+/// its calls have ended.
+struct relay_stopping {};
+
 /// The order of the alternatives is that of their numbers on the wire.
 using message = std::variant<
     hello, target_update, target_heartbeats, configuration_update, configuration_in_force,
@@ -434,6 +439,6 @@
     quarantine::trial_decision, stream_record_updates, stream_lookup_request,
     stream_lookup_response, relay_lookup_request, relay_lookup_response, reach_report,
     relayed_call_request, relayed_response_head, relayed_response_data, relayed_response_end,
-    relayed_call_failure, relayed_call_cancel, relayed_data_taken>;
+    relayed_call_failure, relayed_call_cancel, relayed_data_taken, relay_stopping>;
 
 } // namespace kingcupcart::wire
