--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -127,6 +127,8 @@
         exchange->add_header("X-Weight-Versions", std::to_string(this->loaded_version));
         this->item_versions[identifier].insert(this->loaded_version);
     }
+    exchange->on_disconnect(
+        [this, identifier] { this->disconnected_streams.push_back(identifier); });
     exchange->begin_stream(status_ok, "text/event-stream");
     const bool is_interrupted =
         this->responses_to_interrupt > 0 && this->responses_to_interrupt-- > 0;
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -81,6 +81,10 @@
     [[nodiscard]] const std::vector<std::string>& executed_request_ids() const {
         return this->executed_requests;
     }
+    /// Identifiers of the streams whose client disconnected before their end.
+    [[nodiscard]] const std::vector<std::string>& disconnected_stream_ids() const {
+        return this->disconnected_streams;
+    }
     /// Makes the next `responses` streams stop after `events` events, with the response
     /// incomplete.
     void interrupt_responses_after(int events, int responses) {
@@ -141,6 +145,7 @@
     std::string limit;
     std::vector<time_point> arrival_times;
     std::vector<std::string> executed_requests;
+    std::vector<std::string> disconnected_streams;
     std::map<std::string, std::set<std::uint64_t>> item_versions;
     std::vector<open_stream> streams;
     task::wakeup write_timer;
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -88,6 +88,7 @@
       options(options),
       link_port(port_of(free_address())),
       external_port(port_of(free_address())),
+      relay_port(port_of(free_address())),
       heartbeat_timer([this] { this->send_heartbeats(); }) {
     const endpoint keeper{keeper_ip, static_cast<std::uint16_t>(std::stoi(this->external_port))};
     for (std::size_t i = 0; i < options.services; ++i) {
@@ -128,7 +129,8 @@
                                     const std::string& seed_ip) const {
     return this->instance_settings(id, "gateway",
                                    "callers = " + ip + ":" + this->external_port +
-                                       "\nready = " + ip + ":" + this->link_port + "\n",
+                                       "\nready = " + ip + ":" + this->link_port +
+                                       "\naddress = " + ip + ":" + this->relay_port + "\n",
                                    seed_ip);
 }
 
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -133,6 +133,8 @@
     fleet_options options;
     std::string link_port;
     std::string external_port;
+    /// Where gateways take calls of other gateways.
+    std::string relay_port;
     std::vector<std::unique_ptr<stand_ins::platform_replica>> service_replicas;
     std::vector<std::unique_ptr<stand_ins::platform_replica>> engine_replicas;
     bool sends_heartbeats = true;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -43,6 +43,7 @@
     : test_deployment(test_deployment),
       link_port(port_of(process_tests::free_address())),
       external_port(port_of(process_tests::free_address())),
+      relay_port(port_of(process_tests::free_address())),
       heartbeat_timer([this] { this->send_heartbeats(); }) {
     for (const role instance_role : {role::keeper, role::store, role::gateway}) {
         for (std::size_t i = 1; i <= instances_per_role; ++i) {
@@ -124,7 +125,8 @@
     const std::string link_address = instance.ip + ":" + this->link_port;
     const std::string external_address = instance.ip + ":" + this->external_port;
     if (instance.instance_role == role::gateway) {
-        return settings + "callers = " + external_address + "\nready = " + link_address + "\n";
+        return settings + "callers = " + external_address + "\nready = " + link_address +
+               "\naddress = " + instance.ip + ":" + this->relay_port + "\n";
     }
     settings += "address = " + link_address +
                 "\ndata = " + this->test_deployment.path_of(instance.id + "-data") +
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -97,6 +97,8 @@
     process_tests::deployment& test_deployment;
     std::string link_port;
     std::string external_port;
+    /// Where gateways take calls of other gateways.
+    std::string relay_port;
     std::vector<fleet_instance> instances;
     std::vector<replica> service_replicas;
     std::vector<replica> engine_replicas;
