Relays: a limit that targets name is no reason to pass over a relay

Callers of a cut-off gateway were refused while replicas named a limit: 0 of 53 calls served there, 18 to 21 of 53 at each of the others, which share the same limit. Cause: a relay that refused a call for lack of a permit counted as full, and got no call of the service for 250 ms to 8 s; soon no relay was left. The limit is that of the targets, over all instances, and says nothing of the relay.

--- a/packages/requests/internal/names.cpp
+++ b/packages/requests/internal/names.cpp
@@ -55,11 +55,11 @@
     case refusal_reason::quarantined:
     case refusal_reason::unknown_software:
     case refusal_reason::unsendable:
+    case refusal_reason::rate_limited:
         return true;
     case refusal_reason::queue_full:
     case refusal_reason::would_be_late:
     case refusal_reason::no_target:
-    case refusal_reason::rate_limited:
     case refusal_reason::target_unreachable:
     case refusal_reason::target_failed:
     case refusal_reason::stopping:
--- a/packages/requests/refusal_reason.h
+++ b/packages/requests/refusal_reason.h
@@ -25,7 +25,8 @@
 };
 
 [[nodiscard]] const char* to_string(refusal_reason reason);
-/// Whether the reason lies in the request, so that it says nothing of the requests that follow.
+/// Whether the reason lies in the request, or in a limit that targets name for all instances
+/// together, so that it says nothing of the requests that this instance is sent next.
 [[nodiscard]] bool concerns_request(refusal_reason reason);
 
 } // namespace kingcupcart::requests
