--- a/packages/forwarding/internal/path_monitor.h
+++ b/packages/forwarding/internal/path_monitor.h
@@ -24,7 +24,7 @@
     struct parameters {
         const clock* time = nullptr;
         fleet::keeper_client* fleet = nullptr;
-        /// Null if this instance has no calls relayed. The keepers are told of nothing then.
+        /// Null if this instance has no calls relayed; it then sends the keepers no report.
         relaying::relay_client* relays = nullptr;
         telemetry::metric_set* metrics = nullptr;
         std::function<void(const requests::probe_ended&)> on_probe_ended;
--- a/packages/forwarding/tests/forwarded_call_test.cpp
+++ b/packages/forwarding/tests/forwarded_call_test.cpp
@@ -232,7 +232,7 @@
     }
 }
 
-// A lost path looked like a slow target: nothing told of an attempt that the deadline ended.
+// A lost path looked like a slow target: an attempt that the deadline ended left no log line.
 SCENARIO("an attempt that ends before its connection is open is counted") {
     GIVEN("a host that answers no attempt to connect") {
         const unanswering_host host;
--- a/packages/forwarding/tests/relayed_attempt_test.cpp
+++ b/packages/forwarding/tests/relayed_attempt_test.cpp
@@ -59,7 +59,7 @@
     std::unique_ptr<relaying::relay_client> relays;
     std::unique_ptr<forwarder> subject;
     std::vector<wire::relay_candidate> candidates;
-    /// Backends that the keeper was told of last.
+    /// Backends in the latest report to the keeper.
     std::optional<std::vector<backend_name>> reported;
 
     /// Calls that the relay has received.
--- a/packages/http/tests/path_evidence_test.cpp
+++ b/packages/http/tests/path_evidence_test.cpp
@@ -61,7 +61,7 @@
 
 } // namespace
 
-// A connection that hung while it opened was told by nothing before the request's deadline.
+// A connection that hung while it opened was noticed only at the request's deadline.
 SCENARIO("a connection that hangs while it opens ends the call at its bound") {
     GIVEN("a host that answers no attempt to connect") {
         const full_listener server;
--- a/packages/paths/tests/path_table_test.cpp
+++ b/packages/paths/tests/path_table_test.cpp
@@ -72,8 +72,8 @@
 
 } // namespace
 
-// A connection that hung while it was opened was told by nothing, so an instance that had lost all
-// its targets sent each call to the same ones until its deadline.
+// A connection that hung while it was opened left no trace, so an instance that had lost all its
+// targets sent each call to the same ones until its deadline.
 SCENARIO("an instance notices that it is cut off from a backend") {
     path_fixture fixture(5);
     const auto lose = [&](int number) {
--- a/packages/relaying/internal/exchange_state.h
+++ b/packages/relaying/internal/exchange_state.h
@@ -36,7 +36,7 @@
     void append(std::string_view part);
     void end();
     void fail(bool may_have_run, const std::string& reason, duration retry_after);
-    /// Ends the call as not run for a reason that lies in it.
+    /// Ends the call as not run for a reason that lies in the call.
     void decline(const std::string& reason, duration retry_after);
 
     /// Sends as much as the link and the window take.
