Wire: hello carries the protocol revision of its sender

Cause: instances are replaced one after the other, and a build closes a link on which it receives a message or field that it does not know. Change: gateways, stores and keepers state a revision in an entry of hello's `known`, which earlier builds of these roles ignore; without a revision the bytes are unchanged. Adds the identifier of a client account.

--- a/packages/base/ids.h
+++ b/packages/base/ids.h
@@ -13,6 +13,8 @@
 using incarnation_id = strong_id<struct incarnation_tag, std::uint64_t>;
 using failure_domain_id = strong_id<struct failure_domain_tag, std::string>;
 using region_id = strong_id<struct region_tag, std::string>;
+/// A client account, to which callers' keys belong.
+using account_name = strong_id<struct account_tag, std::string>;
 using caller_id = strong_id<struct caller_tag, std::string>;
 using target_id = strong_id<struct target_tag, std::string>;
 /// The name of the model or plain service that a target serves.
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -155,6 +155,7 @@
     hello.incarnation = this->params.incarnation;
     hello.place = this->params.settings.place;
     hello.role = wire::instance_role::gateway;
+    hello.revision = wire::protocol_revision;
     if (const auto& address = this->params.settings.gateway->address) {
         hello.address = *address;
     }
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -376,6 +376,7 @@
     hello.incarnation = this->params.incarnation;
     hello.place = this->params.settings.place;
     hello.role = wire::instance_role::keeper;
+    hello.revision = wire::protocol_revision;
     hello.address = this->listener->address();
     hello.in_force = this->state().version();
     return hello;
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -223,6 +223,7 @@
     hello.incarnation = this->params.incarnation;
     hello.place = this->params.settings.place;
     hello.role = wire::instance_role::store;
+    hello.revision = wire::protocol_revision;
     hello.address = this->params.settings.store->address;
     return hello;
 }
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -114,6 +114,11 @@
     for (const instance_address& entry : outgoing.known) {
         known.push_back(json::array({entry.id.value(), entry.address.address, entry.address.port}));
     }
+    if (outgoing.revision > 0) {
+        // Earlier builds reject unknown fields, but gateways, stores and keepers of these builds
+        // ignore the entries of `known`.
+        known.push_back(json::array({"", "", outgoing.revision}));
+    }
     return json::array({number(message_number::hello), outgoing.instance.value(),
                         outgoing.incarnation.value(), outgoing.place.domain.value(),
                         outgoing.place.region.value(), static_cast<std::uint8_t>(outgoing.role),
@@ -327,7 +332,12 @@
     decoded.address = fields.address();
     fields.for_each([&](field_reader& element) {
         const instance_id id(element.text());
-        decoded.known.push_back({id, element.address()});
+        const endpoint address = element.address();
+        if (id.value().empty() && address.address.empty()) {
+            decoded.revision = address.port;
+        } else {
+            decoded.known.push_back({id, address});
+        }
     });
     decoded.in_force = configuration_version(fields.number());
     return decoded;
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -50,8 +50,15 @@
     std::vector<instance_address> known;
     /// The configuration version in force at the sender.
     configuration_version in_force;
+    /// The newest revision of the protocol that the sender understands; 0 for builds before
+    /// revisions were introduced, and for entry instances. Messages of a later revision are not
+    /// sent to it.
+    std::uint16_t revision = 0;
 };
 
+/// The revision of the protocol between the instances of a fleet.
+inline constexpr std::uint16_t protocol_revision = 1;
+
 /// A target was added, changed or removed.
 struct target_update {
     membership::target_record record;
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -30,6 +30,7 @@
     example.address = endpoint{"127.0.0.1", 65535};
     example.known = {{instance_id("x"), endpoint{"127.0.0.2", 1}}};
     example.in_force = configuration_version(7);
+    example.revision = 3;
     return example;
 }
 
