Accounts: keys of client accounts from the configuration to the target

Cause: a deployment wants to know whose a request is, and to keep the jobs of its accounts apart. Change: packages/accounts decides on keys; the routes document reads and checks the accounts and public routes; the gateway answers 401, removes keys and made-up accounts from headers and names the account to the target, also in the items of batch jobs. A job stores its account; reading, bodies, ends and reuse of results keep to it. Relayed calls carry it. New fields are written only if they are not empty, and not sent to builds of revision 0. No process test run yet.

--- a/packages/batch/internal/job_state_machine.cpp
+++ b/packages/batch/internal/job_state_machine.cpp
@@ -39,29 +39,29 @@
 
 void job_state_machine::reuse_results(job_record& record) {
     for (const job_item& item : record.content.items) {
-        const item_result* earlier = this->find_completed_result(item.id);
-        if (earlier != nullptr && satisfies(*earlier, record.content) &&
-            this->has_same_scorer(item)) {
-            const item_result copy = *earlier;
+        const job_record* earlier = this->find_completed(record.content.account, item.id);
+        if (earlier == nullptr) {
+            continue;
+        }
+        const item_result& result = earlier->results.at(earlier->positions.at(item.id));
+        const job_item* earlier_item = earlier->find_item(item.id);
+        const bool has_same_scorer = earlier_item != nullptr && earlier_item->scorer == item.scorer;
+        if (satisfies(result, record.content) && has_same_scorer) {
+            const item_result copy = result;
             append_result(record, copy);
             this->index_completed_result(copy, record);
         }
     }
 }
 
-const item_result* job_state_machine::find_completed_result(const item_id& item) const {
-    const auto entry = this->jobs_by_completed_item.find(item);
-    if (entry == this->jobs_by_completed_item.end()) {
+const job_record* job_state_machine::find_completed(const account_name& account,
+                                                    const item_id& item) const {
+    const auto items = this->completed_items.find(account);
+    if (items == this->completed_items.end()) {
         return nullptr;
     }
-    const job_record& record = this->records.at(entry->second);
-    return &record.results.at(record.positions.at(item));
-}
-
-bool job_state_machine::has_same_scorer(const job_item& item) const {
-    const job_record& record = this->records.at(this->jobs_by_completed_item.at(item.id));
-    const job_item* earlier = record.find_item(item.id);
-    return earlier != nullptr && earlier->scorer == item.scorer;
+    const auto entry = items->second.find(item);
+    return entry == items->second.end() ? nullptr : &this->records.at(entry->second);
 }
 
 void job_state_machine::append_result(job_record& record, const item_result& result) {
@@ -122,19 +122,24 @@
 }
 
 void job_state_machine::remove_from_index(const job_record& record) {
+    const account_name& account = record.content.account;
+    auto& items = this->completed_items[account];
     for (const item_result& result : record.results) {
-        const auto entry = this->jobs_by_completed_item.find(result.item);
-        if (entry == this->jobs_by_completed_item.end() || entry->second != record.content.id) {
+        const auto entry = items.find(result.item);
+        if (entry == items.end() || entry->second != record.content.id) {
             continue;
         }
-        this->jobs_by_completed_item.erase(entry);
+        items.erase(entry);
         for (const auto& [id, other] : this->records) {
             const auto position = other.positions.find(result.item);
-            if (position != other.positions.end()) {
+            if (position != other.positions.end() && other.content.account == account) {
                 this->index_completed_result(other.results.at(position->second), other);
             }
         }
     }
+    if (items.empty()) {
+        this->completed_items.erase(account);
+    }
 }
 
 void job_state_machine::index_completed_result(const item_result& result,
@@ -145,14 +150,18 @@
     const auto newest = [](const item_result& candidate) {
         return candidate.versions.empty() ? weight_version() : candidate.versions.back();
     };
-    const item_result* current = this->find_completed_result(result.item);
     const job_id& id = record.content.id;
-    const bool is_better =
-        current == nullptr || newest(result) > newest(*current) ||
-        (newest(result) == newest(*current) && id > this->jobs_by_completed_item.at(result.item));
-    if (is_better) {
-        this->jobs_by_completed_item.insert_or_assign(result.item, id);
+    const job_record* current = this->find_completed(record.content.account, result.item);
+    if (current != nullptr) {
+        const weight_version other =
+            newest(current->results.at(current->positions.at(result.item)));
+        const bool is_better =
+            newest(result) > other || (newest(result) == other && id > current->content.id);
+        if (!is_better) {
+            return;
+        }
     }
+    this->completed_items[record.content.account].insert_or_assign(result.item, id);
 }
 
 job_snapshot_piece job_state_machine::save(const job_record& record, std::size_t first,
--- a/packages/batch/job_record.h
+++ b/packages/batch/job_record.h
@@ -30,6 +30,12 @@
     [[nodiscard]] bool is_complete() const {
         return this->results.size() == this->content.items.size();
     }
+    /// Whether calls of the account reach the job. A job without an account was submitted while the
+    /// configuration had none, and calls without one were permitted without a key.
+    [[nodiscard]] bool is_visible_to(const account_name& caller) const {
+        const account_name& owner = this->content.account;
+        return owner.value().empty() || caller.value().empty() || owner == caller;
+    }
     /// Null if the job has no such item.
     [[nodiscard]] const job_item* find_item(const item_id& item) const {
         const auto found = this->item_indices.find(item);
--- a/packages/batch/job_state_machine.h
+++ b/packages/batch/job_state_machine.h
@@ -42,11 +42,12 @@
     result on(const end_job& request);
     result on(const read_barrier& request);
     static void append_result(job_record& record, const item_result& result);
-    /// Appends the results of earlier jobs for the same items that satisfy the job's requirements.
+    /// Appends the results of earlier jobs of the same account for the same items that satisfy the
+    /// job's requirements.
     void reuse_results(job_record& record);
-    [[nodiscard]] const item_result* find_completed_result(const item_id& item) const;
-    /// Whether the job of the item's indexed result requested its score in the same way.
-    [[nodiscard]] bool has_same_scorer(const job_item& item) const;
+    /// The job whose result for the account's item is indexed; null if there is none.
+    [[nodiscard]] const job_record* find_completed(const account_name& account,
+                                                   const item_id& item) const;
     /// Erases the jobs whose retention time has passed.
     void erase_expired_jobs(wall_time now);
     /// Removes the results of an erased job from the index. A remaining job's result for the same
@@ -58,8 +59,8 @@
     void index_completed_result(const item_result& result, const job_record& record);
 
     std::map<job_id, job_record> records;
-    /// For each completed item, the job whose result has the newest weights.
-    std::unordered_map<item_id, job_id> jobs_by_completed_item;
+    /// For each completed item of each account, the job whose result has the newest weights.
+    std::unordered_map<account_name, std::unordered_map<item_id, job_id>> completed_items;
 };
 
 } // namespace kingcupcart::batch
--- a/packages/batch/tests/job_state_machine_test.cpp
+++ b/packages/batch/tests/job_state_machine_test.cpp
@@ -233,3 +233,49 @@
         }
     }
 }
+
+// Guards against results and bodies that reach another account.
+SCENARIO("a job belongs to its account") {
+    job_state_machine state_machine;
+    job owned = make_job("j", {"a"});
+    owned.account = account_name("north");
+    state_machine.apply(submit_job{owned, 2min});
+    const auto is_visible_to = [&](const char* caller) {
+        return state_machine.find(job_id("j"))->is_visible_to(account_name(caller));
+    };
+    THEN("calls of that account reach it, those of another one do not") {
+        CHECK(is_visible_to("north"));
+        CHECK_FALSE(is_visible_to("east"));
+    }
+    WHEN("the configuration has no accounts any more") {
+        THEN("every caller reaches it") {
+            CHECK(is_visible_to(""));
+        }
+    }
+    WHEN("a snapshot is restored") {
+        job_state_machine other;
+        copy_by_snapshot(state_machine, other);
+        THEN("the job keeps its account") {
+            CHECK(other.find(job_id("j"))->content.account == account_name("north"));
+        }
+    }
+    WHEN("another account submits a job with the same item") {
+        state_machine.apply(append_results{job_id("j"), {make_result("a", "text", 2)}});
+        job other = make_job("k", {"a"});
+        other.account = account_name("east");
+        state_machine.apply(submit_job{other, 2min});
+        THEN("it does not get the result") {
+            CHECK(state_machine.find(job_id("k"))->results.empty());
+        }
+        AND_WHEN("the first account submits it too") {
+            job again = make_job("l", {"a"});
+            again.account = account_name("north");
+            state_machine.apply(append_results{job_id("k"), {make_result("a", "other", 3)}});
+            state_machine.apply(submit_job{again, 2min});
+            THEN("it gets its own result") {
+                REQUIRE(state_machine.find(job_id("l"))->results.size() == 1);
+                CHECK(state_machine.find(job_id("l"))->results[0].text == "text");
+            }
+        }
+    }
+}
--- a/packages/engines/target_protocol.h
+++ b/packages/engines/target_protocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/header_field.h"
 #include "base/ids.h"
 #include "base/outcome.h"
 #include "batch/score_request.h"
@@ -18,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace kingcupcart::engines {
 
@@ -28,11 +30,13 @@
                                   const load_order& order, const membership::target_record& target,
                                   const http::response_head& head,
                                   const completions::server_sent_event& event,
-                                  std::string_view text, const batch::score_request& scorer) {
+                                  std::string_view text, const batch::score_request& scorer,
+                                  std::vector<header_field>& headers, const account_name& account) {
     { Candidate::forward(forwarded, target) } -> std::same_as<http::request>;
     { Candidate::run_item(item, target) } -> std::same_as<http::request>;
     { Candidate::order_load(order, target) } -> std::same_as<http::request>;
     { Candidate::request_report(target) } -> std::same_as<http::request>;
+    { Candidate::name_account(headers, account) } -> std::same_as<void>;
     { Candidate::make_score_call(scorer) } -> std::same_as<forwarded_request>;
     { Candidate::signature_of(head) } -> std::same_as<std::optional<std::string>>;
     { Candidate::classify_response(head, text) } -> std::same_as<response_kind>;
@@ -50,6 +54,9 @@
     http::request (*run_item)(const item_request&, const membership::target_record&) = nullptr;
     http::request (*order_load)(const load_order&, const membership::target_record&) = nullptr;
     http::request (*request_report)(const membership::target_record&) = nullptr;
+    /// Replaces the fields in which a caller states its key or an account by one that names this
+    /// account; by none if the name is empty.
+    void (*name_account)(std::vector<header_field>&, const account_name&) = nullptr;
     forwarded_request (*make_score_call)(const batch::score_request&) = nullptr;
     /// The target's signature of a response; empty if the head has none.
     std::optional<std::string> (*signature_of)(const http::response_head&) = nullptr;
@@ -74,12 +81,20 @@
 
 template <target_dialect Dialect>
 constexpr target_protocol make_target_protocol() {
-    return {
-        &Dialect::forward,           &Dialect::run_item,        &Dialect::order_load,
-        &Dialect::request_report,    &Dialect::make_score_call, &Dialect::signature_of,
-        &Dialect::classify_response, &Dialect::is_leaving,      &Dialect::limit_of,
-        &Dialect::weight_version_of, &Dialect::parse_event,     &Dialect::parse_load_order_result,
-        &Dialect::parse_report};
+    return {&Dialect::forward,
+            &Dialect::run_item,
+            &Dialect::order_load,
+            &Dialect::request_report,
+            &Dialect::name_account,
+            &Dialect::make_score_call,
+            &Dialect::signature_of,
+            &Dialect::classify_response,
+            &Dialect::is_leaving,
+            &Dialect::limit_of,
+            &Dialect::weight_version_of,
+            &Dialect::parse_event,
+            &Dialect::parse_load_order_result,
+            &Dialect::parse_report};
 }
 
 } // namespace kingcupcart::engines
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -133,6 +133,7 @@
     request.backend = action.backend;
     request.software = action.software;
     request.max_attempts = static_cast<std::uint32_t>(action.max_attempts);
+    request.account = remaining.account;
     arguments.passed_over = this->tried_relays;
     arguments.time = this->params.time;
     arguments.relays = this->params.relays;
--- a/packages/gateway/caller_calls.h
+++ b/packages/gateway/caller_calls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/credentials.h"
 #include "base/clock.h"
 #include "base/ids.h"
 #include "streams/stream_id.h"
@@ -32,6 +33,7 @@
     /// The stream that the request continues; empty for a new stream, or if the caller does not say
     /// which one it continues.
     streams::stream_id resumes;
+    accounts::credentials credentials;
 };
 
 struct read_results_call {
@@ -40,15 +42,18 @@
     std::size_t after = 0;
     /// How long to wait for a result, if there is none from `after` on.
     std::chrono::milliseconds max_wait{};
+    accounts::credentials credentials;
 };
 
 struct item_body_call {
     job_id job;
     item_id item;
+    accounts::credentials credentials;
 };
 
 struct end_job_call {
     job_id job;
+    accounts::credentials credentials;
 };
 
 /// A call to the gateway's own interface that is unknown or can't be parsed.
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -65,6 +65,7 @@
     arguments.metrics = &this->metrics;
     arguments.fleet = this->fleet.get();
     arguments.forwarder = this->forwarder.get();
+    arguments.name_account = this->params.targets.name_account;
     arguments.on_idle = [this] { this->check_drained(); };
     arguments.budget = this->caller_memory;
     BOOST_LEAF_ASSIGN(this->calls_of_others, relayed_calls::open(std::move(arguments)));
@@ -230,25 +231,54 @@
     } else if (const auto* routed = std::get_if<routed_call>(&call)) {
         this->handle_routed_call(std::move(exchange), *routed);
     } else if (const auto* results = std::get_if<read_results_call>(&call)) {
-        this->stores->read_results(std::move(exchange), *results);
+        this->handle_job_call(std::move(exchange), *results);
     } else if (const auto* body = std::get_if<item_body_call>(&call)) {
-        this->stores->read_body(std::move(exchange), *body);
+        this->handle_job_call(std::move(exchange), *body);
     } else if (const auto* end_job = std::get_if<end_job_call>(&call)) {
-        this->stores->end_job(std::move(exchange), *end_job);
+        this->handle_job_call(std::move(exchange), *end_job);
     } else {
         this->responder->refuse(
             *exchange, "", {refusal_kind::malformed, std::get<malformed_call>(call).reason, {}});
     }
 }
 
+std::optional<account_name> gateway::admit(http::exchange& exchange,
+                                           const std::string& request_name,
+                                           const accounts::authorization& decision) {
+    if (decision.result != accounts::access::denied) {
+        return decision.account;
+    }
+    const std::string reason = accounts::to_string(decision.reason);
+    this->metrics.count("requests_unauthorized_total{reason=\"" + reason + "\"}");
+    this->responder->refuse(exchange, request_name, {refusal_kind::unauthorized, reason, {}});
+    return std::nullopt;
+}
+
+template <typename Call>
+void gateway::handle_job_call(std::unique_ptr<http::exchange> exchange, const Call& call) {
+    const auto table = this->fleet->routes();
+    if (table == nullptr) {
+        this->refuse_without_routes(*exchange, "");
+        return;
+    }
+    const auto account = this->admit(
+        *exchange, "", table->accounts.authorize(accounts::key_rule::required, call.credentials));
+    if (account) {
+        this->stores->start(std::move(exchange), call, *account);
+    }
+}
+
+void gateway::refuse_without_routes(http::exchange& exchange, const std::string& request_name) {
+    this->responder->refuse(exchange, request_name,
+                            {refusal_kind::not_run, "this gateway has not received any routes yet",
+                             retry_after_default});
+}
+
 void gateway::handle_routed_call(std::unique_ptr<http::exchange> exchange,
                                  const routed_call& call) {
     const auto table = this->fleet->routes();
     if (table == nullptr) {
-        this->responder->refuse(*exchange, call.request_name,
-                                {refusal_kind::not_run,
-                                 "this gateway has not received any routes yet",
-                                 retry_after_default});
+        this->refuse_without_routes(*exchange, call.request_name);
         return;
     }
     const routes::route* route = table->find(call.host, call.path);
@@ -256,17 +286,24 @@
         this->responder->refuse(
             *exchange, call.request_name,
             {refusal_kind::no_route, "no route matches " + call.host + call.path, {}});
-    } else if (route->kind == routes::route_kind::batch) {
-        this->submit_job(std::move(exchange), call, *route);
+        return;
+    }
+    const auto account =
+        this->admit(*exchange, call.request_name, table->authorize(*route, call.credentials));
+    if (!account) {
+        return;
+    }
+    if (route->kind == routes::route_kind::batch) {
+        this->submit_job(std::move(exchange), call, *route, *account);
     } else if (is_take_up(*route, call.resume_after, call.resumes)) {
         this->take_up(std::move(exchange), call, *route);
     } else {
-        this->forward(std::move(exchange), call, *route);
+        this->forward(std::move(exchange), call, *route, *account);
     }
 }
 
 void gateway::submit_job(std::unique_ptr<http::exchange> exchange, const routed_call& call,
-                         const routes::route& route) {
+                         const routes::route& route, const account_name& account) {
     auto parsed =
         value_or_error([&] { return this->params.callers.parse_job(*exchange, call, route); });
     if (const auto* problem = std::get_if<error>(&parsed)) {
@@ -276,11 +313,20 @@
     }
     const duration max_wait =
         std::min(call.max_wait.value_or(submission_max_wait), submission_max_wait);
-    this->stores->submit(std::move(exchange), std::get<batch::job>(std::move(parsed)), max_wait);
+    auto& job = std::get<batch::job>(parsed);
+    job.account = account;
+    if (!account.value().empty()) {
+        // Stored with the items, so that every store names the account, also one of an earlier
+        // build.
+        for (batch::job_item& item : job.items) {
+            this->params.targets.name_account(item.headers, account);
+        }
+    }
+    this->stores->submit(std::move(exchange), std::move(job), max_wait);
 }
 
 void gateway::forward(std::unique_ptr<http::exchange> received, const routed_call& call,
-                      const routes::route& route,
+                      const routes::route& route, const account_name& account,
                       const std::optional<forwarding::stream_origin>& origin) {
     const std::shared_ptr<http::exchange> exchange = std::move(received);
     forwarding::call_parameters forwarded;
@@ -289,6 +335,10 @@
     forwarded.request.method = exchange->method();
     forwarded.request.path = exchange->path();
     forwarded.request.headers = exchange->headers();
+    forwarded.request.account = account;
+    if (!this->fleet->routes()->accounts.is_empty()) {
+        this->params.targets.name_account(forwarded.request.headers, account);
+    }
     forwarded.request.body = exchange->body();
     forwarded.request.resume_after = call.resume_after;
     forwarded.max_wait = call.max_wait.value_or(route.timeout);
@@ -336,12 +386,17 @@
              {}});
         return;
     }
+    const auto account =
+        this->admit(*exchange, call.request_name, table->authorize(*route, call.credentials));
+    if (!account) {
+        return;
+    }
     spdlog::info("stream taken up request={} stream={} after={} backend={} software={} age_ms={} "
                  "source={}",
                  call.request_name, call.resumes.value(), call.resume_after, origin.backend.value(),
                  origin.software.value(), record.age.count(), result.source.value());
     this->metrics.count("stream_take_ups_total{outcome=\"bound\"}");
-    this->forward(std::move(exchange), call, *route, origin);
+    this->forward(std::move(exchange), call, *route, *account, origin);
 }
 
 void gateway::on(const admin::report_request& request) {
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/authorization.h"
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/outcome.h"
@@ -63,11 +64,19 @@
 
     void handle_request(std::unique_ptr<http::exchange> exchange);
     void handle_routed_call(std::unique_ptr<http::exchange> exchange, const routed_call& call);
+    /// Passes a call about a batch job on to the stores.
+    template <typename Call>
+    void handle_job_call(std::unique_ptr<http::exchange> exchange, const Call& call);
+    /// The account of a permitted request, empty if it has none. Otherwise refuses the request and
+    /// returns nothing. `request_name` is the caller's identifier of its attempt.
+    std::optional<account_name> admit(http::exchange& exchange, const std::string& request_name,
+                                      const accounts::authorization& decision);
+    void refuse_without_routes(http::exchange& exchange, const std::string& request_name);
     void submit_job(std::unique_ptr<http::exchange> exchange, const routed_call& call,
-                    const routes::route& route);
+                    const routes::route& route, const account_name& account);
     /// With an origin, the request goes to replicas of that service and software version only.
     void forward(std::unique_ptr<http::exchange> exchange, const routed_call& call,
-                 const routes::route& route,
+                 const routes::route& route, const account_name& account,
                  const std::optional<forwarding::stream_origin>& origin = std::nullopt);
     void take_up(std::unique_ptr<http::exchange> exchange, const routed_call& call,
                  const routes::route& route);
--- a/packages/gateway/internal/relayed_calls.cpp
+++ b/packages/gateway/internal/relayed_calls.cpp
@@ -86,6 +86,11 @@
     forwarded.request.method = std::move(request.method);
     forwarded.request.path = std::move(request.path);
     forwarded.request.headers = std::move(request.headers);
+    forwarded.request.account = request.account;
+    if (!this->params.fleet->routes()->accounts.is_empty()) {
+        // The sender may be of a build without accounts, which passes keys on.
+        this->params.name_account(forwarded.request.headers, request.account);
+    }
     forwarded.request.body = std::move(request.body);
     forwarded.request.resume_after = request.resume_after;
     forwarded.max_wait = request.max_wait;
--- a/packages/gateway/internal/relayed_calls.h
+++ b/packages/gateway/internal/relayed_calls.h
@@ -2,6 +2,8 @@
 
 #include "base/clock.h"
 #include "base/endpoint.h"
+#include "base/header_field.h"
+#include "base/ids.h"
 #include "base/outcome.h"
 #include "fleet/keeper_client.h"
 #include "forwarding/forwarder.h"
@@ -15,6 +17,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace kingcupcart::gateway {
 
@@ -32,6 +35,8 @@
         telemetry::metric_set* metrics = nullptr;
         fleet::keeper_client* fleet = nullptr;
         forwarding::forwarder* forwarder = nullptr;
+        /// See `engines::target_protocol::name_account`.
+        void (*name_account)(std::vector<header_field>&, const account_name&) = nullptr;
         /// The last open call has ended.
         std::function<void()> on_idle;
         /// Memory of callers, shared with the servers of the task; null if it is not limited.
--- a/packages/gateway/internal/store_client.cpp
+++ b/packages/gateway/internal/store_client.cpp
@@ -1,8 +1,11 @@
 #include "gateway/internal/store_client.h"
 
+#include "wire/revision.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace kingcupcart::gateway {
@@ -43,6 +46,7 @@
                  this->receive(from, message);
              },
              [this](const instance_id& lost) {
+                 this->revisions.erase(lost);
                  if (this->leader.lose(lost)) {
                      spdlog::warn("lost connection to the leading store store={}", lost.value());
                  }
@@ -66,20 +70,23 @@
     this->add(std::move(exchange), wire::submit_job_request{0, std::move(job)}, id, 0, max_wait);
 }
 
-void store_client::read_results(std::unique_ptr<http::exchange> exchange,
-                                const read_results_call& call) {
+void store_client::start(std::unique_ptr<http::exchange> exchange, const read_results_call& call,
+                         const account_name& account) {
     this->add(std::move(exchange),
-              wire::read_results_request{0, call.job, call.after, call.max_wait}, call.job,
+              wire::read_results_request{0, call.job, call.after, call.max_wait, account}, call.job,
               call.after, call_max_wait + call.max_wait);
 }
 
-void store_client::read_body(std::unique_ptr<http::exchange> exchange, const item_body_call& call) {
-    this->add(std::move(exchange), wire::item_body_request{0, call.job, call.item}, call.job, 0,
-              call_max_wait);
+void store_client::start(std::unique_ptr<http::exchange> exchange, const item_body_call& call,
+                         const account_name& account) {
+    this->add(std::move(exchange), wire::item_body_request{0, call.job, call.item, account},
+              call.job, 0, call_max_wait);
 }
 
-void store_client::end_job(std::unique_ptr<http::exchange> exchange, const end_job_call& call) {
-    this->add(std::move(exchange), wire::end_job_request{0, call.job}, call.job, 0, call_max_wait);
+void store_client::start(std::unique_ptr<http::exchange> exchange, const end_job_call& call,
+                         const account_name& account) {
+    this->add(std::move(exchange), wire::end_job_request{0, call.job, account}, call.job, 0,
+              call_max_wait);
 }
 
 void store_client::add(std::unique_ptr<http::exchange> exchange, wire::message request,
@@ -101,7 +108,19 @@
 
 void store_client::send(std::uint64_t number, open_call& call) {
     const time_point now = this->params.time->now();
-    if (!this->has_leader() || !this->links.send(this->leader.id(), call.request)) {
+    const auto revision = this->revisions.find(this->leader.id());
+    if (!this->has_leader() || revision == this->revisions.end()) {
+        call.next_send_at = now + resend_interval;
+        return;
+    }
+    const std::optional<wire::message> reduced = wire::reduced_for(revision->second, call.request);
+    if (reduced) {
+        spdlog::warn("batch call sent without its account job={} store={} reason=\"the store's "
+                     "build knows no accounts\"",
+                     call.job.value(), this->leader.id().value());
+        this->params.metrics->count("batch_calls_without_account_total");
+    }
+    if (!this->links.send(this->leader.id(), reduced ? *reduced : call.request)) {
         call.next_send_at = now + resend_interval;
         return;
     }
@@ -135,9 +154,24 @@
         }
     } else if (const auto* response = std::get_if<wire::batch_response>(&message)) {
         this->on_response(*response);
+    } else if (const auto* hello = std::get_if<wire::hello>(&message)) {
+        this->on(from, *hello);
     }
 }
 
+void store_client::on(const instance_id& from, const wire::hello& hello) {
+    this->revisions.insert_or_assign(from, hello.revision);
+    if (from != this->leader.id()) {
+        return;
+    }
+    for (auto& [number, call] : this->open_calls) {
+        if (call.next_send_at != time_point::max()) {
+            call.next_send_at = this->params.time->now();
+        }
+    }
+    this->maintenance_timer.arm_now();
+}
+
 void store_client::resend_all() {
     // The previous leader will not respond to the open calls any more.
     for (auto& [number, call] : this->open_calls) {
--- a/packages/gateway/internal/store_client.h
+++ b/packages/gateway/internal/store_client.h
@@ -40,9 +40,14 @@
     store_client& operator=(const store_client&) = delete;
 
     void submit(std::unique_ptr<http::exchange> exchange, batch::job job, duration max_wait);
-    void read_results(std::unique_ptr<http::exchange> exchange, const read_results_call& call);
-    void read_body(std::unique_ptr<http::exchange> exchange, const item_body_call& call);
-    void end_job(std::unique_ptr<http::exchange> exchange, const end_job_call& call);
+    /// Starts a call about a job on behalf of the account. The name is empty if the configuration
+    /// has no accounts.
+    void start(std::unique_ptr<http::exchange> exchange, const read_results_call& call,
+               const account_name& account);
+    void start(std::unique_ptr<http::exchange> exchange, const item_body_call& call,
+               const account_name& account);
+    void start(std::unique_ptr<http::exchange> exchange, const end_job_call& call,
+               const account_name& account);
     void stores_changed(const std::vector<wire::store_address>& known_stores);
 
     [[nodiscard]] std::size_t open_count() const { return this->open_calls.size(); }
@@ -71,6 +76,7 @@
     /// Schedules all open calls to be sent to the new leading store.
     void resend_all();
     void receive(const instance_id& from, const wire::message& message);
+    void on(const instance_id& from, const wire::hello& hello);
     void on_response(const wire::batch_response& response);
     void finish(std::uint64_t number, const wire::batch_response& response);
     void refuse(std::uint64_t number, const refusal& details);
@@ -82,6 +88,8 @@
     std::map<std::uint64_t, open_call> open_calls;
     std::uint64_t last_call_number = 0;
     leading_store leader;
+    /// Protocol revision of each store whose link is open and that has stated it.
+    std::map<instance_id, std::uint16_t> revisions;
     /// Exchanges of ended calls, each of which may still be in one of its own callbacks.
     std::vector<std::unique_ptr<http::exchange>> pending_deletion;
     task::wakeup maintenance_timer;
--- a/packages/gateway/refusal.h
+++ b/packages/gateway/refusal.h
@@ -19,7 +19,9 @@
     /// The request can't be parsed.
     malformed,
     /// The job or item does not exist.
-    missing
+    missing,
+    /// The request states no key of an account.
+    unauthorized
 };
 
 [[nodiscard]] inline const char* to_string(refusal_kind kind) {
@@ -36,6 +38,8 @@
         return "malformed";
     case refusal_kind::missing:
         return "missing";
+    case refusal_kind::unauthorized:
+        return "unauthorized";
     }
     return "?";
 }
--- a/packages/relaying/internal/relay_client_messages.cpp
+++ b/packages/relaying/internal/relay_client_messages.cpp
@@ -42,6 +42,7 @@
     }
     spdlog::info("relay link opened relay={}", relay.value());
     this->links.at(relay).is_open = true;
+    this->links.at(relay).revision = hello.revision;
     this->choice.link_opened(relay, this->params.time->now());
     this->count_links();
     this->run_now.arm_now();
--- a/packages/relaying/internal/relay_client_state.cpp
+++ b/packages/relaying/internal/relay_client_state.cpp
@@ -215,6 +215,10 @@
     wire::relayed_call_request request = unsent->request;
     request.max_wait -= std::chrono::duration_cast<std::chrono::milliseconds>(waited);
     relay_link& link = this->links.at(relay);
+    if (link.revision < wire::accounts_revision) {
+        // The headers still name the account to the target.
+        request.account = account_name();
+    }
     if (!send_waiting(link) || !link.link->send(std::move(request))) {
         spdlog::warn("relay link takes no more request={} relay={}", unsent->request.name,
                      relay.value());
--- a/packages/relaying/internal/relay_client_state.h
+++ b/packages/relaying/internal/relay_client_state.h
@@ -42,6 +42,8 @@
         /// Distinguishes links that were opened to the same relay one after the other.
         std::uint64_t number = 0;
         bool is_open = false;
+        /// Protocol revision of the relay, once the link is open.
+        std::uint16_t revision = 0;
         /// The link is given up if it is not open by then.
         time_point deadline{};
         /// Cancellations and acknowledgements that a full link did not take.
--- a/packages/routes/internal/route_table.cpp
+++ b/packages/routes/internal/route_table.cpp
@@ -47,6 +47,17 @@
     return best;
 }
 
+accounts::authorization route_table::authorize(const route& requested,
+                                               const accounts::credentials& stated) const {
+    const bool needs_key = !requested.is_public || requested.kind == route_kind::batch;
+    return this->accounts.authorize(
+        needs_key ? accounts::key_rule::required : accounts::key_rule::optional, stated);
+}
+
+int route_table::priority_of(const route& requested, const account_name& caller) const {
+    return this->accounts.priority_of(caller, requested.priority);
+}
+
 const service* route_table::find_service(const backend_name& name) const {
     const auto found =
         std::find_if(this->services.begin(), this->services.end(),
--- a/packages/routes/route.h
+++ b/packages/routes/route.h
@@ -24,8 +24,10 @@
     duration timeout{};
     /// Latency up to which a response has its full value.
     duration latency_objective{};
-    /// 0 is the highest priority.
+    /// 0 is the highest priority. That of the caller's account takes precedence.
     int priority = 0;
+    /// Requests need no key of an account. Batch jobs always need one.
+    bool is_public = false;
     std::vector<service_share> shares;
     /// Maximum number of targets that one attempt of a caller may be sent to. Batch jobs: failed
     /// runs after which an item is given up.
--- a/packages/store/internal/job_request_handler.cpp
+++ b/packages/store/internal/job_request_handler.cpp
@@ -36,6 +36,12 @@
     return this->serving && this->params.replicated_group->has_leader_lease();
 }
 
+const batch::job_record* job_request_handler::find(const job_id& job,
+                                                   const account_name& caller) const {
+    const batch::job_record* record = this->params.replicated_group->state().find(job);
+    return record != nullptr && record->is_visible_to(caller) ? record : nullptr;
+}
+
 void job_request_handler::send_status(std::uint64_t link, std::uint64_t call_number,
                                       wire::batch_status status) {
     wire::batch_response response;
@@ -49,20 +55,38 @@
         this->send_status(link, request.call, wire::batch_status::not_leader);
         return;
     }
-    if (this->params.replicated_group->state().find(request.job.id) != nullptr) {
-        spdlog::info("job submitted again job={}", request.job.id.value());
-        this->send_status(link, request.call, wire::batch_status::done);
+    if (const auto* earlier = this->params.replicated_group->state().find(request.job.id)) {
+        const bool is_own = earlier->is_visible_to(request.job.account);
+        spdlog::info("job submitted again job={} account={} outcome={}", request.job.id.value(),
+                     request.job.account.value(), is_own ? "accepted" : "identifier-in-use");
+        this->send_status(link, request.call,
+                          is_own ? wire::batch_status::done : wire::batch_status::missing);
         return;
     }
     batch::submit_job command{request.job, this->params.retention};
     command.content.submitted = this->params.wall->now();
-    this->params.replicated_group->submit(command, [this, link, call_number = request.call,
-                                                    job = request.job.id](const auto& result) {
-        spdlog::info("job submitted job={} outcome={}", job.value(),
-                     result ? "accepted" : "unknown");
-        this->send_status(link, call_number,
-                          result ? wire::batch_status::done : wire::batch_status::outcome_unknown);
-    });
+    if (!command.content.account.value().empty() && !this->params.can_store_accounts()) {
+        spdlog::warn("job stored without its account job={} account={} reason=\"a store's build "
+                     "knows no accounts\"",
+                     request.job.id.value(), request.job.account.value());
+        command.content.account = account_name();
+    }
+    this->params.replicated_group->submit(
+        command, [this, link, call_number = request.call, job = request.job.id,
+                  account = request.job.account](const auto& result) {
+            wire::batch_status status = wire::batch_status::outcome_unknown;
+            if (result) {
+                // Another account may have submitted a job with this identifier meanwhile.
+                const batch::job_record* stored = this->find(job, account);
+                status = stored == nullptr ? wire::batch_status::missing : wire::batch_status::done;
+            }
+            const char* outcome = !result                              ? "unknown"
+                                  : status == wire::batch_status::done ? "accepted"
+                                                                       : "identifier-in-use";
+            spdlog::info("job submitted job={} account={} outcome={}", job.value(), account.value(),
+                         outcome);
+            this->send_status(link, call_number, status);
+        });
 }
 
 void job_request_handler::on(std::uint64_t link, const wire::read_results_request& request) {
@@ -70,9 +94,9 @@
         this->send_status(link, request.call, wire::batch_status::not_leader);
         return;
     }
-    const batch::job_record* record = this->params.replicated_group->state().find(request.job);
+    const batch::job_record* record = this->find(request.job, request.account);
     if (record == nullptr) {
-        this->respond_after_confirmation(link, request, request.call);
+        this->serve_after_confirmation(link, request);
         return;
     }
     const bool may_grow = !record->is_ended && !record->is_complete();
@@ -81,12 +105,11 @@
         this->expire_pending_reads();
         return;
     }
-    this->send_results(link, request, *record);
+    this->serve(link, request, *record);
 }
 
-void job_request_handler::send_results(std::uint64_t link,
-                                       const wire::read_results_request& request,
-                                       const batch::job_record& record) {
+void job_request_handler::serve(std::uint64_t link, const wire::read_results_request& request,
+                                const batch::job_record& record) {
     wire::batch_response response;
     response.call = request.call;
     response.total = record.content.items.size();
@@ -106,16 +129,16 @@
         this->send_status(link, request.call, wire::batch_status::not_leader);
         return;
     }
-    const batch::job_record* record = this->params.replicated_group->state().find(request.job);
+    const batch::job_record* record = this->find(request.job, request.account);
     if (record == nullptr) {
-        this->respond_after_confirmation(link, request, request.call);
+        this->serve_after_confirmation(link, request);
         return;
     }
-    this->send_item_body(link, request, *record);
+    this->serve(link, request, *record);
 }
 
-void job_request_handler::send_item_body(std::uint64_t link, const wire::item_body_request& request,
-                                         const batch::job_record& record) {
+void job_request_handler::serve(std::uint64_t link, const wire::item_body_request& request,
+                                const batch::job_record& record) {
     const batch::job_item* item = record.find_item(request.item);
     if (item == nullptr || record.is_ended) {
         this->send_status(link, request.call, wire::batch_status::missing);
@@ -132,6 +155,16 @@
         this->send_status(link, request.call, wire::batch_status::not_leader);
         return;
     }
+    const batch::job_record* record = this->find(request.job, request.account);
+    if (record == nullptr) {
+        this->serve_after_confirmation(link, request);
+        return;
+    }
+    this->serve(link, request, *record);
+}
+
+void job_request_handler::serve(std::uint64_t link, const wire::end_job_request& request,
+                                const batch::job_record& /*record*/) {
     this->params.replicated_group->submit(
         batch::end_job{request.job}, [this, link, request](const auto& result) {
             wire::batch_status status = wire::batch_status::outcome_unknown;
@@ -145,25 +178,16 @@
         });
 }
 
-void job_request_handler::respond_after_confirmation(std::uint64_t link,
-                                                     const wire::message& request,
-                                                     std::uint64_t call_number) {
+template <typename Request>
+void job_request_handler::serve_after_confirmation(std::uint64_t link, const Request& request) {
     this->params.replicated_group->submit(
-        batch::read_barrier{}, [this, link, request, call_number](const auto& result) {
+        batch::read_barrier{}, [this, link, request](const auto& result) {
             if (!result) {
-                this->send_status(link, call_number, wire::batch_status::not_leader);
-                return;
-            }
-            const auto* results = std::get_if<wire::read_results_request>(&request);
-            const auto* body = std::get_if<wire::item_body_request>(&request);
-            const batch::job_record* record = this->params.replicated_group->state().find(
-                results != nullptr ? results->job : body->job);
-            if (record == nullptr) {
-                this->send_status(link, call_number, wire::batch_status::missing);
-            } else if (results != nullptr) {
-                this->send_results(link, *results, *record);
+                this->send_status(link, request.call, wire::batch_status::not_leader);
+            } else if (const auto* record = this->find(request.job, request.account)) {
+                this->serve(link, request, *record);
             } else {
-                this->send_item_body(link, *body, *record);
+                this->send_status(link, request.call, wire::batch_status::missing);
             }
         });
 }
@@ -178,7 +202,7 @@
             read.request.job == job && (read.request.after < record->results.size() ||
                                         record->is_ended || record->is_complete());
         if (is_ready) {
-            this->send_results(read.link, read.request, *record);
+            this->serve(read.link, read.request, *record);
         }
         return is_ready;
     });
@@ -204,7 +228,7 @@
         const batch::job_record* record =
             this->params.replicated_group->state().find(read.request.job);
         if (record != nullptr) {
-            this->send_results(read.link, read.request, *record);
+            this->serve(read.link, read.request, *record);
         } else {
             this->send_status(read.link, read.request.call, wire::batch_status::not_leader);
         }
--- a/packages/store/internal/job_request_handler.h
+++ b/packages/store/internal/job_request_handler.h
@@ -26,6 +26,8 @@
         const wall_clock* wall = nullptr;
         store_group* replicated_group = nullptr;
         std::chrono::milliseconds retention{};
+        /// Whether all stores that are connected can read a job's account.
+        std::function<bool()> can_store_accounts;
         /// Sends to the instance at the other end of the link with this number.
         std::function<void(std::uint64_t link, const wire::message&)> send;
     };
@@ -51,15 +53,20 @@
     void on(std::uint64_t link, const wire::read_results_request& request);
     void on(std::uint64_t link, const wire::item_body_request& request);
     void on(std::uint64_t link, const wire::end_job_request& request);
+    /// The job, if the account may know of it; otherwise null, as for one that does not exist.
+    [[nodiscard]] const batch::job_record* find(const job_id& job,
+                                                const account_name& caller) const;
     void send_status(std::uint64_t link, std::uint64_t call_number, wire::batch_status status);
-    /// Responds to a read of an unknown job: reads the state again once a majority has confirmed
-    /// that it holds all committed commands, so that `missing` is never based on outdated state.
-    void respond_after_confirmation(std::uint64_t link, const wire::message& request,
-                                    std::uint64_t call_number);
-    void send_results(std::uint64_t link, const wire::read_results_request& request,
-                      const batch::job_record& record);
-    void send_item_body(std::uint64_t link, const wire::item_body_request& request,
-                        const batch::job_record& record);
+    /// Serves a call about an unknown job: looks it up again once a majority has confirmed that the
+    /// state holds all committed commands, so that `missing` is never based on outdated state.
+    template <typename Request>
+    void serve_after_confirmation(std::uint64_t link, const Request& request);
+    void serve(std::uint64_t link, const wire::read_results_request& request,
+               const batch::job_record& record);
+    void serve(std::uint64_t link, const wire::item_body_request& request,
+               const batch::job_record& record);
+    void serve(std::uint64_t link, const wire::end_job_request& request,
+               const batch::job_record& record);
     void expire_pending_reads();
     [[nodiscard]] bool can_serve() const;
 
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -84,6 +85,7 @@
     handler_arguments.replicated_group = this->replicated_group.get();
     handler_arguments.retention =
         std::chrono::duration_cast<std::chrono::milliseconds>(store_settings.retention);
+    handler_arguments.can_store_accounts = [this] { return this->can_store_accounts(); };
     handler_arguments.send = [this](std::uint64_t link, const wire::message& message) {
         const auto found = this->peers.find(link);
         if (found != this->peers.end() && found->second.link) {
@@ -144,6 +146,14 @@
     this->worker = std::make_unique<run_worker>(std::move(arguments));
 }
 
+bool store::can_store_accounts() const {
+    return std::none_of(this->peers.begin(), this->peers.end(), [](const auto& entry) {
+        const auto& [link, hello] = entry.second;
+        return link && hello.role == wire::instance_role::store &&
+               hello.revision < wire::accounts_revision;
+    });
+}
+
 location store::place_of(const instance_id& member) const {
     for (const auto& [number, connected_peer] : this->peers) {
         if (connected_peer.hello.role == wire::instance_role::store &&
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -75,6 +75,9 @@
     void leadership_changed(bool is_leader);
     void start_serving();
     void open_worker();
+    /// Whether every store that has connected here can read a job's account: an earlier build skips
+    /// a command that contains one.
+    [[nodiscard]] bool can_store_accounts() const;
     /// Place of the store that accepts links at the address; empty if it has not connected here.
     [[nodiscard]] location place_of(const instance_id& member) const;
     void stores_changed();
--- a/packages/wire/internal/output_archive.h
+++ b/packages/wire/internal/output_archive.h
@@ -31,8 +31,8 @@
 
     void http_status(int status) { this->save(status); }
 
-    /// Saves the last field of a vector's element unless it is empty. Records without it are thus
-    /// the same as before the field was added.
+    /// Saves the last field of a record or of a vector's element unless it is empty. Records
+    /// without it are thus the same as before the field was added.
     template <typename Field>
     void trailing(const Field& value) {
         if (value != Field{}) {
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -51,6 +51,7 @@
     archive.trailing(value.scorer);
 }
 
+/// The account is a last field of the records that contain a job: some have fields after the job's.
 template <typename Archive>
 void serialize(Archive& archive, job& value) {
     archive(value.id, value.host, value.path, value.model, value.oldest_version,
@@ -66,6 +67,7 @@
 template <typename Archive>
 void serialize(Archive& archive, submit_job& value) {
     archive(value.content, value.retention);
+    archive.trailing(value.content.account);
 }
 
 template <typename Archive>
@@ -84,6 +86,7 @@
 template <typename Archive>
 void serialize(Archive& archive, job_snapshot_piece& value) {
     archive(value.content, value.retained_until, value.is_ended, value.is_continued, value.results);
+    archive.trailing(value.content.account);
 }
 
 } // namespace kingcupcart::batch
@@ -283,21 +286,25 @@
 template <typename Archive>
 void serialize(Archive& archive, submit_job_request& value) {
     archive(value.call, value.job);
+    archive.trailing(value.job.account);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, read_results_request& value) {
     archive(value.call, value.job, value.after, value.max_wait);
+    archive.trailing(value.account);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, item_body_request& value) {
     archive(value.call, value.job, value.item);
+    archive.trailing(value.account);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, end_job_request& value) {
     archive(value.call, value.job);
+    archive.trailing(value.account);
 }
 
 template <typename Archive>
@@ -351,6 +358,7 @@
     archive(value.call, value.name, value.host, value.method, value.path, value.headers, value.body,
             value.max_wait, value.resume_after, value.resumes, value.backend, value.software,
             value.max_attempts);
+    archive.trailing(value.account);
 }
 
 template <typename Archive>
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -56,6 +56,8 @@
     std::uint16_t revision = 0;
 };
 
+/// The first revision that knows the accounts of callers.
+inline constexpr std::uint16_t accounts_revision = 1;
 /// The revision of the protocol between the instances of a fleet.
 inline constexpr std::uint16_t protocol_revision = 1;
 
@@ -219,17 +221,24 @@
     std::uint64_t after = 0;
     /// How long the receiver may wait for a first result before it responds with none.
     std::chrono::milliseconds max_wait{};
+    /// The caller's account; empty if the configuration has no accounts. Not sent to receivers of a
+    /// revision before 1.
+    account_name account;
 };
 
 struct item_body_request {
     std::uint64_t call = 0;
     job_id job;
     item_id item;
+    /// As in `read_results_request`.
+    account_name account;
 };
 
 struct end_job_request {
     std::uint64_t call = 0;
     job_id job;
+    /// As in `read_results_request`.
+    account_name account;
 };
 
 enum class batch_status {
@@ -389,6 +398,9 @@
     std::optional<software_version> software;
     /// Targets that the receiver may send the call to; 0 for as many as the route allows.
     std::uint32_t max_attempts = 0;
+    /// The caller's account, which `headers` name too; empty if there is none. Not sent to
+    /// receivers of a revision before 1.
+    account_name account;
 };
 
 /// The head of the target's response, unchanged.
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -92,7 +92,8 @@
             streams::stream_id("earlier"),
             backend_name("chat"),
             software_version("v1"),
-            2};
+            2,
+            account_name("north")};
 }
 
 std::vector<message> example_messages() {
@@ -231,6 +232,7 @@
     CHECK(call.resumes == streams::stream_id("earlier"));
     CHECK(call.backend == backend_name("chat"));
     CHECK(call.software == software_version("v1"));
+    CHECK(call.account == account_name("north"));
 }
 
 SCENARIO("what is known of a request that crashes its targets arrives as it was sent") {
