Duties: usage reports from the first token to the platform's API

Cause: the platform bills client accounts by the requests that began to run in each window, and takes reports from one instance at a time. Change: a gateway counts runs and sends its counts to the keepers each second (message 54, only to builds of revision 1). The leading keeper commits the counts of a window to the replicated log, and sends what is committed. The lease of the holder is one class, also for load orders to engines, which are now checked once more before they are written.

--- a/packages/daemon/external_protocols.h
+++ b/packages/daemon/external_protocols.h
@@ -6,6 +6,7 @@
 #include "engines/target_protocol.h"
 #include "gateway/caller_protocol.h"
 #include "keeper/control_calls.h"
+#include "keeper/platform_protocol.h"
 #include "routes/route_table_parser.h"
 #include "task/sender.h"
 
@@ -19,6 +20,8 @@
     routes::route_table_parser parse_route_table = nullptr;
     gateway::caller_protocol callers;
     engines::target_protocol targets;
+    /// Calls of the leading keeper to the platform's API.
+    keeper::platform_protocol platform;
     /// Starts the server for operators, trainers and targets on `address`; it forwards their calls
     /// to the keeper.
     outcome<std::unique_ptr<running_component>> (*start_control)(
--- a/packages/daemon/internal/daemon.cpp
+++ b/packages/daemon/internal/daemon.cpp
@@ -73,9 +73,9 @@
                                                const external_protocols& protocols) {
     auto created = std::make_unique<state>();
     if (settings.keeper) {
-        BOOST_LEAF_ASSIGN(created->keeper,
-                          keeper::keeper_module::start(
-                              settings, {protocols.parse_route_table, protocols.targets}));
+        BOOST_LEAF_ASSIGN(created->keeper, keeper::keeper_module::start(
+                                               settings, {protocols.parse_route_table,
+                                                          protocols.targets, protocols.platform}));
         BOOST_LEAF_CHECK(created->start_control(settings, protocols));
     }
     if (settings.store) {
--- a/packages/duties/duty_lease.h
+++ b/packages/duties/duty_lease.h
@@ -48,6 +48,7 @@
     [[nodiscard]] std::optional<time_point> begins_at() const;
 
 private:
+    /// Detects a suspension since the last observation.
     void observe(const duty_time& time);
 
     limits settings;
--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -58,6 +58,7 @@
                        spdlog::warn("lost connection to keeper keeper={} reached={}",
                                     keeper.value(), this->links.open_count());
                        this->known_streams.keeper_lost(keeper);
+                       this->keeper_revisions.erase(keeper);
                    }}) {
     this->add_seeds(seeds);
 }
@@ -68,6 +69,19 @@
     }
 }
 
+void keeper_client::send_to_revision(std::uint16_t revision, const wire::message& message) {
+    for (const auto& [keeper, known] : this->keeper_revisions) {
+        if (known >= revision) {
+            this->links.send(keeper, message);
+        }
+    }
+}
+
+std::uint16_t keeper_client::revision_of(const instance_id& keeper) const {
+    const auto found = this->keeper_revisions.find(keeper);
+    return found == this->keeper_revisions.end() ? 0 : found->second;
+}
+
 bool keeper_client::ask_nearest(const wire::message& question) {
     const time_point now = this->time.now();
     this->asked_in_a_row = now < this->last_asked_at + answer_time ? this->asked_in_a_row + 1 : 0;
@@ -118,6 +132,8 @@
     } else if (const auto* greeting = std::get_if<wire::hello>(&message)) {
         this->keeper_places.insert_or_assign(from, greeting->place);
         this->known_streams.keeper_connected(from, greeting->place);
+        this->keeper_revisions.insert_or_assign(from, greeting->revision);
+        this->notify.keeper_greeted(from);
     } else if (const auto* initial_members = std::get_if<wire::initial_members_update>(&message)) {
         this->notify.initial_members_received(initial_members->initial_members);
     }
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -44,6 +44,8 @@
         /// Set by instances that look up relays.
         std::function<void(const wire::relay_lookup_response&)> relays_found =
             [](const wire::relay_lookup_response&) {};
+        /// A keeper has sent its greeting on a new link.
+        std::function<void(const instance_id& keeper)> keeper_greeted = [](const instance_id&) {};
     };
 
     /// `seeds` are the link addresses of some keepers; these report the addresses of the others.
@@ -70,6 +72,10 @@
         return this->links.send(keeper, message);
     }
     void send_to_all(const wire::message& message) { this->links.send_to_all(message); }
+    /// Sends the message to the keepers whose build understands this revision of the protocol.
+    void send_to_revision(std::uint16_t revision, const wire::message& message);
+    /// The revision of the keeper's build; 0 while its link is not open.
+    [[nodiscard]] std::uint16_t revision_of(const instance_id& keeper) const;
     /// Sends a question to one keeper: to the nearest one whose link is open, and to the next one
     /// if the last question was asked so recently that it may not have been answered. Returns false
     /// if no link is open.
@@ -107,6 +113,8 @@
     location place;
     /// Where the keepers are, as far as they said so.
     std::map<instance_id, location> keeper_places;
+    /// Protocol revisions of the keepers whose greeting was received on the current link.
+    std::map<instance_id, std::uint16_t> keeper_revisions;
     time_point last_asked_at{};
     /// Keepers that were asked one after the other since the last pause.
     std::size_t asked_in_a_row = 0;
--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -60,6 +60,9 @@
         /// Passes requests on while this instance is cut off from their service; null if it has
         /// none relayed.
         relaying::relay_client* relays = nullptr;
+        /// A request of this client account began to run at a target, this long ago. Called once
+        /// for each target that runs it; null if usage is not counted.
+        std::function<void(const account_name&, duration ago)> run_began = nullptr;
     };
 
     explicit forwarder(parameters arguments);
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -157,11 +157,16 @@
     const auto found = this->attempts.find(attempt);
     if (found != this->attempts.end()) {
         found->second->is_opening = false;
+        found->second->written_at = this->params.time->now();
     }
     this->params.notify(requests::attempt_write_started{attempt});
 }
 
 void forwarded_call::on_silent(attempt_id attempt, const endpoint& server) {
+    const auto found = this->attempts.find(attempt);
+    if (found != this->attempts.end()) {
+        found->second->is_silent = true;
+    }
     // A request that is sent on one of them would not arrive either.
     this->params.client->close_idle(server);
     this->params.notify(requests::attempt_silent{attempt});
@@ -200,6 +205,9 @@
     switch (this->params.protocol.classify_response(head, this->params.call.name)) {
     case engines::response_kind::matching:
         found->second->is_matching = true;
+        if (!this->params.is_stream) {
+            this->count_run(*found->second, found->second->written_at);
+        }
         if (this->is_streaming && !is_success(head.status)) {
             // The caller already has a part of another response.
             this->fail_attempt(attempt, requests::attempt_failure::broken, broken_kind,
@@ -263,6 +271,7 @@
         }
         return;
     }
+    this->count_run(response, this->params.time->now());
     const auto produced = static_cast<std::int64_t>(response.last_event - before);
     this->params.notify(requests::attempt_progressed{attempt, tokens(produced)});
     if (this->selected_attempt != attempt || !this->attempts.contains(attempt)) {
@@ -329,6 +338,10 @@
                                            std::chrono::milliseconds(1),
                  reason);
     this->params.metrics->count(std::string("attempts_failed_total{kind=\"") + kind + "\"}");
+    if (failure == requests::attempt_failure::broken ||
+        failure == requests::attempt_failure::disconnected) {
+        this->count_unanswered(attempt);
+    }
     this->remove(attempt);
     this->params.notify(requests::attempt_failed{attempt, failure});
 }
@@ -360,9 +373,30 @@
     if (found != this->attempts.end() && found->second->is_opening) {
         this->log_unopened(attempt, *found->second);
     }
+    this->count_unanswered(attempt);
     this->remove(attempt);
 }
 
+void forwarded_call::count_run(attempt_response& response,
+                               const std::optional<time_point>& began_at) {
+    // The relay that sends a request to its target counts it.
+    const bool is_direct = !response.target.value().empty();
+    if (this->params.run_began && is_direct && began_at &&
+        !std::exchange(response.is_counted, true)) {
+        this->params.run_began(this->params.time->now() - *began_at);
+    }
+}
+
+// A target of a plain service begins at once with what it receives, and says so if it doesn't run a
+// request. Without its answer, it is taken to have begun, unless its system did not acknowledge the
+// request. A stream's first event may be far from its sending, and shows whether it ran.
+void forwarded_call::count_unanswered(attempt_id attempt) {
+    const auto found = this->attempts.find(attempt);
+    if (found != this->attempts.end() && !this->params.is_stream && !found->second->is_silent) {
+        this->count_run(*found->second, found->second->written_at);
+    }
+}
+
 void forwarded_call::log_unopened(attempt_id attempt, const attempt_response& response) const {
     spdlog::info("attempt cancelled before a connection was open request={} attempt={} target={} "
                  "incarnation={} waited_ms={}",
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -52,6 +52,9 @@
         /// Called with the head of each response, which may say something of its target.
         std::function<void(const observed_request&, const http::response_head&)> head_received;
         telemetry::metric_set* metrics = nullptr;
+        /// The request began to run at a target, this long ago. Called once for each target that
+        /// runs it; null if it is not counted.
+        std::function<void(duration ago)> run_began = nullptr;
     };
 
     explicit forwarded_call(parameters arguments);
@@ -98,6 +101,12 @@
         target_id target;
         incarnation_id incarnation;
         time_point sent_at{};
+        /// When the request was written to a socket; empty if it was not, or if it is relayed.
+        std::optional<time_point> written_at;
+        /// The target's system did not acknowledge what was written to the connection.
+        bool is_silent = false;
+        /// Counted as begun to run.
+        bool is_counted = false;
     };
 
     /// How an attempt ended; `kind` and `reason` are for the log.
@@ -127,6 +136,10 @@
     /// `kind` and `reason` are for the log.
     void fail_attempt(attempt_id attempt, requests::attempt_failure failure, const char* kind,
                       const std::string& reason);
+    /// Counts the attempt as begun to run at that time, unless it is counted already.
+    void count_run(attempt_response& response, const std::optional<time_point>& began_at);
+    /// Counts an attempt that ended without an answer and may have run.
+    void count_unanswered(attempt_id attempt);
     void log_unopened(attempt_id attempt, const attempt_response& response) const;
     /// Ends the attempt's call.
     void remove(attempt_id attempt);
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -35,6 +35,11 @@
     return std::min(route.max_attempts, call.max_attempts);
 }
 
+/// The client account for which the request runs; empty if it has none.
+account_name account_of(const call_parameters& /*call*/) {
+    return {};
+}
+
 } // namespace
 
 forwarder::forwarder(parameters arguments)
@@ -135,6 +140,7 @@
     profile.may_relay = call.may_relay && this->params.relays != nullptr;
     profile.is_relayed = call.is_relayed;
 
+    const account_name account = account_of(call);
     forwarded_call::parameters arguments;
     arguments.call = std::move(call);
     arguments.protocol = this->params.protocol;
@@ -152,6 +158,11 @@
         this->checks->record_response(request);
     };
     arguments.metrics = this->params.metrics;
+    if (this->params.run_began && !account.value().empty()) {
+        arguments.run_began = [this, account](duration ago) {
+            this->params.run_began(account, ago);
+        };
+    }
     this->calls.emplace(
         profile.id,
         open_call{std::make_unique<forwarded_call>(std::move(arguments)), profile.backend, now});
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -22,6 +22,7 @@
 outcome<std::unique_ptr<gateway>> gateway::open(parameters arguments) {
     std::unique_ptr<gateway> created(new gateway(std::move(arguments)));
     created->open_fleet();
+    created->open_usage();
     created->open_forwarder();
     BOOST_LEAF_CHECK(created->open_servers());
     return created;
@@ -102,6 +103,11 @@
     keeper_callbacks.relays_found = [this](const wire::relay_lookup_response& response) {
         this->relays->handle(response);
     };
+    keeper_callbacks.keeper_greeted = [this](const instance_id& keeper) {
+        if (this->usage) {
+            this->usage->keeper_greeted(keeper);
+        }
+    };
     this->fleet = std::make_unique<fleet::keeper_client>(
         *this->params.time, this->params.settings.gateway->fleet.seed_links(),
         this->params.parse_route_table, std::move(keeper_callbacks));
@@ -132,6 +138,16 @@
     this->resumptions = std::make_unique<take_ups>(std::move(resumption_arguments));
 }
 
+void gateway::open_usage() {
+    const auto& duties = this->params.settings.duties;
+    if (!duties || !duties->reports_usage) {
+        return;
+    }
+    this->usage = std::make_unique<usage_reports>(
+        usage_reports::parameters{duties::usage_windows({duties->usage_window, duties->usage_late}),
+                                  this->params.time, &this->wall_time, this->fleet.get()});
+}
+
 void gateway::open_forwarder() {
     forwarding::forwarder::parameters arguments;
     arguments.place = this->params.settings.place;
@@ -146,6 +162,11 @@
     arguments.on_call_ended = [this] { this->check_drained(); };
     arguments.budget = this->responses;
     arguments.relays = this->relays.get();
+    if (this->usage) {
+        arguments.run_began = [this](const account_name& account, duration ago) {
+            this->usage->run_began(account, ago);
+        };
+    }
     this->forwarder = std::make_unique<forwarding::forwarder>(std::move(arguments));
 }
 
@@ -364,6 +385,9 @@
     this->caller_memory->export_metrics(this->metrics);
     this->fleet->crashes().export_metrics(this->metrics);
     this->fleet->streams().export_metrics(this->metrics);
+    if (this->usage) {
+        this->usage->export_metrics(this->metrics);
+    }
     admin::report report;
     report.component = "gateway";
     report.status = status.dump() + "\n";
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/outcome.h"
+#include "base/system_wall_clock.h"
 #include "fleet/keeper_client.h"
 #include "forwarding/forwarder.h"
 #include "gateway/caller_protocol.h"
@@ -11,6 +12,7 @@
 #include "gateway/internal/relayed_calls.h"
 #include "gateway/internal/store_client.h"
 #include "gateway/internal/take_ups.h"
+#include "gateway/internal/usage_reports.h"
 #include "http/caller_budget.h"
 #include "http/response_budget.h"
 #include "http/server.h"
@@ -55,6 +57,7 @@
     outcome<void> open_relayed_calls();
     void open_fleet();
     void open_forwarder();
+    void open_usage();
 
     void on(const admin::report_request& request);
     void on(const settings::seeds_changed& changed);
@@ -95,6 +98,9 @@
     std::unique_ptr<caller_responder> responder;
     std::unique_ptr<take_ups> resumptions;
     std::unique_ptr<relaying::relay_client> relays;
+    system_wall_clock wall_time;
+    /// Null if usage is not counted.
+    std::unique_ptr<usage_reports> usage;
     std::unique_ptr<forwarding::forwarder> forwarder;
     std::unique_ptr<http::server> callers_server;
     std::unique_ptr<http::server> ready_server;
--- a/packages/keeper/external_protocol.h
+++ b/packages/keeper/external_protocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "engines/target_protocol.h"
+#include "keeper/platform_protocol.h"
 #include "routes/route_table_parser.h"
 
 namespace kingcupcart::keeper {
@@ -10,6 +11,7 @@
 struct external_protocol {
     routes::route_table_parser parse_route_table = nullptr;
     engines::target_protocol targets;
+    platform_protocol platform;
 };
 
 } // namespace kingcupcart::keeper
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -1,6 +1,7 @@
 #include "keeper/internal/fleet_control.h"
 
 #include "base/stable_hash.h"
+#include "base/suspended_time.h"
 
 #include <spdlog/spdlog.h>
 
@@ -12,8 +13,15 @@
 
 namespace {
 
+/// Keepers of earlier revisions can't read the command that commits the counts of a window.
+constexpr std::uint16_t usage_revision = 1;
 constexpr duration maintenance_interval = std::chrono::milliseconds(500);
 
+/// Whether the deployment has client accounts.
+bool has_accounts(const routes::route_table& /*table*/) {
+    return true;
+}
+
 } // namespace
 
 fleet_control::fleet_control(parameters arguments)
@@ -24,13 +32,7 @@
       crashes(this->make_crash_parameters()),
       streams({this->params.time, this->params.send_to_instance}),
       relays({this->params.send_to_instance, stable_hash(this->params.instance.value())}),
-      orders({this->params.instance, this->params.protocol, &this->targets.directory(),
-              this->params.time, this->params.limits, this->params.settings.order_lease,
-              [this] {
-                  return fencing_token(
-                      this->params.replicated_group->consensus().state().term().value());
-              },
-              [this] { return this->params.replicated_group->has_leader_lease(); }},
+      orders(this->make_order_parameters(),
              {[this](const target_id& target, incarnation_id incarnation) {
                   this->targets.mark_leaving(target, incarnation);
               },
@@ -49,7 +51,9 @@
                       record.loading = is_loading;
                   });
               }}),
+      lease({this->params.settings.order_lease}),
       maintenance_timer([this] { this->run_maintenance(); }) {
+    this->open_duties();
     this->maintenance_timer.arm_now();
 }
 
@@ -92,6 +96,67 @@
     return arguments;
 }
 
+weight_orders::parameters fleet_control::make_order_parameters() {
+    weight_orders::parameters arguments;
+    arguments.holder = this->params.instance;
+    arguments.protocol = this->params.protocol;
+    arguments.targets = &this->targets.directory();
+    arguments.time = this->params.time;
+    arguments.limits = this->params.limits;
+    arguments.lease = this->params.settings.order_lease;
+    arguments.fence = [this] { return this->term(); };
+    arguments.may_order = [this] { return this->params.replicated_group->has_leader_lease(); };
+    arguments.suspended = &suspended_time;
+    return arguments;
+}
+
+fencing_token fleet_control::term() const {
+    return fencing_token(this->params.replicated_group->consensus().state().term().value());
+}
+
+std::optional<fencing_token> fleet_control::duty_authority() {
+    return this->lease.authority({this->params.replicated_group->has_leader_lease(), this->term()},
+                                 {this->params.time->now(), suspended_time()});
+}
+
+void fleet_control::open_duties() {
+    if (!this->params.duties) {
+        return;
+    }
+    const settings::duty_settings& settings = *this->params.duties;
+    platform_calls::parameters call_arguments;
+    call_arguments.holder = this->params.instance;
+    call_arguments.protocol = this->params.platform;
+    call_arguments.platform = settings.platform;
+    call_arguments.time = this->params.time;
+    call_arguments.limits = this->params.limits;
+    call_arguments.calls_per_second = static_cast<double>(settings.calls_per_second);
+    call_arguments.authority = [this] { return this->duty_authority(); };
+    call_arguments.metrics = this->params.metrics;
+    this->platform = std::make_unique<platform_calls>(std::move(call_arguments));
+    if (!settings.reports_usage) {
+        return;
+    }
+    usage_control::parameters usage_arguments;
+    usage_arguments.windows = duties::usage_windows({settings.usage_window, settings.usage_late});
+    usage_arguments.time = this->params.time;
+    usage_arguments.wall_time = &this->wall_time;
+    usage_arguments.metrics = this->params.metrics;
+    usage_arguments.calls = this->platform.get();
+    usage_arguments.state = [this]() -> const replicated::replicated_state& {
+        return this->state();
+    };
+    usage_arguments.submit = [this](const replicated::command& command,
+                                    const std::function<void(bool)>& on_complete) {
+        this->params.replicated_group->submit(
+            command, [on_complete](const auto& result) { on_complete(result.has_value()); });
+    };
+    usage_arguments.may_commit = [this] {
+        return this->params.oldest_keeper_revision() >= usage_revision;
+    };
+    this->usage = std::make_unique<usage_control>(std::move(usage_arguments));
+}
+
 void fleet_control::handle(const control_call& call) {
     std::visit([this](const auto& alternative) { this->on(alternative); }, call);
 }
@@ -233,7 +298,8 @@
 void fleet_control::handle_message(std::uint64_t link, const wire::hello& from,
                                    const wire::message& message) {
     if (this->crashes.handle(from.instance, message) ||
-        this->streams.handle(from.instance, message) || this->relays.handle(link, from, message)) {
+        this->streams.handle(from.instance, message) || this->relays.handle(link, from, message) ||
+        (this->usage && this->usage->handle(from, message))) {
         return;
     }
     if (const auto* update = std::get_if<wire::target_update>(&message)) {
@@ -290,6 +356,8 @@
         this->weights_changed();
     } else if (std::holds_alternative<replicated::retire_store>(command)) {
         this->fleet_changed();
+    } else if (std::holds_alternative<replicated::commit_usage>(command) && this->usage) {
+        this->usage->state_changed();
     } else if (std::holds_alternative<replicated::bootstrap_stores>(command)) {
         for (const wire::message& message : this->initial_messages()) {
             if (std::holds_alternative<wire::initial_members_update>(message)) {
@@ -303,6 +371,9 @@
     this->routes_changed();
     this->weights_changed();
     this->fleet_changed();
+    if (this->usage) {
+        this->usage->state_changed();
+    }
 }
 
 void fleet_control::routes_changed() {
@@ -320,6 +391,9 @@
         return;
     }
     const auto& table = std::get<routes::route_table>(parsed);
+    if (this->usage) {
+        this->usage->accounts_changed(has_accounts(table));
+    }
     rollout::services_changed changed;
     for (const routes::service& service : table.services) {
         if (!service.engine) {
@@ -378,6 +452,13 @@
     this->limits.leadership_changed(is_leader);
     this->crashes.leadership_changed(is_leader);
     this->orders.leadership_changed(is_leader);
+    this->lease.leadership_changed(is_leader, {this->params.time->now(), suspended_time()});
+    if (this->platform) {
+        this->platform->leadership_changed(is_leader);
+    }
+    if (this->usage) {
+        this->usage->leadership_changed(is_leader);
+    }
 }
 
 void fleet_control::run_maintenance() {
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -3,20 +3,26 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/response_limits.h"
+#include "base/system_wall_clock.h"
+#include "duties/duty_lease.h"
 #include "engines/target_protocol.h"
 #include "group/group.h"
 #include "keeper/control_calls.h"
 #include "keeper/internal/crash_control.h"
 #include "keeper/internal/keeper_codec.h"
 #include "keeper/internal/limit_control.h"
+#include "keeper/internal/platform_calls.h"
 #include "keeper/internal/relay_directory.h"
 #include "keeper/internal/store_registry.h"
 #include "keeper/internal/stream_control.h"
 #include "keeper/internal/target_control.h"
+#include "keeper/internal/usage_control.h"
 #include "keeper/internal/weight_orders.h"
+#include "keeper/platform_protocol.h"
 #include "membership/directory_change.h"
 #include "routes/route_table_parser.h"
 #include "settings/control_settings.h"
+#include "settings/duty_settings.h"
 #include "task/wakeup.h"
 #include "telemetry/metric_set.h"
 #include "wire/messages.h"
@@ -25,6 +31,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace kingcupcart::keeper {
@@ -44,12 +51,17 @@
         keeper_group* replicated_group = nullptr;
         routes::route_table_parser parse_route_table = nullptr;
         engines::target_protocol protocol;
+        /// Empty if this deployment's keepers make no calls to the platform.
+        std::optional<settings::duty_settings> duties;
+        platform_protocol platform;
         telemetry::metric_set* metrics = nullptr;
         /// Sends a message to all gateways and stores that are linked to this keeper.
         std::function<void(const wire::message&)> send_to_gateways_and_stores;
         std::function<void(const instance_id&, const wire::message&)> send_to_instance;
         /// Number of gateways and stores that are linked to this keeper.
         std::function<std::size_t()> count_gateways_and_stores;
+        /// The oldest protocol revision of the other keepers, as far as it is known.
+        std::function<std::uint16_t()> oldest_keeper_revision;
     };
 
     explicit fleet_control(parameters arguments);
@@ -93,6 +105,11 @@
     [[nodiscard]] target_control::parameters make_target_parameters();
     [[nodiscard]] limit_control::parameters make_limit_parameters();
     [[nodiscard]] crash_control::parameters make_crash_parameters() const;
+    [[nodiscard]] weight_orders::parameters make_order_parameters();
+    void open_duties();
+    [[nodiscard]] fencing_token term() const;
+    /// The fencing token with which this keeper may call the platform now; empty if it may not.
+    [[nodiscard]] std::optional<fencing_token> duty_authority();
     void submit(const replicated::command& command, const control_reply& reply);
     /// Notifies the permits and the load planner.
     void target_changed(const membership::directory_change& change);
@@ -116,6 +133,12 @@
     stream_control streams;
     relay_directory relays;
     weight_orders orders;
+    system_wall_clock wall_time;
+    duties::duty_lease lease;
+    /// Null if no duties are set.
+    std::unique_ptr<platform_calls> platform;
+    /// Null if usage is not reported.
+    std::unique_ptr<usage_control> usage;
     bool is_bootstrapping = false;
     task::wakeup maintenance_timer;
 };
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -143,6 +143,8 @@
     arguments.replicated_group = this->replicated_group.get();
     arguments.parse_route_table = this->params.protocol.parse_route_table;
     arguments.protocol = this->params.protocol.targets;
+    arguments.duties = this->params.settings.duties;
+    arguments.platform = this->params.protocol.platform;
     arguments.metrics = &this->metrics;
     arguments.send_to_gateways_and_stores = [this](const wire::message& message) {
         this->send_to_gateways_and_stores(message);
@@ -151,6 +153,13 @@
         this->send_to_instance(to, message);
     };
     arguments.count_gateways_and_stores = [this] { return this->count_gateways_and_stores(); };
+    arguments.oldest_keeper_revision = [this] {
+        std::uint16_t oldest = wire::protocol_revision;
+        for (const auto& [keeper, revision] : this->keeper_revisions) {
+            oldest = std::min(oldest, revision);
+        }
+        return oldest;
+    };
     this->fleet = std::make_unique<fleet_control>(std::move(arguments));
     this->fleet->restored();
 }
@@ -273,6 +282,7 @@
     if (const auto* greeting = std::get_if<wire::hello>(&incoming)) {
         from.hello = *greeting;
         if (greeting->role == wire::instance_role::keeper) {
+            this->keeper_revisions.insert_or_assign(greeting->address, greeting->revision);
             this->replicated_group->members().reconnect(
                 this->params.settings.keeper->control ? instance_id(greeting->address.to_string())
                                                       : greeting->instance);
--- a/packages/keeper/internal/keeper.h
+++ b/packages/keeper/internal/keeper.h
@@ -99,6 +99,9 @@
     /// By number of the link.
     std::unordered_map<std::uint64_t, linked_instance> linked_instances;
     std::uint64_t last_link_number = 0;
+    /// Protocol revision of each keeper's build, from its last greeting. Kept while the keeper is
+    /// unreachable, since it may return with the same build.
+    std::map<endpoint, std::uint16_t> keeper_revisions;
     /// Newest record of each target, sent to instances that connect later.
     std::map<target_id, membership::target_record> targets;
     /// Closed links, destroyed in the next event loop iteration because one of their own callbacks
--- a/packages/keeper/internal/platform_calls.h
+++ b/packages/keeper/internal/platform_calls.h
@@ -68,6 +68,7 @@
         std::unique_ptr<http::client::call> call;
         http::response_head head;
         time_point deadline{};
+        fencing_token fence;
     };
     struct pending_call {
         duties::platform_call content;
@@ -77,6 +78,8 @@
     void add(duties::platform_call content, completion on_complete);
     void run();
     void start(std::uint64_t number);
+    /// Cancels the call unless it may still be written.
+    void check_authority(std::uint64_t number);
     void end_attempt(std::uint64_t number, duties::call_outcome outcome, const char* reason);
     void finish(std::uint64_t number, duties::call_outcome outcome);
     void arm();
--- a/packages/keeper/internal/weight_orders.cpp
+++ b/packages/keeper/internal/weight_orders.cpp
@@ -14,8 +14,6 @@
 /// An order or a report request without a response within this time counts as failed. Far above a
 /// round trip.
 constexpr duration call_timeout = std::chrono::milliseconds(1200);
-/// Added to the lease, to allow for clock drift and for orders in transit.
-constexpr duration lease_margin = std::chrono::milliseconds(300);
 /// The planner runs at least this often while this keeper leads.
 constexpr duration planner_interval = std::chrono::milliseconds(200);
 
@@ -43,6 +41,7 @@
     : params(std::move(arguments)),
       notify(std::move(notify)),
       client(*this->params.time, {this->params.limits, {}}),
+      lease({this->params.lease}),
       timer([this] { this->handle_timer(); }),
       cleanup_timer([this] { this->pending_deletion.clear(); }) {}
 
@@ -55,7 +54,7 @@
 
 void weight_orders::leadership_changed(bool leads) {
     this->is_leader = leads;
-    this->authority_at = this->params.time->now() + this->params.lease + lease_margin;
+    this->lease.leadership_changed(leads, this->duty_time());
     if (!leads && std::exchange(this->has_authority, false)) {
         this->calls.clear();
         this->completions.clear();
@@ -64,9 +63,15 @@
     this->arm();
 }
 
+std::optional<fencing_token> weight_orders::authority() {
+    return this->lease.authority({this->params.may_order(), this->params.fence()},
+                                 this->duty_time());
+}
+
 void weight_orders::handle_timer() {
     const time_point now = this->params.time->now();
-    if (this->is_leader && !this->has_authority && this->authority_at <= now) {
+    const auto begins_at = this->lease.begins_at();
+    if (begins_at && !this->has_authority && *begins_at <= now) {
         this->has_authority = true;
         spdlog::info("sending of load orders starts holder={} fence={}",
                      this->params.holder.value(), this->params.fence().value());
@@ -111,7 +116,8 @@
 // Without a fingerprint: an order is this keeper's own call, not a caller's request.
 void weight_orders::send(const rollout::send_load_order& load) {
     const membership::target_record* target = this->params.targets->find(load.engine);
-    if (target == nullptr || !this->params.may_order()) {
+    const std::optional<fencing_token> fence = this->authority();
+    if (target == nullptr || !fence) {
         // Nothing was sent, so the engine can't execute the order later.
         spdlog::warn("load order not sent engine={} reason={}", load.engine.value(),
                      target == nullptr ? "gone" : "leadership-not-sure");
@@ -119,9 +125,10 @@
             rollout::load_order_response{load.engine, rollout::load_order_result::wrong_engine});
         return;
     }
-    const engines::load_order order{load, this->params.holder, this->params.fence()};
+    const engines::load_order order{load, this->params.holder, *fence};
     this->start_call(
         load.engine, this->params.protocol.order_load(order, *target),
+        [this, fence] { return this->authority() == fence; },
         [this, load](bool is_complete, open_call& call) {
             const auto result = is_complete
                                     ? this->params.protocol.parse_load_order_result(call.head)
@@ -140,27 +147,29 @@
         this->dispatch(rollout::report_failed{engine});
         return;
     }
-    this->start_call(engine, this->params.protocol.request_report(*target),
-                     [this, engine](bool is_complete, open_call& call) {
-                         auto parsed = value_or_error([&]() -> outcome<rollout::engine_report> {
-                             if (!is_complete) {
-                                 return fail(error_code::unavailable, "no answer");
-                             }
-                             return this->params.protocol.parse_report(call.body);
-                         });
-                         if (const auto* problem = std::get_if<error>(&parsed)) {
-                             spdlog::warn("engine report failed engine={} error=\"{}\"",
-                                          engine.value(), problem->message);
-                             this->dispatch(rollout::report_failed{engine});
-                             return;
-                         }
-                         auto& report = std::get<rollout::engine_report>(parsed);
-                         report.engine = engine;
-                         this->dispatch(report);
-                     });
+    this->start_call(
+        engine, this->params.protocol.request_report(*target), [] { return true; },
+        [this, engine](bool is_complete, open_call& call) {
+            auto parsed = value_or_error([&]() -> outcome<rollout::engine_report> {
+                if (!is_complete) {
+                    return fail(error_code::unavailable, "no answer");
+                }
+                return this->params.protocol.parse_report(call.body);
+            });
+            if (const auto* problem = std::get_if<error>(&parsed)) {
+                spdlog::warn("engine report failed engine={} error=\"{}\"", engine.value(),
+                             problem->message);
+                this->dispatch(rollout::report_failed{engine});
+                return;
+            }
+            auto& report = std::get<rollout::engine_report>(parsed);
+            report.engine = engine;
+            this->dispatch(report);
+        });
 }
 
 void weight_orders::start_call(const target_id& engine, const http::request& request,
+                               std::function<bool()> may_write,
                                std::function<void(bool, open_call&)> on_complete) {
     open_call& call = this->calls[engine];
     call = open_call{};
@@ -175,7 +184,16 @@
     const time_point sent_at = this->params.time->now();
     this->notify.call_started(engine);
     call.call = this->client.start(
-        limited, {[] {},
+        limited, {[this, engine, number, may_write = std::move(may_write)] {
+                      open_call* open = this->find_call(engine, number);
+                      if (open != nullptr && !may_write()) {
+                          spdlog::warn("load order not sent engine={} reason=leadership-not-sure",
+                                       engine.value());
+                          // Destroyed here, so that nothing is written.
+                          open->call.reset();
+                          this->end_call(engine, false);
+                      }
+                  },
                   [this, engine, number, incarnation, sent_at](const http::response_head& head) {
                       if (open_call* open = this->find_call(engine, number)) {
                           open->head = head;
--- a/packages/keeper/internal/weight_orders.h
+++ b/packages/keeper/internal/weight_orders.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/response_limits.h"
+#include "duties/duty_lease.h"
 #include "engines/target_protocol.h"
 #include "http/client.h"
 #include "http/response_budget.h"
@@ -14,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace kingcupcart::keeper {
 
@@ -34,6 +36,8 @@
         std::function<fencing_token()> fence;
         /// Whether this keeper leads and no other keeper can have been elected leader.
         std::function<bool()> may_order;
+        /// Total time that the machine was suspended.
+        std::function<duration()> suspended = [] { return duration::zero(); };
     };
     struct callbacks {
         /// The engine said in a response that it is leaving.
@@ -74,11 +78,19 @@
     void execute(const rollout::planner_actions& actions);
     void send(const rollout::send_load_order& load);
     void request_report(const rollout::request_report& action);
+    /// `may_write` is called before the request is written; the call is cancelled if it returns
+    /// false.
     void start_call(const target_id& engine, const http::request& request,
+                    std::function<bool()> may_write,
                     std::function<void(bool is_complete, open_call&)> on_complete);
     /// The engine's call with this number; null where it has ended.
     [[nodiscard]] open_call* find_call(const target_id& engine, std::uint64_t number);
     void end_call(const target_id& engine, bool is_complete);
+    /// The fencing token with which an order may be sent now; empty if none may be.
+    [[nodiscard]] std::optional<fencing_token> authority();
+    [[nodiscard]] duties::duty_time duty_time() const {
+        return {this->params.time->now(), this->params.suspended()};
+    }
     void handle_timer();
     void arm();
 
@@ -96,7 +108,7 @@
     /// Whether this keeper may send orders: it leads, and the lease of an earlier leader has
     /// expired.
     bool has_authority = false;
-    time_point authority_at{};
+    duties::duty_lease lease;
     task::wakeup timer;
     task::wakeup cleanup_timer;
 };
--- a/packages/replicated/commands.h
+++ b/packages/replicated/commands.h
@@ -64,12 +64,29 @@
     instance_id store;
 };
 
+/// The number of requests of a client account that began to run in a window.
+struct account_usage {
+    account_name account;
+    std::uint64_t count = 0;
+
+    friend bool operator==(const account_usage&, const account_usage&) = default;
+};
+
+/// Sets the counts of a window, which are reported to the platform unchanged from then on. Has no
+/// effect on a window that is committed already, or that is older than one.
+struct commit_usage {
+    std::uint64_t window = 0;
+    std::vector<account_usage> counts;
+    /// The platform has accepted the reports of all windows up to this one.
+    std::uint64_t reported_through = 0;
+};
+
 /// Changes nothing. Once it is applied, the proposer has applied every command that was committed
 /// before it.
 struct read_barrier {};
 
 using command = std::variant<accept_configuration, claim_key, accept_routes, publish_weights,
-                             bootstrap_stores, retire_store, read_barrier>;
+                             bootstrap_stores, retire_store, read_barrier, commit_usage>;
 
 /// The keeper that proposed a command, and the number under which it reports the result to the
 /// requester when the command is applied.
--- a/packages/replicated/internal/replicated_state.cpp
+++ b/packages/replicated/internal/replicated_state.cpp
@@ -68,6 +68,22 @@
     return done{};
 }
 
+result replicated_state::on(const commit_usage& usage) {
+    usage_content& state = this->committed_usage;
+    if (usage.window > state.last_window) {
+        state.last_window = usage.window;
+        state.windows.push_back({usage.window, usage.counts});
+    }
+    state.reported_through = std::max(state.reported_through, usage.reported_through);
+    std::erase_if(state.windows, [&](const usage_window& stored) {
+        return stored.window <= state.reported_through;
+    });
+    if (state.windows.size() > max_usage_windows) {
+        state.windows.erase(state.windows.begin());
+    }
+    return done{};
+}
+
 void replicated_state::expire_before(wall_seconds oldest) {
     while (!this->orders_by_age.empty() && this->orders_by_age.front().at < oldest) {
         this->orders.erase(this->orders_by_age.front().order_id);
@@ -92,6 +108,7 @@
     }
     saved.initial_stores = this->initial_members;
     saved.leaving_stores.assign(this->leaving.begin(), this->leaving.end());
+    saved.usage = this->committed_usage;
     return saved;
 }
 
@@ -114,6 +131,7 @@
     }
     this->initial_members = saved.initial_stores;
     this->leaving.insert(saved.leaving_stores.begin(), saved.leaving_stores.end());
+    this->committed_usage = saved.usage;
 }
 
 } // namespace kingcupcart::replicated
--- a/packages/replicated/replicated_state.h
+++ b/packages/replicated/replicated_state.h
@@ -32,6 +32,23 @@
         claim_result owner;
         wall_seconds at{};
     };
+    struct usage_window {
+        std::uint64_t window = 0;
+        std::vector<account_usage> counts;
+
+        friend bool operator==(const usage_window&, const usage_window&) = default;
+    };
+    /// The usage that was committed. Left out of a snapshot if empty, so that builds from before it
+    /// was added can read the snapshot.
+    struct usage_content {
+        /// 0 if no window was committed.
+        std::uint64_t last_window = 0;
+        std::uint64_t reported_through = 0;
+        /// Windows that may not have been reported, oldest first.
+        std::vector<usage_window> windows;
+
+        friend bool operator==(const usage_content&, const usage_content&) = default;
+    };
     /// The complete state, for a snapshot.
     struct content {
         configuration_version version;
@@ -43,6 +60,7 @@
         std::vector<publish_weights> weights;
         std::vector<store_member> initial_stores;
         std::vector<instance_id> leaving_stores;
+        usage_content usage;
     };
 
     /// Applies a committed command.
@@ -67,11 +85,16 @@
     }
     [[nodiscard]] const std::set<instance_id>& leaving_stores() const { return this->leaving; }
 
+    [[nodiscard]] const usage_content& usage() const { return this->committed_usage; }
+
     [[nodiscard]] content save() const;
     void load(const content& saved);
 
     /// How long an order's outcome and a claim are stored, in wall-clock time.
     static constexpr wall_seconds retention = std::chrono::hours(24);
+    /// Windows whose counts are stored until the platform has accepted their reports. Five minutes
+    /// of windows of 5 s.
+    static constexpr std::size_t max_usage_windows = 60;
 
 private:
     result on(const accept_configuration& order);
@@ -81,6 +104,7 @@
     result on(const bootstrap_stores& bootstrap);
     result on(const retire_store& retirement);
     result on(const read_barrier& barrier);
+    result on(const commit_usage& usage);
     void expire_before(wall_seconds oldest);
 
     configuration_version accepted_version;
@@ -94,6 +118,7 @@
     std::map<model_name, weight_version> newest_weights;
     std::vector<store_member> initial_members;
     std::set<instance_id> leaving;
+    usage_content committed_usage;
 };
 
 } // namespace kingcupcart::replicated
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -155,6 +155,41 @@
     return settings;
 }
 
+constexpr std::int64_t max_duty_calls = 100000;
+
+outcome<std::optional<duty_settings>> read_duties(const ini_document& document) {
+    ini_section section(document, "duties");
+    duty_settings settings;
+    BOOST_LEAF_AUTO(platform, section.optional_address("platform"));
+    BOOST_LEAF_AUTO(duties, section.list("carry-out"));
+    for (const std::string& duty : duties) {
+        if (duty == "usage") {
+            settings.reports_usage = true;
+        } else if (duty == "autoscale") {
+            settings.scales_replicas = true;
+        } else {
+            return section.fail_at("carry-out", "'" + duty + "' is not one of usage, autoscale");
+        }
+    }
+    BOOST_LEAF_ASSIGN(
+        settings.calls_per_second,
+        section.integer_or("calls-per-second", settings.calls_per_second, {1, max_duty_calls}));
+    BOOST_LEAF_AUTO(window,
+                    section.duration_or("usage-window", settings.usage_window,
+                                        {std::chrono::milliseconds(100), std::chrono::hours(1)}));
+    settings.usage_window = std::chrono::duration_cast<std::chrono::milliseconds>(window);
+    BOOST_LEAF_AUTO(late,
+                    section.duration_or("usage-late", settings.usage_late,
+                                        {std::chrono::milliseconds(100), std::chrono::hours(1)}));
+    settings.usage_late = std::chrono::duration_cast<std::chrono::milliseconds>(late);
+    BOOST_LEAF_CHECK(section.check_unknown_keys());
+    if (!platform) {
+        return std::nullopt;
+    }
+    settings.platform = *platform;
+    return std::optional(settings);
+}
+
 /// Shortens the times of a planned stop so that it ends before the supervisor kills the process.
 void fit_stop_times(process_settings& settings) {
     if (settings.kill_after == duration::zero()) {
@@ -217,7 +252,7 @@
 
 outcome<process_settings> process_settings::read(const ini_document& document) {
     BOOST_LEAF_CHECK(document.check_groups(
-        {"instance", "entry", "keeper", "gateway", "store", "responses", "log"}, {}));
+        {"instance", "entry", "keeper", "gateway", "store", "duties", "responses", "log"}, {}));
     ini_section instance(document, "instance");
     process_settings settings;
     BOOST_LEAF_AUTO(id, instance.text("id"));
@@ -270,6 +305,7 @@
         settings.responses.budget_bytes =
             static_cast<std::size_t>(*memory_bytes / response_memory_share);
     }
+    BOOST_LEAF_ASSIGN(settings.duties, read_duties(document));
     BOOST_LEAF_CHECK(read_log(document, settings));
     return settings;
 }
--- a/packages/settings/process_settings.h
+++ b/packages/settings/process_settings.h
@@ -7,6 +7,7 @@
 #include "base/outcome.h"
 #include "base/response_limits.h"
 #include "settings/control_settings.h"
+#include "settings/duty_settings.h"
 #include "settings/gateway_settings.h"
 #include "settings/store_settings.h"
 #include "telemetry/log_format.h"
@@ -66,6 +67,8 @@
     std::optional<keeper_settings> keeper;
     std::optional<gateway_settings> gateway;
     std::optional<store_settings> store;
+    /// Empty if the settings name no platform API; the duties are then off.
+    std::optional<duty_settings> duties;
     /// Limits of the responses that this process reads from targets.
     response_limits responses;
     telemetry::log_format format = telemetry::log_format::text;
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -71,7 +71,8 @@
     relayed_call_failure = 50,
     relayed_call_cancel = 51,
     relayed_data_taken = 52,
-    relay_stopping = 53
+    relay_stopping = 53,
+    usage_update = 54
 };
 
 json number(message_number value) {
@@ -530,6 +531,7 @@
     {message_number::relayed_data_taken, "relayed_data_taken",
      read_serializable<relayed_data_taken>},
     {message_number::relay_stopping, "relay_stopping", read_serializable<relay_stopping>},
+    {message_number::usage_update, "usage_update", read_serializable<usage_update>},
 };
 
 } // namespace
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -6,6 +6,7 @@
 #include "membership/model_weights.h"
 #include "quorum/member.h"
 #include "replicated/commands.h"
+#include "replicated/replicated_state.h"
 #include "wire/messages.h"
 
 /// The fields of each serializable type, in their order on the wire and on disk. Each function is
@@ -118,6 +119,26 @@
 template <typename Archive>
 void serialize(Archive& /*archive*/, read_barrier& /*value*/) {}
 
+template <typename Archive>
+void serialize(Archive& archive, account_usage& value) {
+    archive(value.account, value.count);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, commit_usage& value) {
+    archive(value.window, value.counts, value.reported_through);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, replicated_state::usage_window& value) {
+    archive(value.window, value.counts);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, replicated_state::usage_content& value) {
+    archive(value.last_window, value.reported_through, value.windows);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, command_origin& value) {
     archive(value.keeper, value.incarnation, value.number);
@@ -383,6 +404,16 @@
 template <typename Archive>
 void serialize(Archive& /*archive*/, relay_stopping& /*value*/) {}
 
+template <typename Archive>
+void serialize(Archive& archive, window_usage& value) {
+    archive(value.window, value.counts);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, usage_update& value) {
+    archive(value.as_of, value.windows);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, relayed_data_taken& value) {
     archive(value.call, value.bytes);
--- a/packages/wire/internal/storage_codec.cpp
+++ b/packages/wire/internal/storage_codec.cpp
@@ -237,6 +237,7 @@
     output_archive archive(fields);
     archive(content.routes_version, content.routes_document, content.weights,
             content.initial_stores, content.leaving_stores);
+    archive.trailing(content.usage);
     return to_bytes(fields);
 }
 
@@ -265,6 +266,7 @@
     input_archive archive(fields);
     archive(content.routes_version, content.routes_document, content.weights,
             content.initial_stores, content.leaving_stores);
+    archive.trailing(content.usage);
     BOOST_LEAF_CHECK(fields.finish());
     return content;
 }
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -15,6 +15,7 @@
 #include "quarantine/crash_messages.h"
 #include "quorum/member.h"
 #include "quorum/messages.h"
+#include "replicated/commands.h"
 #include "streams/stream_id.h"
 #include "streams/stream_record.h"
 
@@ -437,6 +438,22 @@
 /// its calls have ended.
 struct relay_stopping {};
 
+/// The counts of a window of the sending gateway, cumulative since it started.
+struct window_usage {
+    std::uint64_t window = 0;
+    std::vector<replicated::account_usage> counts;
+
+    friend bool operator==(const window_usage&, const window_usage&) = default;
+};
+
+/// Sent by a gateway each second, with the windows whose counts have changed, to the keepers of
+/// revision 1 or later.
+struct usage_update {
+    /// The sender's wall-clock time in milliseconds, until which the counts are complete.
+    std::uint64_t as_of = 0;
+    std::vector<window_usage> windows;
+};
+
 /// The order of the alternatives is that of their numbers on the wire.
 using message = std::variant<
     hello, target_update, target_heartbeats, configuration_update, configuration_in_force,
@@ -450,6 +467,6 @@
     quarantine::trial_decision, stream_record_updates, stream_lookup_request,
     stream_lookup_response, relay_lookup_request, relay_lookup_response, reach_report,
     relayed_call_request, relayed_response_head, relayed_response_data, relayed_response_end,
-    relayed_call_failure, relayed_call_cancel, relayed_data_taken, relay_stopping>;
+    relayed_call_failure, relayed_call_cancel, relayed_data_taken, relay_stopping, usage_update>;
 
 } // namespace kingcupcart::wire
