--- a/packages/membership/target_record.h
+++ b/packages/membership/target_record.h
@@ -6,6 +6,7 @@
 #include "membership/model_weights.h"
 #include "membership/target_kind.h"
 
+#include <chrono>
 #include <cstdint>
 #include <tuple>
 #include <vector>
@@ -38,6 +39,12 @@
     bool loading = false;
     /// Empty if the target states none; then all targets of its backend count as of one version.
     software_version software;
+    /// The platform may reclaim the target, together with all others of its kind in the failure
+    /// domain.
+    bool spot = false;
+    /// Time from the announcement until the target ends; zero if it states none. Counts down with
+    /// each announcement, so that it is no part of what has changed.
+    std::chrono::milliseconds leaves_after{};
 
     friend bool operator==(const target_record&, const target_record&) = default;
 
@@ -52,6 +59,7 @@
     [[nodiscard]] bool equals_except_sequence(const target_record& later) const {
         target_record adjusted = later;
         adjusted.sequence = this->sequence;
+        adjusted.leaves_after = this->leaves_after;
         return adjusted == *this;
     }
     /// Whether both records stem from the same announcement of the target.
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -9,6 +9,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace kingcupcart::wire {
@@ -17,6 +20,9 @@
 
 using nlohmann::json;
 
+/// A day; targets announce shorter times.
+constexpr std::uint64_t max_leaves_ms = 86'400'000;
+
 /// The number of each message type on the wire. The number of a removed type is never reused.
 enum class message_number : std::uint8_t {
     hello = 1,
@@ -126,6 +132,20 @@
                         outgoing.in_force.value()});
 }
 
+/// Whether the target is a spot one, and when it leaves, as an entry of its weights: earlier builds
+/// reject unknown fields, but take this for weights of a model that no job names. Empty for targets
+/// that announce neither.
+json write_target_weights(const membership::target_record& record) {
+    std::vector<membership::model_weights> weights = record.weights;
+    std::erase_if(weights, [](const auto& held) { return held.model.value().empty(); });
+    const std::uint64_t lifetime =
+        2 * static_cast<std::uint64_t>(record.leaves_after.count()) + (record.spot ? 1 : 0);
+    if (lifetime > 0) {
+        weights.push_back({model_name(), weight_version(lifetime)});
+    }
+    return write_weights(weights);
+}
+
 json write(const target_update& outgoing) {
     const membership::target_record& record = outgoing.record;
     return json::array({number(message_number::target_update), record.id.value(),
@@ -134,7 +154,7 @@
                         record.place.region.value(), static_cast<std::uint64_t>(record.slots),
                         record.incarnation.value(), record.sequence, record.revision,
                         record.leaving, record.gone, record.version.value(),
-                        write_weights(record.weights), record.loading, record.software.value()});
+                        write_target_weights(record), record.loading, record.software.value()});
 }
 
 json write(const target_heartbeats& outgoing) {
@@ -363,7 +383,14 @@
         membership::model_weights weights;
         weights.model = model_name(element.binary());
         weights.version = weight_version(element.number());
-        record.weights.push_back(weights);
+        if (weights.model.value().empty()) {
+            // See `write_target_weights`.
+            record.spot = weights.version.value() % 2 == 1;
+            record.leaves_after =
+                std::chrono::milliseconds(std::min(weights.version.value() / 2, max_leaves_ms));
+        } else {
+            record.weights.push_back(weights);
+        }
     });
     record.loading = fields.boolean();
     // Instances of earlier releases do not send it.
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -101,6 +101,9 @@
     target.record.slots = 16;
     target.record.leaving = true;
     target.record.software = software_version("v2");
+    target.record.weights = {{model_name("m"), weight_version(3)}};
+    target.record.spot = true;
+    target.record.leaves_after = std::chrono::milliseconds(2500);
     return {
         example_hello(),
         target,
@@ -196,6 +199,30 @@
     }
 }
 
+// An earlier build closes a link on which a record with a field that it does not know arrives.
+SCENARIO("a record of a spot target has the form that earlier builds read") {
+    target_update usual;
+    usual.record.weights = {{model_name("m"), weight_version(3)}};
+    target_update spot = usual;
+    spot.record.spot = true;
+    spot.record.leaves_after = std::chrono::milliseconds(2500);
+    const auto usual_fields = nlohmann::json::from_cbor(encode(usual));
+    const auto spot_fields = nlohmann::json::from_cbor(encode(spot));
+    REQUIRE(spot_fields.size() == usual_fields.size());
+    std::size_t differing = 0;
+    for (std::size_t i = 0; i < usual_fields.size(); ++i) {
+        CHECK(spot_fields[i].type() == usual_fields[i].type());
+        differing += spot_fields[i] == usual_fields[i] ? 0 : 1;
+    }
+    CHECK(differing == 1);
+    const auto decoded = value_or_error([&] { return decode(encode(spot)); });
+    REQUIRE(std::holds_alternative<message>(decoded));
+    const auto& record = std::get<target_update>(std::get<message>(decoded)).record;
+    CHECK(record.spot);
+    CHECK(record.leaves_after == spot.record.leaves_after);
+    CHECK(record.weights == usual.record.weights);
+}
+
 // An instance passed on any status that another one had accepted from its target.
 SCENARIO("a response with a status that is none is rejected") {
     for (const int status : {-1, 1, 99, 600, 999, 1000, 65736}) {
