Wire: the leading store's report of each model's demand

Cause: keepers assign engines to models and order replicas without knowing how much work the steps of each model bring. Change: message 55, model_demand_report, for keepers of protocol revision 1 and later: output per second, largest step, waiting items, expected lateness and steps in flight of each model and service. Nothing sends it yet.

--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -71,7 +71,8 @@
     relayed_call_failure = 50,
     relayed_call_cancel = 51,
     relayed_data_taken = 52,
-    relay_stopping = 53
+    relay_stopping = 53,
+    model_demand_report = 55
 };
 
 json number(message_number value) {
@@ -297,6 +298,9 @@
 constexpr message_number message_number_of<relayed_data_taken> = message_number::relayed_data_taken;
 template <>
 constexpr message_number message_number_of<relay_stopping> = message_number::relay_stopping;
+template <>
+constexpr message_number message_number_of<model_demand_report> =
+    message_number::model_demand_report;
 
 template <typename Message>
 json write(const Message& outgoing) {
@@ -530,6 +534,8 @@
     {message_number::relayed_data_taken, "relayed_data_taken",
      read_serializable<relayed_data_taken>},
     {message_number::relay_stopping, "relay_stopping", read_serializable<relay_stopping>},
+    {message_number::model_demand_report, "model_demand_report",
+     read_serializable<model_demand_report>},
 };
 
 } // namespace
--- a/packages/wire/internal/serialization.h
+++ b/packages/wire/internal/serialization.h
@@ -383,6 +383,17 @@
 template <typename Archive>
 void serialize(Archive& /*archive*/, relay_stopping& /*value*/) {}
 
+template <typename Archive>
+void serialize(Archive& archive, model_demand& value) {
+    archive(value.service, value.model, value.tokens_per_second, value.largest_step_items,
+            value.waiting_items, value.expected_lateness, value.steps_in_flight);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, model_demand_report& value) {
+    archive(value.term, value.models);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, relayed_data_taken& value) {
     archive(value.call, value.bytes);
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -437,6 +437,30 @@
 /// its calls have ended.
 struct relay_stopping {};
 
+/// What the training steps of one model need of the engines of one service.
+struct model_demand {
+    backend_name service;
+    model_name model;
+    /// Output that recent steps asked for per second.
+    std::uint64_t tokens_per_second = 0;
+    /// Items of the largest recent step.
+    std::uint64_t largest_step_items = 0;
+    /// Items that wait for a slot now.
+    std::uint64_t waiting_items = 0;
+    /// How much later than due the model's latest step is expected to complete; zero if in time.
+    std::chrono::milliseconds expected_lateness{};
+    std::uint64_t steps_in_flight = 0;
+
+    friend bool operator==(const model_demand&, const model_demand&) = default;
+};
+
+/// Sent by the leading store to the keepers of protocol revision 1 and later.
+struct model_demand_report {
+    /// The sender's term as leader of the stores; reports of a lower term are outdated.
+    std::uint64_t term = 0;
+    std::vector<model_demand> models;
+};
+
 /// The order of the alternatives is that of their numbers on the wire.
 using message = std::variant<
     hello, target_update, target_heartbeats, configuration_update, configuration_in_force,
@@ -450,6 +474,7 @@
     quarantine::trial_decision, stream_record_updates, stream_lookup_request,
     stream_lookup_response, relay_lookup_request, relay_lookup_response, reach_report,
     relayed_call_request, relayed_response_head, relayed_response_data, relayed_response_end,
-    relayed_call_failure, relayed_call_cancel, relayed_data_taken, relay_stopping>;
+    relayed_call_failure, relayed_call_cancel, relayed_data_taken, relay_stopping,
+    model_demand_report>;
 
 } // namespace kingcupcart::wire
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/wire/tests/wire_test.cpp
@@ -159,7 +159,10 @@
         relayed_call_failure{6, false, "full", std::chrono::milliseconds(40), true},
         relayed_call_cancel{6},
         relayed_data_taken{6, 6},
-        relay_stopping{}};
+        relay_stopping{},
+        model_demand_report{4,
+                            {{backend_name("llm"), model_name("m"), 41000, 144, 3,
+                              std::chrono::milliseconds(800), 2}}}};
 }
 
 /// Number of fields of the first item in the encoding of a submission with two items.
