Rollout: engines are divided among a service's models by demand

Cause: each model of a service got an equal share of the engines, whatever its work; on a deployment of 48 engines a model whose steps have 144 items, two in flight, had 96 slots, and was late. Change: the planner takes the demand of each model, divides engines in proportion, with one engine (two where there are enough) as the minimum, and reassigns only after a difference of two engines for 10 s. Equal shares while the demand of any model is unknown; the last demand stays if reports stop. A new leader adopts the assignment that the engines' weights show. Halves that load even and odd versions stay when other engines come and go. Each reassignment is logged with its numbers. Nothing sends the demand yet.

--- a/packages/keeper/internal/weight_orders.cpp
+++ b/packages/keeper/internal/weight_orders.cpp
@@ -104,6 +104,13 @@
             this->notify.loading_changed(changed->engine, changed->is_loading);
         } else if (const auto* loaded = std::get_if<rollout::weights_loaded>(&action)) {
             this->notify.loaded(loaded->engine, loaded->model, loaded->version);
+        } else if (const auto* reassigned = std::get_if<rollout::engine_reassigned>(&action)) {
+            spdlog::info("engine reassigned by demand engine={} service={} from={} to={} "
+                         "engines_of_from={} wanted_of_from={} engines_of_to={} wanted_of_to={}",
+                         reassigned->engine.value(), reassigned->service.value(),
+                         reassigned->from.value(), reassigned->to.value(),
+                         reassigned->engines_of_from, reassigned->wanted_of_from,
+                         reassigned->engines_of_to, reassigned->wanted_of_to);
         }
     }
 }
--- a/packages/rollout/internal/load_planner.cpp
+++ b/packages/rollout/internal/load_planner.cpp
@@ -10,6 +10,7 @@
     this->now = current_time;
     std::visit([this](const auto& alternative) { this->on(alternative); }, incoming);
     if (this->may_send_orders) {
+        this->rebalance_models();
         this->plan_due_steps();
     }
     return std::exchange(this->output, {});
@@ -44,6 +45,14 @@
     oldest = std::max(oldest, required.oldest);
 }
 
+void load_planner::on(const demand_changed& changed) {
+    for (const model_demand& reported : changed.models) {
+        if (reported.work.count() > 0) {
+            this->demand[reported.service][reported.model] = reported.work;
+        }
+    }
+}
+
 void load_planner::on(const engine_updated& updated) {
     auto [position, is_new] = this->engines.try_emplace(updated.state.engine);
     engine_plan& plan = position->second;
@@ -72,6 +81,10 @@
 
 void load_planner::on(const authority_changed& changed) {
     this->may_send_orders = changed.may_send_orders;
+    this->imbalanced_since.clear();
+    if (changed.may_send_orders) {
+        this->adopt_assignments();
+    }
     for (auto& [id, plan] : this->engines) {
         // The load orders that the previous leader sent are unknown to this instance.
         plan.current_step = load_step::idle;
@@ -150,38 +163,212 @@
 
 void load_planner::assign_models() {
     for (const service_models& service : this->services) {
-        std::vector<engine_plan*> members;
-        for (auto& [id, plan] : this->engines) {
-            if (plan.weights.service == service.service) {
-                members.push_back(&plan);
-            }
+        if (!service.models.empty()) {
+            this->assign_models(service);
+            this->balance_version_halves(service);
+        }
+    }
+}
+
+void load_planner::assign_models(const service_models& service) {
+    const model_counts wanted = this->wanted_counts(service);
+    const bool is_demand_known = this->is_demand_known(service);
+    const std::size_t members = this->member_count(service.service);
+    const std::size_t max_equal_share =
+        (members + service.models.size() - 1) / service.models.size();
+    model_counts counts;
+    std::vector<engine_plan*> unassigned;
+    for (auto& [id, plan] : this->engines) {
+        if (plan.weights.service != service.service) {
+            continue;
+        }
+        const bool keeps_model = wanted.contains(plan.assigned_model) &&
+                                 (is_demand_known || counts[plan.assigned_model] < max_equal_share);
+        if (keeps_model) {
+            ++counts[plan.assigned_model];
+        } else {
+            unassigned.push_back(&plan);
+        }
+    }
+    for (engine_plan* member : unassigned) {
+        member->assigned_model = model_that_lacks_most(service, wanted, counts);
+        member->loads_even_versions.reset();
+        ++counts[member->assigned_model];
+    }
+    // A model whose last engines were lost doesn't wait for `min_imbalance_time`.
+    while (is_demand_known && counts[model_that_lacks_most(service, wanted, counts)] == 0 &&
+           this->reassign_one(service, wanted, counts)) {
+    }
+}
+
+const model_name& load_planner::model_that_lacks_most(const service_models& service,
+                                                      const model_counts& wanted,
+                                                      model_counts& counts) {
+    const auto lack = [&](const model_name& model) {
+        return static_cast<double>(counts[model]) /
+               static_cast<double>(std::max<std::size_t>(1, wanted.at(model)));
+    };
+    return *std::min_element(
+        service.models.begin(), service.models.end(),
+        [&](const model_name& a, const model_name& b) { return lack(a) < lack(b); });
+}
+
+std::size_t load_planner::member_count(const backend_name& service) const {
+    const auto count =
+        std::count_if(this->engines.begin(), this->engines.end(),
+                      [&](const auto& entry) { return entry.second.weights.service == service; });
+    return static_cast<std::size_t>(count);
+}
+
+bool load_planner::is_demand_known(const service_models& service) const {
+    const auto known = this->demand.find(service.service);
+    return known != this->demand.end() &&
+           std::all_of(service.models.begin(), service.models.end(),
+                       [&](const model_name& model) { return known->second.contains(model); });
+}
+
+model_counts load_planner::wanted_counts(const service_models& service) const {
+    const std::size_t members = this->member_count(service.service);
+    if (this->is_demand_known(service)) {
+        return divide_engines(members, service.models, this->demand.at(service.service));
+    }
+    std::map<model_name, tokens_per_second> equal;
+    for (const model_name& model : service.models) {
+        equal[model] = tokens_per_second(1);
+    }
+    return divide_engines(members, service.models, equal);
+}
+
+model_counts load_planner::assigned_counts(const service_models& service) const {
+    model_counts counts;
+    for (const model_name& model : service.models) {
+        counts[model] = 0;
+    }
+    for (const auto& [id, plan] : this->engines) {
+        if (plan.weights.service == service.service) {
+            ++counts[plan.assigned_model];
+        }
+    }
+    return counts;
+}
+
+void load_planner::rebalance_models() {
+    for (const service_models& service : this->services) {
+        if (service.models.size() > 1 && this->is_demand_known(service)) {
+            this->rebalance_models(service);
+        }
+    }
+}
+
+void load_planner::rebalance_models(const service_models& service) {
+    const model_counts wanted = this->wanted_counts(service);
+    model_counts counts = this->assigned_counts(service);
+    const bool is_imbalanced =
+        std::any_of(service.models.begin(), service.models.end(), [&](const model_name& model) {
+            const std::size_t least = std::min(counts.at(model), wanted.at(model));
+            const std::size_t most = std::max(counts.at(model), wanted.at(model));
+            return most - least >= this->limits.min_imbalance;
+        });
+    if (!is_imbalanced) {
+        this->imbalanced_since.erase(service.service);
+        return;
+    }
+    const time_point since =
+        this->imbalanced_since.try_emplace(service.service, this->now).first->second;
+    if (this->now - since < this->limits.min_imbalance_time) {
+        return;
+    }
+    this->imbalanced_since.erase(service.service);
+    while (this->reassign_one(service, wanted, counts)) {
+    }
+    this->balance_version_halves(service);
+}
+
+bool load_planner::reassign_one(const service_models& service, const model_counts& wanted,
+                                model_counts& counts) {
+    const model_name to = model_that_lacks_most(service, wanted, counts);
+    if (counts[to] >= wanted.at(to)) {
+        return false;
+    }
+    engine_plan* chosen = nullptr;
+    for (auto& [id, plan] : this->engines) {
+        const bool is_surplus = plan.weights.service == service.service &&
+                                plan.current_step == load_step::idle && !plan.weights.is_leaving &&
+                                counts[plan.assigned_model] > wanted.at(plan.assigned_model);
+        // The engine with the oldest weights has to load next anyway.
+        if (is_surplus &&
+            (chosen == nullptr || this->versions_behind(plan) > this->versions_behind(*chosen))) {
+            chosen = &plan;
         }
-        if (service.models.empty()) {
+    }
+    if (chosen == nullptr) {
+        return false;
+    }
+    const model_name from = std::exchange(chosen->assigned_model, to);
+    chosen->loads_even_versions.reset();
+    --counts[from];
+    ++counts[to];
+    this->output.push_back(engine_reassigned{chosen->weights.engine, service.service, from, to,
+                                             counts[from], wanted.at(from), counts[to],
+                                             wanted.at(to)});
+    return true;
+}
+
+void load_planner::adopt_assignments() {
+    for (auto& [id, plan] : this->engines) {
+        const service_models* service = this->find_service(plan.weights.service);
+        if (service == nullptr) {
             continue;
         }
-        std::map<model_name, std::size_t> counts;
-        std::vector<engine_plan*> unassigned;
-        const std::size_t max_engines_per_model =
-            (members.size() + service.models.size() - 1) / service.models.size();
-        for (engine_plan* member : members) {
-            const bool serves_listed_model =
-                std::find(service.models.begin(), service.models.end(), member->assigned_model) !=
-                service.models.end();
-            if (serves_listed_model && counts[member->assigned_model] < max_engines_per_model) {
-                ++counts[member->assigned_model];
+        const model_name previous = plan.assigned_model;
+        for (const model_name& model : service->models) {
+            engine_plan candidate = plan;
+            candidate.assigned_model = model;
+            if (plan.weights.versions.contains(model) &&
+                this->versions_behind(candidate) < this->versions_behind(plan)) {
+                plan.assigned_model = model;
+            }
+        }
+        if (plan.assigned_model != previous) {
+            plan.loads_even_versions.reset();
+        }
+    }
+    this->assign_models();
+}
+
+std::uint64_t load_planner::versions_behind(const engine_plan& plan) const {
+    const auto newest = this->newest_versions.find(plan.assigned_model);
+    const std::uint64_t loaded = loaded_version_of(plan).value();
+    return newest == this->newest_versions.end() || newest->second.value() < loaded
+               ? 0
+               : newest->second.value() - loaded;
+}
+
+void load_planner::balance_version_halves(const service_models& service) {
+    for (const model_name& model : service.models) {
+        std::vector<engine_plan*> even;
+        std::vector<engine_plan*> odd;
+        std::vector<engine_plan*> undecided;
+        for (auto& [id, plan] : this->engines) {
+            if (plan.weights.service != service.service || plan.assigned_model != model) {
+                continue;
+            }
+            if (!plan.loads_even_versions) {
+                undecided.push_back(&plan);
             } else {
-                unassigned.push_back(member);
+                (*plan.loads_even_versions ? even : odd).push_back(&plan);
             }
         }
-        for (engine_plan* member : unassigned) {
-            member->assigned_model = *std::min_element(
-                service.models.begin(), service.models.end(),
-                [&](const model_name& a, const model_name& b) { return counts[a] < counts[b]; });
-            ++counts[member->assigned_model];
+        for (engine_plan* member : undecided) {
+            member->loads_even_versions = even.size() <= odd.size();
+            (*member->loads_even_versions ? even : odd).push_back(member);
         }
-        std::map<model_name, std::size_t> positions;
-        for (engine_plan* member : members) {
-            member->loads_even_versions = positions[member->assigned_model]++ % 2 == 0;
+        while (even.size() > odd.size() + 1 || odd.size() > even.size() + 1) {
+            auto& larger = even.size() > odd.size() ? even : odd;
+            auto& smaller = even.size() > odd.size() ? odd : even;
+            larger.back()->loads_even_versions = !*larger.back()->loads_even_versions;
+            smaller.push_back(larger.back());
+            larger.pop_back();
         }
     }
 }
@@ -207,7 +394,8 @@
         return true;
     }
     const std::uint64_t versions_behind = newest->second.value() - loaded.value();
-    const bool loads_this_version = (newest->second.value() % 2 == 0) == plan.loads_even_versions;
+    const bool loads_this_version =
+        (newest->second.value() % 2 == 0) == plan.loads_even_versions.value_or(false);
     return versions_behind > 1 || loads_this_version;
 }
 
--- a/packages/rollout/load_planner.h
+++ b/packages/rollout/load_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "rollout/model_assignment.h"
 #include "rollout/planner_actions.h"
 #include "rollout/planner_limits.h"
 #include "rollout/planner_messages.h"
@@ -16,11 +17,12 @@
 /// `handle` consumes a message and returns actions.
 ///
 /// Each engine serves one of its service's models, because loading all models on all engines would
-/// leave no time for generation. Where a service has several models, an engine loads only every
-/// other version as long as open jobs accept the version before the newest; half of the engines
-/// then run a whole training step without a pause for loading. Each load order carries the number
-/// of orders that the engine must have accepted before, so that a delayed order cannot override a
-/// newer one.
+/// leave no time for generation. The engines are divided in proportion to the work of the models'
+/// steps, or equally while that is unknown. Where a service has several models, an engine loads
+/// only every other version as long as open jobs accept the version before the newest; half of the
+/// engines then run a whole training step without a pause for loading. Each load order carries the
+/// number of orders that the engine must have accepted before, so that a delayed order cannot
+/// override a newer one.
 class load_planner {
 public:
     explicit load_planner(planner_limits limits = {}) : limits(limits) {}
@@ -43,8 +45,8 @@
         engine_weights weights;
         /// The model that the engine serves; empty if its service has no models.
         model_name assigned_model;
-        /// The engine loads even version numbers; if false, odd ones.
-        bool loads_even_versions = false;
+        /// The engine loads even version numbers; if false, odd ones. Empty until it has a model.
+        std::optional<bool> loads_even_versions;
         load_step current_step = load_step::idle;
         bool is_loading = false;
         /// Version in the latest load order.
@@ -59,6 +61,7 @@
     void on(const services_changed& changed);
     void on(const model_version& version);
     void on(const required_version& required);
+    void on(const demand_changed& changed);
     void on(const engine_updated& updated);
     void on(const engine_removed& removed);
     void on(const authority_changed& changed);
@@ -67,8 +70,29 @@
     void on(const report_failed& failed);
     void on(const timer_expired& expired);
 
-    /// Distributes each service's engines evenly among its models.
+    /// Distributes each service's engines among its models. Keeps what is assigned, except for
+    /// engines without a model, and for models with too few engines.
     void assign_models();
+    void assign_models(const service_models& service);
+    /// Reassigns engines of services whose numbers of engines have long differed from the demand.
+    void rebalance_models();
+    void rebalance_models(const service_models& service);
+    /// Engines that each model of the service should have.
+    [[nodiscard]] model_counts wanted_counts(const service_models& service) const;
+    [[nodiscard]] model_counts assigned_counts(const service_models& service) const;
+    [[nodiscard]] std::size_t member_count(const backend_name& service) const;
+    [[nodiscard]] static const model_name& model_that_lacks_most(const service_models& service,
+                                                                 const model_counts& wanted,
+                                                                 model_counts& counts);
+    [[nodiscard]] std::uint64_t versions_behind(const engine_plan& plan) const;
+    [[nodiscard]] bool is_demand_known(const service_models& service) const;
+    /// Gives the engine of the model with the largest surplus to the model that lacks most.
+    bool reassign_one(const service_models& service, const model_counts& wanted,
+                      model_counts& counts);
+    /// Adopts the assignment of an earlier leader, as far as the engines' weights show it.
+    void adopt_assignments();
+    /// Halves each model's engines by the version numbers that they load, with few changes.
+    void balance_version_halves(const service_models& service);
     /// Sends load orders and report requests that are due, within the limit of parallel loads.
     void plan_due_steps();
     void record_version(engine_plan& plan, const model_name& model, weight_version version);
@@ -85,6 +109,9 @@
     std::vector<service_models> services;
     std::map<model_name, weight_version> newest_versions;
     std::map<model_name, weight_version> required_versions;
+    std::map<backend_name, std::map<model_name, tokens_per_second>> demand;
+    /// Since when a service's numbers of engines have differed from its demand.
+    std::map<backend_name, time_point> imbalanced_since;
     std::map<target_id, engine_plan> engines;
     bool may_send_orders = false;
     time_point now{};
--- a/packages/rollout/planner_actions.h
+++ b/packages/rollout/planner_actions.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "rollout/load_mode.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <variant>
 #include <vector>
@@ -39,8 +40,21 @@
     weight_version version;
 };
 
-using planner_action =
-    std::variant<send_load_order, request_report, loading_changed, weights_loaded>;
+/// The engine serves another model from now on. For the log only.
+struct engine_reassigned {
+    target_id engine;
+    backend_name service;
+    model_name from;
+    model_name to;
+    /// Engines of the two models after the change, and how many their demand calls for.
+    std::size_t engines_of_from = 0;
+    std::size_t wanted_of_from = 0;
+    std::size_t engines_of_to = 0;
+    std::size_t wanted_of_to = 0;
+};
+
+using planner_action = std::variant<send_load_order, request_report, loading_changed,
+                                    weights_loaded, engine_reassigned>;
 using planner_actions = std::vector<planner_action>;
 
 } // namespace kingcupcart::rollout
--- a/packages/rollout/planner_limits.h
+++ b/packages/rollout/planner_limits.h
@@ -18,6 +18,12 @@
     duration report_interval = std::chrono::milliseconds(250);
     /// Delay before the next attempt after a load order or a report request failed.
     duration retry_interval = std::chrono::milliseconds(700);
+    /// Engines are reassigned once some model's number of engines has differed by at least this
+    /// much from what its demand calls for, for `min_imbalance_time`. A reassigned engine pauses
+    /// for a load and starts with a cold cache.
+    std::size_t min_imbalance = 2;
+    /// Two to three steps of a trainer, so that a single large step reassigns nothing.
+    duration min_imbalance_time = std::chrono::seconds(10);
 };
 
 } // namespace kingcupcart::rollout
--- a/packages/rollout/planner_messages.h
+++ b/packages/rollout/planner_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/units.h"
 #include "rollout/engine_weights.h"
 #include "rollout/load_mode.h"
 
@@ -35,6 +36,19 @@
     weight_version oldest;
 };
 
+/// What the training steps of one model need of the engines of one service.
+struct model_demand {
+    backend_name service;
+    model_name model;
+    /// Output that recent steps asked for per second.
+    tokens_per_second work{0};
+};
+
+/// Recent demand, as the leading store reports it. Models that are not listed keep their last one.
+struct demand_changed {
+    std::vector<model_demand> models;
+};
+
 /// An engine appeared, or its properties changed.
 struct engine_updated {
     engine_weights state;
@@ -92,8 +106,8 @@
 struct timer_expired {};
 
 using planner_message =
-    std::variant<services_changed, model_version, required_version, engine_updated, engine_removed,
-                 authority_changed, load_order_response, engine_report, report_failed,
-                 timer_expired>;
+    std::variant<services_changed, model_version, required_version, demand_changed, engine_updated,
+                 engine_removed, authority_changed, load_order_response, engine_report,
+                 report_failed, timer_expired>;
 
 } // namespace kingcupcart::rollout
--- a/packages/rollout/tests/rollout_test.cpp
+++ b/packages/rollout/tests/rollout_test.cpp
@@ -40,6 +40,8 @@
                 this->report_requests.push_back(request->engine.value());
             } else if (const auto* loaded = std::get_if<weights_loaded>(&action)) {
                 this->loaded.insert(loaded->engine.value());
+            } else if (const auto* reassigned = std::get_if<engine_reassigned>(&action)) {
+                this->reassigned.push_back(*reassigned);
             }
         }
     }
@@ -67,6 +69,7 @@
     std::vector<send_load_order> loads;
     std::vector<std::string> report_requests;
     std::set<std::string> loaded;
+    std::vector<engine_reassigned> reassigned;
 };
 
 } // namespace
@@ -201,3 +204,80 @@
         }
     }
 }
+
+// Guards against equal shares for unequal work: a model with twice the work was late all day.
+SCENARIO("engines are divided among the models of their service by demand") {
+    GIVEN("the work of the four trainers of a deployment of 48 engines") {
+        const std::vector<model_name> models{model_name("subject"), model_name("authority"),
+                                             model_name("series"), model_name("shelfmark")};
+        const model_counts counts = divide_engines(48, models,
+                                                   {{models[0], tokens_per_second(1536)},
+                                                    {models[1], tokens_per_second(3024)},
+                                                    {models[2], tokens_per_second(3192)},
+                                                    {models[3], tokens_per_second(1568)}});
+        THEN("the shares are proportional") {
+            CHECK(counts.at(models[0]) == 8);
+            CHECK(counts.at(models[1]) == 16);
+            CHECK(counts.at(models[2]) == 16);
+            CHECK(counts.at(models[3]) == 8);
+        }
+    }
+    GIVEN("fewer engines than models, and a model without work") {
+        const std::vector<model_name> models{model_name("m"), model_name("n"), model_name("o")};
+        const model_counts few = divide_engines(2, models, {{models[0], tokens_per_second(9)}});
+        const model_counts enough = divide_engines(10, models, {{models[0], tokens_per_second(9)}});
+        THEN("no model gets more than one engine of the few, and each gets two of enough") {
+            CHECK(few.at(models[0]) + few.at(models[1]) + few.at(models[2]) == 2);
+            CHECK(enough.at(models[0]) == 6);
+            CHECK(enough.at(models[1]) == 2);
+        }
+    }
+    GIVEN("20 engines that two models share equally") {
+        fixture test(20, {"m", "n"});
+        test.gain_authority();
+        const auto report = [&](double m, double n) {
+            test.dispatch(
+                demand_changed{{{backend_name("llm"), model_name("m"), tokens_per_second(m)},
+                                {backend_name("llm"), model_name("n"), tokens_per_second(n)}}});
+        };
+        WHEN("one has three times the work for a moment only") {
+            report(3000, 1000);
+            test.now += 5s;
+            test.dispatch(timer_expired{});
+            report(1000, 1000);
+            test.now += 20s;
+            test.dispatch(timer_expired{});
+            THEN("no engine is reassigned") {
+                CHECK(test.reassigned.empty());
+            }
+        }
+        WHEN("their work differs by less than two engines") {
+            report(1100, 1000);
+            test.now += 60s;
+            test.dispatch(timer_expired{});
+            THEN("no engine is reassigned") {
+                CHECK(test.reassigned.empty());
+            }
+        }
+        WHEN("one has three times the work for longer") {
+            report(3000, 1000);
+            test.now += 11s;
+            test.dispatch(timer_expired{});
+            THEN("it gets three quarters of the engines, once") {
+                REQUIRE(test.reassigned.size() == 5);
+                CHECK(test.reassigned.back().engines_of_to == 15);
+                test.now += 60s;
+                test.dispatch(timer_expired{});
+                CHECK(test.reassigned.size() == 5);
+            }
+            AND_WHEN("an engine joins, and the reports stop") {
+                test.add("z");
+                test.now += 60s;
+                test.dispatch(timer_expired{});
+                THEN("the assignment stays") {
+                    CHECK(test.reassigned.size() == 5);
+                }
+            }
+        }
+    }
+}
