--- a/packages/scaling/internal/replica_scaler.cpp
+++ b/packages/scaling/internal/replica_scaler.cpp
@@ -57,17 +57,18 @@
     return next;
 }
 
-replica_count replica_scaler::ordered(const replica_pool& pool) const {
-    const auto plan = this->services.find(pool.service);
-    if (plan == this->services.end()) {
-        return {};
-    }
-    const auto domain = plan->second.domains.find(pool.domain);
-    if (domain == plan->second.domains.end()) {
-        return {};
+std::vector<pool_numbers> replica_scaler::numbers() const {
+    std::vector<pool_numbers> numbers;
+    for (const auto& [name, plan] : this->services) {
+        for (const auto& [id, domain] : plan.domains) {
+            for (const replica_kind kind : {replica_kind::normal, replica_kind::spot}) {
+                const replica_pool pool{name, id, kind};
+                const pool_plan& known = kind == replica_kind::spot ? domain.spot : domain.normal;
+                numbers.push_back({pool, this->replicas.present(pool), known.ordered});
+            }
+        }
     }
-    return pool.kind == replica_kind::spot ? domain->second.spot.ordered
-                                           : domain->second.normal.ordered;
+    return numbers;
 }
 
 void replica_scaler::on(const services_changed& changed) {
--- a/packages/scaling/internal/step_demand.cpp
+++ b/packages/scaling/internal/step_demand.cpp
@@ -12,11 +12,11 @@
     this->latest_lateness = duration::zero();
     this->latest_report = now;
     for (const model_load& model : models) {
-        // More than the usual steps may be open while a trainer is behind.
-        const std::int64_t open = model.running.count() + model.waiting.count();
         const std::int64_t usual = model.largest_step.count() * limits.steps_in_flight;
+        // More items than those of the usual steps wait while a trainer is behind.
+        const std::int64_t slots_at_once = std::max(usual, model.waiting.count());
         const double margin = model.lateness > duration::zero() ? 1 + limits.late_margin : 1;
-        const auto needed = static_cast<double>(std::max(usual, open)) * margin;
+        const auto needed = static_cast<double>(slots_at_once) * margin;
         slots += static_cast<std::int64_t>(std::ceil(needed));
         this->waiting_slots += model.waiting;
         this->latest_lateness = std::max(this->latest_lateness, model.lateness);
--- a/packages/scaling/replica_scaler.h
+++ b/packages/scaling/replica_scaler.h
@@ -11,9 +11,17 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace kingcupcart::scaling {
 
+/// Replicas that serve, and that should according to the latest accepted order.
+struct pool_numbers {
+    replica_pool pool;
+    replica_count present;
+    replica_count ordered;
+};
+
 /// Decides how many replicas of each service to order in each failure domain. A state machine that
 /// performs no I/O: `handle` consumes a message and returns actions.
 ///
@@ -29,11 +37,8 @@
     /// When `timer_expired` is due next; empty if no timer is needed.
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
 
-    /// Replicas that exist or were ordered and accepted; zero before the first decision.
-    [[nodiscard]] replica_count ordered(const replica_pool& pool) const;
-    [[nodiscard]] replica_count present(const replica_pool& pool) const {
-        return this->replicas.present(pool);
-    }
+    /// The numbers of each service, failure domain and kind; empty before the first decision.
+    [[nodiscard]] std::vector<pool_numbers> numbers() const;
 
 private:
     struct pool_plan {
--- a/packages/scaling/scaler_messages.h
+++ b/packages/scaling/scaler_messages.h
@@ -46,8 +46,6 @@
     model_name model;
     /// Slots that the needed items of the largest recent step occupy at the same time.
     slot_count largest_step;
-    /// Slots that are occupied by items of the model.
-    slot_count running;
     /// Slots that would be occupied by items that wait for one.
     slot_count waiting;
     /// Time by which the latest open step is expected to miss its due time; zero if none is.
