Store and keepers: demand of models reaches the load planner

Cause: the planner divides engines by demand, which nothing sent. Keepers ignore reports of an earlier term.

--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -53,6 +53,14 @@
     return this->impl->runs.size();
 }
 
+std::size_t item_scheduler::waiting_count(const model_name& model) const {
+    const auto count = std::count_if(
+        this->impl->waiting.begin(), this->impl->waiting.end(), [&](const item_id& id) {
+            return this->impl->jobs.at(this->impl->items.at(id).job).spec.model == model;
+        });
+    return static_cast<std::size_t>(count);
+}
+
 void item_scheduler::state::on(const job_opened& opened) {
     this->jobs.insert_or_assign(opened.job, job_state{opened, false, this->now});
     const auto ranks = rank_groups(opened, this->earlier_groups);
--- a/packages/batch/item_scheduler.h
+++ b/packages/batch/item_scheduler.h
@@ -34,6 +34,8 @@
 
     [[nodiscard]] std::size_t waiting_count() const;
     [[nodiscard]] std::size_t running_count() const;
+    /// Number of waiting items of the model's jobs.
+    [[nodiscard]] std::size_t waiting_count(const model_name& model) const;
 
 private:
     class state;
--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -57,6 +57,7 @@
                    [this](const instance_id& keeper) {
                        spdlog::warn("lost connection to keeper keeper={} reached={}",
                                     keeper.value(), this->links.open_count());
+                       this->keeper_revisions.erase(keeper);
                        this->known_streams.keeper_lost(keeper);
                    }}) {
     this->add_seeds(seeds);
@@ -68,6 +69,14 @@
     }
 }
 
+void keeper_client::send_to_all(const wire::message& message, std::uint16_t min_revision) {
+    for (const auto& [keeper, revision] : this->keeper_revisions) {
+        if (revision >= min_revision) {
+            this->links.send(keeper, message);
+        }
+    }
+}
+
 bool keeper_client::ask_nearest(const wire::message& question) {
     const time_point now = this->time.now();
     this->asked_in_a_row = now < this->last_asked_at + answer_time ? this->asked_in_a_row + 1 : 0;
@@ -117,6 +126,7 @@
         this->notify.relays_found(*found);
     } else if (const auto* greeting = std::get_if<wire::hello>(&message)) {
         this->keeper_places.insert_or_assign(from, greeting->place);
+        this->keeper_revisions.insert_or_assign(from, greeting->revision);
         this->known_streams.keeper_connected(from, greeting->place);
     } else if (const auto* initial_members = std::get_if<wire::initial_members_update>(&message)) {
         this->notify.initial_members_received(initial_members->initial_members);
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -15,6 +15,7 @@
 #include "wire/messages.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -70,6 +71,8 @@
         return this->links.send(keeper, message);
     }
     void send_to_all(const wire::message& message) { this->links.send_to_all(message); }
+    /// Sends the message to the keepers that understand this revision of the protocol.
+    void send_to_all(const wire::message& message, std::uint16_t min_revision);
     /// Sends a question to one keeper: to the nearest one whose link is open, and to the next one
     /// if the last question was asked so recently that it may not have been answered. Returns false
     /// if no link is open.
@@ -107,6 +110,8 @@
     location place;
     /// Where the keepers are, as far as they said so.
     std::map<instance_id, location> keeper_places;
+    /// Protocol revision of each keeper, from the hello of its current link.
+    std::map<instance_id, std::uint16_t> keeper_revisions;
     time_point last_asked_at{};
     /// Keepers that were asked one after the other since the last pause.
     std::size_t asked_in_a_row = 0;
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -257,6 +257,8 @@
         for (const membership::model_weights& needed : report->required_weights) {
             this->orders.dispatch(rollout::required_version{needed.model, needed.version});
         }
+    } else if (const auto* demand = std::get_if<wire::model_demand_report>(&message)) {
+        this->demand_received(*demand);
     } else if (const auto* fleet = std::get_if<wire::fleet_update>(&message)) {
         for (const wire::instance_address& keeper : fleet->keepers) {
             this->params.replicated_group->add_member(keeper.id, keeper.address);
@@ -264,6 +266,19 @@
     }
 }
 
+void fleet_control::demand_received(const wire::model_demand_report& report) {
+    if (report.term < this->demand_term) {
+        return;
+    }
+    this->demand_term = report.term;
+    rollout::demand_changed changed;
+    for (const wire::model_demand& model : report.models) {
+        changed.models.push_back({model.service, model.model,
+                                  tokens_per_second(static_cast<double>(model.tokens_per_second))});
+    }
+    this->orders.dispatch(changed);
+}
+
 void fleet_control::target_changed(const membership::directory_change& change) {
     const membership::target_record& record = change.record;
     if (change.event == membership::directory_event::removed) {
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -96,6 +96,8 @@
     void submit(const replicated::command& command, const control_reply& reply);
     /// Notifies the permits and the load planner.
     void target_changed(const membership::directory_change& change);
+    /// Passes the newest leader's report to the load planner.
+    void demand_received(const wire::model_demand_report& report);
     void routes_changed();
     void weights_changed();
     void fleet_changed();
@@ -116,6 +118,8 @@
     stream_control streams;
     relay_directory relays;
     weight_orders orders;
+    /// Term of the store that sent the newest demand report.
+    std::uint64_t demand_term = 0;
     bool is_bootstrapping = false;
     task::wakeup maintenance_timer;
 };
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -110,6 +110,7 @@
     if (route == nullptr) {
         this->jobs_without_route.push_back(record.content.id);
     }
+    this->measure_step(record, route);
     batch::job_opened opened = this->describe(record, route);
     const std::vector<item_id> unscored = this->scores.resume(record);
     std::erase_if(opened.items, [&](const batch::pending_item& item) {
@@ -124,7 +125,32 @@
     this->dispatch(opened);
 }
 
+void item_runner::measure_step(const batch::job_record& record, const routes::route* route) {
+    const batch::job& job = record.content;
+    if (job.model.value().empty() || route == nullptr || route->shares.empty()) {
+        return;
+    }
+    std::int64_t output = 0;
+    for (const batch::job_item& item : job.items) {
+        output += (item.output_hint.count() > 0 ? item.output_hint : item.max_output).count();
+    }
+    std::uint64_t total_weight = 0;
+    for (const routes::service_share& share : route->shares) {
+        total_weight += share.weight;
+    }
+    for (const routes::service_share& share : route->shares) {
+        const double part = total_weight == 0 ? 0.0
+                                              : static_cast<double>(share.weight) /
+                                                    static_cast<double>(total_weight);
+        this->meter.step_submitted(
+            {job.id, share.service, job.model, job.items.size(),
+             tokens(static_cast<std::int64_t>(static_cast<double>(output) * part)), job.submitted,
+             route->completion_objective});
+    }
+}
+
 void item_runner::close(const job_id& job) {
+    this->meter.step_ended(job, this->params.wall->now());
     this->dispatch(batch::job_closed{job});
     this->scores.close(job);
 }
--- a/packages/store/internal/item_runner.h
+++ b/packages/store/internal/item_runner.h
@@ -6,6 +6,7 @@
 #include "base/response_limits.h"
 #include "base/wall_clock.h"
 #include "batch/commands.h"
+#include "batch/demand_meter.h"
 #include "batch/item_scheduler.h"
 #include "batch/job_record.h"
 #include "batch/job_state_machine.h"
@@ -80,6 +81,13 @@
 
     [[nodiscard]] std::size_t running_count() const { return this->scheduler.running_count(); }
     [[nodiscard]] std::size_t waiting_count() const { return this->scheduler.waiting_count(); }
+    [[nodiscard]] std::size_t waiting_count(const model_name& model) const {
+        return this->scheduler.waiting_count(model);
+    }
+    /// Demand of the models whose steps this store has run since it leads.
+    [[nodiscard]] std::vector<batch::step_demand> demand() const {
+        return this->meter.demand(this->params.wall->now());
+    }
     /// Number of complete texts without a score.
     [[nodiscard]] std::size_t unscored_count() const { return this->scores.pending_count(); }
 
@@ -101,6 +109,8 @@
     void on(const batch::item_restarted& restarted);
     /// Stops the run, where it still exists, and schedules its deletion.
     void remove_run(batch::run_id run);
+    /// Adds the job, if it is a training step, to the demand of its services.
+    void measure_step(const batch::job_record& record, const routes::route* route);
     [[nodiscard]] batch::engine engine_of(const membership::target_record& record) const;
     [[nodiscard]] batch::job_opened describe(const batch::job_record& record,
                                              const routes::route* route) const;
@@ -109,6 +119,7 @@
     parameters params;
     score_runner scores;
     batch::item_scheduler scheduler;
+    batch::demand_meter meter;
     http::client client;
     std::unordered_map<batch::run_id, std::unique_ptr<item_run>> runs;
     /// Destroyed after `remote`, which refers to the texts.
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -344,9 +344,33 @@
     this->fleet->send_to_all(report);
 }
 
+void store::send_demand() {
+    if (!this->runner || !this->replicated_group->is_leader()) {
+        return;
+    }
+    wire::model_demand_report report;
+    report.term = this->replicated_group->consensus().state().term().value();
+    for (const batch::step_demand& measured : this->runner->demand()) {
+        wire::model_demand demand;
+        demand.service = measured.service;
+        demand.model = measured.model;
+        demand.tokens_per_second = static_cast<std::uint64_t>(measured.work.count());
+        demand.largest_step_items = measured.largest_step_items;
+        demand.waiting_items = this->runner->waiting_count(measured.model);
+        demand.expected_lateness =
+            std::chrono::duration_cast<std::chrono::milliseconds>(measured.expected_lateness);
+        demand.steps_in_flight = measured.steps_in_flight;
+        report.models.push_back(std::move(demand));
+    }
+    if (!report.models.empty()) {
+        this->fleet->send_to_all(report, 1);
+    }
+}
+
 void store::run_maintenance() {
     this->broadcast_leader();
     this->send_report();
+    this->send_demand();
     this->maintenance_timer.arm(this->params.time->now() + maintenance_interval);
 }
 
--- a/packages/store/internal/store.h
+++ b/packages/store/internal/store.h
@@ -87,6 +87,8 @@
     /// While this store leads, sends all keepers the voters among the stores and the oldest weight
     /// versions that open jobs accept.
     void send_report();
+    /// While this store leads, sends all keepers that understand it the demand of each model.
+    void send_demand();
     void run_maintenance();
     [[nodiscard]] endpoint leader_address() const;
     [[nodiscard]] wire::leader_update make_leader_update() const;
