--- a/packages/scaling/tests/platform_fake.h
+++ b/packages/scaling/tests/platform_fake.h
@@ -31,6 +31,11 @@
         for (const scaler_action& action : this->scaler.handle(message, this->now)) {
             if (const auto* order = std::get_if<order_replicas>(&action)) {
                 this->orders.push_back(*order);
+                this->has_two_open =
+                    this->has_two_open ||
+                    std::any_of(this->open.begin(), this->open.end(), [&](const auto& call) {
+                        return call.order.domain == order->domain;
+                    });
                 this->open.push_back({*order, this->now + std::chrono::milliseconds(100)});
             } else {
                 this->missing.push_back(std::get<replicas_missing>(action));
@@ -112,6 +117,10 @@
     /// Domains in which accepted orders have no effect.
     std::set<std::string> ineffective;
     bool is_out = false;
+    /// Orders are executed, and their responses are lost.
+    bool loses_responses = false;
+    /// Two orders for a domain were open at the same time.
+    bool has_two_open = false;
     bool is_busy = false;
     double replica_seconds = 0;
 
@@ -148,6 +157,7 @@
                 result = order_result::none_available;
             } else if (!this->ineffective.contains(domain)) {
                 this->execute(pool, order.desired.count());
+                result = this->loses_responses ? order_result::unknown : result;
             }
             this->send(order_response{order.service, order.domain, order.number, result});
         }
--- a/packages/scaling/tests/scaling_test.cpp
+++ b/packages/scaling/tests/scaling_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
+
 using namespace kingcupcart;
 using namespace kingcupcart::scaling;
 using namespace std::chrono_literals;
@@ -268,3 +270,76 @@
         CHECK(test.orders.back().kind == replica_kind::normal);
     }
 }
+
+// Guards against combinations of faults that leave too few replicas for good, or end some.
+SCENARIO("the number of replicas recovers from any faults") {
+    for (unsigned seed = 0; seed < 300; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        const auto draw = [&](unsigned below) { return random() % below; };
+        platform_fake test = make_platform(16);
+        test.set_demand(48);
+        for (int second = 0; second < 100; ++second) {
+            const std::string domain = "d" + std::to_string(draw(3));
+            const auto kind = draw(3) == 0 ? replica_kind::spot : replica_kind::normal;
+            switch (draw(14)) {
+            case 0:
+                test.is_out = !test.is_out;
+                break;
+            case 1:
+                test.is_busy = !test.is_busy;
+                break;
+            case 2:
+                test.loses_responses = !test.loses_responses;
+                break;
+            case 3:
+                test.exhausted.insert({domain, kind});
+                break;
+            case 4:
+                test.exhausted.clear();
+                break;
+            case 5:
+                test.ineffective.insert(domain);
+                break;
+            case 6:
+                test.ineffective.clear();
+                break;
+            case 7:
+                test.lose(domain, static_cast<int>(test.count(domain, kind)), kind);
+                break;
+            case 8:
+                test.lose(domain, static_cast<int>(std::min<std::int64_t>(1, test.count(domain))));
+                break;
+            case 9:
+                test.reclaim(domain);
+                break;
+            case 10:
+                test.change_leader();
+                break;
+            case 11:
+                test.set_demand(static_cast<std::int64_t>(8 + draw(150)));
+                break;
+            default:
+                break;
+            }
+            test.run(1s);
+        }
+        test.is_out = test.is_busy = test.loses_responses = false;
+        test.exhausted.clear();
+        test.ineffective.clear();
+        test.set_demand(160); // 40 of at most 48
+        test.run(70s);
+        CHECK(test.total() >= 40);
+        CHECK_FALSE(test.has_two_open);
+        for (const char* domain : {"d0", "d1", "d2"}) {
+            CHECK(test.count(domain) + test.count(domain, replica_kind::spot) <= 16);
+        }
+        for (const order_replicas& order : test.orders) {
+            // Replicas are ended only where more than the needed ones are expected.
+            const bool is_surplus =
+                order.reason == order_reason::surplus && order.basis.expected > order.basis.needed;
+            CHECK((order.kind == replica_kind::spot || is_surplus ||
+                   order.desired >= order.basis.present));
+        }
+    }
+}
