Scaling: show that a new leader remembers lost replicas

Cause: with the memory of lost replicas taken out, no test failed, because the new leader in the scenario had no reason to order anything.

Change: the demand rises after the change of the leader.

Measured: scaling_test fails without the memory and passes with it.

--- a/packages/scaling/tests/scaling_test.cpp
+++ b/packages/scaling/tests/scaling_test.cpp
@@ -184,6 +184,7 @@
         }
         AND_WHEN("another keeper leads meanwhile") {
             test.change_leader();
+            test.set_demand(56); // 14 replicas
             test.run(60s);
             THEN("the domain, which may be out of reach only, is not ordered to have fewer") {
                 for (const order_replicas& order : test.orders) {
@@ -192,7 +193,7 @@
                         CHECK(order.desired >= replica_count(4));
                     }
                 }
-                CHECK(test.total() >= 12);
+                CHECK(test.total() >= 14);
             }
         }
     }
