--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -363,7 +363,7 @@
         report.models.push_back(std::move(demand));
     }
     if (!report.models.empty()) {
-        this->fleet->send_to_all(report, 1);
+        this->fleet->send_to_revision(1, report);
     }
 }
 
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -78,6 +78,7 @@
     relayed_call_cancel = 51,
     relayed_data_taken = 52,
     relay_stopping = 53,
+    usage_update = 54,
     model_demand_report = 55
 };
 
@@ -561,6 +562,7 @@
     {message_number::relayed_data_taken, "relayed_data_taken",
      read_serializable<relayed_data_taken>},
     {message_number::relay_stopping, "relay_stopping", read_serializable<relay_stopping>},
+    {message_number::usage_update, "usage_update", read_serializable<usage_update>},
     {message_number::model_demand_report, "model_demand_report",
      read_serializable<model_demand_report>},
 };
