--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -15,6 +15,7 @@
 #include "wire/messages.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
