Settings: the rate of duty calls is a decimal number

Cause: the platform states the rate as 50.0, which was refused as no whole number, so keepers did not start. Change: ini_section reads decimal numbers; the rate may be below one a second.

--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -130,7 +130,7 @@
     call_arguments.platform = settings.platform;
     call_arguments.time = this->params.time;
     call_arguments.limits = this->params.limits;
-    call_arguments.calls_per_second = static_cast<double>(settings.calls_per_second);
+    call_arguments.calls_per_second = settings.calls_per_second;
     call_arguments.authority = [this] { return this->duty_authority(); };
     call_arguments.metrics = this->params.metrics;
     this->platform = std::make_unique<platform_calls>(std::move(call_arguments));
--- a/packages/keeper/internal/platform_calls.cpp
+++ b/packages/keeper/internal/platform_calls.cpp
@@ -25,7 +25,7 @@
 duties::call_schedule::limits make_limits(double calls_per_second) {
     duties::call_schedule::limits limits;
     limits.interval = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(1 / std::max(calls_per_second * rate_share, 1.0)));
+        std::chrono::duration<double>(1 / (calls_per_second * rate_share)));
     return limits;
 }
 
--- a/packages/settings/duty_settings.h
+++ b/packages/settings/duty_settings.h
@@ -16,7 +16,7 @@
     /// Whether the number of replicas is ordered.
     bool scales_replicas = false;
     /// Calls per second that the platform accepts from all instances together.
-    std::int64_t calls_per_second = 50;
+    double calls_per_second = 50;
     std::chrono::milliseconds usage_window = std::chrono::seconds(5);
     /// Time after a window's end within which its report is due.
     std::chrono::milliseconds usage_late = std::chrono::seconds(10);
--- a/packages/settings/ini_section.h
+++ b/packages/settings/ini_section.h
@@ -20,6 +20,12 @@
     std::int64_t maximum = 0;
 };
 
+/// Range of a decimal number, bounds included.
+struct decimal_range {
+    double minimum = 0;
+    double maximum = 0;
+};
+
 /// Range of a duration, bounds included.
 struct duration_range {
     duration minimum{};
@@ -44,6 +50,9 @@
                                                  const std::vector<std::string>& allowed);
     [[nodiscard]] outcome<std::int64_t> integer_or(const std::string& key, std::int64_t fallback,
                                                    integer_range range);
+    /// A number such as 50, 50.0 or 0.5.
+    [[nodiscard]] outcome<double> decimal_or(const std::string& key, double fallback,
+                                             decimal_range range);
     [[nodiscard]] outcome<bool> boolean_or(const std::string& key, bool fallback);
     /// An integer with a unit: us, ms, s, min, h or d.
     [[nodiscard]] outcome<duration> duration_or(const std::string& key, duration fallback,
--- a/packages/settings/internal/ini_section.cpp
+++ b/packages/settings/internal/ini_section.cpp
@@ -147,6 +147,27 @@
     return *number;
 }
 
+outcome<double> ini_section::decimal_or(const std::string& key, double fallback,
+                                        decimal_range range) {
+    const auto value = this->read_value(key);
+    if (!value) {
+        return fallback;
+    }
+    double number = 0;
+    const char* last = value->data() + value->size();
+    const auto [end, problem] =
+        std::from_chars(value->data(), last, number, std::chars_format::fixed);
+    // A comparison with NaN is false.
+    const bool is_in_range = number >= range.minimum && number <= range.maximum;
+    if (problem != std::errc{} || end != last || !is_in_range) {
+        std::ostringstream message;
+        message << '\'' << *value << "' is not a number from " << range.minimum << " to "
+                << range.maximum;
+        return this->fail_at(key, message.str());
+    }
+    return number;
+}
+
 outcome<bool> ini_section::boolean_or(const std::string& key, bool fallback) {
     const auto value = this->read_value(key);
     if (!value) {
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -155,7 +155,8 @@
     return settings;
 }
 
-constexpr std::int64_t max_duty_calls = 100000;
+constexpr double min_duty_calls = 0.1;
+constexpr double max_duty_calls = 100000;
 
 outcome<std::optional<duty_settings>> read_duties(const ini_document& document) {
     ini_section section(document, "duties");
@@ -171,9 +172,9 @@
             return section.fail_at("carry-out", "'" + duty + "' is not one of usage, autoscale");
         }
     }
-    BOOST_LEAF_ASSIGN(
-        settings.calls_per_second,
-        section.integer_or("calls-per-second", settings.calls_per_second, {1, max_duty_calls}));
+    BOOST_LEAF_ASSIGN(settings.calls_per_second,
+                      section.decimal_or("calls-per-second", settings.calls_per_second,
+                                         {min_duty_calls, max_duty_calls}));
     BOOST_LEAF_AUTO(window,
                     section.duration_or("usage-window", settings.usage_window,
                                         {std::chrono::milliseconds(100), std::chrono::hours(1)}));
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -212,6 +212,16 @@
         CHECK(duties->usage_late == std::chrono::seconds(10));
         CHECK(duties->calls_per_second == 50);
     }
+    GIVEN("a rate of calls as platforms write it") {
+        CHECK(duties_of("platform = 127.0.0.1:80\ncalls-per-second = 50.0\n")->calls_per_second ==
+              50);
+        CHECK(duties_of("platform = 127.0.0.1:80\ncalls-per-second = 0.5\n")->calls_per_second ==
+              0.5);
+        for (const char* bad : {"0", "-1", "nan", "1e3", "50 calls"}) {
+            CHECK(message_for(valid_settings + "[duties]\ncalls-per-second = " + bad + "\n")
+                      .find("is not a number from 0.1 to 100000") != std::string::npos);
+        }
+    }
     GIVEN("a duty that does not exist") {
         CHECK(message_for(valid_settings + "[duties]\ncarry-out = usage, sweep\n")
                   .find("[duties] carry-out: 'sweep' is not one of usage, autoscale") !=
