HTTP server: refuse a request before its body arrives

Cause: libsoup sends no response before it has read the body, so a caller without a key could hold a connection and its buffers for as long as it sends.

--- a/packages/http/exchange.h
+++ b/packages/http/exchange.h
@@ -20,7 +20,12 @@
 /// destroying the exchange earlier closes the connection.
 class exchange {
 public:
-    exchange(SoupServerMessage* message, std::shared_ptr<buffered_message> buffers);
+    /// What of the request has arrived. With the head alone, destroying the exchange without a
+    /// response leaves the request open.
+    enum class stage { head, complete };
+
+    exchange(SoupServerMessage* message, std::shared_ptr<buffered_message> buffers,
+             stage received = stage::complete);
     ~exchange();
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
@@ -52,6 +57,8 @@
     void on_sent(std::function<void()> callback);
 
     [[nodiscard]] bool is_streaming() const;
+    /// Whether `respond` was called, or the end of a stream.
+    [[nodiscard]] bool is_responded() const;
 
 private:
     class state;
--- a/packages/http/internal/buffered_message.cpp
+++ b/packages/http/internal/buffered_message.cpp
@@ -30,6 +30,12 @@
     g_signal_handlers_disconnect_by_data(this->message.get(), this);
 }
 
+void buffered_message::discard_body() {
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(this->message.get()),
+                                     FALSE);
+    this->receive_complete();
+}
+
 void buffered_message::receive_complete() {
     this->is_received = true;
     this->count_held();
--- a/packages/http/internal/buffered_message.h
+++ b/packages/http/internal/buffered_message.h
@@ -24,6 +24,8 @@
     buffered_message(const buffered_message&) = delete;
     buffered_message& operator=(const buffered_message&) = delete;
 
+    /// The response is sent already: what still arrives of the body is discarded.
+    void discard_body();
     /// The request is complete, and its handler's to answer.
     void receive_complete();
     /// A whole response waits to be sent. It is held to its end.
--- a/packages/http/internal/exchange.cpp
+++ b/packages/http/internal/exchange.cpp
@@ -13,19 +13,23 @@
 /// of a paused message, so it would not notice that the client disconnects.
 class exchange::state {
 public:
-    state(SoupServerMessage* server_message, std::shared_ptr<buffered_message> message_buffers)
+    state(SoupServerMessage* server_message, std::shared_ptr<buffered_message> message_buffers,
+          stage received)
         : message(task::g_pointer<SoupServerMessage>::share(server_message)),
-          buffers(std::move(message_buffers)) {
+          buffers(std::move(message_buffers)),
+          received(received) {
         g_signal_connect(server_message, "finished", G_CALLBACK(&state::finished), this);
         g_signal_connect(server_message, "wrote-body-data", G_CALLBACK(&state::wrote_body_data),
                          this);
-        this->start_watching();
+        if (received == stage::complete) {
+            this->start_watching();
+        }
     }
 
     ~state() {
         this->stop_watching();
         g_signal_handlers_disconnect_by_data(this->message.get(), this);
-        if (!this->is_responded && !this->is_finished) {
+        if (!this->is_responded && !this->is_finished && this->received == stage::complete) {
             this->close_connection();
         }
     }
@@ -40,13 +44,15 @@
     }
 
     void resume() {
-        if (!this->is_finished) {
+        // libsoup has not paused a message of which it reads the body.
+        if (!this->is_finished && this->received == stage::complete) {
             soup_server_message_unpause(this->message.get());
         }
     }
 
     task::g_pointer<SoupServerMessage> message;
     std::shared_ptr<buffered_message> buffers;
+    stage received;
     std::function<void()> disconnect_callback;
     std::function<void()> sent_callback;
     bool is_streaming = false;
@@ -126,8 +132,9 @@
     GSource* source = nullptr;
 };
 
-exchange::exchange(SoupServerMessage* message, std::shared_ptr<buffered_message> buffers)
-    : impl(std::make_shared<state>(message, std::move(buffers))) {}
+exchange::exchange(SoupServerMessage* message, std::shared_ptr<buffered_message> buffers,
+                   stage received)
+    : impl(std::make_shared<state>(message, std::move(buffers), received)) {}
 
 exchange::~exchange() = default;
 
@@ -235,6 +242,10 @@
     this->impl->sent_callback = std::move(callback);
 }
 
+bool exchange::is_responded() const {
+    return this->impl->is_responded;
+}
+
 bool exchange::is_streaming() const {
     return this->impl->is_streaming;
 }
