Gateway: keys without contact to a keeper, refusals before the body

Cause: a gateway that reaches no keeper may hold keys that were revoked; a caller without a key could send a whole body before it was refused. The gateway decides when the head has arrived.

--- a/packages/accounts/tests/account_table_test.cpp
+++ b/packages/accounts/tests/account_table_test.cpp
@@ -1,4 +1,5 @@
 #include "accounts/account_table.h"
+#include "accounts/revocation_limits.h"
 
 #include <doctest/doctest.h>
 
@@ -121,3 +122,18 @@
         CHECK(problem_of({make_account("a", {"x", "x"})}).earlier_account == 0);
     }
 }
+
+// Guards against a revoked key that an instance without contact goes on to accept.
+SCENARIO("keys are used for a bounded time without contact") {
+    using namespace std::chrono_literals;
+    revocation_limits limits;
+    limits.revoke_time = 5s;
+    WHEN("the deployment prefers service over revocation") {
+        CHECK(limits.permits_keys(1h));
+    }
+    WHEN("it prefers revocation") {
+        limits.is_fail_closed = true;
+        CHECK(limits.permits_keys(4999ms));
+        CHECK_FALSE(limits.permits_keys(5s));
+    }
+}
--- a/packages/fleet/internal/keeper_client.cpp
+++ b/packages/fleet/internal/keeper_client.cpp
@@ -57,6 +57,10 @@
                    [this](const instance_id& keeper) {
                        spdlog::warn("lost connection to keeper keeper={} reached={}",
                                     keeper.value(), this->links.open_count());
+                       if (this->current_keepers.erase(keeper) > 0) {
+                           this->earlier_contact_at = std::max(
+                               this->earlier_contact_at, this->links.last_received_at(keeper));
+                       }
                        this->known_streams.keeper_lost(keeper);
                    }}) {
     this->add_seeds(seeds);
@@ -93,6 +97,14 @@
     return this->table != nullptr && this->route_confirmations.size() >= this->keeper_majority;
 }
 
+time_point keeper_client::last_contact_at() const {
+    time_point latest = this->earlier_contact_at;
+    for (const instance_id& keeper : this->current_keepers) {
+        latest = std::max(latest, this->links.last_received_at(keeper));
+    }
+    return latest;
+}
+
 void keeper_client::receive(const instance_id& from, const wire::message& message) {
     if (const auto* routes = std::get_if<wire::routes_update>(&message)) {
         this->update_routes(from, *routes);
@@ -172,6 +184,7 @@
 
 void keeper_client::update_routes(const instance_id& from, const wire::routes_update& update) {
     this->route_confirmations.insert(from);
+    this->current_keepers.insert(from);
     const bool is_newer = this->table == nullptr || update.version > this->table->version;
     if (update.version == configuration_version(0) || !is_newer ||
         update.version == this->rejected_version) {
--- a/packages/fleet/keeper_client.h
+++ b/packages/fleet/keeper_client.h
@@ -57,6 +57,9 @@
     /// Whether enough keepers have sent their routes that the newest committed version is among
     /// them.
     [[nodiscard]] bool has_confirmed_routes() const;
+    /// When a keeper last sent anything over a link on which it had sent its routes before; the
+    /// epoch if none did.
+    [[nodiscard]] time_point last_contact_at() const;
     [[nodiscard]] const membership::directory& targets() const { return this->directory; }
     [[nodiscard]] const std::vector<wire::store_address>& stores() const {
         return this->known_stores;
@@ -95,6 +98,10 @@
     configuration_version rejected_version;
     /// Keepers that have sent the version of their routes.
     std::set<instance_id> route_confirmations;
+    /// Keepers that have sent their routes over the link that is open.
+    std::set<instance_id> current_keepers;
+    /// Of the links that are lost.
+    time_point earlier_contact_at{};
     std::size_t keeper_majority = 1;
     membership::directory directory;
     /// Targets that said in a response that they are leaving.
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -47,6 +47,7 @@
     BOOST_LEAF_ASSIGN(this->callers_server,
                       http::server::open(gateway_settings.callers, gateway_settings.body_limit,
                                          on_request, this->caller_memory));
+    this->callers_server->check_heads([this](http::exchange& head) { this->check_head(head); });
     BOOST_LEAF_ASSIGN(this->ready_server,
                       http::server::open(gateway_settings.ready, ready_body_limit, on_request));
     return this->open_relayed_calls();
@@ -218,6 +219,30 @@
     return this->calls_of_others ? this->calls_of_others->open_count() : 0;
 }
 
+void gateway::check_head(http::exchange& head) {
+    const auto table = this->fleet->routes();
+    if (this->is_draining || table == nullptr || table->accounts.is_empty()) {
+        return;
+    }
+    const caller_call call = this->params.callers.parse_call(head);
+    if (const auto* routed = std::get_if<routed_call>(&call)) {
+        const routes::route* route = table->find(routed->host, routed->path);
+        if (route != nullptr) {
+            this->admit(head, routed->request_name, table->authorize(*route, routed->credentials));
+        }
+        return;
+    }
+    std::visit(
+        [&](const auto& job_call) {
+            if constexpr (requires { job_call.job; }) {
+                this->admit(
+                    head, "",
+                    table->accounts.authorize(accounts::key_rule::required, job_call.credentials));
+            }
+        },
+        call);
+}
+
 void gateway::handle_request(std::unique_ptr<http::exchange> exchange) {
     const caller_call call = this->params.callers.parse_call(*exchange);
     if (std::holds_alternative<readiness_call>(call)) {
@@ -245,6 +270,16 @@
 std::optional<account_name> gateway::admit(http::exchange& exchange,
                                            const std::string& request_name,
                                            const accounts::authorization& decision) {
+    const bool has_key = decision.result == accounts::access::granted ||
+                         (decision.result == accounts::access::denied &&
+                          decision.reason == accounts::denial_reason::unknown_key);
+    if (has_key && !this->may_use_keys()) {
+        this->responder->refuse(exchange, request_name,
+                                {refusal_kind::not_run,
+                                 "no keeper was reached, keys may have been revoked",
+                                 retry_after_default});
+        return std::nullopt;
+    }
     if (decision.result != accounts::access::denied) {
         return decision.account;
     }
@@ -254,6 +289,12 @@
     return std::nullopt;
 }
 
+bool gateway::may_use_keys() const {
+    const auto& limits = this->params.settings.gateway->revocation;
+    return !limits.is_fail_closed ||
+           limits.permits_keys(this->params.time->now() - this->fleet->last_contact_at());
+}
+
 template <typename Call>
 void gateway::handle_job_call(std::unique_ptr<http::exchange> exchange, const Call& call) {
     const auto table = this->fleet->routes();
--- a/packages/gateway/internal/gateway.h
+++ b/packages/gateway/internal/gateway.h
@@ -62,6 +62,8 @@
     void on(const stop_announced& announced);
     void on(stop_started& started);
 
+    /// Refuses a request whose key is not valid before its body arrives.
+    void check_head(http::exchange& head);
     void handle_request(std::unique_ptr<http::exchange> exchange);
     void handle_routed_call(std::unique_ptr<http::exchange> exchange, const routed_call& call);
     /// Passes a call about a batch job on to the stores.
@@ -71,6 +73,8 @@
     /// returns nothing. `request_name` is the caller's identifier of its attempt.
     std::optional<account_name> admit(http::exchange& exchange, const std::string& request_name,
                                       const accounts::authorization& decision);
+    /// Whether the last contact with a keeper is recent enough to rely on the known keys.
+    [[nodiscard]] bool may_use_keys() const;
     void refuse_without_routes(http::exchange& exchange, const std::string& request_name);
     void submit_job(std::unique_ptr<http::exchange> exchange, const routed_call& call,
                     const routes::route& route, const account_name& account);
--- a/packages/group/internal/member_links.cpp
+++ b/packages/group/internal/member_links.cpp
@@ -62,6 +62,7 @@
     peer.is_open = false;
     peer.dial = 0;
     if (peer.link) {
+        peer.last_received_at = std::max(peer.last_received_at, peer.link->last_received_at());
         this->pending_deletion.push_back(std::move(peer.link));
         this->cleanup_timer.arm_now();
     }
@@ -91,6 +92,16 @@
                       [](const auto& item) { return item.second.is_open; }));
 }
 
+time_point member_links::last_received_at(const instance_id& id) const {
+    const auto found = this->peers.find(id);
+    if (found == this->peers.end()) {
+        return {};
+    }
+    const peer_state& peer = found->second;
+    return peer.link ? std::max(peer.last_received_at, peer.link->last_received_at())
+                     : peer.last_received_at;
+}
+
 std::vector<instance_id> member_links::ids() const {
     std::vector<instance_id> result;
     for (const auto& [id, peer] : this->peers) {
--- a/packages/group/member_links.h
+++ b/packages/group/member_links.h
@@ -44,6 +44,9 @@
     void send_to_all(const wire::message& message);
     [[nodiscard]] bool is_open(const instance_id& id) const;
     [[nodiscard]] std::size_t open_count() const;
+    /// When the instance last sent anything over the open link, or over the last one that was open;
+    /// the epoch if it never did.
+    [[nodiscard]] time_point last_received_at(const instance_id& id) const;
     [[nodiscard]] std::vector<instance_id> ids() const;
     [[nodiscard]] const endpoint* address_of(const instance_id& id) const;
 
@@ -55,6 +58,8 @@
         std::uint64_t dial = 0;
         bool is_open = false;
         time_point retry_at{};
+        /// Of the links before `link`.
+        time_point last_received_at{};
         /// Whether the next lost link is dialled again without delay.
         bool is_reachable = false;
     };
--- a/packages/settings/gateway_settings.h
+++ b/packages/settings/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/revocation_limits.h"
 #include "base/endpoint.h"
 #include "settings/fleet_settings.h"
 
@@ -25,6 +26,7 @@
     std::int64_t body_limit = std::int64_t{32} * 1024 * 1024;
     /// Largest response of a target that is buffered, in bytes.
     std::int64_t response_limit = std::int64_t{16} * 1024 * 1024;
+    accounts::revocation_limits revocation;
 };
 
 } // namespace kingcupcart::settings
--- a/packages/settings/internal/process_settings.cpp
+++ b/packages/settings/internal/process_settings.cpp
@@ -54,6 +54,8 @@
 constexpr std::int64_t max_tolerated_losses = 4;
 constexpr std::int64_t max_local_runs = 100000;
 constexpr std::int64_t max_relayed_calls = 100000;
+/// Twice the interval of keepalives: the last sign of life of a sound keeper may be that old.
+constexpr duration min_revoke_time = std::chrono::seconds(1);
 
 outcome<fleet_settings> read_fleet(ini_section& section) {
     fleet_settings settings;
@@ -85,6 +87,11 @@
     BOOST_LEAF_ASSIGN(
         settings.response_limit,
         section.integer_or("response-limit", settings.response_limit, {1024, max_body_limit}));
+    BOOST_LEAF_ASSIGN(settings.revocation.revoke_time,
+                      section.duration_or("revoke-time", settings.revocation.revoke_time,
+                                          {min_revoke_time, std::chrono::hours(24)}));
+    BOOST_LEAF_ASSIGN(settings.revocation.is_fail_closed,
+                      section.boolean_or("fail-closed", settings.revocation.is_fail_closed));
     BOOST_LEAF_CHECK(section.check_unknown_keys());
     return settings;
 }
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -182,6 +182,16 @@
         CHECK(gateway.address == endpoint{"127.0.0.1", 7003});
         CHECK(gateway.relayed_calls == 40);
     }
+    GIVEN("bounds for revoked keys") {
+        CHECK_FALSE(read_gateway("").revocation.is_fail_closed);
+        const auto limits = read_gateway("revoke-time = 4000ms\nfail-closed = true\n").revocation;
+        CHECK(limits.revoke_time == std::chrono::seconds(4));
+        CHECK(limits.is_fail_closed);
+        CHECK(message_for(with_lines("revoke-time = 0s\n")).find("[gateway] revoke-time") !=
+              std::string::npos);
+        CHECK(message_for(with_lines("fail-closed = maybe\n")).find("[gateway] fail-closed") !=
+              std::string::npos);
+    }
     GIVEN("an address without a port") {
         CHECK(message_for(with_lines("address = 127.0.0.1\n")).find("[gateway] address") !=
               std::string::npos);
--- a/packages/wire/internal/peer_link.cpp
+++ b/packages/wire/internal/peer_link.cpp
@@ -100,6 +100,7 @@
         }
     }
 
+    time_point last_received_at{};
     std::size_t sent_bytes = 0;
     std::size_t received_bytes = 0;
 
@@ -225,6 +226,7 @@
         }
         this->received_bytes += static_cast<std::size_t>(size);
         this->received_in_interval = true;
+        this->last_received_at = std::chrono::steady_clock::now();
         this->session->read(buffer.data(), static_cast<std::size_t>(size));
         this->flush();
         this->close_if_ended();
@@ -326,6 +328,10 @@
     this->impl->close();
 }
 
+time_point peer_link::last_received_at() const {
+    return this->impl->last_received_at;
+}
+
 std::size_t peer_link::bytes_sent() const {
     return this->impl->sent_bytes;
 }
--- a/packages/wire/peer_link.h
+++ b/packages/wire/peer_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/endpoint.h"
 #include "wire/messages.h"
 
@@ -38,6 +39,8 @@
     /// Sends all pending messages, then closes the link.
     void close();
 
+    /// When the peer last sent anything, also a keepalive; the epoch if it has sent nothing.
+    [[nodiscard]] time_point last_received_at() const;
     [[nodiscard]] std::size_t bytes_sent() const;
     [[nodiscard]] std::size_t bytes_received() const;
 
