--- a/stand_ins/internal/platform_replica.cpp
+++ b/stand_ins/internal/platform_replica.cpp
@@ -115,6 +115,7 @@
 void platform_replica::run_request(std::unique_ptr<http::exchange> exchange) {
     const std::string identifier = exchange->header("X-Request-Id");
     this->executed_requests.push_back(identifier);
+    this->headers_by_request[identifier] = exchange->headers();
     this->arrival_times.push_back(this->time.now());
     exchange->add_header("X-Request-Id", identifier);
     exchange->add_header("X-Server-Stamp", "stamp-of-" + this->params.id);
--- a/stand_ins/platform_replica.h
+++ b/stand_ins/platform_replica.h
@@ -81,6 +81,10 @@
     [[nodiscard]] const std::vector<std::string>& executed_request_ids() const {
         return this->executed_requests;
     }
+    /// Header fields of the last request with this identifier.
+    [[nodiscard]] const std::vector<header_field>& received_headers(const std::string& request) {
+        return this->headers_by_request[request];
+    }
     /// Identifiers of the streams whose client disconnected before their end.
     [[nodiscard]] const std::vector<std::string>& disconnected_stream_ids() const {
         return this->disconnected_streams;
@@ -145,6 +149,7 @@
     std::string limit;
     std::vector<time_point> arrival_times;
     std::vector<std::string> executed_requests;
+    std::map<std::string, std::vector<header_field>> headers_by_request;
     std::vector<std::string> disconnected_streams;
     std::map<std::string, std::set<std::uint64_t>> item_versions;
     std::vector<open_stream> streams;
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -127,11 +127,11 @@
 
 std::string fleet::gateway_settings(const std::string& id, const std::string& ip,
                                     const std::string& seed_ip) const {
-    return this->instance_settings(id, "gateway",
-                                   "callers = " + ip + ":" + this->external_port +
-                                       "\nready = " + ip + ":" + this->link_port +
-                                       "\naddress = " + ip + ":" + this->relay_port + "\n",
-                                   seed_ip);
+    return this->instance_settings(
+        id, "gateway",
+        "callers = " + ip + ":" + this->external_port + "\nready = " + ip + ":" + this->link_port +
+            "\naddress = " + ip + ":" + this->relay_port + "\n" + this->options.gateway_lines,
+        seed_ip);
 }
 
 std::string fleet::discovery_settings(const std::string& seed_ip) const {
@@ -149,7 +149,8 @@
            "\nfailure-domain = local\nregion = local\nadmin = 127.0.0.1:0\nstop-grace = 1s\n"
            "roles = " +
            role + "\nmemory = " + std::to_string(memory_mb(role)) + "MB\n[" + role + "]\n" +
-           this->discovery_settings(seed_ip) + role_settings + "[log]\nlevel = error\n";
+           this->discovery_settings(seed_ip) + role_settings + "[log]\n" +
+           this->options.log_settings;
 }
 
 void fleet::start_store(std::size_t index, rlim_t max_file_size) {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -31,6 +31,10 @@
     std::size_t services = 1;
     /// Environment variables of the first gateway.
     std::vector<std::string> gateway_environment = {};
+    /// Lines of the section [log] of all instances.
+    std::string log_settings = "level = error\n";
+    /// Further lines of the section [gateway].
+    std::string gateway_lines = {};
 };
 
 /// One gateway, and keepers and stores, as processes on loopback addresses, and stand-in replicas,
