--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -33,6 +33,10 @@
     std::vector<std::string> gateway_environment = {};
     /// Further groups of the settings of all instances.
     std::string further_settings = {};
+    /// Lines of the section [log] of all instances.
+    std::string log_settings = "level = error\n";
+    /// Further lines of the section [gateway].
+    std::string gateway_lines = {};
 };
 
 /// One gateway, and keepers and stores, as processes on loopback addresses, and stand-in replicas,
