--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -320,6 +320,8 @@
 template <>
 constexpr message_number message_number_of<relay_stopping> = message_number::relay_stopping;
 template <>
+constexpr message_number message_number_of<usage_update> = message_number::usage_update;
+template <>
 constexpr message_number message_number_of<model_demand_report> =
     message_number::model_demand_report;
 
