Keeper: order replicas where the settings name the duty

Cause: nothing owned a scale_control.

Change: fleet_control opens one if the settings list autoscale, and feeds it with the configuration, targets and demand. It begins to order once the keeper holds the duties and has run for the lease of a target, and ends when the leadership is lost; a short loss of contact does not make it count the replicas anew.

--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -134,9 +134,30 @@
     call_arguments.authority = [this] { return this->duty_authority(); };
     call_arguments.metrics = this->params.metrics;
     this->platform = std::make_unique<platform_calls>(std::move(call_arguments));
-    if (!settings.reports_usage) {
-        return;
+    if (settings.reports_usage) {
+        this->open_usage();
+    }
+    if (settings.scales_replicas) {
+        this->open_scaling();
     }
+}
+
+void fleet_control::open_scaling() {
+    scale_control::parameters arguments;
+    arguments.time = this->params.time;
+    arguments.send = [this](const duties::scale_order& order,
+                            std::function<void(duties::call_outcome)> on_complete) {
+        this->platform->send(order, std::move(on_complete));
+    };
+    arguments.may_order = [this] {
+        return this->targets.has_complete_targets() && this->platform->may_send();
+    };
+    arguments.metrics = this->params.metrics;
+    this->scaling = std::make_unique<scale_control>(std::move(arguments));
+}
+
+void fleet_control::open_usage() {
+    const settings::duty_settings& settings = *this->params.duties;
     usage_control::parameters usage_arguments;
     usage_arguments.windows = duties::usage_windows({settings.usage_window, settings.usage_late});
     usage_arguments.time = this->params.time;
@@ -343,10 +364,16 @@
                                   tokens_per_second(static_cast<double>(model.tokens_per_second))});
     }
     this->orders.dispatch(changed);
+    if (this->scaling) {
+        this->scaling->demand_received(report);
+    }
 }
 
 void fleet_control::target_changed(const membership::directory_change& change) {
     const membership::target_record& record = change.record;
+    if (this->scaling) {
+        this->scaling->target_changed(change);
+    }
     if (change.event == membership::directory_event::removed) {
         this->limits.target_removed(record.id);
         this->orders.dispatch(rollout::engine_removed{record.id});
@@ -406,6 +433,9 @@
         return;
     }
     const auto& table = std::get<routes::route_table>(parsed);
+    if (this->scaling) {
+        this->scaling->routes_changed(table);
+    }
     if (this->usage) {
         this->usage->accounts_changed(has_accounts(table));
     }
@@ -468,6 +498,9 @@
     this->crashes.leadership_changed(is_leader);
     this->orders.leadership_changed(is_leader);
     this->lease.leadership_changed(is_leader, {this->params.time->now(), suspended_time()});
+    if (this->scaling) {
+        this->scaling->leadership_changed(is_leader);
+    }
     if (this->platform) {
         this->platform->leadership_changed(is_leader);
     }
@@ -484,6 +517,9 @@
         this->bootstrap_stores();
     }
     this->stores.remove_expired(now);
+    if (this->scaling) {
+        this->scaling->check_authority();
+    }
     this->maintenance_timer.arm(now + maintenance_interval);
 }
 
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -13,6 +13,7 @@
 #include "keeper/internal/limit_control.h"
 #include "keeper/internal/platform_calls.h"
 #include "keeper/internal/relay_directory.h"
+#include "keeper/internal/scale_control.h"
 #include "keeper/internal/store_registry.h"
 #include "keeper/internal/stream_control.h"
 #include "keeper/internal/target_control.h"
@@ -80,6 +81,9 @@
         this->crashes.export_metrics(*this->params.metrics);
         this->streams.export_metrics(*this->params.metrics);
         this->relays.export_metrics(*this->params.metrics);
+        if (this->scaling) {
+            this->scaling->export_metrics();
+        }
     }
     [[nodiscard]] std::size_t target_count() const { return this->targets.directory().size(); }
     /// Sends all target records over the link that was opened to another keeper, which has missed
@@ -107,13 +111,15 @@
     [[nodiscard]] crash_control::parameters make_crash_parameters() const;
     [[nodiscard]] weight_orders::parameters make_order_parameters();
     void open_duties();
+    void open_usage();
+    void open_scaling();
     [[nodiscard]] fencing_token term() const;
     /// The fencing token with which this keeper may call the platform now; empty if it may not.
     [[nodiscard]] std::optional<fencing_token> duty_authority();
     void submit(const replicated::command& command, const control_reply& reply);
     /// Notifies the permits and the load planner.
     void target_changed(const membership::directory_change& change);
-    /// Passes the newest leader's report to the load planner.
+    /// Passes the newest leader's report to the load planner and the replica scaler.
     void demand_received(const wire::model_demand_report& report);
     void routes_changed();
     void weights_changed();
@@ -143,6 +149,8 @@
     std::unique_ptr<platform_calls> platform;
     /// Null if usage is not reported.
     std::unique_ptr<usage_control> usage;
+    /// Null if replicas are not ordered.
+    std::unique_ptr<scale_control> scaling;
     bool is_bootstrapping = false;
     task::wakeup maintenance_timer;
 };
--- a/packages/keeper/internal/scale_control.cpp
+++ b/packages/keeper/internal/scale_control.cpp
@@ -79,8 +79,19 @@
     }
 }
 
+void scale_control::leadership_changed(bool is_leader) {
+    if (!is_leader) {
+        this->set_authority(false);
+    }
+}
+
 void scale_control::check_authority() {
-    const bool may_order = this->params.may_order();
+    if (!this->has_authority && this->params.may_order()) {
+        this->set_authority(true);
+    }
+}
+
+void scale_control::set_authority(bool may_order) {
     if (std::exchange(this->has_authority, may_order) != may_order) {
         spdlog::info("authority to order replicas changed may_order={}", may_order);
         this->dispatch(scaling::authority_changed{may_order});
--- a/packages/keeper/internal/scale_control.h
+++ b/packages/keeper/internal/scale_control.h
@@ -22,7 +22,7 @@
         /// Sends the order to the platform. Calls back once, with the final outcome.
         std::function<void(const duties::scale_order&, std::function<void(duties::call_outcome)>)>
             send;
-        /// Whether this keeper holds the duties and has heard of all replicas.
+        /// Whether this keeper holds the duties at this moment and has heard of all replicas.
         std::function<bool()> may_order;
         telemetry::metric_set* metrics = nullptr;
     };
@@ -35,12 +35,15 @@
     void routes_changed(const routes::route_table& table);
     void target_changed(const membership::directory_change& change);
     void demand_received(const wire::model_demand_report& report);
-    /// Checks whether this keeper may order; to be called regularly and when its leadership
-    /// changes.
+    /// Ends orders where this keeper has lost its leadership.
+    void leadership_changed(bool is_leader);
+    /// Begins to order once this keeper may; to be called regularly. A short loss of contact with
+    /// the other keepers delays calls, but is no reason to count the replicas anew.
     void check_authority();
     void export_metrics() const;
 
 private:
+    void set_authority(bool may_order);
     void dispatch(const scaling::scaler_message& message);
     void execute(const scaling::order_replicas& order);
     void execute(const scaling::replicas_missing& missing);
--- a/packages/keeper/internal/target_control.h
+++ b/packages/keeper/internal/target_control.h
@@ -46,6 +46,8 @@
     /// Sends the other keepers which targets have sent this keeper a heartbeat lately.
     void relay_heartbeats();
 
+    /// Whether every target has had the time to announce itself since this keeper started.
+    [[nodiscard]] bool has_complete_targets() const;
     [[nodiscard]] const membership::directory& directory() const { return this->targets; }
     /// The records of all targets, for an instance that connects and has missed earlier updates.
     [[nodiscard]] std::vector<wire::message> initial_messages() const;
@@ -57,9 +59,6 @@
     void handle_change(const membership::directory_change& change);
     /// Removes the target here and at all instances, also if it is known to them only.
     void remove_target(const membership::target_record& removed);
-    /// Whether every target has had the time to announce itself since this keeper started.
-    [[nodiscard]] bool has_complete_targets() const;
-
     parameters params;
     membership::directory targets;
     /// When this keeper received the last heartbeat of each target.
--- a/packages/keeper/tests/scale_control_test.cpp
+++ b/packages/keeper/tests/scale_control_test.cpp
@@ -122,7 +122,7 @@
         }
         WHEN("the duties pass to another keeper while orders are open") {
             test.is_leading = false;
-            test.control->check_authority();
+            test.control->leadership_changed(false);
             test.outcomes[0](duties::call_outcome::unknown);
             test.report();
             THEN("nothing is sent any more") {
