--- a/packages/batch/demand_meter.h
+++ b/packages/batch/demand_meter.h
@@ -37,8 +37,10 @@
 
 /// Measures the work of each model's training steps.
 ///
-/// The rate is the mean output of recent steps over a short interval between submissions, not over
-/// their mean: a trainer that is late submits fewer steps, and should not lose engines for that.
+/// The work is that of the steps that are in flight side by side over the time within which they
+/// should be complete, bounded by a multiple of the rate at which they are submitted. That rate
+/// alone would not do: a trainer that is late submits fewer steps, and should not lose engines for
+/// that.
 class demand_meter {
 public:
     void step_submitted(const submitted_step& step);
@@ -61,12 +63,13 @@
     struct model_steps {
         /// By the time of submission.
         std::deque<known_step> recent;
+        std::size_t most_in_flight = 0;
         /// Time from the submission to the end of the latest step that ended.
         duration latest_duration{};
     };
 
     [[nodiscard]] static step_demand measure(const model_steps& steps, wall_time now);
-    [[nodiscard]] static duration usual_interval(const std::deque<known_step>& steps);
+    [[nodiscard]] static tokens_per_second work_of(const model_steps& steps);
 
     std::map<model_key, model_steps> models;
 };
--- a/packages/batch/internal/demand_meter.cpp
+++ b/packages/batch/internal/demand_meter.cpp
@@ -8,8 +8,10 @@
 
 /// Steps of a model from which its rate is computed: about a minute of a trainer.
 constexpr std::size_t max_recent_steps = 16;
-/// Shorter intervals, such as those of a trainer that catches up, count as this long.
-constexpr duration min_submission_interval = std::chrono::milliseconds(500);
+/// Shortest time over which steps are taken to have been submitted.
+constexpr duration min_span = std::chrono::seconds(1);
+/// A trainer whose steps are all late submits up to this many times fewer steps than planned.
+constexpr double max_lag = 2;
 
 } // namespace
 
@@ -30,6 +32,10 @@
     if (recent.size() > max_recent_steps) {
         recent.pop_front();
     }
+    model_steps& steps = this->models[{step.service, step.model}];
+    const auto in_flight = std::count_if(recent.begin(), recent.end(),
+                                         [](const known_step& known) { return !known.is_ended; });
+    steps.most_in_flight = std::max(steps.most_in_flight, static_cast<std::size_t>(in_flight));
 }
 
 void demand_meter::step_ended(const job_id& job, wall_time now) {
@@ -43,24 +49,33 @@
     }
 }
 
-duration demand_meter::usual_interval(const std::deque<known_step>& steps) {
-    std::vector<duration> intervals;
-    for (std::size_t i = 1; i < steps.size(); ++i) {
-        const duration interval = steps[i].content.submitted - steps[i - 1].content.submitted;
-        intervals.push_back(std::max(interval, min_submission_interval));
+tokens_per_second demand_meter::work_of(const model_steps& steps) {
+    double output = 0;
+    duration objective{};
+    for (const known_step& known : steps.recent) {
+        output += static_cast<double>(known.content.output.count());
+        objective = std::max(objective, known.content.completion_objective);
+    }
+    const duration span =
+        steps.recent.back().content.submitted - steps.recent.front().content.submitted;
+    const auto intervals = static_cast<double>(steps.recent.size() - 1);
+    const double interval =
+        std::chrono::duration<double>(std::max<duration>(span, min_span)).count() / intervals;
+    const double mean_output = output / static_cast<double>(steps.recent.size());
+    const double submitted_rate = mean_output / interval;
+    if (objective == duration::zero()) {
+        return tokens_per_second(submitted_rate);
     }
-    // The lower quartile.
-    const auto usual = intervals.begin() + static_cast<std::ptrdiff_t>(intervals.size() / 4);
-    std::nth_element(intervals.begin(), usual, intervals.end());
-    return *usual;
+    const double objective_seconds = std::chrono::duration<double>(objective).count();
+    const double rate_in_flight =
+        mean_output * static_cast<double>(steps.most_in_flight) / objective_seconds;
+    return tokens_per_second(std::min(rate_in_flight, max_lag * submitted_rate));
 }
 
 step_demand demand_meter::measure(const model_steps& steps, wall_time now) {
     step_demand measured;
-    std::int64_t output = 0;
     for (const known_step& known : steps.recent) {
         const submitted_step& step = known.content;
-        output += step.output.count();
         measured.largest_step_items = std::max(measured.largest_step_items, step.items);
         if (known.is_ended) {
             continue;
@@ -73,9 +88,7 @@
                                                             expected - step.completion_objective);
         }
     }
-    const double seconds = std::chrono::duration<double>(usual_interval(steps.recent)).count();
-    measured.work = tokens_per_second(static_cast<double>(output) /
-                                      static_cast<double>(steps.recent.size()) / seconds);
+    measured.work = work_of(steps);
     return measured;
 }
 
--- a/packages/batch/tests/demand_meter_test.cpp
+++ b/packages/batch/tests/demand_meter_test.cpp
@@ -33,20 +33,21 @@
             }
         }
         REQUIRE(meter.demand(now).size() == 1);
-        THEN("the rate is their output over the interval") {
+        THEN("the rate is that of two steps in the time of one") {
             const step_demand measured = meter.demand(now)[0];
-            CHECK(measured.work.count() == doctest::Approx(10000));
+            CHECK(measured.work.count() == doctest::Approx(2 * 40000 / 7.5));
             CHECK(measured.largest_step_items == 144);
             CHECK(measured.steps_in_flight == 2);
         }
         WHEN("the trainer falls behind and submits every 9 s") {
             for (int i = 0; i < 4; ++i) {
+                meter.step_ended(job_id("j" + std::to_string(7 + i)), now);
                 submit(40000);
                 now += 9s;
             }
             THEN("the rate stays, and the lateness grows") {
                 const step_demand measured = meter.demand(now)[0];
-                CHECK(measured.work.count() == doctest::Approx(10000));
+                CHECK(measured.work.count() == doctest::Approx(2 * 40000 / 7.5));
                 CHECK(measured.expected_lateness >= 9s);
             }
         }
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -274,7 +274,8 @@
     rollout::demand_changed changed;
     for (const wire::model_demand& model : report.models) {
         changed.models.push_back({model.service, model.model,
-                                  tokens_per_second(static_cast<double>(model.tokens_per_second))});
+                                  tokens_per_second(static_cast<double>(model.tokens_per_second)),
+                                  model.largest_step_items});
     }
     this->orders.dispatch(changed);
 }
--- a/packages/rollout/internal/load_planner.cpp
+++ b/packages/rollout/internal/load_planner.cpp
@@ -48,7 +48,7 @@
 void load_planner::on(const demand_changed& changed) {
     for (const model_demand& reported : changed.models) {
         if (reported.work.count() > 0) {
-            this->demand[reported.service][reported.model] = reported.work;
+            this->demand[reported.service][reported.model] = reported;
         }
     }
 }
@@ -230,11 +230,12 @@
 model_counts load_planner::wanted_counts(const service_models& service) const {
     const std::size_t members = this->member_count(service.service);
     if (this->is_demand_known(service)) {
-        return divide_engines(members, service.models, this->demand.at(service.service));
+        return divide_engines(members, service.models,
+                              weights_of(this->demand.at(service.service)));
     }
-    std::map<model_name, tokens_per_second> equal;
+    std::map<model_name, double> equal;
     for (const model_name& model : service.models) {
-        equal[model] = tokens_per_second(1);
+        equal[model] = 1;
     }
     return divide_engines(members, service.models, equal);
 }
--- a/packages/rollout/load_planner.h
+++ b/packages/rollout/load_planner.h
@@ -109,7 +109,7 @@
     std::vector<service_models> services;
     std::map<model_name, weight_version> newest_versions;
     std::map<model_name, weight_version> required_versions;
-    std::map<backend_name, std::map<model_name, tokens_per_second>> demand;
+    std::map<backend_name, std::map<model_name, model_demand>> demand;
     /// Since when a service's numbers of engines have differed from its demand.
     std::map<backend_name, time_point> imbalanced_since;
     std::map<target_id, engine_plan> engines;
--- a/packages/rollout/planner_messages.h
+++ b/packages/rollout/planner_messages.h
@@ -5,6 +5,7 @@
 #include "rollout/engine_weights.h"
 #include "rollout/load_mode.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <variant>
 #include <vector>
@@ -42,6 +43,8 @@
     model_name model;
     /// Output that recent steps asked for per second.
     tokens_per_second work{0};
+    /// Items of the largest recent step, which need a slot at the same time.
+    std::size_t largest_step_items = 0;
 };
 
 /// Recent demand, as the leading store reports it. Models that are not listed keep their last one.
--- a/packages/rollout/tests/rollout_test.cpp
+++ b/packages/rollout/tests/rollout_test.cpp
@@ -210,11 +210,9 @@
     GIVEN("the work of the four trainers of a deployment of 48 engines") {
         const std::vector<model_name> models{model_name("subject"), model_name("authority"),
                                              model_name("series"), model_name("shelfmark")};
-        const model_counts counts = divide_engines(48, models,
-                                                   {{models[0], tokens_per_second(1536)},
-                                                    {models[1], tokens_per_second(3024)},
-                                                    {models[2], tokens_per_second(3192)},
-                                                    {models[3], tokens_per_second(1568)}});
+        const model_counts counts = divide_engines(
+            48, models,
+            {{models[0], 1536}, {models[1], 3024}, {models[2], 3192}, {models[3], 1568}});
         THEN("the shares are proportional") {
             CHECK(counts.at(models[0]) == 8);
             CHECK(counts.at(models[1]) == 16);
@@ -222,10 +220,22 @@
             CHECK(counts.at(models[3]) == 8);
         }
     }
+    GIVEN("a model with few long items and one with many short ones, of the same work") {
+        const std::map<model_name, model_demand> demand{
+            {model_name("long"),
+             {backend_name("llm"), model_name("long"), tokens_per_second(900), 50}},
+            {model_name("short"),
+             {backend_name("llm"), model_name("short"), tokens_per_second(900), 150}}};
+        THEN("the short ones get more engines, for their slots") {
+            const auto weights = weights_of(demand);
+            CHECK(weights.at(model_name("long")) == doctest::Approx(0.375));
+            CHECK(weights.at(model_name("short")) == doctest::Approx(0.625));
+        }
+    }
     GIVEN("fewer engines than models, and a model without work") {
         const std::vector<model_name> models{model_name("m"), model_name("n"), model_name("o")};
-        const model_counts few = divide_engines(2, models, {{models[0], tokens_per_second(9)}});
-        const model_counts enough = divide_engines(10, models, {{models[0], tokens_per_second(9)}});
+        const model_counts few = divide_engines(2, models, {{models[0], 9}});
+        const model_counts enough = divide_engines(10, models, {{models[0], 9}});
         THEN("no model gets more than one engine of the few, and each gets two of enough") {
             CHECK(few.at(models[0]) + few.at(models[1]) + few.at(models[2]) == 2);
             CHECK(enough.at(models[0]) == 6);
@@ -237,8 +247,8 @@
         test.gain_authority();
         const auto report = [&](double m, double n) {
             test.dispatch(
-                demand_changed{{{backend_name("llm"), model_name("m"), tokens_per_second(m)},
-                                {backend_name("llm"), model_name("n"), tokens_per_second(n)}}});
+                demand_changed{{{backend_name("llm"), model_name("m"), tokens_per_second(m), 0},
+                                {backend_name("llm"), model_name("n"), tokens_per_second(n), 0}}});
         };
         WHEN("one has three times the work for a moment only") {
             report(3000, 1000);
