Scheduler: the pause of a load doesn't count as slowness

Cause: an event that spans an engine's load is about 0.9 s late. Change: event intervals that overlap a load aren't observed.

--- a/packages/batch/internal/engine_pool.cpp
+++ b/packages/batch/internal/engine_pool.cpp
@@ -62,6 +62,13 @@
 }
 
 void engine_pool::record_event_interval(engine_state& state, duration per_event, time_point now) {
+    const bool includes_load =
+        state.last_loading_at != time_point{} &&
+        now - per_event <= state.last_loading_at + this->limits.check_interval;
+    if (state.descriptor.is_loading || includes_load) {
+        // A load pauses the runs once; the engine is no slower afterwards.
+        return;
+    }
     if (state.event_interval == duration::zero()) {
         state.event_interval = per_event;
         state.first_interval_at = now;
@@ -119,6 +126,9 @@
 
 void engine_pool::track_slowness(time_point now) {
     for (auto& [id, state] : this->engines) {
+        if (state.descriptor.is_loading) {
+            state.last_loading_at = now;
+        }
         if (this->slowness(state, now) < this->limits.move_from_slowness) {
             state.slow_since.reset();
         } else if (!state.slow_since) {
--- a/packages/batch/internal/engine_state.h
+++ b/packages/batch/internal/engine_state.h
@@ -23,6 +23,8 @@
     int interval_count = 0;
     time_point first_interval_at{};
     time_point last_interval_at{};
+    /// When the engine was last seen loading weights, as of the periodic checks.
+    time_point last_loading_at{};
     /// Since when the engine has been slow enough for runs to move away; empty if it is not.
     std::optional<time_point> slow_since;
     /// No new run starts on the engine before this time.
--- a/packages/batch/tests/trained_fleet_test.cpp
+++ b/packages/batch/tests/trained_fleet_test.cpp
@@ -12,8 +12,14 @@
 
 constexpr std::uint32_t seeds = 4;
 
-/// Plays several seeds, prints the sums, and returns the groups in time of all trainers.
-int play(const std::string& title, fleet_options options) {
+struct totals {
+    int groups_in_time = 0;
+    int first_runs = 0;
+    int runs = 0;
+};
+
+/// Plays several seeds and prints and returns the sums.
+totals play(const std::string& title, fleet_options options) {
     const std::vector<trainer_load> trainers{{"subject", 6, 16, 16, 500ms},
                                              {"authority", 9, 16, 21, 1s},
                                              {"series", 19, 8, 21, 1s},
@@ -27,16 +33,19 @@
         }
         reassignments += fleet.reassignments();
     }
-    int in_time = 0;
+    totals all;
     for (const auto& [model, sum] : sums) {
-        in_time += sum.groups_in_time;
+        all.groups_in_time += sum.groups_in_time;
+        all.first_runs += sum.first_runs;
+        all.runs += sum.runs;
         MESSAGE(title, ": ", model, " groups in time ", sum.groups_in_time, " of ", sum.groups,
                 ", mean first wait ms ", sum.first_wait / std::max(1, sum.first_runs) / 1ms,
                 ", over 0.3 s ", sum.late_first_runs, " of ", sum.items, ", runs ", sum.runs,
                 ", most of an item ", sum.most_runs);
     }
-    MESSAGE(title, ": all groups in time ", in_time, ", engines reassigned ", reassignments);
-    return in_time;
+    MESSAGE(title, ": all groups in time ", all.groups_in_time, ", runs of an item ",
+            static_cast<double>(all.runs) / all.first_runs, ", engines reassigned ", reassignments);
+    return all;
 }
 
 } // namespace
@@ -49,9 +58,13 @@
         const std::string noise = has_bursts ? ", bursts" : "";
         options.has_bursts = has_bursts;
         options.reports_demand = false;
-        const int equal = play("equal shares" + noise, options);
+        const totals equal = play("equal shares" + noise, options);
         options.reports_demand = true;
-        const int by_demand = play("shares by demand" + noise, options);
-        CHECK(by_demand >= equal);
+        const totals by_demand = play("shares by demand" + noise, options);
+        CHECK(by_demand.groups_in_time >= equal.groups_in_time);
+        if (!has_bursts) {
+            // The pause of a load is no reason to move.
+            CHECK(by_demand.runs == by_demand.first_runs);
+        }
     }
 }
