Scheduler: at most two moves of an item

Cause: items had up to six runs; each move costs the reading of its prompt and text, and bursts of 600 ms end before most moves pay off. Change: max_moves is 2.

--- a/packages/batch/scheduler_limits.h
+++ b/packages/batch/scheduler_limits.h
@@ -22,8 +22,8 @@
     /// for several events of each run, since the first events after many simultaneous starts arrive
     /// in bursts.
     duration min_observation_time = std::chrono::milliseconds(500);
-    /// Maximum number of moves of an item.
-    int max_moves = 6;
+    /// Maximum number of moves of an item. Each costs the reading of its prompt and text.
+    int max_moves = 2;
     /// An engine that declined a run, or whose run broke, receives no new run for this long.
     duration declined_backoff = std::chrono::milliseconds(150);
     duration broken_backoff = std::chrono::milliseconds(700);
--- a/packages/batch/tests/trained_fleet_test.cpp
+++ b/packages/batch/tests/trained_fleet_test.cpp
@@ -54,6 +54,12 @@
 // of a model with much work.
 SCENARIO("the steps of four trainers share 48 engines") {
     fleet_options options;
+    options.has_bursts = true;
+    for (const int max_moves : {0, 6}) {
+        options.scheduling.max_moves = max_moves;
+        play("moves of an item up to " + std::to_string(max_moves) + ", bursts", options);
+    }
+    options.scheduling = {};
     for (const bool has_bursts : {false, true}) {
         const std::string noise = has_bursts ? ", bursts" : "";
         options.has_bursts = has_bursts;
