Rollout: the order of loads compares lags, not version numbers

Cause: engines with the lowest version number loaded first, but numbers of different models aren't comparable, so models of slow trainers came first whenever more engines were behind than may load at once. Change: the engine that is most versions behind loads first.

--- a/packages/rollout/internal/load_planner.cpp
+++ b/packages/rollout/internal/load_planner.cpp
@@ -416,9 +416,10 @@
             behind.push_back(&plan);
         }
     }
-    // Engines with the oldest weights load first, since they can serve the fewest jobs.
-    std::stable_sort(behind.begin(), behind.end(), [](const auto* a, const auto* b) {
-        return loaded_version_of(*a) < loaded_version_of(*b);
+    // Engines with the oldest weights load first, since they can serve the fewest jobs. Version
+    // numbers of different models aren't comparable: a fast trainer's are higher.
+    std::stable_sort(behind.begin(), behind.end(), [this](const auto* a, const auto* b) {
+        return this->versions_behind(*a) > this->versions_behind(*b);
     });
     for (engine_plan* member : behind) {
         const service_models* service = this->find_service(member->weights.service);
