--- a/packages/rollout/internal/load_planner.cpp
+++ b/packages/rollout/internal/load_planner.cpp
@@ -48,7 +48,7 @@
 void load_planner::on(const demand_changed& changed) {
     for (const model_demand& reported : changed.models) {
         if (reported.work.count() > 0) {
-            this->demand[reported.service][reported.model] = reported.work;
+            this->demand[reported.service][reported.model] = reported;
         }
     }
 }
@@ -230,11 +230,12 @@
 model_counts load_planner::wanted_counts(const service_models& service) const {
     const std::size_t members = this->member_count(service.service);
     if (this->is_demand_known(service)) {
-        return divide_engines(members, service.models, this->demand.at(service.service));
+        return divide_engines(members, service.models,
+                              weights_of(this->demand.at(service.service)));
     }
-    std::map<model_name, tokens_per_second> equal;
+    std::map<model_name, double> equal;
     for (const model_name& model : service.models) {
-        equal[model] = tokens_per_second(1);
+        equal[model] = 1;
     }
     return divide_engines(members, service.models, equal);
 }
@@ -415,9 +416,10 @@
             behind.push_back(&plan);
         }
     }
-    // Engines with the oldest weights load first, since they can serve the fewest jobs.
-    std::stable_sort(behind.begin(), behind.end(), [](const auto* a, const auto* b) {
-        return loaded_version_of(*a) < loaded_version_of(*b);
+    // Engines with the oldest weights load first, since they can serve the fewest jobs. Version
+    // numbers of different models aren't comparable: a fast trainer's are higher.
+    std::stable_sort(behind.begin(), behind.end(), [this](const auto* a, const auto* b) {
+        return this->versions_behind(*a) > this->versions_behind(*b);
     });
     for (engine_plan* member : behind) {
         const service_models* service = this->find_service(member->weights.service);
