Duties: the lease's test freezes holders between the choice of a call and its writing

Cause: with the check before the write taken out, the test still passed, since freezes were too short for another keeper to take over. Change: longer and fewer freezes, and the thawed process writes before it sees the call's timeout.

--- a/packages/duties/tests/duty_lease_test.cpp
+++ b/packages/duties/tests/duty_lease_test.cpp
@@ -103,12 +103,12 @@
 
     void change_faults() {
         const instance_id id = this->victim();
-        if (this->chance(60)) {
+        if (this->chance(150)) {
             this->group.freeze(id, true);
             this->nodes[id].is_frozen = true;
         }
         for (const instance_id& other : this->group.ids) {
-            if (this->nodes[other].is_frozen && this->chance(70)) {
+            if (this->nodes[other].is_frozen && this->chance(250)) {
                 this->thaw(other);
             }
         }
@@ -221,7 +221,8 @@
         const time_point now = this->group.time();
         if (open.state == phase::opening && open.opens_at <= now) {
             const auto fence = this->authority(id);
-            if (!fence || now >= open.deadline) {
+            // After a thaw, the socket may be ready before the timeout is seen.
+            if (!fence) {
                 open.state = phase::over;
                 self.schedule.end_attempt(open.number, call_outcome::unknown, now);
                 return;
