Forwarding: count runs without an answer before their window's counts are final

Cause: a plain service may answer long after it began, when the counts of the window in which it began are committed. Change: an attempt that is open for 1 s counts as begun; tests of what counts.

--- a/packages/forwarding/forwarder.h
+++ b/packages/forwarding/forwarder.h
@@ -91,6 +91,9 @@
     /// A link to the keeper was opened.
     void keeper_connected(const instance_id& keeper);
 
+    /// Reports requests that must have begun to run by now, though no response has arrived.
+    void count_open_runs();
+
     [[nodiscard]] std::size_t open_count() const { return this->calls.size(); }
 
 private:
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <string_view>
 #include <utility>
@@ -13,6 +14,8 @@
 
 constexpr int status_ok = 200;
 constexpr int status_multiple_choices = 300;
+/// A target of a plain service that does not run a request says so sooner than this.
+constexpr duration presumed_running_after = std::chrono::seconds(1);
 /// Kind of failure, in the log, of a response that is faulty in itself.
 constexpr const char* broken_kind = "broken";
 
@@ -387,6 +390,16 @@
     }
 }
 
+// A response may come long after its window's counts are final.
+void forwarded_call::count_open_runs() {
+    const time_point sent_before = this->params.time->now() - presumed_running_after;
+    for (const auto& [attempt, response] : this->attempts) {
+        if (response->written_at && *response->written_at <= sent_before) {
+            this->count_unanswered(attempt);
+        }
+    }
+}
+
 // A target of a plain service begins at once with what it receives, and says so if it doesn't run a
 // request. Without its answer, it is taken to have begun, unless its system did not acknowledge the
 // request. A stream's first event may be far from its sending, and shows whether it ran.
--- a/packages/forwarding/internal/forwarded_call.h
+++ b/packages/forwarding/internal/forwarded_call.h
@@ -73,6 +73,8 @@
     void cancel(attempt_id attempt);
     /// A part of the stream was sent to the caller.
     void stream_sent() { this->control_flow(); }
+    /// Counts attempts that were sent long enough ago to have begun to run.
+    void count_open_runs();
     /// Sends the rest of the selected attempt's response.
     void complete();
     void fail(const call_failure& failure);
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -178,6 +178,12 @@
     this->finish(request, "abandoned");
 }
 
+void forwarder::count_open_runs() {
+    for (const auto& [request, open] : this->calls) {
+        open.call->count_open_runs();
+    }
+}
+
 void forwarder::stream_sent(request_id request) {
     const auto found = this->calls.find(request);
     if (found != this->calls.end()) {
--- a/packages/forwarding/tests/forwarded_call_test.cpp
+++ b/packages/forwarding/tests/forwarded_call_test.cpp
@@ -31,8 +31,11 @@
     return http::make_request(target.address, request.method, request.path);
 }
 
-engines::response_kind classify(const http::response_head& /*head*/, std::string_view /*name*/) {
-    return engines::response_kind::matching;
+constexpr int status_not_run = 421;
+
+engines::response_kind classify(const http::response_head& head, std::string_view /*name*/) {
+    return head.status == status_not_run ? engines::response_kind::not_run
+                                         : engines::response_kind::matching;
 }
 
 std::optional<engines::stream_event> parse_event(const completions::server_sent_event& event) {
@@ -56,6 +59,8 @@
     /// Of what was delivered, the part that the caller has read.
     std::size_t read_bytes = 0;
     bool is_paused = false;
+    /// Runs at targets that were counted.
+    int runs = 0;
 
     explicit streamed_call(bool is_stream = true) {
         forwarded_call::parameters arguments;
@@ -88,6 +93,7 @@
         arguments.time = &this->runner.time;
         arguments.client = this->runner.http_client.get();
         arguments.metrics = &this->metrics;
+        arguments.run_began = [this](duration) { ++this->runs; };
         arguments.notify = [this](const requests::message& message) { this->receive(message); };
         this->call.emplace(std::move(arguments));
     }
@@ -121,6 +127,7 @@
                  duration max_wait) {
         this->outcome.reset();
         membership::target_record target;
+        target.id = target_id("t");
         target.address = server;
         requests::send_attempt action;
         action.attempt = attempt_id(number);
@@ -382,3 +389,54 @@
         }
     }
 }
+
+// Guards against usage of a client account that is reported too high or too low: a request counts
+// once for each target that ran it.
+SCENARIO("a request counts as begun at each target that ran it") {
+    const auto runs_of = [](bool is_stream, const http::scripted_reply& reply) {
+        streamed_call call(is_stream);
+        http::scripted_server target({reply});
+        call.attempt(1, target, 0);
+        return call.runs;
+    };
+    const std::string failure = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
+    const std::string not_run = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
+    const std::string cut_short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    GIVEN("a request to a plain service") {
+        CHECK(runs_of(false, {failure}) == 1);
+        CHECK(runs_of(false, {cut_short, ending::close}) == 1);
+        CHECK(runs_of(false, {not_run}) == 0);
+        THEN("it counts also where the target ended before it answered") {
+            CHECK(runs_of(false, {"", ending::reset}) == 1);
+        }
+    }
+    GIVEN("a stream") {
+        CHECK(runs_of(true, {whole_stream(first_event + second_event)}) == 1);
+        THEN("it does not count before its first event") {
+            CHECK(runs_of(true, {not_run}) == 0);
+            CHECK(runs_of(true, {failure}) == 0);
+            CHECK(runs_of(true, {stream_head + "Content-Length: 9\r\n\r\n", ending::close}) == 0);
+        }
+    }
+    GIVEN("a stream that another target resumes") {
+        streamed_call stream;
+        http::scripted_server first(
+            {{stream_head + "Content-Length: 100\r\n\r\n" + first_event, ending::close}});
+        stream.attempt(1, first, 0);
+        http::scripted_server second({{whole_stream(second_event)}});
+        stream.attempt(2, second, 1);
+        CHECK(stream.runs == 2);
+    }
+    GIVEN("a request without an answer yet") {
+        streamed_call call(false);
+        http::scripted_server target({{""}});
+        call.attempt(1, target.address(), 0, std::chrono::milliseconds(1200));
+        CHECK(call.runs == 0);
+        call.call->count_open_runs();
+        CHECK(call.runs == 1);
+        THEN("it counts once, also when it is cancelled later") {
+            call.call->cancel(attempt_id(1));
+            CHECK(call.runs == 1);
+        }
+    }
+}
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -143,9 +143,9 @@
     if (!duties || !duties->reports_usage) {
         return;
     }
-    this->usage = std::make_unique<usage_reports>(
-        usage_reports::parameters{duties::usage_windows({duties->usage_window, duties->usage_late}),
-                                  this->params.time, &this->wall_time, this->fleet.get()});
+    this->usage = std::make_unique<usage_reports>(usage_reports::parameters{
+        duties::usage_windows({duties->usage_window, duties->usage_late}), this->params.time,
+        &this->wall_time, this->fleet.get(), [this] { this->forwarder->count_open_runs(); }});
 }
 
 void gateway::open_forwarder() {
--- a/packages/gateway/internal/usage_reports.cpp
+++ b/packages/gateway/internal/usage_reports.cpp
@@ -54,6 +54,7 @@
 }
 
 void usage_reports::send_changes() {
+    this->params.count_open_runs();
     const wall_time now = this->params.wall_time->now();
     this->counter.expire(now);
     // Sent without changes, too: it tells the keepers that this gateway has counted no others.
--- a/packages/gateway/internal/usage_reports.h
+++ b/packages/gateway/internal/usage_reports.h
@@ -8,6 +8,8 @@
 #include "task/wakeup.h"
 #include "telemetry/metric_set.h"
 
+#include <functional>
+
 namespace kingcupcart::gateway {
 
 /// Counts the requests of client accounts that began to run at targets, and sends the counts to the
@@ -19,6 +21,8 @@
         const clock* time = nullptr;
         const wall_clock* wall_time = nullptr;
         fleet::keeper_client* fleet = nullptr;
+        /// Reports requests that must have begun by now.
+        std::function<void()> count_open_runs;
     };
 
     explicit usage_reports(parameters arguments);
