Wire: usage_update is encoded under its number

Cause: the template that gives a message's number fell back to that of hello, so usage_update was encoded as a hello, which the receiver rejects. The process test of the duties passed all the same, since it has no client accounts and all counts are empty. Change: the number is given, and a type without one no longer compiles. A test of counts under differing clocks.

--- a/packages/duties/tests/usage_test.cpp
+++ b/packages/duties/tests/usage_test.cpp
@@ -151,3 +151,45 @@
         CHECK(ledger.sum(window).counts == counts);
     }
 }
+
+// Wall clocks of gateways differ. A request may then be counted in the neighbouring window, but it
+// is neither lost nor counted twice, and only requests close to a window's end are concerned.
+TEST_CASE("gateways whose clocks differ by 100 ms misplace only requests near a window's end") {
+    constexpr std::chrono::milliseconds max_offset = 100ms;
+    std::mt19937_64 random(2);
+    usage_ledger ledger(windows);
+    std::map<std::uint64_t, std::uint64_t> near_end;
+    std::map<std::uint64_t, std::uint64_t> truth;
+    std::uint64_t misplaced = 0;
+    for (int i = 0; i < 8; ++i) {
+        usage_counter counter(windows);
+        const auto offset = std::chrono::milliseconds(random() % 201) - max_offset;
+        for (int request = 0; request < 900; ++request) {
+            const wall_time began = at(10s + std::chrono::milliseconds(random() % 600000));
+            counter.add(first_account, began + offset);
+            const std::uint64_t window = windows.window_of(began);
+            ++truth[window];
+            if (windows.window_of(began - max_offset) != window) {
+                ++near_end[window - 1];
+                ++near_end[window];
+            }
+            if (windows.window_of(began + max_offset) != window) {
+                ++near_end[window];
+                ++near_end[window + 1];
+            }
+            misplaced += windows.window_of(began + offset) == window ? 0 : 1;
+        }
+        ledger.record(gateway(std::to_string(i).c_str()), at(620s), counter.all());
+    }
+    std::uint64_t total = 0;
+    for (std::uint64_t window = 0; window < 130; ++window) {
+        const usage_report sum = ledger.sum(window);
+        const auto found = sum.counts.find(first_account);
+        const std::uint64_t counted = found == sum.counts.end() ? 0 : found->second;
+        total += counted;
+        CHECK(counted <= truth[window] + near_end[window]);
+        CHECK(counted + near_end[window] >= truth[window]);
+    }
+    CHECK(total == 8 * 900);
+    MESSAGE("misplaced requests: ", misplaced, " of ", total);
+}
--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -199,7 +199,7 @@
 
 /// The number of a message type that `serialize` handles.
 template <typename Message>
-constexpr message_number message_number_of = message_number::hello;
+constexpr message_number message_number_of = Message::has_no_number;
 template <>
 constexpr message_number message_number_of<keepalive> = message_number::keepalive;
 template <>
@@ -298,6 +298,8 @@
 constexpr message_number message_number_of<relayed_data_taken> = message_number::relayed_data_taken;
 template <>
 constexpr message_number message_number_of<relay_stopping> = message_number::relay_stopping;
+template <>
+constexpr message_number message_number_of<usage_update> = message_number::usage_update;
 
 template <typename Message>
 json write(const Message& outgoing) {
