Duties: the process test sees that counts reach the keeper

Cause: the test passed while each message with counts broke its link. Change: a metric of the messages received, checked with real processes.

--- a/packages/keeper/internal/usage_control.cpp
+++ b/packages/keeper/internal/usage_control.cpp
@@ -36,6 +36,7 @@
     if (update == nullptr) {
         return false;
     }
+    this->params.metrics->count("usage_updates_received_total");
     std::vector<duties::usage_report> counts;
     for (const wire::window_usage& window : update->windows) {
         counts.push_back(make_report(window.window, window.counts));
--- a/tests/process/duties_test.cpp
+++ b/tests/process/duties_test.cpp
@@ -25,6 +25,16 @@
     return test_fleet.keeper(id == "keeper" ? 0 : static_cast<std::size_t>(id.back() - '1'));
 }
 
+/// Messages with counts that the keeper has received from gateways.
+int updates_received(deployment& test_deployment, const child_process& keeper) {
+    http::request metrics;
+    metrics.url = "http://" + keeper.value("admin") + "/metrics";
+    const std::string text = test_deployment.call(metrics)->body;
+    const std::string name = "\nkingcupcart_usage_updates_received_total ";
+    const auto found = text.find(name);
+    return found == std::string::npos ? 0 : std::stoi(text.substr(found + name.size()));
+}
+
 bool has_gaps(const platform_api& api) {
     const auto& windows = api.windows();
     return windows.rbegin()->first - windows.begin()->first + 1 != windows.size();
@@ -49,6 +59,12 @@
     };
     REQUIRE(windows_until(3));
 
+    // A message that the keeper can't read closes the link, and no count ever arrives.
+    GIVEN("a gateway that sends its counts each second") {
+        child_process& keeper = holder_of(test_fleet, *api);
+        CHECK(test_deployment.run_until(
+            [&] { return updates_received(test_deployment, keeper) >= 3; }));
+    }
     GIVEN("an API that is busy, resets connections and is silent in turn") {
         for (const auto mode : {platform_api::mode::busy, platform_api::mode::resetting,
                                 platform_api::mode::silent}) {
