--- a/stand_ins/internal/platform_api.cpp
+++ b/stand_ins/internal/platform_api.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::int64_t body_limit = 1024 * 1024;
+constexpr std::int64_t body_limit = std::int64_t{1024} * 1024;
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 constexpr int status_too_many_requests = 429;
