--- a/packages/wire/internal/codec.cpp
+++ b/packages/wire/internal/codec.cpp
@@ -220,7 +220,7 @@
 
 /// The number of a message type that `serialize` handles.
 template <typename Message>
-constexpr message_number message_number_of = message_number::hello;
+constexpr message_number message_number_of = Message::has_no_number;
 template <>
 constexpr message_number message_number_of<keepalive> = message_number::keepalive;
 template <>
