--- a/stand_ins/internal/platform_api.cpp
+++ b/stand_ins/internal/platform_api.cpp
@@ -47,6 +47,8 @@
     case mode::accepting:
         if (is_usage) {
             this->accepted.emplace(window, exchange->body());
+        } else {
+            this->desired[{body["service"], body["zone"], body["spot"]}] = body["desired"];
         }
         exchange->respond(status_ok, "application/json", "{}");
         break;
--- a/stand_ins/platform_api.h
+++ b/stand_ins/platform_api.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,12 @@
     [[nodiscard]] const std::map<std::uint64_t, std::string>& windows() const {
         return this->accepted;
     }
+    /// The number of replicas in the latest accepted order, by service, failure domain and whether
+    /// they are spot ones.
+    using scale_subject = std::tuple<std::string, std::string, bool>;
+    [[nodiscard]] const std::map<scale_subject, int>& desired_replicas() const {
+        return this->desired;
+    }
     [[nodiscard]] const std::set<std::string>& holders() const { return this->all_holders; }
     [[nodiscard]] std::size_t call_count() const { return this->calls; }
     /// Descriptions of the calls that break a rule.
@@ -49,6 +56,7 @@
     /// The body of each report that has arrived, accepted or not.
     std::map<std::uint64_t, std::string> received;
     std::map<std::uint64_t, std::string> accepted;
+    std::map<scale_subject, int> desired;
     std::size_t calls = 0;
     std::vector<std::string> broken_rules;
     /// Calls that get no response.
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -44,6 +44,9 @@
         "limits": {}})");
     document["services"].back()["engine"]["slots"] = options.slots;
     document["services"].back()["maxConns"] = 2 * options.slots;
+    if (!options.engine_scaling.empty()) {
+        document["services"].back()["scaling"] = json::parse(options.engine_scaling);
+    }
     return document;
 }
 
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -37,6 +37,8 @@
     std::string log_settings = "level = error\n";
     /// Further lines of the section [gateway].
     std::string gateway_lines = {};
+    /// The field `scaling` of the engines' service, in JSON; empty for none.
+    std::string engine_scaling = {};
 };
 
 /// One gateway, and keepers and stores, as processes on loopback addresses, and stand-in replicas,
