Scaling: spot replicas by price, and a test of rejected orders

Cause: replicas that found no place were ordered as spot ones in the order of the domains' names. No test rejected an order.

Change: the cheapest domain first. A scenario rejects the orders of a domain for 50 s.

--- a/packages/scaling/internal/replica_scaler.cpp
+++ b/packages/scaling/internal/replica_scaler.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace kingcupcart::scaling {
 
@@ -330,7 +331,15 @@
 void replica_scaler::add_spot(const service_plan& plan, service_goal& goal,
                               std::int64_t unplaced) const {
     const std::int64_t max = plan.service.rules.max.count();
-    for (auto& [id, numbers] : goal) {
+    std::vector<failure_domain_id> by_price;
+    for (const auto& [id, numbers] : goal) {
+        by_price.push_back(id);
+    }
+    std::stable_sort(by_price.begin(), by_price.end(), [&](const auto& a, const auto& b) {
+        return price_of(plan, a) < price_of(plan, b);
+    });
+    for (const failure_domain_id& id : by_price) {
+        domain_goal& numbers = goal.at(id);
         const std::int64_t room = std::max<std::int64_t>(0, max - numbers.normal);
         if (this->is_available(plan.domains.at(id).spot)) {
             const std::int64_t added =
--- a/packages/scaling/tests/platform_fake.h
+++ b/packages/scaling/tests/platform_fake.h
@@ -114,6 +114,8 @@
     std::vector<replicas_missing> missing;
     /// Domains that have no replicas of a kind left.
     std::set<std::pair<std::string, replica_kind>> exhausted;
+    /// Domains whose orders are rejected.
+    std::set<std::string> rejected;
     /// Domains in which accepted orders have no effect.
     std::set<std::string> ineffective;
     bool is_out = false;
@@ -153,6 +155,8 @@
                 result = order_result::unknown;
             } else if (this->is_busy) {
                 result = order_result::busy;
+            } else if (this->rejected.contains(domain)) {
+                result = order_result::refused;
             } else if (this->exhausted.contains({domain, order.kind})) {
                 result = order_result::none_available;
             } else if (!this->ineffective.contains(domain)) {
--- a/packages/scaling/tests/scaling_test.cpp
+++ b/packages/scaling/tests/scaling_test.cpp
@@ -158,6 +158,23 @@
     }
 }
 
+// Guards against a rejected order that is repeated without end, or that holds up the others.
+SCENARIO("the platform rejects the orders for a failure domain") {
+    platform_fake test = make_platform();
+    test.rejected = {"d0"};
+    test.set_demand(160); // 40 replicas
+    test.run(50s);
+    THEN("others take what is missing, and each kind is ordered there once in a minute") {
+        CHECK(test.count("d0") == 4);
+        CHECK(test.total() >= 40);
+        const auto asked =
+            std::count_if(test.orders.begin(), test.orders.end(), [](const auto& order) {
+                return order.domain == failure_domain_id("d0");
+            });
+        CHECK(asked == 2);
+    }
+}
+
 // Guards against replicas that nobody replaces, as the platform's own copy of the number is
 // unknown.
 SCENARIO("replicas are lost") {
