--- a/packages/rollout/tests/rollout_test.cpp
+++ b/packages/rollout/tests/rollout_test.cpp
@@ -291,3 +291,33 @@
         }
     }
 }
+
+// Guards against a load on most engines after each change of leader, since every keeper divides the
+// engines by what it has seen itself.
+SCENARIO("a new leader adopts the assignment of the earlier one") {
+    fixture test(8, {"m", "n"});
+    GIVEN("engines that an earlier leader gave six to one model") {
+        test.publish(20, "m");
+        test.publish(20, "n");
+        for (int i = 0; i < 8; ++i) {
+            engine_weights state;
+            state.engine = target_id(std::string(1, static_cast<char>('a' + i)));
+            state.service = backend_name("llm");
+            state.versions[model_name("m")] = weight_version(i < 6 ? 20 : 3);
+            state.versions[model_name("n")] = weight_version(i < 6 ? 3 : 20);
+            test.dispatch(engine_updated{state, false});
+        }
+        test.dispatch(
+            demand_changed{{{backend_name("llm"), model_name("m"), tokens_per_second(3000), 0},
+                            {backend_name("llm"), model_name("n"), tokens_per_second(1000), 0}}});
+        WHEN("this keeper gains the authority to send load orders") {
+            test.gain_authority();
+            test.now += 60s;
+            test.dispatch(timer_expired{});
+            THEN("no engine has to load") {
+                CHECK(test.loads.empty());
+                CHECK(test.reassigned.empty());
+            }
+        }
+    }
+}
