Test: nine engines with two models keep their division

Cause: a deployment of 9 engines with two models has to be served as before. Change: a test case with its work (1232 and 3024, 112 items each).

--- a/packages/rollout/tests/rollout_test.cpp
+++ b/packages/rollout/tests/rollout_test.cpp
@@ -242,6 +242,18 @@
             CHECK(enough.at(models[1]) == 2);
         }
     }
+    GIVEN("9 engines of two models, one with more than twice the work of the other") {
+        fixture test(9, {"m", "n"});
+        test.gain_authority();
+        test.dispatch(
+            demand_changed{{{backend_name("llm"), model_name("m"), tokens_per_second(1232), 112},
+                            {backend_name("llm"), model_name("n"), tokens_per_second(3024), 112}}});
+        test.now += 60s;
+        test.dispatch(timer_expired{});
+        THEN("the difference of one engine is not worth a load") {
+            CHECK(test.reassigned.empty());
+        }
+    }
     GIVEN("20 engines that two models share equally") {
         fixture test(20, {"m", "n"});
         test.gain_authority();
