--- a/packages/accounts/internal/account_table.cpp
+++ b/packages/accounts/internal/account_table.cpp
@@ -83,7 +83,7 @@
     if (this->is_empty()) {
         return {};
     }
-    const authorization decision = this->check(stated);
+    authorization decision = this->check(stated);
     if (decision.result == access::denied && rule == key_rule::optional) {
         return {};
     }
