Usage: requests are counted for the accounts of their callers

Cause: the parts for accounts and for usage were built side by side, and the forwarder counted no account, so that windows were reported without counts. Change: the account of the forwarded request is counted; windows are reported where the routes in force have accounts.

--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -35,11 +35,6 @@
     return std::min(route.max_attempts, call.max_attempts);
 }
 
-/// The client account for which the request runs; empty if it has none.
-account_name account_of(const call_parameters& /*call*/) {
-    return {};
-}
-
 } // namespace
 
 forwarder::forwarder(parameters arguments)
@@ -140,7 +135,7 @@
     profile.may_relay = call.may_relay && this->params.relays != nullptr;
     profile.is_relayed = call.is_relayed;
 
-    const account_name account = account_of(call);
+    const account_name account = call.request.account;
     forwarded_call::parameters arguments;
     arguments.call = std::move(call);
     arguments.protocol = this->params.protocol;
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -17,11 +17,6 @@
 constexpr std::uint16_t usage_revision = 1;
 constexpr duration maintenance_interval = std::chrono::milliseconds(500);
 
-/// Whether the deployment has client accounts.
-bool has_accounts(const routes::route_table& /*table*/) {
-    return true;
-}
-
 } // namespace
 
 fleet_control::fleet_control(parameters arguments)
@@ -438,7 +433,7 @@
         this->scaling->routes_changed(table);
     }
     if (this->usage) {
-        this->usage->accounts_changed(has_accounts(table));
+        this->usage->accounts_changed(!table.accounts.is_empty());
     }
     rollout::services_changed changed;
     for (const routes::service& service : table.services) {
