Batch: start the items with the least slack first, and rank groups anew as items complete

Waiting items were ordered by rank and expected length, so that a step with time to spare took slots from one that was about to miss its due time, and ranks were set once, when the job opened.

job_opened carries the due time, the account, the priority and the number of groups that are complete. waiting_order sorts by due time less expected work; groups that can't meet the due time yield to those that can, spare groups come last. group_ranks ranks groups again each check interval and when a group completes or is lost. A job without a due time keeps its order. erase_finished_jobs no longer searches all items.

--- a/packages/batch/internal/group_ranks.h
+++ b/packages/batch/internal/group_ranks.h
@@ -1,18 +1,72 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/ids.h"
+#include "batch/internal/scheduled_item.h"
 #include "batch/item_rank.h"
 #include "batch/scheduler_messages.h"
 
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
+#include <vector>
 
 namespace kingcupcart::batch {
 
-/// Ranks the groups of a job. Groups in `earlier` are carried over from an earlier job. Of the
-/// others, the shortest are required, up to the number of groups that the submitter waits for; the
-/// rest are spare.
-[[nodiscard]] std::map<item_group_id, item_rank>
-rank_groups(const job_opened& job, const std::set<item_group_id>& earlier);
+/// Scheduler state of one group of a job.
+struct item_group {
+    /// Items without a result.
+    std::vector<scheduled_item*> open_items;
+    /// The group was incomplete in an earlier job.
+    bool is_carried = false;
+    /// An item was given up or went to another job, so that the group will not be complete.
+    bool is_lost = false;
+    /// Expected number of events still to come in its longest item.
+    std::size_t longest_remaining = 0;
+    tokens longest_output;
+    std::size_t waiting_items = 0;
+    item_rank rank = item_rank::required;
+    /// The group is expected to miss the due time of its job.
+    bool is_late = false;
+};
+
+/// Decides which groups of a job its submitter still needs.
+///
+/// Load pattern: a trainer waits for a share of its groups and takes those that are complete first.
+/// A ranking made once, by estimates that are often far off, keeps slots on groups that others have
+/// overtaken. Groups are therefore ranked again by what remains of them.
+class group_ranks {
+public:
+    /// Adds the groups of the job's items. Groups in `earlier` are carried over from an earlier
+    /// job.
+    void open(const job_opened& job, const std::set<item_group_id>& earlier);
+    /// Adds an item of the job, whose group has to be one of those opened.
+    void add(scheduled_item& item);
+    /// Removes an item that has a result, or will get none in this job.
+    void remove(scheduled_item& item, bool is_complete);
+
+    /// Measures again what remains of the groups, and ranks them: the carried ones are needed, and
+    /// then those that are nearest to completion, up to the number that the submitter waits for. At
+    /// `interval` per event, groups that miss the due time come last. Returns the groups whose rank
+    /// or lateness has changed.
+    std::vector<item_group*> update(time_point now, duration interval);
+
+    /// Whether a group has completed or was lost since the latest update.
+    [[nodiscard]] bool is_outdated() const { return this->outdated; }
+    [[nodiscard]] std::size_t open_item_count() const { return this->open_item_total; }
+    [[nodiscard]] std::map<item_group_id, item_group>& groups() { return this->by_id; }
+
+private:
+    void measure(item_group& group, time_point now, duration interval) const;
+
+    std::map<item_group_id, item_group> by_id;
+    std::size_t required = 0;
+    std::size_t complete = 0;
+    std::size_t open_item_total = 0;
+    tokens tokens_per_event{1};
+    std::optional<time_point> due_at;
+    bool outdated = false;
+};
 
 } // namespace kingcupcart::batch
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t max_earlier_groups = 20000;
 /// Number of items over which the moving average of output lengths extends.
 constexpr std::int64_t output_averaging_items = 32;
+/// Items of one job without a suitable engine after which a pass leaves the others of the job
+/// waiting. Bounds the time of a pass over thousands of waiting items.
+constexpr int max_misses = 32;
+/// The waiting items are ordered anew if the event interval has changed by this factor.
+constexpr double max_interval_change = 1.25;
 
 } // namespace
 
@@ -30,6 +35,9 @@
     std::visit([this](const auto& alternative) { this->impl->on(alternative); }, incoming);
     const bool is_run_progress = std::holds_alternative<run_progressed>(incoming) ||
                                  std::holds_alternative<run_sent>(incoming);
+    if (std::holds_alternative<timer_expired>(incoming)) {
+        this->impl->update_due_jobs();
+    }
     if (!is_run_progress || !this->impl->output.empty()) {
         // Progress of a run frees no engine unless it caused an action.
         this->impl->start_waiting_items();
@@ -54,19 +62,29 @@
 }
 
 void item_scheduler::state::on(const job_opened& opened) {
-    this->jobs.insert_or_assign(opened.job, job_state{opened, false, this->now});
-    const auto ranks = rank_groups(opened, this->earlier_groups);
+    job_state& job = this->jobs[opened.job];
+    job.spec = opened;
+    job.is_closed = false;
+    job.opened_at = this->now;
+    for (const pending_item& spec : opened.items) {
+        const auto known = this->items.find(spec.id);
+        if (known != this->items.end()) {
+            this->waiting.remove(known->second);
+            this->jobs.at(known->second.job).ranks.remove(known->second, false);
+        }
+    }
+    job.ranks.open(opened, this->earlier_groups);
+    std::vector<scheduled_item*> to_start;
     for (const pending_item& spec : opened.items) {
         auto [position, is_new] = this->items.try_emplace(spec.id);
         scheduled_item& item = position->second;
-        std::erase(this->waiting, spec.id);
         const bool may_resume = !is_new && item.satisfies(opened);
         item.job = opened.job;
         item.spec = spec;
         if (spec.output.count() == 0) {
             item.spec.output = this->mean_output_of(opened.model);
         }
-        item.rank = ranks.at(spec.group);
+        job.ranks.add(item);
         item.failures = 0;
         item.moves = 0;
         if (item.is_running() && may_resume) {
@@ -79,12 +97,57 @@
             item.discard_events();
             item.next_cause = run_cause::first;
         }
-        this->enqueue(item);
+        to_start.push_back(&item);
+    }
+    this->update_ranks(job);
+    for (auto& [id, group] : job.ranks.groups()) {
+        for (scheduled_item* item : group.open_items) {
+            item->rank = group.rank;
+        }
+    }
+    for (scheduled_item* item : to_start) {
+        this->enqueue(*item);
     }
     this->record_groups(opened);
     this->erase_finished_jobs();
 }
 
+void item_scheduler::state::update_ranks(job_state& job) {
+    if (this->expected_interval == duration::zero()) {
+        this->expected_interval = this->engines.median_event_interval();
+    }
+    for (item_group* group : job.ranks.update(this->now, this->expected_interval)) {
+        for (scheduled_item* item : group->open_items) {
+            item->rank = group->rank;
+            if (item->place) {
+                this->waiting.update(*item, this->key_of(*item));
+            }
+        }
+    }
+}
+
+void item_scheduler::state::update_due_jobs() {
+    const duration median = this->engines.median_event_interval();
+    const auto known = static_cast<double>(this->expected_interval.count());
+    const auto measured = static_cast<double>(median.count());
+    const bool has_changed =
+        measured > known * max_interval_change || measured * max_interval_change < known;
+    if (has_changed && median > duration::zero()) {
+        this->expected_interval = median;
+    }
+    for (auto& [id, job] : this->jobs) {
+        if (!job.spec.due_at || job.is_closed) {
+            continue;
+        }
+        this->update_ranks(job);
+        if (has_changed) {
+            for (scheduled_item* item : this->waiting.items_of(id)) {
+                this->waiting.update(*item, this->key_of(*item));
+            }
+        }
+    }
+}
+
 void item_scheduler::state::record_groups(const job_opened& opened) {
     for (const pending_item& item : opened.items) {
         if (this->earlier_groups.insert(item.group).second) {
@@ -103,11 +166,8 @@
         return;
     }
     job->second.is_closed = true;
-    const std::vector<item_id> waiting_items = this->waiting;
-    for (const item_id& id : waiting_items) {
-        if (this->items.at(id).job == closed.job) {
-            this->remove(id);
-        }
+    for (const scheduled_item* item : this->waiting.items_of(closed.job)) {
+        this->remove(item->spec.id, false);
     }
     this->erase_finished_jobs();
 }
@@ -122,7 +182,7 @@
         if (found->second.is_running()) {
             this->cancel(found->second);
         }
-        this->remove(id);
+        this->remove(id, true);
     }
     this->erase_finished_jobs();
 }
@@ -213,8 +273,11 @@
     this->release_slot(*item);
     this->update_mean_output(*item);
     this->output.push_back(item_completed{item->job, item->spec.id, item->rank});
-    const item_id id = item->spec.id;
-    this->items.erase(id);
+    job_state& job = this->jobs.at(item->job);
+    this->erase(*item, true);
+    if (job.ranks.is_outdated() && job.spec.due_at) {
+        this->update_ranks(job);
+    }
     this->erase_finished_jobs();
 }
 
@@ -260,19 +323,24 @@
     if (this->waiting.empty() || !this->engines.has_free_slot(this->now)) {
         return;
     }
-    std::vector<item_id> still_waiting;
     room_cache rooms(this->engines, this->now);
-    for (const item_id& id : std::exchange(this->waiting, {})) {
-        scheduled_item& item = this->items.at(id);
-        engine_state* target_engine = this->find_engine(item, rooms);
-        if (target_engine == nullptr) {
-            still_waiting.push_back(id);
-        } else {
-            this->start(item, *target_engine);
+    std::map<job_id, int> misses;
+    waiting_order::pass pass(this->waiting);
+    while (scheduled_item* item = pass.next()) {
+        const job_opened& job = this->jobs.at(item->job).spec;
+        if (rooms.largest_room(job).count() < 0) {
+            pass.skip_job();
+            continue;
+        }
+        engine_state* target_engine = this->find_engine(*item, rooms);
+        if (target_engine != nullptr) {
+            this->waiting.remove(*item);
+            this->start(*item, *target_engine);
             rooms.clear();
+        } else if (!this->is_bound_to_version(*item) && ++misses[item->job] >= max_misses) {
+            pass.skip_job();
         }
     }
-    this->waiting = std::move(still_waiting);
 }
 
 void item_scheduler::state::update_permit_demands() {
@@ -304,21 +372,27 @@
     return target_engine;
 }
 
-bool item_scheduler::state::is_more_urgent(const item_id& a, const item_id& b) const {
-    const scheduled_item& first = this->items.at(a);
-    const scheduled_item& second = this->items.at(b);
-    if (first.rank != second.rank) {
-        return first.rank < second.rank;
+waiting_key item_scheduler::state::key_of(const scheduled_item& item) const {
+    const job_opened& job = this->jobs.at(item.job).spec;
+    waiting_key key;
+    if (item.group->rank == item_rank::spare) {
+        key.standing = item_standing::spare;
+    } else if (item.group->is_late) {
+        key.standing = item_standing::late;
+    }
+    if (job.due_at) {
+        const auto events =
+            static_cast<duration::rep>(item.estimate_remaining_events(job.tokens_per_event));
+        key.latest_start = *job.due_at - this->expected_interval * events;
     }
-    return first.spec.output > second.spec.output;
+    key.rank = item.group->rank;
+    key.negated_output = -item.spec.output.count();
+    return key;
 }
 
 void item_scheduler::state::enqueue(scheduled_item& item) {
     item.waiting_since = item.waiting_since.value_or(this->now);
-    const auto position = std::upper_bound(
-        this->waiting.begin(), this->waiting.end(), item.spec.id,
-        [this](const item_id& a, const item_id& b) { return this->is_more_urgent(a, b); });
-    this->waiting.insert(position, item.spec.id);
+    this->waiting.add(item, this->key_of(item));
 }
 
 void item_scheduler::state::start(scheduled_item& item, engine_state& target_engine) {
@@ -368,7 +442,7 @@
         item.discard_events();
     }
     if (job.is_closed) {
-        this->remove(item.spec.id);
+        this->remove(item.spec.id, false);
         return;
     }
     this->enqueue(item);
@@ -376,21 +450,29 @@
 
 void item_scheduler::state::give_up(scheduled_item& item, give_up_reason reason) {
     this->output.push_back(item_given_up{item.job, item.spec.id, reason});
-    this->remove(item.spec.id);
+    job_state& job = this->jobs.at(item.job);
+    this->remove(item.spec.id, false);
+    if (job.spec.due_at) {
+        this->update_ranks(job);
+    }
     this->erase_finished_jobs();
 }
 
-void item_scheduler::state::remove(item_id id) {
-    std::erase(this->waiting, id);
-    this->items.erase(id);
+void item_scheduler::state::remove(item_id id, bool is_complete) {
+    this->erase(this->items.at(id), is_complete);
     this->output.push_back(discard_item_text{std::move(id)});
 }
 
+void item_scheduler::state::erase(scheduled_item& item, bool is_complete) {
+    this->waiting.remove(item);
+    this->jobs.at(item.job).ranks.remove(item, is_complete);
+    const item_id id = item.spec.id;
+    this->items.erase(id);
+}
+
 void item_scheduler::state::erase_finished_jobs() {
-    std::erase_if(this->jobs, [this](const auto& job) {
-        return std::none_of(this->items.begin(), this->items.end(),
-                            [&](const auto& item) { return item.second.job == job.first; });
-    });
+    std::erase_if(this->jobs,
+                  [](const auto& job) { return job.second.ranks.open_item_count() == 0; });
 }
 
 tokens item_scheduler::state::mean_output_of(const model_name& model) const {
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -2,9 +2,12 @@
 
 #include "batch/internal/engine_choice.h"
 #include "batch/internal/engine_pool.h"
+#include "batch/internal/group_ranks.h"
 #include "batch/internal/room_cache.h"
 #include "batch/internal/scheduled_item.h"
 #include "batch/internal/version_room.h"
+#include "batch/internal/waiting_key.h"
+#include "batch/internal/waiting_order.h"
 #include "batch/item_scheduler.h"
 #include "permits/permit_account.h"
 
@@ -28,6 +31,13 @@
           permits(shared_permits == nullptr ? &this->own_permits : shared_permits),
           engines(limits, *this->permits) {}
 
+    struct job_state {
+        job_opened spec;
+        group_ranks ranks;
+        bool is_closed = false;
+        time_point opened_at{};
+    };
+
     void on(const job_opened& opened);
     void on(const job_closed& closed);
     void on(const results_recorded& recorded);
@@ -42,15 +52,13 @@
     void on(const timer_expired& expired);
     /// Starts the waiting items for which an engine has room.
     void start_waiting_items();
+    /// Ranks the groups of the job again, and moves its waiting items accordingly.
+    void update_ranks(job_state& job);
+    /// Ranks the groups of all jobs with a due time again, since what remains of them has changed.
+    void update_due_jobs();
     /// Asks for the permits that waiting items could use.
     void update_permit_demands();
 
-    struct job_state {
-        job_opened spec;
-        bool is_closed = false;
-        time_point opened_at{};
-    };
-
     scheduler_limits limits;
     permits::permit_account own_permits;
     /// Never null.
@@ -59,8 +67,7 @@
     std::map<job_id, job_state> jobs;
     std::unordered_map<item_id, scheduled_item> items;
     std::unordered_map<run_id, item_id> runs;
-    /// Waiting items, the most urgent first.
-    std::vector<item_id> waiting;
+    waiting_order waiting;
     time_point now{};
     /// When the runs were last checked.
     time_point last_check_at{};
@@ -75,7 +82,9 @@
     /// Queues the item to resume after its received events, or to restart if they are unusable.
     void reschedule(scheduled_item& item, run_cause cause);
     /// Takes the identifier by value, since callers usually pass a member of the removed item.
-    void remove(item_id id);
+    void remove(item_id id, bool is_complete);
+    /// Removes the item from the waiting ones and from its group, and deletes it.
+    void erase(scheduled_item& item, bool is_complete);
     void give_up(scheduled_item& item, give_up_reason reason);
     void erase_finished_jobs();
     /// Extends the runs' timeouts by the time for which this process itself was stalled, since it
@@ -88,7 +97,7 @@
     [[nodiscard]] engine_state* find_faster_engine(const scheduled_item& item,
                                                    engine_choice choice);
     void give_up_late_items();
-    [[nodiscard]] bool is_more_urgent(const item_id& a, const item_id& b) const;
+    [[nodiscard]] waiting_key key_of(const scheduled_item& item) const;
     [[nodiscard]] scheduled_item* find_running_item(run_id run);
     [[nodiscard]] tokens mean_output_of(const model_name& model) const;
     void record_groups(const job_opened& opened);
@@ -120,6 +129,8 @@
     std::set<item_group_id> earlier_groups;
     /// The same, the oldest first.
     std::deque<item_group_id> earlier_groups_by_age;
+    /// Time between two events of a run, by which the waiting items are ordered.
+    duration expected_interval{};
     std::uint64_t last_run = 0;
 };
 
--- a/packages/batch/internal/scheduled_item.h
+++ b/packages/batch/internal/scheduled_item.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "base/units.h"
 #include "batch/internal/text_origin.h"
+#include "batch/internal/waiting_key.h"
 #include "batch/item_rank.h"
 #include "batch/run_id.h"
 #include "batch/scheduler_actions.h"
@@ -15,10 +16,16 @@
 
 namespace kingcupcart::batch {
 
+struct item_group;
+
 /// Scheduler state of one item.
 struct scheduled_item {
     job_id job;
     pending_item spec;
+    /// The item's group within its job; null only before the item is added to one.
+    item_group* group = nullptr;
+    /// The item's place among the waiting ones; empty if it does not wait.
+    std::optional<waiting_key> place;
     item_rank rank = item_rank::required;
     /// Set while the item runs.
     std::optional<run_id> run;
--- /dev/null
+++ b/packages/batch/internal/waiting_order.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/ids.h"
+#include "batch/internal/scheduled_item.h"
+#include "batch/internal/waiting_key.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace kingcupcart::batch {
+
+/// The order in which waiting items are offered to engines.
+///
+/// Load pattern: several trainers whose steps are due at different times wait for the same slots,
+/// and some steps are behind. An order by expected length alone serves whichever trainer has the
+/// longest items, and spends slots on groups that their trainer will not wait for.
+///
+/// The items of each job are kept apart, so that a job without a suitable engine costs one look,
+/// however many of its items wait.
+class waiting_order {
+public:
+    /// Adds an item, which must not wait yet.
+    void add(scheduled_item& item, waiting_key key);
+    /// Does nothing if the item does not wait.
+    void remove(scheduled_item& item);
+    /// Changes the item's place if its key has changed; the order of arrival is kept.
+    void update(scheduled_item& item, waiting_key key);
+
+    [[nodiscard]] std::size_t size() const { return this->count; }
+    [[nodiscard]] bool empty() const { return this->count == 0; }
+    /// Waiting items of the job, the most urgent first.
+    [[nodiscard]] std::vector<scheduled_item*> items_of(const job_id& job) const;
+
+    /// One pass over the waiting items, the most urgent first. The item offered last may be removed
+    /// meanwhile, and no other one.
+    class pass {
+    public:
+        explicit pass(const waiting_order& order);
+        /// Null at the end.
+        [[nodiscard]] scheduled_item* next();
+        /// Offers no further item of the job of the item offered last.
+        void skip_job();
+
+    private:
+        struct remainder {
+            std::map<waiting_key, scheduled_item*>::const_iterator next;
+            std::size_t count = 0;
+        };
+        std::vector<remainder> jobs;
+        /// The job of the item offered last.
+        remainder* current = nullptr;
+    };
+
+private:
+    using job_queue = std::map<waiting_key, scheduled_item*>;
+
+    /// Only jobs with waiting items.
+    std::map<job_id, job_queue> jobs;
+    std::size_t count = 0;
+    std::uint64_t arrivals = 0;
+};
+
+} // namespace kingcupcart::batch
--- a/packages/batch/job.h
+++ b/packages/batch/job.h
@@ -27,6 +27,8 @@
     std::vector<job_item> items;
     /// When the job was first accepted.
     wall_time submitted{};
+    /// The account that submitted the job; empty if the configuration had no accounts.
+    account_name account;
 };
 
 } // namespace kingcupcart::batch
--- a/packages/batch/job_record.h
+++ b/packages/batch/job_record.h
@@ -6,6 +6,7 @@
 #include "batch/job.h"
 
 #include <cstddef>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +31,20 @@
     [[nodiscard]] bool is_complete() const {
         return this->results.size() == this->content.items.size();
     }
+    /// Number of groups whose items all have a completed result.
+    [[nodiscard]] std::size_t complete_group_count() const {
+        std::set<item_group_id> incomplete;
+        std::set<item_group_id> groups;
+        for (const job_item& item : this->content.items) {
+            groups.insert(item.group);
+            const auto position = this->positions.find(item.id);
+            if (position == this->positions.end() ||
+                !this->results[position->second].is_completed) {
+                incomplete.insert(item.group);
+            }
+        }
+        return groups.size() - incomplete.size();
+    }
     /// Null if the job has no such item.
     [[nodiscard]] const job_item* find_item(const item_id& item) const {
         const auto found = this->item_indices.find(item);
--- a/packages/batch/scheduler_messages.h
+++ b/packages/batch/scheduler_messages.h
@@ -7,6 +7,7 @@
 #include "batch/run_id.h"
 
 #include <cstddef>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -36,6 +37,14 @@
     tokens tokens_per_event{1};
     /// Number of complete groups that the submitter waits for; 0 means all.
     std::size_t groups_required = 0;
+    /// Number of groups that were complete before, and have no item in `items`.
+    std::size_t groups_complete = 0;
+    /// The account that submitted the job; empty if there are no accounts.
+    account_name account;
+    /// 0 is the highest priority.
+    int priority = 0;
+    /// When the required groups should be complete; empty if there is no such time.
+    std::optional<time_point> due_at;
     /// Items that are not complete by then are given up.
     time_point give_up_at{};
     std::vector<pending_item> items;
--- a/packages/store/internal/item_runner.cpp
+++ b/packages/store/internal/item_runner.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace kingcupcart::store {
@@ -80,6 +81,7 @@
     opened.oldest_version = job.oldest_version;
     opened.needs_single_version = job.needs_single_version;
     opened.groups_required = job.groups_required;
+    opened.account = job.account;
     duration limit = default_queue_limit;
     if (route != nullptr) {
         for (const routes::service_share& share : route->shares) {
@@ -94,14 +96,19 @@
         opened.is_resumable = route->is_resumable;
         limit =
             route->max_queue_time > duration::zero() ? route->max_queue_time : default_queue_limit;
+        opened.priority = route->priority;
     }
     const duration age = this->params.wall->now() - job.submitted;
+    if (route != nullptr && route->completion_objective > duration::zero()) {
+        opened.due_at = this->params.time->now() + route->completion_objective - age;
+    }
     opened.give_up_at = this->params.time->now() + limit - age;
     for (const batch::job_item& item : job.items) {
         if (!record.has_result(item.id)) {
             opened.items.push_back({item.id, item.group, item.prompt, item.output_hint});
         }
     }
+    opened.groups_complete = record.complete_group_count();
     return opened;
 }
 
@@ -111,10 +118,11 @@
         this->jobs_without_route.push_back(record.content.id);
     }
     batch::job_opened opened = this->describe(record, route);
-    const std::vector<item_id> unscored = this->scores.resume(record);
-    std::erase_if(opened.items, [&](const batch::pending_item& item) {
-        return std::find(unscored.begin(), unscored.end(), item.id) != unscored.end();
-    });
+    const std::vector<item_id> resumed = this->scores.resume(record);
+    // With thousands of items, a search through a list for each would hold up the leader's start.
+    const std::unordered_set<item_id> unscored(resumed.begin(), resumed.end());
+    std::erase_if(opened.items,
+                  [&](const batch::pending_item& item) { return unscored.contains(item.id); });
     const auto hinted = std::count_if(opened.items.begin(), opened.items.end(),
                                       [](const auto& item) { return item.output.count() > 0; });
     spdlog::info("job opened job={} model={} oldest={} items={} open={} hinted={} route={}",
