--- a/packages/batch/internal/group_ranks.cpp
+++ b/packages/batch/internal/group_ranks.cpp
@@ -5,6 +5,14 @@
 
 namespace kingcupcart::batch {
 
+namespace {
+
+/// An item may well end after this part of its expected output: estimates are often far too long.
+/// A group that is set aside because of one is late for certain.
+constexpr int optimistic_divisor = 2;
+
+} // namespace
+
 void group_ranks::open(const job_opened& job, const std::set<item_group_id>& earlier) {
     for (const pending_item& item : job.items) {
         item_group& group = this->by_id[item.group];
@@ -38,7 +46,8 @@
     }
 }
 
-void group_ranks::measure(item_group& group, time_point now, duration interval) const {
+void group_ranks::measure(item_group& group, time_point now, duration interval,
+                          capacity available) const {
     group.longest_remaining = 0;
     group.longest_output = tokens(0);
     group.waiting_items = 0;
@@ -49,10 +58,21 @@
         group.waiting_items += item->is_running() ? 0 : 1;
     }
     const auto events = static_cast<duration::rep>(group.longest_remaining);
-    group.is_late = this->due_at && now + interval * events > *this->due_at;
+    const duration expected = interval * events;
+    group.is_lost_cause = this->due_at && now + expected / optimistic_divisor > *this->due_at;
+    const bool is_late = this->due_at && now + expected > *this->due_at;
+    group.is_late = available == capacity::short_of_demand ? is_late : group.is_lost_cause;
+}
+
+bool group_ranks::misses_due_time() const {
+    return std::any_of(this->by_id.begin(), this->by_id.end(), [](const auto& entry) {
+        const item_group& group = entry.second;
+        return group.is_lost_cause && group.rank != item_rank::spare && !group.open_items.empty();
+    });
 }
 
-std::vector<item_group*> group_ranks::update(time_point now, duration interval) {
+std::vector<item_group*> group_ranks::update(time_point now, duration interval,
+                                             capacity available) {
     struct earlier_state {
         item_group* group;
         item_rank rank;
@@ -66,7 +86,7 @@
             continue;
         }
         earlier.push_back({&group, group.rank, group.is_late});
-        this->measure(group, now, interval);
+        this->measure(group, now, interval, available);
         if (group.is_lost) {
             group.rank = item_rank::spare;
         } else if (group.is_carried) {
--- a/packages/batch/internal/group_ranks.h
+++ b/packages/batch/internal/group_ranks.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "batch/internal/capacity_shares.h"
 #include "batch/internal/scheduled_item.h"
 #include "batch/item_rank.h"
 #include "batch/scheduler_messages.h"
@@ -27,8 +28,10 @@
     tokens longest_output;
     std::size_t waiting_items = 0;
     item_rank rank = item_rank::required;
-    /// The group is expected to miss the due time of its job.
+    /// The group yields to others, because it is expected to miss the due time of its job.
     bool is_late = false;
+    /// The group misses the due time even if its items are much shorter than estimated.
+    bool is_lost_cause = false;
 };
 
 /// Decides which groups of a job its submitter still needs.
@@ -48,9 +51,13 @@
 
     /// Measures again what remains of the groups, and ranks them: the carried ones are needed, and
     /// then those that are nearest to completion, up to the number that the submitter waits for. At
-    /// `interval` per event, groups that miss the due time come last. Returns the groups whose rank
-    /// or lateness has changed.
-    std::vector<item_group*> update(time_point now, duration interval);
+    /// `interval` per event, groups that miss the due time come last. Where slots are short, that
+    /// is judged by the estimates as they are, and otherwise by much shorter ones, so that an
+    /// estimate that is too long makes no group late. Returns the groups whose rank or lateness has
+    /// changed.
+    std::vector<item_group*> update(time_point now, duration interval, capacity available);
+    /// Whether a group that the submitter waits for can hardly be in time.
+    [[nodiscard]] bool misses_due_time() const;
 
     /// Whether a group has completed or was lost since the latest update.
     [[nodiscard]] bool is_outdated() const { return this->outdated; }
@@ -58,7 +65,7 @@
     [[nodiscard]] std::map<item_group_id, item_group>& groups() { return this->by_id; }
 
 private:
-    void measure(item_group& group, time_point now, duration interval) const;
+    void measure(item_group& group, time_point now, duration interval, capacity available) const;
 
     std::map<item_group_id, item_group> by_id;
     std::size_t required = 0;
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -22,6 +22,9 @@
 constexpr int max_misses = 32;
 /// The waiting items are ordered anew if the event interval has changed by this factor.
 constexpr double max_interval_change = 1.25;
+/// How long slots count as short after a needed group was late: about half a training step,
+/// so that shares do not change with each group.
+constexpr duration shortage_memory = std::chrono::seconds(2);
 
 } // namespace
 
@@ -64,6 +67,7 @@
 void item_scheduler::state::on(const job_opened& opened) {
     job_state& job = this->jobs[opened.job];
     job.spec = opened;
+    job.share = &this->shares.share_of(opened);
     job.is_closed = false;
     job.opened_at = this->now;
     for (const pending_item& spec : opened.items) {
@@ -116,7 +120,8 @@
     if (this->expected_interval == duration::zero()) {
         this->expected_interval = this->engines.median_event_interval();
     }
-    for (item_group* group : job.ranks.update(this->now, this->expected_interval)) {
+    for (item_group* group :
+         job.ranks.update(this->now, this->expected_interval, this->available_capacity())) {
         for (scheduled_item* item : group->open_items) {
             item->rank = group->rank;
             if (item->place) {
@@ -124,6 +129,9 @@
             }
         }
     }
+    if (job.ranks.misses_due_time()) {
+        this->short_until = this->now + shortage_memory;
+    }
 }
 
 void item_scheduler::state::update_due_jobs() {
@@ -325,7 +333,7 @@
     }
     room_cache rooms(this->engines, this->now);
     std::map<job_id, int> misses;
-    waiting_order::pass pass(this->waiting);
+    waiting_order::pass pass(this->waiting, this->shares, this->available_capacity());
     while (scheduled_item* item = pass.next()) {
         const job_opened& job = this->jobs.at(item->job).spec;
         if (rooms.largest_room(job).count() < 0) {
@@ -392,7 +400,7 @@
 
 void item_scheduler::state::enqueue(scheduled_item& item) {
     item.waiting_since = item.waiting_since.value_or(this->now);
-    this->waiting.add(item, this->key_of(item));
+    this->waiting.add(item, this->key_of(item), *this->jobs.at(item.job).share);
 }
 
 void item_scheduler::state::start(scheduled_item& item, engine_state& target_engine) {
@@ -409,6 +417,8 @@
     }
     this->permits->take(item.engine, this->now);
     this->runs.emplace(run, item.spec.id);
+    item.share = this->jobs.at(item.job).share;
+    this->shares.run_started(*item.share);
     const int running = target_engine.running();
     target_engine.runs.insert(run);
     target_engine.reserved += item.reserved;
@@ -426,6 +436,7 @@
     }
     this->runs.erase(*item.run);
     item.run.reset();
+    this->shares.run_ended(*std::exchange(item.share, nullptr));
 }
 
 void item_scheduler::state::cancel(scheduled_item& item) {
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "batch/internal/capacity_shares.h"
 #include "batch/internal/engine_choice.h"
 #include "batch/internal/engine_pool.h"
 #include "batch/internal/group_ranks.h"
@@ -34,6 +35,7 @@
     struct job_state {
         job_opened spec;
         group_ranks ranks;
+        trainer_share* share = nullptr;
         bool is_closed = false;
         time_point opened_at{};
     };
@@ -52,6 +54,9 @@
     void on(const timer_expired& expired);
     /// Starts the waiting items for which an engine has room.
     void start_waiting_items();
+    [[nodiscard]] capacity available_capacity() const {
+        return this->now < this->short_until ? capacity::short_of_demand : capacity::sufficient;
+    }
     /// Ranks the groups of the job again, and moves its waiting items accordingly.
     void update_ranks(job_state& job);
     /// Ranks the groups of all jobs with a due time again, since what remains of them has changed.
@@ -68,6 +73,9 @@
     std::unordered_map<item_id, scheduled_item> items;
     std::unordered_map<run_id, item_id> runs;
     waiting_order waiting;
+    capacity_shares shares;
+    /// Slots count as short until then, because a group that its submitter needs was late.
+    time_point short_until{};
     time_point now{};
     /// When the runs were last checked.
     time_point last_check_at{};
--- a/packages/batch/internal/scheduled_item.h
+++ b/packages/batch/internal/scheduled_item.h
@@ -17,6 +17,7 @@
 namespace kingcupcart::batch {
 
 struct item_group;
+struct trainer_share;
 
 /// Scheduler state of one item.
 struct scheduled_item {
@@ -29,6 +30,8 @@
     item_rank rank = item_rank::required;
     /// Set while the item runs.
     std::optional<run_id> run;
+    /// The share that the run counts in; null while the item does not run.
+    trainer_share* share = nullptr;
     target_id engine;
     /// Memory reserved on the engine.
     tokens reserved;
--- a/packages/batch/internal/waiting_order.h
+++ b/packages/batch/internal/waiting_order.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "batch/internal/capacity_shares.h"
 #include "batch/internal/scheduled_item.h"
 #include "batch/internal/waiting_key.h"
 
@@ -22,7 +23,7 @@
 class waiting_order {
 public:
     /// Adds an item, which must not wait yet.
-    void add(scheduled_item& item, waiting_key key);
+    void add(scheduled_item& item, waiting_key key, const trainer_share& share);
     /// Does nothing if the item does not wait.
     void remove(scheduled_item& item);
     /// Changes the item's place if its key has changed; the order of arrival is kept.
@@ -35,9 +36,12 @@
 
     /// One pass over the waiting items, the most urgent first. The item offered last may be removed
     /// meanwhile, and no other one.
+    ///
+    /// An account or trainer below a quarter of the mean share goes first. Where slots are short,
+    /// the account that uses the least, by its weight, precedes the others of the same standing.
     class pass {
     public:
-        explicit pass(const waiting_order& order);
+        pass(const waiting_order& order, const capacity_shares& shares, capacity available);
         /// Null at the end.
         [[nodiscard]] scheduled_item* next();
         /// Offers no further item of the job of the item offered last.
@@ -47,14 +51,28 @@
         struct remainder {
             std::map<waiting_key, scheduled_item*>::const_iterator next;
             std::size_t count = 0;
+            const trainer_share* share = nullptr;
         };
+
+        [[nodiscard]] bool is_before(const remainder& a, const remainder& b) const;
+        /// Whether the job has a claim to a minimum share that it does not get.
+        [[nodiscard]] bool is_below_minimum(const remainder& job) const;
+
+        const capacity_shares& shares;
+        capacity available;
+        /// Those with waiting items.
+        std::size_t account_count = 0;
+        std::size_t trainer_count = 0;
         std::vector<remainder> jobs;
         /// The job of the item offered last.
         remainder* current = nullptr;
     };
 
 private:
-    using job_queue = std::map<waiting_key, scheduled_item*>;
+    struct job_queue {
+        std::map<waiting_key, scheduled_item*> items;
+        const trainer_share* share = nullptr;
+    };
 
     /// Only jobs with waiting items.
     std::map<job_id, job_queue> jobs;
