Admission: queues of backends are shared between accounts

A surge of one account with many callers filled the queue of a backend, since the queue was shared by caller only: small accounts were refused as queue_full, or as late by the length of the whole queue. Accounts are now served in turn, a named account fills three quarters of a queue at most, and the expected wait counts the requests that would be served before. Without accounts nothing changes.

--- a/packages/admission/queued_request.h
+++ b/packages/admission/queued_request.h
@@ -10,6 +10,8 @@
     request_id id;
     caller_id caller;
     time_point deadline;
+    /// Empty if there are no accounts.
+    account_name account = {};
 };
 
 } // namespace kingcupcart::admission
--- a/packages/admission/tests/admission_test.cpp
+++ b/packages/admission/tests/admission_test.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+
 using namespace kingcupcart;
 using namespace kingcupcart::admission;
 using namespace std::chrono_literals;
@@ -23,6 +25,33 @@
 
 } // namespace
 
+// A surge of one account filled the queue, so that the requests of all others were refused or late.
+SCENARIO("accounts share a queue fairly") {
+    GIVEN("a queue in which one account of many callers has as many requests as it may") {
+        fair_queue queue(8);
+        const auto of = [](std::uint64_t id, const char* account) {
+            return queued_request{request_id(id), caller_id(std::to_string(id)), time_point(1h),
+                                  account_name(account)};
+        };
+        std::uint64_t accepted = 0;
+        while (queue.push(of(accepted + 1, "large"))) {
+            ++accepted;
+        }
+        REQUIRE(accepted == 6);
+        THEN("a small account has room, waits for one request of the large one, and alternates") {
+            CHECK(queue.places_before(account_name("small")) == 1);
+            REQUIRE(queue.push(of(10, "small")));
+            REQUIRE(queue.push(of(11, "small")));
+            CHECK(pop_id(queue) == 1);
+            CHECK(pop_id(queue) == 10);
+            CHECK(pop_id(queue) == 2);
+            CHECK(pop_id(queue) == 11);
+            CHECK(pop_id(queue) == 3);
+            CHECK(queue.size() == 3);
+        }
+    }
+}
+
 SCENARIO("callers share a queue fairly") {
     GIVEN("one caller with many requests and another with a single later request") {
         fair_queue queue(10);
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -236,7 +236,8 @@
     const admission::work_class& work = this->class_of(request);
     auto& queue =
         this->queues[request.profile.backend].queue_for(work, this->queued_version(request));
-    const duration wait = queue.drain.expected_wait(queue.waiting.size());
+    const duration wait =
+        queue.drain.expected_wait(queue.waiting.places_before(request.profile.account));
     const auto latest = this->latest_send(request);
     if (latest && this->now + wait > *latest) {
         this->refuse_for_stop(request);
@@ -250,7 +251,7 @@
         return;
     }
     const admission::queued_request waiting{request.profile.id, request.profile.caller,
-                                            request.deadline};
+                                            request.deadline, request.profile.account};
     if (!queue.waiting.push(waiting)) {
         this->refuse(request, refusal_reason::queue_full, wait);
         return;
--- a/packages/requests/internal/dispatcher_versions.cpp
+++ b/packages/requests/internal/dispatcher_versions.cpp
@@ -50,7 +50,8 @@
     for (const request_id id : bound) {
         request_state& request = this->requests.at(id);
         queues.remove(id);
-        const admission::queued_request waiting{id, request.profile.caller, request.deadline};
+        const admission::queued_request waiting{id, request.profile.caller, request.deadline,
+                                                request.profile.account};
         auto& queue = queues.queue_for(this->class_of(request), request.software);
         if (!queue.waiting.push(waiting)) {
             this->refuse(request, refusal_reason::queue_full);
--- a/packages/requests/request_profile.h
+++ b/packages/requests/request_profile.h
@@ -15,6 +15,8 @@
 struct request_profile {
     request_id id;
     caller_id caller;
+    /// The caller's account; empty without accounts, and for a request that needs none.
+    account_name account = {};
     backend_name backend;
     work_class_name work_class;
     /// The request may run more than once without harm.
