--- a/packages/admission/internal/fair_queue.cpp
+++ b/packages/admission/internal/fair_queue.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// A quarter of the queue is kept for accounts other than the one that has the most requests.
+/// No account alone fills the last quarter of the queue.
 constexpr std::size_t reserved_divisor = 4;
 
 } // namespace
