Requests: spread Retry-After of refusals for a full queue over half of the expected wait

Callers refused together were told the same time, and returned together. The time is now 1 to 1.5 times the expected wait, from a generator of its own.

--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr duration retry_after_no_target = std::chrono::seconds(1);
+/// Callers that are refused together return over half of the expected wait.
+constexpr double max_retry_spread = 1.5;
 
 } // namespace
 
@@ -21,6 +23,7 @@
       permits(shared_permits == nullptr ? &this->own_permits : shared_permits),
       crashes(shared_crashes),
       random(seed),
+      refusal_random(seed),
       budget(limits.retry_share, limits.retry_burst) {
     this->router.set_permits(this->permits);
 }
@@ -244,7 +247,7 @@
         return;
     }
     if (this->now + wait >= request.deadline) {
-        this->refuse(request, refusal_reason::would_be_late, wait);
+        this->refuse(request, refusal_reason::would_be_late, this->spread(wait));
         return;
     }
     if (!this->await_permit(request)) {
@@ -253,7 +256,7 @@
     const admission::queued_request waiting{request.profile.id, request.profile.caller,
                                             request.deadline, request.profile.account};
     if (!queue.waiting.push(waiting)) {
-        this->refuse(request, refusal_reason::queue_full, wait);
+        this->refuse(request, refusal_reason::queue_full, this->spread(wait));
         return;
     }
     request.queued = true;
@@ -300,6 +303,11 @@
     return this->router.choose(query, this->now);
 }
 
+duration dispatcher::state::spread(duration wait) {
+    std::uniform_real_distribution<double> factors(1, max_retry_spread);
+    return std::chrono::duration_cast<duration>(wait * factors(this->refusal_random));
+}
+
 void dispatcher::state::refuse(request_state& request, refusal_reason reason,
                                duration retry_after) {
     const auto outcome = request.write_started ? outcome_kind::unknown : outcome_kind::not_run;
--- a/packages/requests/internal/dispatcher_state.h
+++ b/packages/requests/internal/dispatcher_state.h
@@ -181,6 +181,8 @@
     void cancel_others(request_state& request, attempt_id selected_attempt);
     void cancel(request_state& request, attempt_id attempt);
     void end_attempt(request_state& request, attempt_id attempt, quarantine::attempt_end how);
+    /// A time after the wait, so that callers that are refused together do not return together.
+    [[nodiscard]] duration spread(duration wait);
     void refuse(request_state& request, refusal_reason reason, duration retry_after = {});
     void erase_request(request_id request);
     [[nodiscard]] std::size_t max_attempts(const request_state& request) const;
@@ -198,6 +200,8 @@
     };
     std::unordered_map<target_id, known_target> targets;
     std::mt19937_64 random;
+    /// Its own, so that refusals do not change the other random choices.
+    std::mt19937_64 refusal_random;
     admission::retry_budget budget;
     std::unordered_map<backend_name, time_point> last_preemption;
     attempt_id last_attempt{0};
