--- a/packages/requests/tests/requests_test.cpp
+++ b/packages/requests/tests/requests_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <set>
 
 using namespace kingcupcart;
 using namespace kingcupcart::requests;
@@ -272,6 +273,34 @@
         CHECK(fixture.find<refuse_request>()->reason == refusal_reason::queue_full);
         CHECK(fixture.refusal_outcome() == outcome_kind::not_run);
     }
+    // All callers were told the same time, and returned together.
+    GIVEN("a full queue that drains by one request a second") {
+        fixture.add_target("a");
+        fixture.arrive(1, true);
+        attempt_id running = fixture.sent_attempt();
+        fixture.arrive(2, true);
+        for (std::uint64_t id = 3; id <= 6; ++id) {
+            fixture.arrive(id, true);
+            fixture.now += 1s;
+            fixture.dispatch(attempt_completed{running});
+            running = fixture.sent_attempt();
+        }
+        fixture.arrive(7, true);
+        WHEN("more requests arrive") {
+            std::set<duration> returns;
+            for (std::uint64_t id = 10; id < 30; ++id) {
+                fixture.arrive(id, true);
+                REQUIRE(fixture.find<refuse_request>() != nullptr);
+                returns.insert(fixture.find<refuse_request>()->retry_after);
+            }
+            THEN("their callers return when there is room, and not together") {
+                CHECK(returns.size() == 20);
+                CHECK(*returns.begin() >= 2s);
+                CHECK(*returns.rbegin() <= 3s);
+                CHECK(*returns.rbegin() - *returns.begin() >= 500ms);
+            }
+        }
+    }
     GIVEN("short work that arrives after long work") {
         fixture.add_target("a");
         fixture.arrive(1, true, "draft");
