--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -118,6 +118,7 @@
     requests::request_profile profile;
     profile.id = request_id(++this->last_request);
     profile.caller = caller_id(route.name.value());
+    profile.account = call.request.account;
     if (call.origin) {
         profile.backend = call.origin->backend;
         profile.software = call.origin->software;
