Routing: long prompts do not hold up short ones on the same target

Cause: engines read prompts in order of arrival, and the router did not know how much a target had still to read, so that short prompts waited behind prompts of thousands of tokens, whose targets were then ejected as slow.

--- a/packages/forwarding/call_parameters.h
+++ b/packages/forwarding/call_parameters.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/request_fingerprint.h"
+#include "base/units.h"
 #include "engines/forwarded_request.h"
 #include "forwarding/response_callbacks.h"
 #include "forwarding/stream_origin.h"
@@ -34,6 +35,8 @@
     std::optional<backend_name> service;
     /// The stream that the request continues; empty for a new one.
     streams::stream_id resumes;
+    /// Size of the prompt; zero if it is unknown.
+    tokens prompt;
     /// Targets that the request may be sent to; 0 for as many as the route allows.
     std::size_t max_attempts = 0;
     /// Another gateway may be asked to forward the request.
--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -130,6 +130,7 @@
     profile.is_streamed = is_stream;
     profile.deadline = max_wait;
     profile.objective = route.latency_objective;
+    profile.prompt = call.prompt;
     profile.max_attempts = max_attempts(route, call);
     profile.fingerprint = call.fingerprint;
     profile.may_relay = call.may_relay && this->params.relays != nullptr;
--- a/packages/gateway/caller_calls.h
+++ b/packages/gateway/caller_calls.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/units.h"
 #include "streams/stream_id.h"
 
 #include <chrono>
@@ -32,6 +33,8 @@
     /// The stream that the request continues; empty for a new stream, or if the caller does not say
     /// which one it continues.
     streams::stream_id resumes;
+    /// Size of the prompt; zero if the caller does not state it.
+    tokens prompt;
 };
 
 struct read_results_call {
--- a/packages/gateway/internal/gateway.cpp
+++ b/packages/gateway/internal/gateway.cpp
@@ -297,6 +297,7 @@
                           forwarded.request.path, forwarded.request.body});
     forwarded.origin = origin;
     forwarded.resumes = call.resumes;
+    forwarded.prompt = call.prompt;
     forwarded.may_relay = true;
     forwarded.notify = this->responder->respond_to(exchange, call, route.timeout);
     const request_id request = this->forwarder->start(route, std::move(forwarded));
--- a/packages/requests/internal/dispatcher_attempts.cpp
+++ b/packages/requests/internal/dispatcher_attempts.cpp
@@ -29,7 +29,7 @@
         this->permits->add_spare_demand(passed_over, this->now);
     }
     this->record_begin(request, this->last_attempt);
-    this->router.record_sent(attempt.target, request.kind, this->now);
+    this->router.record_sent(attempt.target, request.kind, this->now, request.profile.prompt);
     if (!request.profile.prefix.empty()) {
         this->router.record_cached(attempt.target, request.profile.prefix, this->now);
     }
--- a/packages/requests/internal/dispatcher_state.cpp
+++ b/packages/requests/internal/dispatcher_state.cpp
@@ -110,6 +110,10 @@
     } else if (!attempt.has_output) {
         attempt.has_output = true;
         this->router.record_first_output(attempt.target, attempt.kind, attempt.sent, this->now);
+        if (request.profile.prompt.count() > 0) {
+            // The target has read the prompt, and may have room for others.
+            this->send_queued(request.profile.backend);
+        }
     } else {
         this->router.record_progress(attempt.target, attempt.kind, progressed.produced,
                                      this->now - attempt.last_output);
@@ -288,6 +292,7 @@
     query.software = request.software;
     query.excluded = request.tried_targets;
     query.prefix = request.profile.prefix;
+    query.prompt = request.profile.prompt;
     return query;
 }
 
--- a/packages/requests/internal/dispatcher_timers.cpp
+++ b/packages/requests/internal/dispatcher_timers.cpp
@@ -57,6 +57,8 @@
                                                          this->limits.hedge_ratio);
         delay = std::max(this->limits.hedge_floor, duration(multiple));
     }
+    // A copy would only be read a second time.
+    delay += this->router.expected_reading_time(request.profile.backend, request.profile.prompt);
     this->timers.add(
         {this->now + delay * static_cast<duration::rep>(request.active_attempts.size()),
          timer_queue::purpose::hedge, request.profile.id});
--- a/packages/requests/request_profile.h
+++ b/packages/requests/request_profile.h
@@ -32,6 +32,8 @@
     /// The run continues when the caller disconnects, because it cannot be undone.
     bool continues_after_disconnect = false;
     std::vector<prefix_hash> prefix;
+    /// Size of the prompt; zero if there is none, or if it is unknown.
+    tokens prompt;
     /// Time from arrival to the complete response; zero selects the deadline of the work class.
     duration deadline{};
     /// Time from arrival within which the response has its full value; zero if there is no such
--- a/packages/routing/internal/router.cpp
+++ b/packages/routing/internal/router.cpp
@@ -74,13 +74,13 @@
     return this->impl->choose(query, now);
 }
 
-void router::record_sent(const target_id& target, urgency kind, time_point now) {
+void router::record_sent(const target_id& target, urgency kind, time_point now, tokens prompt) {
     target_state* entry = this->impl->find(target);
     if (entry == nullptr) {
         return;
     }
-    entry->waiting.push_back({now, kind});
     target_pool& pool = this->impl->pool_of(*entry);
+    this->impl->add_waiting(*entry, kind, now, prompt);
     if (kind == urgency::long_work) {
         ++entry->long_running;
         ++pool.long_running;
@@ -97,8 +97,8 @@
     if (entry == nullptr) {
         return;
     }
-    entry->remove_waiting(sent);
-    this->impl->observe_first_output(*entry, kind, sent, now);
+    const duration reading = this->impl->remove_waiting(*entry, sent, now);
+    this->impl->observe_first_output(*entry, kind, sent, now, reading);
 }
 
 void router::record_progress(const target_id& target, urgency kind, tokens produced,
@@ -127,7 +127,7 @@
         return;
     }
     if (!had_output) {
-        entry->remove_waiting(sent);
+        this->impl->remove_waiting(*entry, sent, std::nullopt);
         if (entry->health.is_probing()) {
             this->impl->eject(*entry, now);
         }
@@ -177,6 +177,12 @@
                                             : found->second.expected_first_output_of(kind);
 }
 
+duration router::expected_reading_time(const backend_name& backend, tokens prompt) const {
+    const auto found = this->impl->pools.find(backend);
+    return found == this->impl->pools.end() ? duration{}
+                                            : found->second.prompts.time_to_read(prompt);
+}
+
 duration router::expected_interval(const backend_name& backend) const {
     const auto found = this->impl->pools.find(backend);
     return found == this->impl->pools.end() ? duration{} : found->second.expected_interval;
--- a/packages/routing/internal/router_state.cpp
+++ b/packages/routing/internal/router_state.cpp
@@ -63,6 +63,7 @@
     target_pool& pool = this->pool_of(*entry);
     pool.short_running -= entry->short_running;
     pool.long_running -= entry->long_running;
+    pool.long_readers -= entry->long_prompts > 0 ? 1 : 0;
     --pool.targets;
     this->remove_from_tier(*entry);
     if (pool.targets == 0) {
@@ -258,7 +259,8 @@
     }
     const bool is_long = context.query.kind == urgency::long_work;
     const int long_room = std::min(room, this->local_long_work_limit(target));
-    if (!target.has_room() || (is_long && target.long_running >= long_room)) {
+    if (!target.has_room() || (is_long && target.long_running >= long_room) ||
+        !has_prompt_room(target, context)) {
         context.has_full_target = true;
         return;
     }
@@ -274,6 +276,15 @@
     }
 }
 
+bool router::state::has_prompt_room(const target_state& target, const choice_context& context) {
+    const target_pool& pool = context.pool;
+    if (!pool.prompts.may_send_behind(target.unread)) {
+        return false;
+    }
+    return target.long_prompts > 0 || !pool.prompts.is_long(context.query.prompt) ||
+           pool.long_readers < prompt_reading::max_long_readers(pool.in_use_count());
+}
+
 bool router::state::check_permit(const target_state& target, choice_context& context) const {
     const target_id& id = target.profile.id;
     if (this->permits == nullptr || !this->permits->is_limited(id)) {
@@ -322,7 +333,8 @@
         // Long work may fill the target at any time, so it counts as full.
         load = 1;
     }
-    double score = this->slowness(target, context) * (1 + load);
+    double score =
+        this->slowness(target, context) * (1 + load) + context.pool.prompts.penalty(target.unread);
     if (context.cached && context.cached->target == target.profile.id) {
         score -= this->limits.prefix_bonus * context.cached->share;
     }
@@ -336,7 +348,8 @@
     double slow = observed > probe_pass_ratio ? observed : 1;
     if (!target.waiting.empty()) {
         const waiting_attempt& oldest = target.waiting.front();
-        const duration expected = context.pool.expected_first_output_of(oldest.kind);
+        const duration expected = context.pool.expected_first_output_of(oldest.kind) +
+                                  context.pool.prompts.time_to_read(oldest.unread_when_sent);
         const duration age = context.now - oldest.sent;
         if (expected > duration::zero() && age > this->limits.overdue_floor &&
             ratio(age, expected) > this->limits.ejection_ratio) {
@@ -364,9 +377,42 @@
     return std::max(1, static_cast<int>(max_concurrent_requests / this->instances));
 }
 
+void router::state::add_waiting(target_state& target, urgency kind, time_point now, tokens prompt) {
+    target_pool& pool = this->pool_of(target);
+    const bool is_long = pool.prompts.is_long(prompt);
+    target.unread += prompt;
+    target.waiting.push_back({now, kind, prompt, target.unread, is_long});
+    if (is_long && target.long_prompts++ == 0) {
+        ++pool.long_readers;
+    }
+}
+
+duration router::state::remove_waiting(target_state& target, time_point sent,
+                                       std::optional<time_point> first_output) {
+    const bool had_long_prompts = target.long_prompts > 0;
+    const auto removed = target.remove_waiting(sent);
+    if (!removed) {
+        return duration::zero();
+    }
+    target_pool& pool = this->pool_of(target);
+    if (had_long_prompts && target.long_prompts == 0) {
+        --pool.long_readers;
+    }
+    const duration reading = pool.prompts.time_to_read(removed->unread_when_sent);
+    if (first_output) {
+        pool.prompts.observe(removed->unread_when_sent, *first_output - sent);
+    }
+    return reading;
+}
+
 void router::state::observe_first_output(target_state& target, urgency kind, time_point sent,
-                                         time_point now) {
-    const duration waited = now - sent;
+                                         time_point now, duration reading) {
+    if (reading > prompt_reading::max_wait && !target.health.is_probing()) {
+        return;
+    }
+    const duration waited = reading > duration::zero()
+                                ? std::max(this->limits.overdue_floor, now - sent - reading)
+                                : now - sent;
     target_pool& pool = this->pool_of(target);
     duration& expected = pool.expected_first_output_of(kind);
     expected = update_median(expected, waited);
--- a/packages/routing/internal/router_state.h
+++ b/packages/routing/internal/router_state.h
@@ -26,9 +26,16 @@
     [[nodiscard]] bool has_target(const route_query& query) const;
     [[nodiscard]] bool can_leave_reserve(const target_id& target, const route_query& query,
                                          time_point now) const;
+    void add_waiting(target_state& target, urgency kind, time_point now, tokens prompt);
+    /// Removes the attempt that was sent then, whose first output arrived at `first_output`, if it
+    /// did. Returns the time for which the target was expected to read prompts until then.
+    duration remove_waiting(target_state& target, time_point sent,
+                            std::optional<time_point> first_output);
     /// Records a time to first output for the given kind of work; ejects the target if it is too
-    /// slow, and completes a probe.
-    void observe_first_output(target_state& target, urgency kind, time_point sent, time_point now);
+    /// slow, and completes a probe. `reading` is the part of that time in which the target read
+    /// prompts; it says nothing of the target's speed.
+    void observe_first_output(target_state& target, urgency kind, time_point sent, time_point now,
+                              duration reading);
     void eject(target_state& target, time_point now);
     /// Moves the target to the list of its tier that matches its health and profile.
     void place_in_tier(target_state& target);
@@ -90,6 +97,9 @@
     /// Whether the target is unlimited, or a permit is held that the request may use. Otherwise
     /// notes the target in the result.
     [[nodiscard]] bool check_permit(const target_state& target, choice_context& context) const;
+    /// Whether the prompts that the target has still to read leave room for the request's.
+    [[nodiscard]] static bool has_prompt_room(const target_state& target,
+                                              const choice_context& context);
     [[nodiscard]] double score(const target_state& target, const choice_context& context) const;
     [[nodiscard]] double slowness(const target_state& target, const choice_context& context) const;
     /// Score that the distance adds.
--- a/packages/routing/internal/target_pool.h
+++ b/packages/routing/internal/target_pool.h
@@ -6,6 +6,7 @@
 #include "routing/distance.h"
 #include "routing/internal/target_tier.h"
 #include "routing/load_average.h"
+#include "routing/prompt_reading.h"
 #include "routing/slowdown_model.h"
 
 #include <array>
@@ -30,6 +31,9 @@
     int targets = 0;
     load_average short_load{std::chrono::seconds(10)};
     slowdown_model slowdown;
+    prompt_reading prompts;
+    /// Number of targets that have long prompts to read.
+    std::size_t long_readers = 0;
     /// Running medians of the time to first output, separate for short and long work: targets
     /// packed with long work respond later and must not count as slow compared with the others.
     duration expected_first_output_short{};
--- a/packages/routing/internal/target_state.h
+++ b/packages/routing/internal/target_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/units.h"
 #include "base/urgency.h"
 #include "routing/distance.h"
 #include "routing/target_health.h"
@@ -8,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace kingcupcart::routing {
@@ -16,6 +18,11 @@
 struct waiting_attempt {
     time_point sent;
     urgency kind = urgency::short_work;
+    tokens prompt;
+    /// The prompt, and what the target had to read before it when it was sent.
+    tokens unread_when_sent;
+    /// Counts among the target's long prompts.
+    bool is_long_prompt = false;
 };
 
 /// The router's state of one target.
@@ -32,6 +39,10 @@
     int remote_load = 0;
     /// Attempts without output so far, oldest first.
     std::vector<waiting_attempt> waiting;
+    /// Sum of the prompts of these attempts.
+    tokens unread;
+    /// Number of these attempts with long prompts.
+    int long_prompts = 0;
     /// When a time to first output last entered the health average.
     time_point last_observed{};
 
@@ -39,12 +50,18 @@
     [[nodiscard]] int load() const { return this->running() + this->remote_load; }
     [[nodiscard]] bool has_room() const { return this->load() < this->profile.slots; }
 
-    void remove_waiting(time_point sent) {
+    /// Returns the attempt that was sent then; empty if there is none.
+    std::optional<waiting_attempt> remove_waiting(time_point sent) {
         const auto found = std::find_if(this->waiting.begin(), this->waiting.end(),
                                         [&](const auto& attempt) { return attempt.sent == sent; });
-        if (found != this->waiting.end()) {
-            this->waiting.erase(found);
+        if (found == this->waiting.end()) {
+            return std::nullopt;
         }
+        const waiting_attempt removed = *found;
+        this->waiting.erase(found);
+        this->unread -= removed.prompt;
+        this->long_prompts -= removed.is_long_prompt ? 1 : 0;
+        return removed;
     }
 };
 
--- a/packages/routing/route_query.h
+++ b/packages/routing/route_query.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/units.h"
 #include "base/urgency.h"
 
 #include <algorithm>
@@ -26,6 +27,8 @@
     std::vector<target_id> only;
     /// Chained block hashes of the prompt, shortest prefix first; empty without a prompt.
     std::vector<prefix_hash> prefix;
+    /// Size of the prompt; zero without a prompt, or if it is unknown.
+    tokens prompt;
 
     [[nodiscard]] bool excludes(const target_id& target) const {
         const auto contains = [&](const std::vector<target_id>& targets) {
--- a/packages/routing/router.h
+++ b/packages/routing/router.h
@@ -47,7 +47,8 @@
     [[nodiscard]] std::vector<long_work_surplus> find_long_work_surplus(const backend_name& backend,
                                                                         time_point now) const;
 
-    void record_sent(const target_id& target, urgency kind, time_point now);
+    /// `prompt` is what the target has to read before the first output.
+    void record_sent(const target_id& target, urgency kind, time_point now, tokens prompt = {});
     /// `sent` is the time that was passed to `record_sent`.
     void record_first_output(const target_id& target, urgency kind, time_point sent,
                              time_point now);
@@ -64,6 +65,8 @@
 
     /// Median time to first output of the pool; zero before the first observation.
     [[nodiscard]] duration expected_first_output(const backend_name& backend, urgency kind) const;
+    /// Time that the backend's targets take to read the prompt; zero before it is known.
+    [[nodiscard]] duration expected_reading_time(const backend_name& backend, tokens prompt) const;
     /// Median time between two tokens of a short-work stream; zero before the first observation.
     [[nodiscard]] duration expected_interval(const backend_name& backend) const;
     /// The limited targets of the backend that could take the request with a permit. Empty if an
