--- a/packages/forwarding/internal/forwarder.cpp
+++ b/packages/forwarding/internal/forwarder.cpp
@@ -118,6 +118,7 @@
     requests::request_profile profile;
     profile.id = request_id(++this->last_request);
     profile.caller = caller_id(route.name.value());
+    profile.account = call.request.account;
     if (call.origin) {
         profile.backend = call.origin->backend;
         profile.software = call.origin->software;
@@ -130,6 +131,7 @@
     profile.is_streamed = is_stream;
     profile.deadline = max_wait;
     profile.objective = route.latency_objective;
+    profile.prompt = call.prompt;
     profile.max_attempts = max_attempts(route, call);
     profile.fingerprint = call.fingerprint;
     profile.may_relay = call.may_relay && this->params.relays != nullptr;
--- a/packages/gateway/caller_calls.h
+++ b/packages/gateway/caller_calls.h
@@ -3,6 +3,7 @@
 #include "accounts/credentials.h"
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/units.h"
 #include "streams/stream_id.h"
 
 #include <chrono>
@@ -33,6 +34,8 @@
     /// The stream that the request continues; empty for a new stream, or if the caller does not say
     /// which one it continues.
     streams::stream_id resumes;
+    /// Size of the prompt; zero if the caller does not state it.
+    tokens prompt;
     accounts::credentials credentials;
 };
 
--- a/packages/requests/request_profile.h
+++ b/packages/requests/request_profile.h
@@ -15,6 +15,8 @@
 struct request_profile {
     request_id id;
     caller_id caller;
+    /// The caller's account; empty without accounts, and for a request that needs none.
+    account_name account = {};
     backend_name backend;
     work_class_name work_class;
     /// The request may run more than once without harm.
@@ -32,6 +34,8 @@
     /// The run continues when the caller disconnects, because it cannot be undone.
     bool continues_after_disconnect = false;
     std::vector<prefix_hash> prefix;
+    /// Size of the prompt; zero if there is none, or if it is unknown.
+    tokens prompt;
     /// Time from arrival to the complete response; zero selects the deadline of the work class.
     duration deadline{};
     /// Time from arrival within which the response has its full value; zero if there is no such
