Batch: slack decides between accounts above their minimum share

Cause: while needed groups were late, the account with the least use went first, so that trainers with large steps, which need more slots, were late. Change: an account or trainer below a quarter of the mean share goes first, an account by its weight; otherwise slack decides.

--- a/packages/batch/internal/capacity_shares.h
+++ b/packages/batch/internal/capacity_shares.h
@@ -14,7 +14,7 @@
 /// Slots that the runs of an account use.
 struct account_share {
     std::size_t running = 0;
-    /// In proportion to which accounts share slots.
+    /// An account of a lower weight counts as using more.
     double weight = 1;
 
     [[nodiscard]] double use() const { return static_cast<double>(this->running) / this->weight; }
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -341,7 +341,7 @@
     }
     room_cache rooms(this->engines, this->now);
     std::map<job_id, int> misses;
-    waiting_order::pass pass(this->waiting, this->shares, this->available_capacity());
+    waiting_order::pass pass(this->waiting, this->shares);
     while (scheduled_item* item = pass.next()) {
         const job_opened& job = this->jobs.at(item->job).spec;
         if (rooms.largest_room(job).count() < 0) {
--- a/packages/batch/internal/waiting_order.cpp
+++ b/packages/batch/internal/waiting_order.cpp
@@ -57,9 +57,8 @@
     return items;
 }
 
-waiting_order::pass::pass(const waiting_order& order, const capacity_shares& shares,
-                          capacity available)
-    : shares(shares), available(available) {
+waiting_order::pass::pass(const waiting_order& order, const capacity_shares& shares)
+    : shares(shares) {
     std::set<const account_share*> accounts;
     std::set<const trainer_share*> trainers;
     this->jobs.reserve(order.jobs.size());
@@ -76,12 +75,12 @@
     if (job.next->first.standing == item_standing::spare) {
         return false;
     }
-    const auto is_below = [this](std::size_t running, std::size_t sharers) {
-        return static_cast<double>(running * sharers) <
+    const auto is_below = [this](double use, std::size_t sharers) {
+        return use * static_cast<double>(sharers) <
                minimum_share * static_cast<double>(this->shares.running());
     };
-    return is_below(job.share->account->running, this->account_count) ||
-           is_below(job.share->running, this->trainer_count);
+    return is_below(job.share->account->use(), this->account_count) ||
+           is_below(static_cast<double>(job.share->running), this->trainer_count);
 }
 
 bool waiting_order::pass::is_before(const remainder& a, const remainder& b) const {
@@ -96,11 +95,6 @@
     if (first.standing != second.standing) {
         return first.standing < second.standing;
     }
-    const double use = a.share->account->use();
-    const double other_use = b.share->account->use();
-    if (this->available == capacity::short_of_demand && use != other_use) {
-        return use < other_use;
-    }
     return first < second;
 }
 
--- a/packages/batch/internal/waiting_order.h
+++ b/packages/batch/internal/waiting_order.h
@@ -42,11 +42,11 @@
     /// One pass over the waiting items, the most urgent first. The item offered last may be removed
     /// meanwhile, and no other one.
     ///
-    /// An account or trainer below a quarter of the mean share goes first. Where slots are short,
-    /// the account that uses the least, by its weight, precedes the others of the same standing.
+    /// An account or trainer below a quarter of the mean share goes first, where an account counts
+    /// by its weight.
     class pass {
     public:
-        pass(const waiting_order& order, const capacity_shares& shares, capacity available);
+        pass(const waiting_order& order, const capacity_shares& shares);
         /// Null at the end.
         [[nodiscard]] scheduled_item* next();
         /// Offers no further item of the job of the item offered last.
@@ -64,7 +64,6 @@
         [[nodiscard]] bool is_below_minimum(const remainder& job) const;
 
         const capacity_shares& shares;
-        capacity available;
         /// Those with waiting items.
         std::size_t account_count = 0;
         std::size_t trainer_count = 0;
