Process test: usage is reported for the account of a caller

Change: the test's configuration has an account, and a request with its key has to appear in exactly one window under the account's name.

--- a/tests/process/duties_test.cpp
+++ b/tests/process/duties_test.cpp
@@ -3,7 +3,9 @@
 #include "stand_ins/platform_api.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <string>
 
@@ -14,6 +16,18 @@
 
 namespace {
 
+const std::string key = "north-key";
+
+/// The configuration with one client account.
+http::request configuration_with_account(const fleet& test_fleet) {
+    constexpr int version = 4;
+    http::request request = test_fleet.put_configuration_request(version);
+    auto document = nlohmann::json::parse(request.body);
+    document["tenants"] = {{{"name", "north"}, {"apiKeys", {key}}}};
+    request.body = document.dump();
+    return request;
+}
+
 std::unique_ptr<platform_api> open_api() {
     auto opened = value_or_error([] { return platform_api::open(endpoint{"127.0.0.1", 0}); });
     return std::move(std::get<std::unique_ptr<platform_api>>(opened));
@@ -53,6 +67,7 @@
                                "\ncarry-out = usage\nusage-window = 500ms\nusage-late = 8s\n";
     fleet test_fleet(test_deployment, options);
     REQUIRE(test_fleet.wait_until_ready());
+    REQUIRE(test_deployment.call(configuration_with_account(test_fleet))->head.status == 200);
     const auto windows_until = [&](std::size_t more) {
         const std::size_t count = api->windows().size() + more;
         return test_deployment.run_until([&] { return api->windows().size() >= count; });
@@ -65,6 +80,21 @@
         CHECK(test_deployment.run_until(
             [&] { return updates_received(test_deployment, keeper) >= 3; }));
     }
+    GIVEN("a request of an account") {
+        http::request request = test_fleet.booking_request("r1", "");
+        request.headers.push_back({"Authorization", "Token " + key});
+        REQUIRE(test_deployment.run_until(
+            [&] { return test_deployment.call(request)->head.status == 200; }));
+        THEN("one window reports it, under the account's name") {
+            const auto reports_request = [](const auto& window) {
+                const auto report = nlohmann::json::parse(window.second);
+                return report["counts"] == nlohmann::json{{"north", 1}};
+            };
+            CHECK(test_deployment.run_until([&] {
+                return std::any_of(api->windows().begin(), api->windows().end(), reports_request);
+            }));
+        }
+    }
     GIVEN("an API that is busy, resets connections and is silent in turn") {
         for (const auto mode : {platform_api::mode::busy, platform_api::mode::resetting,
                                 platform_api::mode::silent}) {
