--- a/packages/accounts/tests/account_table_test.cpp
+++ b/packages/accounts/tests/account_table_test.cpp
@@ -123,7 +123,7 @@
     }
 }
 
-// Guards against a revoked key that an instance without contact goes on to accept.
+// Guards against revoked keys that are still accepted by an instance without contact to a keeper.
 SCENARIO("keys are used for a bounded time without contact") {
     using namespace std::chrono_literals;
     revocation_limits limits;
--- a/packages/duties/tests/duty_lease_test.cpp
+++ b/packages/duties/tests/duty_lease_test.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 constexpr duration lease_time = 3s;
-/// The kernel gives up a connection whose peer acknowledges nothing for so long.
+/// Time without acknowledgement after which the kernel closes a connection (TCP_USER_TIMEOUT).
 constexpr duration kernel_timeout = 3s;
 constexpr duration call_timeout = 1500ms;
 constexpr duration step = 20ms;
--- a/packages/forwarding/internal/forwarded_call.cpp
+++ b/packages/forwarding/internal/forwarded_call.cpp
@@ -14,7 +14,8 @@
 
 constexpr int status_ok = 200;
 constexpr int status_multiple_choices = 300;
-/// A target of a plain service that does not run a request says so sooner than this.
+/// A target of a plain service that rejects a request answers within this time; a request without a
+/// response for longer counts as running.
 constexpr duration presumed_running_after = std::chrono::seconds(1);
 /// Kind of failure, in the log, of a response that is faulty in itself.
 constexpr const char* broken_kind = "broken";
@@ -401,9 +402,9 @@
     }
 }
 
-// A target of a plain service begins at once with what it receives, and says so if it doesn't run a
-// request. Without its answer, it is taken to have begun, unless its system did not acknowledge the
-// request. A stream's first event may be far from its sending, and shows whether it ran.
+// A target of a plain service runs a request when it arrives, or rejects it. A request without a
+// response counts as run, unless the target's kernel did not acknowledge it. A stream counts from
+// its first event only, since its target may queue it for long.
 void forwarded_call::count_unanswered(attempt_id attempt) {
     const auto found = this->attempts.find(attempt);
     if (found != this->attempts.end() && !this->params.is_stream && !found->second->is_silent) {
--- a/packages/requests/tests/requests_test.cpp
+++ b/packages/requests/tests/requests_test.cpp
@@ -273,7 +273,7 @@
         CHECK(fixture.find<refuse_request>()->reason == refusal_reason::queue_full);
         CHECK(fixture.refusal_outcome() == outcome_kind::not_run);
     }
-    // All callers were told the same time, and returned together.
+    // Guards against equal values of Retry-After, with which all rejected callers return at once.
     GIVEN("a full queue that drains by one request a second") {
         fixture.add_target("a");
         fixture.arrive(1, true);
--- a/packages/rollout/tests/rollout_test.cpp
+++ b/packages/rollout/tests/rollout_test.cpp
@@ -304,8 +304,8 @@
     }
 }
 
-// Guards against a load on most engines after each change of leader, since every keeper divides the
-// engines by what it has seen itself.
+// Guards against weight loads on most engines after a change of leader: the new leader has not seen
+// the demand, and would assign the engines to models anew.
 SCENARIO("a new leader adopts the assignment of the earlier one") {
     fixture test(8, {"m", "n"});
     GIVEN("engines that an earlier leader gave six to one model") {
--- a/packages/scaling/tests/scaling_test.cpp
+++ b/packages/scaling/tests/scaling_test.cpp
@@ -175,8 +175,8 @@
     }
 }
 
-// Guards against replicas that nobody replaces, as the platform's own copy of the number is
-// unknown.
+// Guards against lost replicas that are not replaced. Whether the platform replaces them by itself
+// can't be read from it.
 SCENARIO("replicas are lost") {
     platform_fake test = make_platform();
     test.set_demand(48); // 12 replicas
--- a/tests/process/accounts_test.cpp
+++ b/tests/process/accounts_test.cpp
@@ -175,7 +175,7 @@
     }
 }
 
-// Guards against a revoked key that a gateway without contact goes on to accept.
+// Guards against revoked keys that are still accepted by a gateway without contact to a keeper.
 SCENARIO("a gateway that reaches no keeper refuses keys if it fails closed") {
     deployment test_deployment;
     fleet_options options;
