Scaling: replicas above the maximum are not taken away under load

Cause: where more replicas ran in a failure domain than max, the first decision ordered max, whatever the load needed. Change: such a domain is left alone until the load needs no more than max; no number above max is ordered. Measured: the new case failed before (2 of 4 replicas left in each domain, with 40 needed); scaling_test 10 of 10 after.

--- a/packages/scaling/internal/replica_scaler.cpp
+++ b/packages/scaling/internal/replica_scaler.cpp
@@ -254,10 +254,9 @@
 replica_scaler::service_goal replica_scaler::choose(service_plan& plan, decision_basis& basis) {
     service_goal goal;
     std::int64_t ordered = 0;
-    const std::int64_t max = plan.service.rules.max.count();
     for (const auto& [id, domain] : plan.domains) {
         domain_goal& numbers = goal[id];
-        numbers.normal = std::min(domain.normal.ordered.count(), max);
+        numbers.normal = domain.normal.ordered.count();
         numbers.normal_reason = order_reason::surplus;
         numbers.spot = domain.spot.ordered.count();
         ordered += domain.normal.ordered.count();
@@ -340,7 +339,10 @@
     });
     for (const failure_domain_id& id : by_price) {
         domain_goal& numbers = goal.at(id);
-        const std::int64_t room = std::max<std::int64_t>(0, max - numbers.normal);
+        if (numbers.normal > max) {
+            continue;
+        }
+        const std::int64_t room = max - numbers.normal;
         if (this->is_available(plan.domains.at(id).spot)) {
             const std::int64_t added =
                 std::min(unplaced, std::max<std::int64_t>(0, room - numbers.spot));
@@ -414,6 +416,11 @@
             continue;
         }
         const domain_goal& wanted = goal.at(id);
+        if (wanted.normal > plan.service.rules.max.count()) {
+            // More replicas run than may be ordered. They stay until the load needs no more than
+            // the maximum, since an order now would take away replicas that serve.
+            continue;
+        }
         order_replicas normal;
         normal.service = plan.service.service;
         normal.domain = id;
--- a/packages/scaling/tests/scaling_test.cpp
+++ b/packages/scaling/tests/scaling_test.cpp
@@ -158,6 +158,30 @@
     }
 }
 
+// Guards against replicas that are taken away under load, since more of them run than may be
+// ordered: a lower `max` says nothing of what the load needs.
+SCENARIO("more replicas run than the maximum") {
+    platform_fake test = make_platform(2);
+    GIVEN("steps that need all of them") {
+        test.set_demand(160); // 40 replicas
+        test.run(30s);
+        THEN("they stay, and no number above the maximum is ordered") {
+            for (const char* domain : {"d0", "d1", "d2"}) {
+                CHECK(test.count(domain) == 4);
+            }
+            CHECK(std::none_of(test.orders.begin(), test.orders.end(),
+                               [](const auto& order) { return order.desired.count() > 2; }));
+        }
+        WHEN("one is lost") {
+            test.lose("d0", 1);
+            test.run(30s);
+            THEN("the others stay") {
+                CHECK(test.count("d0") == 3);
+            }
+        }
+    }
+}
+
 // Guards against a rejected order that is repeated without end, or that holds up the others.
 SCENARIO("the platform rejects the orders for a failure domain") {
     platform_fake test = make_platform();
