--- a/packages/batch/internal/capacity_shares.h
+++ b/packages/batch/internal/capacity_shares.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/ids.h"
+#include "batch/internal/account_share.h"
+#include "batch/internal/trainer_share.h"
 #include "batch/scheduler_messages.h"
 
 #include <cstddef>
@@ -8,24 +10,6 @@
 
 namespace kingcupcart::batch {
 
-/// Whether slots suffice for all groups to meet their due times.
-enum class capacity { sufficient, short_of_demand };
-
-/// Slots that the runs of an account use.
-struct account_share {
-    std::size_t running = 0;
-    /// An account of a lower weight counts as using more.
-    double weight = 1;
-
-    [[nodiscard]] double use() const { return static_cast<double>(this->running) / this->weight; }
-};
-
-/// Slots that the runs of one trainer use: those of an account for one model.
-struct trainer_share {
-    account_share* account = nullptr;
-    std::size_t running = 0;
-};
-
 /// Slots in use by accounts and trainers.
 ///
 /// Load pattern: one account submits many times its usual work. By due time alone, it gets slots in
--- a/packages/batch/internal/item_scheduler_state.h
+++ b/packages/batch/internal/item_scheduler_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "batch/internal/capacity.h"
 #include "batch/internal/capacity_shares.h"
 #include "batch/internal/engine_choice.h"
 #include "batch/internal/engine_pool.h"
--- a/packages/duties/duty_lease.h
+++ b/packages/duties/duty_lease.h
@@ -2,26 +2,13 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "duties/duty_time.h"
+#include "duties/log_leadership.h"
 
 #include <optional>
 
 namespace kingcupcart::duties {
 
-/// Time as the holder of a duty has to measure it.
-struct duty_time {
-    /// Monotonic time, which stands still while the machine is suspended.
-    time_point now{};
-    /// Total time that the machine was suspended.
-    duration suspended{};
-};
-
-/// What the replicated log says of the local member at a moment.
-struct log_leadership {
-    /// The local member leads, and at this moment no other member can have been elected.
-    bool is_sure = false;
-    fencing_token term;
-};
-
 /// Says whether this instance may carry out the duties of the leading keeper, and with which
 /// fencing token: the term in which it leads. A new holder waits until no call of an earlier one
 /// can arrive any more. To be asked immediately before each call.
--- a/packages/scaling/replica_scaler.h
+++ b/packages/scaling/replica_scaler.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/units.h"
+#include "scaling/pool_numbers.h"
 #include "scaling/replica_table.h"
 #include "scaling/scaler_actions.h"
 #include "scaling/scaler_limits.h"
@@ -15,13 +16,6 @@
 
 namespace kingcupcart::scaling {
 
-/// Replicas that serve, and that should according to the latest accepted order.
-struct pool_numbers {
-    replica_pool pool;
-    replica_count present;
-    replica_count ordered;
-};
-
 /// Decides how many replicas of each service to order in each failure domain. A state machine that
 /// performs no I/O: `handle` consumes a message and returns actions.
 ///
--- a/packages/scaling/replica_table.h
+++ b/packages/scaling/replica_table.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "base/units.h"
 #include "scaling/replica_kind.h"
+#include "scaling/replica_pool.h"
 #include "scaling/scaler_messages.h"
 
 #include <compare>
@@ -12,15 +13,6 @@
 
 namespace kingcupcart::scaling {
 
-/// The replicas of one service and kind in one failure domain.
-struct replica_pool {
-    backend_name service;
-    failure_domain_id domain;
-    replica_kind kind = replica_kind::normal;
-
-    friend auto operator<=>(const replica_pool&, const replica_pool&) = default;
-};
-
 /// Counts the replicas that serve, and those that were lost without notice. Kept by every keeper,
 /// so that a new leader neither takes a failure domain that it can't reach for an empty one nor
 /// forgets to replace what was lost with the leader before it.
