Rollout: passes over thousands of engines are bounded in number

Cause: the load planner looked at all engines for each message, and divided all of them anew for each one that announced itself; about a fifth of the leading keeper's processor time in the profile at 3,000 replicas.

Change: with more than 256 engines a pass is made at most once in 10 us an engine, and new engines are assigned in the next pass.

--- a/packages/rollout/internal/load_planner.cpp
+++ b/packages/rollout/internal/load_planner.cpp
@@ -10,16 +10,48 @@
     this->now = current_time;
     std::visit([this](const auto& alternative) { this->on(alternative); }, incoming);
     if (this->may_send_orders) {
-        this->rebalance_models();
-        this->plan_due_steps();
+        this->plan_if_due();
     }
     return std::exchange(this->output, {});
 }
 
+void load_planner::plan_if_due() {
+    this->needs_pass = this->has_many_engines() && this->now < this->next_pass_at();
+    if (this->needs_pass) {
+        return;
+    }
+    this->last_pass_at = this->now;
+    if (std::exchange(this->needs_assignment, false)) {
+        this->assign_models();
+    }
+    this->rebalance_models();
+    this->plan_due_steps();
+}
+
+bool load_planner::has_many_engines() const {
+    return this->engines.size() > this->limits.max_engines_without_delay;
+}
+
+time_point load_planner::next_pass_at() const {
+    const auto count = static_cast<duration::rep>(this->engines.size());
+    return this->last_pass_at + count * this->limits.pass_time_per_engine;
+}
+
+void load_planner::members_changed() {
+    if (this->has_many_engines()) {
+        this->needs_assignment = true;
+    } else {
+        this->assign_models();
+    }
+}
+
 std::optional<time_point> load_planner::next_wakeup() const {
     if (!this->may_send_orders) {
         return std::nullopt;
     }
+    if (this->needs_pass) {
+        return this->next_pass_at();
+    }
     std::optional<time_point> next;
     for (const auto& [id, plan] : this->engines) {
         const bool is_waiting = plan.current_step == load_step::loading || this->is_behind(plan);
@@ -59,14 +91,16 @@
     if (updated.is_restarted) {
         plan = engine_plan{};
     }
-    const bool changes_service = is_new || plan.weights.service != updated.state.service;
+    const bool changes_service = !is_new && plan.weights.service != updated.state.service;
     const auto versions = std::exchange(plan.weights.versions, {});
     plan.weights = updated.state;
     for (const auto& [model, version] : versions) {
         this->record_version(plan, model, version);
     }
-    if (changes_service || updated.is_restarted) {
+    if (changes_service) {
         this->assign_models();
+    } else if (is_new || updated.is_restarted) {
+        this->members_changed();
     }
     if (plan.current_step == load_step::loading && !this->is_behind(plan)) {
         this->end_load(plan);
@@ -75,7 +109,7 @@
 
 void load_planner::on(const engine_removed& removed) {
     if (this->engines.erase(removed.engine) > 0) {
-        this->assign_models();
+        this->members_changed();
     }
 }
 
--- a/packages/rollout/load_planner.h
+++ b/packages/rollout/load_planner.h
@@ -70,6 +70,12 @@
     void on(const report_failed& failed);
     void on(const timer_expired& expired);
 
+    /// Makes a pass over all engines, unless the last one was too short ago for their number.
+    void plan_if_due();
+    [[nodiscard]] bool has_many_engines() const;
+    [[nodiscard]] time_point next_pass_at() const;
+    /// Engines were added or removed. Many engines are assigned in the next pass.
+    void members_changed();
     /// Distributes each service's engines among its models. Keeps what is assigned, except for
     /// engines without a model, and for models with too few engines.
     void assign_models();
@@ -114,6 +120,10 @@
     std::map<backend_name, time_point> imbalanced_since;
     std::map<target_id, engine_plan> engines;
     bool may_send_orders = false;
+    /// Whether messages since the last pass call for another one.
+    bool needs_pass = false;
+    bool needs_assignment = false;
+    time_point last_pass_at{};
     time_point now{};
     planner_actions output;
 };
--- a/packages/rollout/planner_limits.h
+++ b/packages/rollout/planner_limits.h
@@ -24,6 +24,12 @@
     std::size_t min_imbalance = 2;
     /// Two to three steps of a trainer, so that a single large step reassigns nothing.
     duration min_imbalance_time = std::chrono::seconds(10);
+    /// With more engines than this the planner makes a pass over them at most once in
+    /// `pass_time_per_engine` times their number, instead of one for each message: thousands of
+    /// engines announce themselves within seconds when a fleet starts.
+    std::size_t max_engines_without_delay = 256;
+    /// A pass takes a few hundred nanoseconds an engine.
+    duration pass_time_per_engine = std::chrono::microseconds(10);
 };
 
 } // namespace kingcupcart::rollout
--- a/packages/rollout/tests/rollout_test.cpp
+++ b/packages/rollout/tests/rollout_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -333,3 +334,44 @@
         }
     }
 }
+
+// Guards against a leading keeper that looks at all engines for each of them: thousands announce
+// themselves within seconds when a fleet starts.
+SCENARIO("passes over thousands of engines are bounded in number") {
+    constexpr int engine_count = 3000;
+    fixture test(0, {"a", "b", "c"});
+    test.gain_authority();
+    for (const char* model : {"a", "b", "c"}) {
+        test.publish(2, model);
+    }
+    GIVEN("3,000 engines that announce themselves within a second") {
+        std::size_t passes_with_orders = 0;
+        for (int i = 0; i < engine_count; ++i) {
+            const std::size_t loads_before = test.loads.size();
+            test.add("engine-" + std::to_string(i));
+            passes_with_orders += test.loads.size() > loads_before ? 1 : 0;
+            test.now += 333us;
+        }
+        THEN("most passes give orders to several of them") {
+            CHECK(passes_with_orders < 200);
+        }
+        WHEN("the planner is called at the time that it asks for") {
+            const auto due = test.planner.next_wakeup();
+            REQUIRE(due);
+            CHECK(*due <= test.now + 30ms);
+            test.now = *due;
+            test.dispatch(timer_expired{});
+            THEN("a fifth of them loads, of each model alike") {
+                CHECK(test.loads.size() == engine_count / 5);
+                std::map<std::string, int> loads_of;
+                for (const send_load_order& load : test.loads) {
+                    ++loads_of[load.model.value()];
+                }
+                for (const char* model : {"a", "b", "c"}) {
+                    CAPTURE(model);
+                    CHECK(loads_of[model] >= engine_count / 5 / 4);
+                }
+            }
+        }
+    }
+}
