--- a/packages/task/internal/event_loop.cpp
+++ b/packages/task/internal/event_loop.cpp
@@ -14,7 +14,7 @@
 /// most.
 constexpr duration collect_time_per_descriptor = std::chrono::microseconds(5);
 /// Far below the deadlines of calls, and below a round trip between regions.
-constexpr duration max_collect_time = std::chrono::milliseconds(10);
+constexpr duration max_collect_time = std::chrono::milliseconds(20);
 
 gint poll_collected(GPollFD* descriptors, guint count, gint timeout_ms) {
     // A thread runs one loop.
