Rollout: parallel loads follow the time that loads take

Cause: a fifth of a service's engines loaded at once.

A new leader asks 64 engines at a time for their reports.

--- a/packages/rollout/planner_limits.h
+++ b/packages/rollout/planner_limits.h
@@ -11,6 +11,11 @@
     /// Maximum share of a service's engines that load at the same time. Concurrent loads share the
     /// bandwidth of the weight store, so a larger share makes each load slower.
     double max_loading_share = 0.2;
+    /// Number of concurrent loads that is not reduced further where loads take long.
+    std::size_t min_parallel_loads = 10;
+    /// Number of report requests at the same time to engines that are to load. A new leader needs a
+    /// report of each engine before its first order there.
+    std::size_t max_parallel_reports = 64;
     /// Delay from an accepted load order to the first report request: the duration of a single load
     /// while no other engine uses the weight store.
     duration expected_load_time = std::chrono::milliseconds(950);
