Keeper: the first sixteen updates of a burst are sent at once

Collecting after the first one delayed the end of a second engine's load by up to 50 ms on small deployments, where a step's loads end together. A burst of thousands is collected as before.

--- a/packages/keeper/internal/target_updates.cpp
+++ b/packages/keeper/internal/target_updates.cpp
@@ -19,11 +19,15 @@
 }
 
 void target_updates::send_if_due() {
-    const time_point due = this->last_sent_at + collect_time;
-    if (this->params.time->now() >= due) {
+    const time_point now = this->params.time->now();
+    if (now >= this->window_began_at + collect_time) {
+        this->window_began_at = now;
+        this->single_updates = 0;
+    }
+    if (++this->single_updates <= max_single_updates) {
         this->flush();
     } else if (!std::exchange(this->is_waiting, true)) {
-        this->params.wake_at(due);
+        this->params.wake_at(this->window_began_at + collect_time);
     }
 }
 
@@ -33,7 +37,6 @@
         this->params.send_to_keepers(std::exchange(this->for_keepers, {}));
     }
     if (!this->for_gateways_and_stores.empty()) {
-        this->last_sent_at = this->params.time->now();
         this->params.send_to_gateways_and_stores(std::exchange(this->for_gateways_and_stores, {}));
     }
 }
--- a/packages/keeper/internal/target_updates.h
+++ b/packages/keeper/internal/target_updates.h
@@ -6,6 +6,7 @@
 #include "wire/encoded_message.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <span>
@@ -26,9 +27,12 @@
         std::function<void(time_point)> wake_at;
     };
 
-    /// How long updates are collected after the last ones were sent. Well below the seconds within
-    /// which a change of a target has to be known everywhere.
+    /// How long updates are collected in a burst. Well below the seconds within which a change of a
+    /// target has to be known everywhere.
     static constexpr duration collect_time = std::chrono::milliseconds(50);
+    /// Updates that are sent at once within the time of collection. The loads of a step change a
+    /// few engines at the same time, and each one's end is worth knowing at once.
+    static constexpr std::size_t max_single_updates = 16;
 
     explicit target_updates(parameters arguments);
 
@@ -55,7 +59,9 @@
     std::vector<wire::encoded_message> for_gateways_and_stores;
     /// Those of the last call of `encode_all`.
     std::map<target_id, encoded_record> encoded;
-    time_point last_sent_at{};
+    /// Begin of the present time of collection, and the updates that were sent at once within it.
+    time_point window_began_at{};
+    std::size_t single_updates = 0;
     bool is_waiting = false;
 };
 
