--- a/packages/task/internal/event_loop.cpp
+++ b/packages/task/internal/event_loop.cpp
@@ -17,10 +17,13 @@
 constexpr duration max_collect_time = std::chrono::milliseconds(20);
 
 gint poll_collected(GPollFD* descriptors, guint count, gint timeout_ms) {
+    if (count <= max_uncollected_descriptors) {
+        return g_poll(descriptors, count, timeout_ms);
+    }
     // A thread runs one loop.
     thread_local time_point polled_at{};
     const time_point due = polled_at + event_loop::collect_time(count);
-    if (count > max_uncollected_descriptors && std::chrono::steady_clock::now() < due) {
+    if (std::chrono::steady_clock::now() < due) {
         std::this_thread::sleep_until(due);
     }
     const gint ready = g_poll(descriptors, count, timeout_ms);
