--- a/packages/accounts/account_table.h
+++ b/packages/accounts/account_table.h
@@ -5,11 +5,12 @@
 #include "accounts/api_key.h"
 #include "accounts/authorization.h"
 #include "accounts/credentials.h"
-#include "accounts/key_index.h"
 #include "base/ids.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -20,7 +21,7 @@
 class account_table {
 public:
     /// Limit of a key's length, in bytes.
-    static constexpr std::size_t max_key_bytes = key_index::max_key_bytes;
+    static constexpr std::size_t max_key_bytes = 256;
 
     account_table() = default;
     /// Returns the first problem in the order of the list if the accounts are not valid.
@@ -50,7 +51,7 @@
     /// Sorted by name.
     std::vector<entry> entries;
     /// Positions in `entries`.
-    key_index accounts_by_key;
+    std::unordered_map<api_key, std::uint32_t> accounts_by_key;
 };
 
 } // namespace kingcupcart::accounts
--- a/packages/accounts/internal/account_table.cpp
+++ b/packages/accounts/internal/account_table.cpp
@@ -1,8 +1,6 @@
 #include "accounts/account_table.h"
 
 #include <algorithm>
-#include <cstdint>
-#include <unordered_map>
 
 namespace kingcupcart::accounts {
 
@@ -68,23 +66,17 @@
     for (std::size_t i = 0; i < table.entries.size(); ++i) {
         names.at(table.entries[i].name) = i;
     }
-    std::size_t key_bytes = 0;
+    table.accounts_by_key.reserve(keys.size());
     for (const auto& [key, position] : keys) {
-        key_bytes += key.value().size();
-    }
-    table.accounts_by_key = key_index(keys.size(), key_bytes);
-    for (const account& owner : accounts) {
-        const auto entry_position = static_cast<std::uint32_t>(names.at(owner.name));
-        for (const api_key& key : owner.keys) {
-            table.accounts_by_key.add(key, entry_position);
-        }
+        table.accounts_by_key.emplace(
+            key, static_cast<std::uint32_t>(names.at(accounts[position].name)));
     }
     return table;
 }
 
 const account_name* account_table::find(const api_key& key) const {
-    const std::optional<std::uint32_t> found = this->accounts_by_key.find(key);
-    return found ? &this->entries[*found].name : nullptr;
+    const auto found = this->accounts_by_key.find(key);
+    return found == this->accounts_by_key.end() ? nullptr : &this->entries[found->second].name;
 }
 
 authorization account_table::authorize(key_rule rule, const credentials& stated) const {
--- a/packages/batch/internal/item_scheduler.cpp
+++ b/packages/batch/internal/item_scheduler.cpp
@@ -4,7 +4,6 @@
 #include "batch/internal/item_scheduler_state.h"
 
 #include <algorithm>
-#include <unordered_set>
 #include <utility>
 
 namespace kingcupcart::batch {
@@ -27,16 +26,6 @@
 /// so that shares do not change with each group.
 constexpr duration shortage_memory = std::chrono::seconds(2);
 
-/// The job with the first of several entries of an item. A queue that holds an item twice is not
-/// valid any more once one of the entries leaves it.
-job_opened without_repeated_items(const job_opened& announced) {
-    job_opened distinct = announced;
-    std::unordered_set<item_id> seen;
-    std::erase_if(distinct.items,
-                  [&](const pending_item& item) { return !seen.insert(item.id).second; });
-    return distinct;
-}
-
 } // namespace
 
 item_scheduler::item_scheduler(scheduler_limits limits, permits::permit_account* permits)
@@ -83,8 +72,7 @@
     return count;
 }
 
-void item_scheduler::state::on(const job_opened& announced) {
-    const job_opened opened = without_repeated_items(announced);
+void item_scheduler::state::on(const job_opened& opened) {
     job_state& job = this->jobs[opened.job];
     job.spec = opened;
     job.share = &this->shares.share_of(opened);
--- a/packages/batch/tests/item_scheduler_test.cpp
+++ b/packages/batch/tests/item_scheduler_test.cpp
@@ -125,25 +125,6 @@
             }
         }
     }
-    // Guards against a store that ends, and each one that leads after it, by a queue that holds one
-    // item twice.
-    GIVEN("a job that lists an item twice, and waits for an engine") {
-        job_opened job = test.make_job("j", {{"a", 10}, {"b", 20}});
-        job.items.push_back(job.items[0]);
-        test.dispatch(job);
-        CHECK(test.scheduler.waiting_count() == 2);
-        WHEN("an engine appears") {
-            test.add_engine("e", 4);
-            THEN("each item runs and completes once") {
-                CHECK(test.started.size() == 2);
-                test.dispatch(run_completed{test.run_of("a")});
-                test.dispatch(run_completed{test.run_of("b")});
-                CHECK(test.completed == std::vector<std::string>{"j/a", "j/b"});
-                CHECK(test.scheduler.waiting_count() == 0);
-                CHECK(test.scheduler.running_count() == 0);
-            }
-        }
-    }
     GIVEN("an engine with old weights and an engine with new weights") {
         test.add_engine("old", 4, 1);
         test.add_engine("fresh", 1, 3);
--- a/packages/group/internal/member_links.cpp
+++ b/packages/group/internal/member_links.cpp
@@ -73,21 +73,10 @@
     return found != this->peers.end() && found->second.is_open && found->second.link->send(message);
 }
 
-bool member_links::send(const instance_id& to, std::span<const wire::encoded_message> messages) {
-    const auto found = this->peers.find(to);
-    return found != this->peers.end() && found->second.is_open &&
-           found->second.link->send_all(messages);
-}
-
 void member_links::send_to_all(const wire::message& message) {
-    const wire::encoded_message encoded(message);
-    this->send_to_all({&encoded, 1});
-}
-
-void member_links::send_to_all(std::span<const wire::encoded_message> messages) {
     for (auto& [id, peer] : this->peers) {
         if (peer.is_open) {
-            peer.link->send_all(messages);
+            peer.link->send(message);
         }
     }
 }
--- a/packages/group/member_links.h
+++ b/packages/group/member_links.h
@@ -4,7 +4,6 @@
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "task/wakeup.h"
-#include "wire/encoded_message.h"
 #include "wire/messages.h"
 #include "wire/peer_link.h"
 
@@ -12,7 +11,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <span>
 #include <vector>
 
 namespace kingcupcart::group {
@@ -43,9 +41,7 @@
     void reconnect(const instance_id& id);
     /// Returns false, and drops the message, where the link is not open.
     bool send(const instance_id& to, const wire::message& message);
-    bool send(const instance_id& to, std::span<const wire::encoded_message> messages);
     void send_to_all(const wire::message& message);
-    void send_to_all(std::span<const wire::encoded_message> messages);
     [[nodiscard]] bool is_open(const instance_id& id) const;
     [[nodiscard]] std::size_t open_count() const;
     /// When the instance last sent anything over the open link, or over the last one that was open;
--- a/packages/keeper/internal/fleet_control.cpp
+++ b/packages/keeper/internal/fleet_control.cpp
@@ -21,8 +21,6 @@
 
 fleet_control::fleet_control(parameters arguments)
     : params(std::move(arguments)),
-      update_timer([this] { this->updates.flush(); }),
-      updates(this->make_update_parameters()),
       targets(this->make_target_parameters()),
       stores(this->params.settings.tolerated_losses),
       limits(this->make_limit_parameters()),
@@ -56,42 +54,15 @@
 
 fleet_control::~fleet_control() = default;
 
-target_updates::parameters fleet_control::make_update_parameters() {
-    target_updates::parameters arguments;
-    arguments.time = this->params.time;
-    arguments.send_to_keepers = [this](std::span<const wire::encoded_message> messages) {
-        this->params.replicated_group->members().send_to_all(messages);
-    };
-    arguments.send_to_gateways_and_stores = this->params.send_to_gateways_and_stores;
-    arguments.wake_at = [this](time_point time) { this->update_timer.arm(time); };
-    return arguments;
-}
-
-void fleet_control::send_to_gateways_and_stores(const wire::message& message) {
-    this->updates.flush();
-    const wire::encoded_message encoded(message);
-    this->params.send_to_gateways_and_stores({&encoded, 1});
-}
-
-void fleet_control::send_to_instance(const instance_id& to, const wire::message& message) {
-    this->updates.flush();
-    this->params.send_to_instance(to, message);
-}
-
-void fleet_control::send_to_keepers(const wire::message& message) {
-    this->updates.flush();
-    this->params.replicated_group->members().send_to_all(message);
-}
-
 target_control::parameters fleet_control::make_target_parameters() {
     target_control::parameters arguments;
     arguments.time = this->params.time;
     arguments.lease = this->params.settings.target_lease;
     arguments.has_contact_with_group = [this] { return this->has_contact_with_group(); };
     arguments.send_to_keepers = [this](const wire::message& message) {
-        this->send_to_keepers(message);
+        this->params.replicated_group->members().send_to_all(message);
     };
-    arguments.updates = &this->updates;
+    arguments.send_to_gateways_and_stores = this->params.send_to_gateways_and_stores;
     arguments.target_changed = [this](const membership::directory_change& change) {
         this->target_changed(change);
     };
@@ -102,29 +73,21 @@
     limit_control::parameters arguments;
     arguments.time = this->params.time;
     arguments.is_leading = [this] { return this->params.replicated_group->has_leader_lease(); };
-    arguments.send_to_instance = [this](const instance_id& to, const wire::message& message) {
-        this->send_to_instance(to, message);
-    };
-    arguments.send_to_gateways_and_stores = [this](const wire::message& message) {
-        this->send_to_gateways_and_stores(message);
-    };
+    arguments.send_to_instance = this->params.send_to_instance;
+    arguments.send_to_gateways_and_stores = this->params.send_to_gateways_and_stores;
     arguments.send_to_keepers = [this](const wire::message& message) {
-        this->send_to_keepers(message);
+        this->params.replicated_group->members().send_to_all(message);
     };
     arguments.count_senders = this->params.count_gateways_and_stores;
     return arguments;
 }
 
-crash_control::parameters fleet_control::make_crash_parameters() {
+crash_control::parameters fleet_control::make_crash_parameters() const {
     crash_control::parameters arguments;
     arguments.time = this->params.time;
     arguments.is_leading = [this] { return this->params.replicated_group->has_leader_lease(); };
-    arguments.send_to_instance = [this](const instance_id& to, const wire::message& message) {
-        this->send_to_instance(to, message);
-    };
-    arguments.send_to_gateways_and_stores = [this](const wire::message& message) {
-        this->send_to_gateways_and_stores(message);
-    };
+    arguments.send_to_instance = this->params.send_to_instance;
+    arguments.send_to_gateways_and_stores = this->params.send_to_gateways_and_stores;
     return arguments;
 }
 
@@ -283,26 +246,10 @@
     }
 }
 
-std::vector<wire::encoded_message> fleet_control::initial_messages() {
-    std::vector<wire::encoded_message> messages;
+std::vector<wire::message> fleet_control::initial_messages() const {
+    std::vector<wire::message> messages;
     messages.emplace_back(
         wire::routes_update{this->state().routes_version(), this->state().routes_document()});
-    messages.emplace_back(this->make_fleet_update());
-    const std::vector<wire::encoded_message> records = this->targets.initial_messages();
-    messages.insert(messages.end(), records.begin(), records.end());
-    if (!this->state().initial_stores().empty()) {
-        messages.emplace_back(this->make_initial_members_update());
-    }
-    for (const wire::message& report : this->limits.initial_messages()) {
-        messages.emplace_back(report);
-    }
-    for (const wire::message& suspect : this->crashes.initial_messages()) {
-        messages.emplace_back(suspect);
-    }
-    return messages;
-}
-
-wire::fleet_update fleet_control::make_fleet_update() const {
     wire::fleet_update fleet;
     const quorum::replica& log_state = this->params.replicated_group->consensus().state();
     fleet.keeper_majority = log_state.voters().voters.size() / 2 + 1;
@@ -311,15 +258,21 @@
         fleet.keepers.push_back({id, *links.address_of(id)});
     }
     fleet.stores = this->stores.addresses(this->state().leaving_stores());
-    return fleet;
-}
-
-wire::initial_members_update fleet_control::make_initial_members_update() const {
-    wire::initial_members_update update;
-    for (const replicated::store_member& member : this->state().initial_stores()) {
-        update.initial_members.push_back({member.store, quorum::disk_id(member.disk)});
+    messages.emplace_back(std::move(fleet));
+    const std::vector<wire::message> records = this->targets.initial_messages();
+    messages.insert(messages.end(), records.begin(), records.end());
+    if (!this->state().initial_stores().empty()) {
+        wire::initial_members_update initial_members;
+        for (const replicated::store_member& member : this->state().initial_stores()) {
+            initial_members.initial_members.push_back({member.store, quorum::disk_id(member.disk)});
+        }
+        messages.emplace_back(std::move(initial_members));
     }
-    return update;
+    const std::vector<wire::message> reports = this->limits.initial_messages();
+    messages.insert(messages.end(), reports.begin(), reports.end());
+    const std::vector<wire::message> suspects = this->crashes.initial_messages();
+    messages.insert(messages.end(), suspects.begin(), suspects.end());
+    return messages;
 }
 
 void fleet_control::instance_connected(std::uint64_t link, const wire::hello& hello) {
@@ -347,14 +300,14 @@
 }
 
 void fleet_control::keeper_connected(const instance_id& keeper) {
-    group::member_links& links = this->params.replicated_group->members();
-    links.send(keeper, this->targets.initial_messages());
-    links.send(keeper, this->targets.recent_heartbeats());
+    for (const wire::message& record : this->targets.initial_messages()) {
+        this->params.replicated_group->members().send(keeper, record);
+    }
     for (const wire::message& report : this->limits.initial_messages()) {
-        links.send(keeper, report);
+        this->params.replicated_group->members().send(keeper, report);
     }
     for (const wire::message& suspect : this->crashes.initial_messages()) {
-        links.send(keeper, suspect);
+        this->params.replicated_group->members().send(keeper, suspect);
     }
 }
 
@@ -444,7 +397,11 @@
     } else if (std::holds_alternative<replicated::commit_usage>(command) && this->usage) {
         this->usage->state_changed();
     } else if (std::holds_alternative<replicated::bootstrap_stores>(command)) {
-        this->send_to_gateways_and_stores(this->make_initial_members_update());
+        for (const wire::message& message : this->initial_messages()) {
+            if (std::holds_alternative<wire::initial_members_update>(message)) {
+                this->params.send_to_gateways_and_stores(message);
+            }
+        }
     }
 }
 
@@ -462,7 +419,7 @@
     if (version == configuration_version(0)) {
         return;
     }
-    this->send_to_gateways_and_stores(
+    this->params.send_to_gateways_and_stores(
         wire::routes_update{version, this->state().routes_document()});
     auto parsed = value_or_error(
         [&] { return this->params.parse_route_table(this->state().routes_document()); });
@@ -504,7 +461,11 @@
 }
 
 void fleet_control::fleet_changed() {
-    this->send_to_gateways_and_stores(this->make_fleet_update());
+    for (const wire::message& message : this->initial_messages()) {
+        if (std::holds_alternative<wire::fleet_update>(message)) {
+            this->params.send_to_gateways_and_stores(message);
+        }
+    }
 }
 
 void fleet_control::bootstrap_stores() {
--- a/packages/keeper/internal/fleet_control.h
+++ b/packages/keeper/internal/fleet_control.h
@@ -17,7 +17,6 @@
 #include "keeper/internal/store_registry.h"
 #include "keeper/internal/stream_control.h"
 #include "keeper/internal/target_control.h"
-#include "keeper/internal/target_updates.h"
 #include "keeper/internal/usage_control.h"
 #include "keeper/internal/weight_orders.h"
 #include "keeper/platform_protocol.h"
@@ -27,7 +26,6 @@
 #include "settings/duty_settings.h"
 #include "task/wakeup.h"
 #include "telemetry/metric_set.h"
-#include "wire/encoded_message.h"
 #include "wire/messages.h"
 
 #include <cstddef>
@@ -35,7 +33,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <span>
 #include <vector>
 
 namespace kingcupcart::keeper {
@@ -59,8 +56,8 @@
         std::optional<settings::duty_settings> duties;
         platform_protocol platform;
         telemetry::metric_set* metrics = nullptr;
-        /// Sends messages to all gateways and stores that are linked to this keeper.
-        std::function<void(std::span<const wire::encoded_message>)> send_to_gateways_and_stores;
+        /// Sends a message to all gateways and stores that are linked to this keeper.
+        std::function<void(const wire::message&)> send_to_gateways_and_stores;
         std::function<void(const instance_id&, const wire::message&)> send_to_instance;
         /// Number of gateways and stores that are linked to this keeper.
         std::function<std::size_t()> count_gateways_and_stores;
@@ -75,7 +72,7 @@
 
     void handle(const control_call& call);
     /// Messages that an instance receives when it connects.
-    [[nodiscard]] std::vector<wire::encoded_message> initial_messages();
+    [[nodiscard]] std::vector<wire::message> initial_messages() const;
     /// `link` is the number of the link; later ones have higher numbers.
     void instance_connected(std::uint64_t link, const wire::hello& hello);
     void instance_disconnected(std::uint64_t link, const wire::hello& hello);
@@ -109,10 +106,9 @@
     void on(const get_retirement& call);
     void on(const malformed_call& call);
 
-    [[nodiscard]] target_updates::parameters make_update_parameters();
     [[nodiscard]] target_control::parameters make_target_parameters();
     [[nodiscard]] limit_control::parameters make_limit_parameters();
-    [[nodiscard]] crash_control::parameters make_crash_parameters();
+    [[nodiscard]] crash_control::parameters make_crash_parameters() const;
     [[nodiscard]] weight_orders::parameters make_order_parameters();
     void open_duties();
     void open_usage();
@@ -121,12 +117,6 @@
     /// The fencing token with which this keeper may call the platform now; empty if it may not.
     [[nodiscard]] std::optional<fencing_token> duty_authority();
     void submit(const replicated::command& command, const control_reply& reply);
-    /// These send a message after the target updates that were collected before it.
-    void send_to_gateways_and_stores(const wire::message& message);
-    void send_to_instance(const instance_id& to, const wire::message& message);
-    void send_to_keepers(const wire::message& message);
-    [[nodiscard]] wire::fleet_update make_fleet_update() const;
-    [[nodiscard]] wire::initial_members_update make_initial_members_update() const;
     /// Notifies the permits and the load planner.
     void target_changed(const membership::directory_change& change);
     /// Passes the newest leader's report to the load planner and the replica scaler.
@@ -144,8 +134,6 @@
     }
 
     parameters params;
-    task::wakeup update_timer;
-    target_updates updates;
     target_control targets;
     store_registry stores;
     limit_control limits;
--- a/packages/keeper/internal/keeper.cpp
+++ b/packages/keeper/internal/keeper.cpp
@@ -146,10 +146,9 @@
     arguments.duties = this->params.settings.duties;
     arguments.platform = this->params.protocol.platform;
     arguments.metrics = &this->metrics;
-    arguments.send_to_gateways_and_stores =
-        [this](std::span<const wire::encoded_message> messages) {
-            this->send_to_gateways_and_stores(messages);
-        };
+    arguments.send_to_gateways_and_stores = [this](const wire::message& message) {
+        this->send_to_gateways_and_stores(message);
+    };
     arguments.send_to_instance = [this](const instance_id& to, const wire::message& message) {
         this->send_to_instance(to, message);
     };
@@ -170,10 +169,10 @@
                              instance.hello.role == wire::instance_role::store);
 }
 
-void keeper::send_to_gateways_and_stores(std::span<const wire::encoded_message> messages) {
+void keeper::send_to_gateways_and_stores(const wire::message& message) {
     for (auto& [number, instance] : this->linked_instances) {
         if (is_gateway_or_store(instance)) {
-            instance.link->send_all(messages);
+            instance.link->send(message);
         }
     }
 }
@@ -319,7 +318,9 @@
 void keeper::send_initial_messages(std::uint64_t number, linked_instance& recipient) {
     recipient.link->send(this->make_hello());
     if (this->fleet) {
-        recipient.link->send_all(this->fleet->initial_messages());
+        for (const wire::message& message : this->fleet->initial_messages()) {
+            recipient.link->send(message);
+        }
         this->fleet->instance_connected(number, recipient.hello);
         return;
     }
--- a/packages/keeper/internal/keeper.h
+++ b/packages/keeper/internal/keeper.h
@@ -13,7 +13,6 @@
 #include "settings/process_settings.h"
 #include "task/wakeup.h"
 #include "telemetry/metric_set.h"
-#include "wire/encoded_message.h"
 #include "wire/listener.h"
 #include "wire/messages.h"
 #include "wire/peer_link.h"
@@ -24,7 +23,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -85,7 +83,7 @@
     [[nodiscard]] keeper_group::parameters group_parameters() const;
     void open_fleet();
     [[nodiscard]] static bool is_gateway_or_store(const linked_instance& instance);
-    void send_to_gateways_and_stores(std::span<const wire::encoded_message> messages);
+    void send_to_gateways_and_stores(const wire::message& message);
     void send_to_instance(const instance_id& to, const wire::message& message);
     [[nodiscard]] std::size_t count_gateways_and_stores() const;
     void applied(const replicated::command& command);
--- a/packages/keeper/internal/target_control.cpp
+++ b/packages/keeper/internal/target_control.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// A keeper whose link has just opened receives the heartbeats of this time: a little over two
-/// heartbeat intervals.
+/// The heartbeat of a target is relayed to the other keepers until it is this old: a little over
+/// two heartbeat intervals.
 constexpr duration heartbeat_relay_time = std::chrono::milliseconds(2600);
 
 } // namespace
@@ -92,16 +92,13 @@
     }
     spdlog::info("target removed that is not known here target={} incarnation={}",
                  removed.id.value(), removed.incarnation.value());
-    this->params.updates->send_to_all(removed);
+    this->params.send_to_keepers(wire::target_update{removed});
+    this->params.send_to_gateways_and_stores(wire::target_update{removed});
 }
 
 void target_control::handle(const wire::target_update& update) {
-    const auto change =
-        this->targets.apply_update(update.record, this->params.lease, this->params.time->now());
-    if (change.is_record_change()) {
-        this->params.updates->send_to_gateways_and_stores(change.record);
-        this->handle_change(change);
-    }
+    this->handle_change(
+        this->targets.apply_update(update.record, this->params.lease, this->params.time->now()));
 }
 
 void target_control::handle(const wire::target_heartbeats& heartbeats) {
@@ -125,18 +122,22 @@
 
 void target_control::broadcast(const membership::directory_change& change) {
     if (change.is_record_change()) {
-        this->params.updates->send_to_all(change.record);
-        this->handle_change(change);
+        this->params.send_to_keepers(wire::target_update{change.record});
     }
+    this->handle_change(change);
 }
 
 void target_control::handle_change(const membership::directory_change& change) {
+    if (!change.is_record_change()) {
+        return;
+    }
     const membership::target_record& record = change.record;
     spdlog::info("target {} target={} backend={} address={} incarnation={} software={} sequence={} "
                  "leaving={}",
                  membership::to_string(change.event), record.id.value(), record.backend.value(),
                  record.address.to_string(), record.incarnation.value(), record.software.value(),
                  record.sequence, record.leaving);
+    this->params.send_to_gateways_and_stores(wire::target_update{record});
     this->params.target_changed(change);
 }
 
@@ -156,7 +157,8 @@
         this->targets.apply_update(changed, this->params.lease, this->params.time->now());
     if (applied_change.is_record_change()) {
         // The planner isn't notified, since the change results from its own actions.
-        this->params.updates->send_to_all(changed);
+        this->params.send_to_keepers(wire::target_update{changed});
+        this->params.send_to_gateways_and_stores(wire::target_update{changed});
     }
 }
 
@@ -175,29 +177,24 @@
 }
 
 void target_control::relay_heartbeats() {
-    const wire::target_heartbeats heartbeats =
-        this->heartbeats_since(std::exchange(this->relayed_at, this->params.time->now()));
-    if (!heartbeats.targets.empty()) {
-        this->params.send_to_keepers(heartbeats);
-    }
-}
-
-wire::target_heartbeats target_control::recent_heartbeats() const {
-    return this->heartbeats_since(this->params.time->now() - heartbeat_relay_time);
-}
-
-wire::target_heartbeats target_control::heartbeats_since(time_point earliest) const {
+    const time_point now = this->params.time->now();
     wire::target_heartbeats heartbeats;
     for (const auto& [target, at] : this->last_heartbeats) {
-        if (at >= earliest) {
+        if (now - at < heartbeat_relay_time) {
             heartbeats.targets.push_back({target, 0, 0});
         }
     }
-    return heartbeats;
+    if (!heartbeats.targets.empty()) {
+        this->params.send_to_keepers(heartbeats);
+    }
 }
 
-std::vector<wire::encoded_message> target_control::initial_messages() {
-    return this->params.updates->encode_all(this->targets.records_with_removed());
+std::vector<wire::message> target_control::initial_messages() const {
+    std::vector<wire::message> messages;
+    for (const membership::target_record& record : this->targets.records_with_removed()) {
+        messages.emplace_back(wire::target_update{record});
+    }
+    return messages;
 }
 
 } // namespace kingcupcart::keeper
--- a/packages/keeper/internal/target_control.h
+++ b/packages/keeper/internal/target_control.h
@@ -3,9 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "keeper/control_calls.h"
-#include "keeper/internal/target_updates.h"
 #include "membership/directory.h"
-#include "wire/encoded_message.h"
 #include "wire/messages.h"
 
 #include <functional>
@@ -25,7 +23,7 @@
         /// Whether a change that this keeper acknowledges reaches the other keepers.
         std::function<bool()> has_contact_with_group;
         std::function<void(const wire::message&)> send_to_keepers;
-        target_updates* updates = nullptr;
+        std::function<void(const wire::message&)> send_to_gateways_and_stores;
         /// A target was added, changed, restarted or removed. Not called for `change_record`.
         std::function<void(const membership::directory_change&)> target_changed;
     };
@@ -45,32 +43,26 @@
     void renew_leases();
     /// Removes the targets whose lease has expired.
     void remove_expired();
-    /// Sends the other keepers which targets have sent this keeper a heartbeat since the last call.
+    /// Sends the other keepers which targets have sent this keeper a heartbeat lately.
     void relay_heartbeats();
-    /// The targets that have sent this keeper a heartbeat lately, for a keeper that has missed
-    /// them.
-    [[nodiscard]] wire::target_heartbeats recent_heartbeats() const;
 
     /// Whether every target has had the time to announce itself since this keeper started.
     [[nodiscard]] bool has_complete_targets() const;
     [[nodiscard]] const membership::directory& directory() const { return this->targets; }
     /// The records of all targets, for an instance that connects and has missed earlier updates.
-    [[nodiscard]] std::vector<wire::encoded_message> initial_messages();
+    [[nodiscard]] std::vector<wire::message> initial_messages() const;
 
 private:
-    /// Sends a change of a record to all instances, and notifies the owner of it.
+    /// Sends the change to all instances and notifies its owner.
     void broadcast(const membership::directory_change& change);
-    /// Logs a change and notifies the owner of it.
+    /// Sends the change to linked gateways and stores, and notifies its owner.
     void handle_change(const membership::directory_change& change);
     /// Removes the target here and at all instances, also if it is known to them only.
     void remove_target(const membership::target_record& removed);
-    [[nodiscard]] wire::target_heartbeats heartbeats_since(time_point earliest) const;
-
     parameters params;
     membership::directory targets;
     /// When this keeper received the last heartbeat of each target.
     std::map<target_id, time_point> last_heartbeats;
-    time_point relayed_at{};
     time_point started_at{};
 };
 
--- a/packages/rollout/internal/load_planner.cpp
+++ b/packages/rollout/internal/load_planner.cpp
@@ -10,48 +10,16 @@
     this->now = current_time;
     std::visit([this](const auto& alternative) { this->on(alternative); }, incoming);
     if (this->may_send_orders) {
-        this->plan_if_due();
+        this->rebalance_models();
+        this->plan_due_steps();
     }
     return std::exchange(this->output, {});
 }
 
-void load_planner::plan_if_due() {
-    this->needs_pass = this->has_many_engines() && this->now < this->next_pass_at();
-    if (this->needs_pass) {
-        return;
-    }
-    this->last_pass_at = this->now;
-    if (std::exchange(this->needs_assignment, false)) {
-        this->assign_models();
-    }
-    this->rebalance_models();
-    this->plan_due_steps();
-}
-
-bool load_planner::has_many_engines() const {
-    return this->engines.size() > this->limits.max_engines_without_delay;
-}
-
-time_point load_planner::next_pass_at() const {
-    const auto count = static_cast<duration::rep>(this->engines.size());
-    return this->last_pass_at + count * this->limits.pass_time_per_engine;
-}
-
-void load_planner::members_changed() {
-    if (this->has_many_engines()) {
-        this->needs_assignment = true;
-    } else {
-        this->assign_models();
-    }
-}
-
 std::optional<time_point> load_planner::next_wakeup() const {
     if (!this->may_send_orders) {
         return std::nullopt;
     }
-    if (this->needs_pass) {
-        return this->next_pass_at();
-    }
     std::optional<time_point> next;
     for (const auto& [id, plan] : this->engines) {
         const bool is_waiting = plan.current_step == load_step::loading || this->is_behind(plan);
@@ -69,15 +37,7 @@
 
 void load_planner::on(const model_version& version) {
     weight_version& newest = this->newest_versions[version.model];
-    if (version.version <= newest) {
-        return;
-    }
-    newest = version.version;
-    publication& latest = this->publications[version.model];
-    if (latest.published_at != time_point{}) {
-        latest.interval = this->now - latest.published_at;
-    }
-    latest.published_at = this->now;
+    newest = std::max(newest, version.version);
 }
 
 void load_planner::on(const required_version& required) {
@@ -99,16 +59,14 @@
     if (updated.is_restarted) {
         plan = engine_plan{};
     }
-    const bool changes_service = !is_new && plan.weights.service != updated.state.service;
+    const bool changes_service = is_new || plan.weights.service != updated.state.service;
     const auto versions = std::exchange(plan.weights.versions, {});
     plan.weights = updated.state;
     for (const auto& [model, version] : versions) {
         this->record_version(plan, model, version);
     }
-    if (changes_service) {
+    if (changes_service || updated.is_restarted) {
         this->assign_models();
-    } else if (is_new || updated.is_restarted) {
-        this->members_changed();
     }
     if (plan.current_step == load_step::loading && !this->is_behind(plan)) {
         this->end_load(plan);
@@ -117,7 +75,7 @@
 
 void load_planner::on(const engine_removed& removed) {
     if (this->engines.erase(removed.engine) > 0) {
-        this->members_changed();
+        this->assign_models();
     }
 }
 
@@ -148,7 +106,6 @@
     case load_order_result::accepted:
         ++plan.orders_accepted;
         plan.current_step = load_step::loading;
-        plan.load_began_at = this->now;
         plan.next_step_at = this->now + this->limits.expected_load_time;
         return;
     case load_order_result::holds:
@@ -177,10 +134,6 @@
         this->record_version(plan, reported_version.model, reported_version.version);
     }
     if (report.is_busy) {
-        if (plan.load_began_at != time_point{}) {
-            this->windows[plan.weights.service].load_continues(this->now - plan.load_began_at,
-                                                               this->limits, this->now);
-        }
         plan.current_step = load_step::loading;
         plan.next_step_at = this->now + this->limits.report_interval;
         this->set_loading(plan, true);
@@ -449,10 +402,8 @@
 
 void load_planner::plan_due_steps() {
     std::map<backend_name, std::size_t> loading;
-    std::size_t reports = 0;
     for (const auto& [id, plan] : this->engines) {
         loading[plan.weights.service] += plan.is_loading ? 1 : 0;
-        reports += plan.current_step == load_step::report_requested && !plan.is_loading ? 1 : 0;
     }
     std::vector<engine_plan*> behind;
     for (auto& [id, plan] : this->engines) {
@@ -465,48 +416,21 @@
             behind.push_back(&plan);
         }
     }
-    std::map<backend_name, std::size_t> behind_counts;
-    for (const engine_plan* member : behind) {
-        ++behind_counts[member->weights.service];
-    }
-    std::map<backend_name, bool> is_short;
-    for (const auto& [service, count] : behind_counts) {
-        is_short[service] = this->is_short_of_loads(service, count);
-    }
-    // Engines with the oldest weights load first, since they can serve the fewest jobs. Where loads
-    // are short, each engine would then have a version that is too old again before its turn comes:
-    // engines that are nearly up to date load first, so that the same ones serve on, and none loads
-    // while its version is still accepted. Version numbers of different models aren't comparable: a
-    // fast trainer's are higher.
-    std::erase_if(behind, [&](const engine_plan* member) {
-        return is_short.at(member->weights.service) && this->is_accepted(*member);
-    });
-    std::stable_sort(behind.begin(), behind.end(), [&](const auto* a, const auto* b) {
-        if (a->weights.service != b->weights.service) {
-            return a->weights.service < b->weights.service;
-        }
-        return is_short.at(a->weights.service)
-                   ? this->versions_behind(*a) < this->versions_behind(*b)
-                   : this->versions_behind(*a) > this->versions_behind(*b);
+    // Engines with the oldest weights load first, since they can serve the fewest jobs. Version
+    // numbers of different models aren't comparable: a fast trainer's are higher.
+    std::stable_sort(behind.begin(), behind.end(), [this](const auto* a, const auto* b) {
+        return this->versions_behind(*a) > this->versions_behind(*b);
     });
-    std::map<backend_name, std::size_t> most_loads;
     for (engine_plan* member : behind) {
         const service_models* service = this->find_service(member->weights.service);
         if (service == nullptr) {
             continue;
         }
         if (member->needs_report) {
-            if (reports < this->limits.max_parallel_reports) {
-                ++reports;
-                this->send_report_request(*member);
-            }
+            this->send_report_request(*member);
             continue;
         }
-        const auto [most, is_new] = most_loads.try_emplace(service->service, 0);
-        if (is_new) {
-            most->second = this->max_parallel_loads(service->service);
-        }
-        if (loading[service->service] >= most->second) {
+        if (loading[service->service] >= this->max_parallel_loads(service->service)) {
             continue;
         }
         ++loading[service->service];
@@ -535,13 +459,6 @@
 }
 
 void load_planner::end_load(engine_plan& plan) {
-    const time_point began_at = std::exchange(plan.load_began_at, time_point{});
-    if (began_at != time_point{}) {
-        const backend_name& service = plan.weights.service;
-        this->windows[service].load_completed(this->now - began_at, this->loading_count(service),
-                                              this->available_count(service), this->limits,
-                                              this->now);
-    }
     plan.current_step = load_step::idle;
     this->set_loading(plan, false);
 }
@@ -553,54 +470,12 @@
 }
 
 std::size_t load_planner::max_parallel_loads(const backend_name& service) const {
-    const auto known = this->windows.find(service);
-    const load_window window = known == this->windows.end() ? load_window() : known->second;
-    return window.limit(this->available_count(service), this->limits);
-}
-
-std::size_t load_planner::available_count(const backend_name& service) const {
     const auto count =
         std::count_if(this->engines.begin(), this->engines.end(), [&](const auto& entry) {
             return entry.second.weights.service == service && !entry.second.weights.is_leaving;
         });
-    return static_cast<std::size_t>(count);
-}
-
-std::size_t load_planner::loading_count(const backend_name& service) const {
-    const auto count =
-        std::count_if(this->engines.begin(), this->engines.end(), [&](const auto& entry) {
-            return entry.second.weights.service == service && entry.second.is_loading;
-        });
-    return static_cast<std::size_t>(count);
-}
-
-bool load_planner::is_accepted(const engine_plan& plan) const {
-    const auto oldest = this->required_versions.find(plan.assigned_model);
-    const bool is_required =
-        oldest != this->required_versions.end() && loaded_version_of(plan) < oldest->second;
-    return !is_required && this->versions_behind(plan) <= 1;
-}
-
-bool load_planner::is_short_of_loads(const backend_name& service, std::size_t behind) const {
-    const service_models* known = this->find_service(service);
-    const double share =
-        static_cast<double>(this->available_count(service)) * this->limits.max_loading_share;
-    const bool is_limited = share > static_cast<double>(this->limits.min_parallel_loads);
-    if (known == nullptr || known->models.size() < 2 || !is_limited) {
-        return false;
-    }
-    duration total{};
-    int model_count = 0;
-    for (const model_name& model : known->models) {
-        const auto latest = this->publications.find(model);
-        if (latest != this->publications.end() && latest->second.interval > duration::zero()) {
-            total += latest->second.interval;
-            ++model_count;
-        }
-    }
-    const std::size_t rounds = behind / this->max_parallel_loads(service);
-    return model_count > 0 && static_cast<duration::rep>(rounds) * this->limits.expected_load_time >
-                                  2 * (total / model_count);
+    const auto limit = std::lround(static_cast<double>(count) * this->limits.max_loading_share);
+    return static_cast<std::size_t>(std::max(1L, limit));
 }
 
 const service_models* load_planner::find_service(const backend_name& name) const {
--- a/packages/rollout/load_planner.h
+++ b/packages/rollout/load_planner.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/clock.h"
-#include "rollout/load_window.h"
 #include "rollout/model_assignment.h"
 #include "rollout/planner_actions.h"
 #include "rollout/planner_limits.h"
@@ -50,8 +49,6 @@
         std::optional<bool> loads_even_versions;
         load_step current_step = load_step::idle;
         bool is_loading = false;
-        /// When the current load was accepted.
-        time_point load_began_at{};
         /// Version in the latest load order.
         model_version ordered_version;
         /// `orders_accepted` may be wrong; a report must arrive before the next order.
@@ -61,13 +58,6 @@
         time_point next_step_at{};
     };
 
-    /// The newest version of a model.
-    struct publication {
-        time_point published_at{};
-        /// Time between the last two versions; zero until there are two.
-        duration interval{};
-    };
-
     void on(const services_changed& changed);
     void on(const model_version& version);
     void on(const required_version& required);
@@ -80,12 +70,6 @@
     void on(const report_failed& failed);
     void on(const timer_expired& expired);
 
-    /// Makes a pass over all engines, unless the last one was too short ago for their number.
-    void plan_if_due();
-    [[nodiscard]] bool has_many_engines() const;
-    [[nodiscard]] time_point next_pass_at() const;
-    /// Engines were added or removed. Many engines are assigned in the next pass.
-    void members_changed();
     /// Distributes each service's engines among its models. Keeps what is assigned, except for
     /// engines without a model, and for models with too few engines.
     void assign_models();
@@ -113,35 +97,23 @@
     void plan_due_steps();
     void record_version(engine_plan& plan, const model_name& model, weight_version version);
     void end_load(engine_plan& plan);
-    /// Whether the engines that are behind can't all load before further versions are published.
-    [[nodiscard]] bool is_short_of_loads(const backend_name& service, std::size_t behind) const;
     void set_loading(engine_plan& plan, bool is_loading);
     void send_report_request(engine_plan& plan);
     /// Whether the engine should load the newest weights now.
     [[nodiscard]] bool is_behind(const engine_plan& plan) const;
-    /// Whether open jobs accept the engine's version, and it is the newest or the one before.
-    [[nodiscard]] bool is_accepted(const engine_plan& plan) const;
     [[nodiscard]] static weight_version loaded_version_of(const engine_plan& plan);
     [[nodiscard]] std::size_t max_parallel_loads(const backend_name& service) const;
-    [[nodiscard]] std::size_t available_count(const backend_name& service) const;
-    [[nodiscard]] std::size_t loading_count(const backend_name& service) const;
     [[nodiscard]] const service_models* find_service(const backend_name& name) const;
 
     planner_limits limits;
     std::vector<service_models> services;
     std::map<model_name, weight_version> newest_versions;
     std::map<model_name, weight_version> required_versions;
-    std::map<model_name, publication> publications;
-    std::map<backend_name, load_window> windows;
     std::map<backend_name, std::map<model_name, model_demand>> demand;
     /// Since when a service's numbers of engines have differed from its demand.
     std::map<backend_name, time_point> imbalanced_since;
     std::map<target_id, engine_plan> engines;
     bool may_send_orders = false;
-    /// Whether messages since the last pass call for another one.
-    bool needs_pass = false;
-    bool needs_assignment = false;
-    time_point last_pass_at{};
     time_point now{};
     planner_actions output;
 };
--- a/packages/rollout/tests/rollout_test.cpp
+++ b/packages/rollout/tests/rollout_test.cpp
@@ -2,7 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <map>
 #include <set>
 #include <string>
 
@@ -334,55 +333,3 @@
         }
     }
 }
-
-// Guards against a leading keeper that looks at all engines for each of them: thousands announce
-// themselves within seconds when a fleet starts.
-SCENARIO("passes over thousands of engines are bounded in number") {
-    constexpr int engine_count = 3000;
-    fixture test(0, {"a", "b", "c"});
-    test.gain_authority();
-    for (const char* model : {"a", "b", "c"}) {
-        test.publish(2, model);
-    }
-    GIVEN("3,000 engines that announce themselves within a second") {
-        int passes = 0;
-        for (int i = 0; i < engine_count; ++i) {
-            test.add("engine-" + std::to_string(i));
-            // After a pass the planner waits for the responses to its orders.
-            passes += test.planner.next_wakeup() ? 0 : 1;
-            test.now += 333us;
-        }
-        THEN("most passes serve several of them") {
-            CHECK(passes >= 256);
-            CHECK(passes < 256 + 200);
-        }
-        WHEN("the planner is called at the time that it asks for") {
-            const auto due = test.planner.next_wakeup();
-            REQUIRE(due);
-            CHECK(*due <= test.now + 30ms);
-            test.now = *due;
-            test.dispatch(timer_expired{});
-            THEN("each model has its share of the loads that may begin at once") {
-                std::map<std::string, int> loads_of;
-                for (const send_load_order& load : test.loads) {
-                    ++loads_of[load.model.value()];
-                }
-                CHECK(test.loads.size() == planner_limits{}.min_parallel_loads);
-                CHECK(loads_of.size() == 3);
-            }
-        }
-    }
-    GIVEN("a new leader that knows no engine's reports") {
-        for (int i = 0; i < engine_count; ++i) {
-            test.add("engine-" + std::to_string(i));
-            test.now += 333us;
-        }
-        test.dispatch(authority_changed{false});
-        test.dispatch(authority_changed{true});
-        test.now += 30ms;
-        test.dispatch(timer_expired{});
-        THEN("it requests few of them at a time") {
-            CHECK(test.report_requests.size() == planner_limits{}.max_parallel_reports);
-        }
-    }
-}
--- a/packages/store/internal/job_request_handler.cpp
+++ b/packages/store/internal/job_request_handler.cpp
@@ -11,15 +11,11 @@
 
 /// Limit of one response's results, in bytes of text; callers read at most 1 MB at once.
 constexpr std::size_t max_response_bytes = 700UL * 1000;
-/// How often the links of waiting requests are looked at.
-constexpr duration backlog_interval = std::chrono::milliseconds(20);
 
 } // namespace
 
 job_request_handler::job_request_handler(parameters arguments)
-    : params(std::move(arguments)),
-      expiry_timer([this] { this->expire_pending_reads(); }),
-      backlog_timer([this] { this->serve_backlog(); }) {}
+    : params(std::move(arguments)), expiry_timer([this] { this->expire_pending_reads(); }) {}
 
 bool job_request_handler::handle(std::uint64_t link, const wire::message& message) {
     if (const auto* submission = std::get_if<wire::submit_job_request>(&message)) {
@@ -112,8 +108,8 @@
     this->serve(link, request, *record);
 }
 
-void job_request_handler::respond(std::uint64_t link, const wire::read_results_request& request,
-                                  const batch::job_record& record) {
+void job_request_handler::serve(std::uint64_t link, const wire::read_results_request& request,
+                                const batch::job_record& record) {
     wire::batch_response response;
     response.call = request.call;
     response.total = record.content.items.size();
@@ -141,8 +137,8 @@
     this->serve(link, request, *record);
 }
 
-void job_request_handler::respond(std::uint64_t link, const wire::item_body_request& request,
-                                  const batch::job_record& record) {
+void job_request_handler::serve(std::uint64_t link, const wire::item_body_request& request,
+                                const batch::job_record& record) {
     const batch::job_item* item = record.find_item(request.item);
     if (item == nullptr || record.is_ended) {
         this->send_status(link, request.call, wire::batch_status::missing);
@@ -167,43 +163,6 @@
     this->serve(link, request, *record);
 }
 
-bool job_request_handler::has_room(std::uint64_t link) const {
-    return this->params.unsent_bytes(link) <= response_backlog::max_unsent_bytes;
-}
-
-template <typename Request>
-void job_request_handler::serve(std::uint64_t link, const Request& request,
-                                const batch::job_record& record) {
-    if (this->has_room(link) && !this->backlog.holds(link)) {
-        this->respond(link, request, record);
-        return;
-    }
-    const time_point now = this->params.time->now();
-    this->backlog.add(link, request, now);
-    this->backlog_timer.arm(now + backlog_interval);
-}
-
-void job_request_handler::serve_backlog() {
-    const time_point now = this->params.time->now();
-    const auto has_room = [this](std::uint64_t link) { return this->has_room(link); };
-    while (const auto next = this->backlog.take(now, has_room)) {
-        std::visit(
-            [&](const auto& request) {
-                if (!this->can_serve()) {
-                    this->send_status(next->link, request.call, wire::batch_status::not_leader);
-                } else if (const auto* record = this->find(request.job, request.account)) {
-                    this->respond(next->link, request, *record);
-                } else {
-                    this->serve_after_confirmation(next->link, request);
-                }
-            },
-            next->content);
-    }
-    if (!this->backlog.empty()) {
-        this->backlog_timer.arm(now + backlog_interval);
-    }
-}
-
 void job_request_handler::serve(std::uint64_t link, const wire::end_job_request& request,
                                 const batch::job_record& /*record*/) {
     this->params.replicated_group->submit(
@@ -255,10 +214,6 @@
         for (const pending_read& read : std::exchange(this->pending_reads, {})) {
             this->send_status(read.link, read.request.call, wire::batch_status::not_leader);
         }
-        for (const response_backlog::entry& waiting : this->backlog.take_all()) {
-            this->send_status(waiting.link, response_backlog::call_of(waiting.content),
-                              wire::batch_status::not_leader);
-        }
     }
 }
 
--- a/packages/store/internal/job_request_handler.h
+++ b/packages/store/internal/job_request_handler.h
@@ -4,13 +4,11 @@
 #include "base/ids.h"
 #include "base/wall_clock.h"
 #include "group/group.h"
-#include "store/internal/response_backlog.h"
 #include "store/internal/store_codec.h"
 #include "task/wakeup.h"
 #include "wire/messages.h"
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <vector>
@@ -32,8 +30,6 @@
         std::function<bool()> can_store_accounts;
         /// Sends to the instance at the other end of the link with this number.
         std::function<void(std::uint64_t link, const wire::message&)> send;
-        /// Bytes that wait to be sent over the link; 0 for a link that was lost.
-        std::function<std::size_t(std::uint64_t link)> unsent_bytes;
     };
 
     explicit job_request_handler(parameters arguments);
@@ -65,27 +61,19 @@
     /// state holds all committed commands, so that `missing` is never based on outdated state.
     template <typename Request>
     void serve_after_confirmation(std::uint64_t link, const Request& request);
-    /// Responds to a request for results or a body, at once or when its link has room.
-    template <typename Request>
-    void serve(std::uint64_t link, const Request& request, const batch::job_record& record);
+    void serve(std::uint64_t link, const wire::read_results_request& request,
+               const batch::job_record& record);
+    void serve(std::uint64_t link, const wire::item_body_request& request,
+               const batch::job_record& record);
     void serve(std::uint64_t link, const wire::end_job_request& request,
                const batch::job_record& record);
-    void respond(std::uint64_t link, const wire::read_results_request& request,
-                 const batch::job_record& record);
-    void respond(std::uint64_t link, const wire::item_body_request& request,
-                 const batch::job_record& record);
-    [[nodiscard]] bool has_room(std::uint64_t link) const;
-    /// Responds to the requests that wait for room on their links.
-    void serve_backlog();
     void expire_pending_reads();
     [[nodiscard]] bool can_serve() const;
 
     parameters params;
     bool serving = false;
     std::vector<pending_read> pending_reads;
-    response_backlog backlog;
     task::wakeup expiry_timer;
-    task::wakeup backlog_timer;
 };
 
 } // namespace kingcupcart::store
--- a/packages/store/internal/store.cpp
+++ b/packages/store/internal/store.cpp
@@ -92,11 +92,6 @@
             found->second.link->send(message);
         }
     };
-    handler_arguments.unsent_bytes = [this](std::uint64_t link) {
-        const auto found = this->peers.find(link);
-        const bool is_open = found != this->peers.end() && found->second.link;
-        return is_open ? found->second.link->unsent_bytes() : 0;
-    };
     this->request_handler = std::make_unique<job_request_handler>(std::move(handler_arguments));
     return {};
 }
--- a/packages/task/event_loop.h
+++ b/packages/task/event_loop.h
@@ -1,19 +1,11 @@
 #pragma once
 
-#include "base/clock.h"
-
 #include <glib.h>
 
-#include <cstddef>
-
 namespace kingcupcart::task {
 
 /// A GLib main context with its main loop. Sources that a thread creates between `enter` and
 /// `leave` are attached to this context.
-///
-/// An iteration of the loop takes time in proportion to the descriptors that GLib polls, however
-/// few of them are ready. With hundreds of them, the loop collects events for a few milliseconds
-/// between its iterations.
 class event_loop {
 public:
     event_loop();
@@ -31,9 +23,6 @@
 
     [[nodiscard]] GMainContext* context() const { return this->main_context; }
 
-    /// Least time between two iterations with this number of polled descriptors.
-    [[nodiscard]] static duration collect_time(std::size_t descriptors);
-
 private:
     GMainContext* main_context;
     GMainLoop* loop;
--- a/packages/task/tests/task_test.cpp
+++ b/packages/task/tests/task_test.cpp
@@ -4,10 +4,8 @@
 #include "task/socket_watch.h"
 #include "task/task.h"
 #include "task/timer.h"
-#include "task/wakeup.h"
 
 #include <doctest/doctest.h>
-#include <glib-unix.h>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -249,54 +247,3 @@
     }
     loop.leave();
 }
-
-// Guards against a keeper whose processor time goes into polling: thousands of targets keep a
-// connection open, and an iteration for each heartbeat looks at all of them.
-SCENARIO("an event loop with many descriptors collects events between its iterations") {
-    CHECK(task::event_loop::collect_time(256) == duration::zero());
-    CHECK(task::event_loop::collect_time(1000) == 5ms);
-    CHECK(task::event_loop::collect_time(100'000) == 20ms);
-    task::event_loop loop;
-    loop.enter();
-    GIVEN("silent connections and a source that is always ready") {
-        constexpr int connection_count = 400;
-        std::array<int, 2> pair{};
-        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, pair.data()) == 0);
-        std::vector<int> descriptors;
-        std::vector<GSource*> sources;
-        for (int i = 0; i < connection_count; ++i) {
-            descriptors.push_back(dup(pair[0]));
-            sources.push_back(g_unix_fd_source_new(descriptors.back(), G_IO_IN));
-            g_source_attach(sources.back(), loop.context());
-        }
-        int iterations = 0;
-        task::wakeup ready([&] {
-            ++iterations;
-            ready.arm_now();
-        });
-        ready.arm_now();
-        WHEN("the loop runs for 200 ms") {
-            const duration least = task::event_loop::collect_time(connection_count);
-            const auto begun_at = std::chrono::steady_clock::now();
-            task::timer end([&] { loop.quit(); });
-            end.arm(begun_at + 200ms);
-            loop.run();
-            const auto took = std::chrono::steady_clock::now() - begun_at;
-            THEN("its iterations are apart by the time of collection") {
-                CHECK(least == 2ms);
-                CHECK(iterations > 10);
-                CHECK(iterations <= took / least + 1);
-            }
-        }
-        for (GSource* source : sources) {
-            g_source_destroy(source);
-            g_source_unref(source);
-        }
-        for (const int descriptor : descriptors) {
-            close(descriptor);
-        }
-        close(pair[0]);
-        close(pair[1]);
-    }
-    loop.leave();
-}
--- a/packages/wire/internal/peer_link.cpp
+++ b/packages/wire/internal/peer_link.cpp
@@ -72,19 +72,16 @@
         this->start();
     }
 
-    bool send_all(std::span<const encoded_message> outgoing) {
-        bool are_accepted = true;
-        for (const encoded_message& message : outgoing) {
-            const bool has_room = !this->is_closed && this->unsent_bytes() <= max_unsent_bytes;
-            are_accepted = has_room && this->session->send(message.bytes()) && are_accepted;
-            this->sent_in_interval = this->sent_in_interval || has_room;
+    bool send(const message& outgoing) {
+        if (this->is_closed || this->unsent.size() - this->written > max_unsent_bytes) {
+            return false;
         }
+        const bool is_accepted = this->session->send(encode(outgoing));
+        this->sent_in_interval = true;
         this->flush();
-        return are_accepted;
+        return is_accepted;
     }
 
-    [[nodiscard]] std::size_t unsent_bytes() const { return this->unsent.size() - this->written; }
-
     void close() {
         if (!this->is_closed && this->connection) {
             this->session->close();
@@ -324,15 +321,7 @@
 }
 
 bool peer_link::send(const message& outgoing) {
-    return this->send(encoded_message(outgoing));
-}
-
-bool peer_link::send(const encoded_message& outgoing) {
-    return this->impl->send_all({&outgoing, 1});
-}
-
-bool peer_link::send_all(std::span<const encoded_message> outgoing) {
-    return this->impl->send_all(outgoing);
+    return this->impl->send(outgoing);
 }
 
 void peer_link::close() {
@@ -347,10 +336,6 @@
     return this->impl->sent_bytes;
 }
 
-std::size_t peer_link::unsent_bytes() const {
-    return this->impl->unsent_bytes();
-}
-
 std::size_t peer_link::bytes_received() const {
     return this->impl->received_bytes;
 }
--- a/packages/wire/peer_link.h
+++ b/packages/wire/peer_link.h
@@ -2,7 +2,6 @@
 
 #include "base/clock.h"
 #include "base/endpoint.h"
-#include "wire/encoded_message.h"
 #include "wire/messages.h"
 
 #include <gio/gio.h>
@@ -10,7 +9,6 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <span>
 #include <string>
 
 namespace kingcupcart::wire {
@@ -38,18 +36,12 @@
 
     /// Returns false if the link is not open, or if more than `max_unsent_bytes` wait to be sent.
     bool send(const message& outgoing);
-    bool send(const encoded_message& outgoing);
-    /// Sends the messages in one write as far as the socket takes it. Returns false if one was
-    /// rejected.
-    bool send_all(std::span<const encoded_message> outgoing);
     /// Sends all pending messages, then closes the link.
     void close();
 
     /// When the peer last sent anything, also a keepalive; the epoch if it has sent nothing.
     [[nodiscard]] time_point last_received_at() const;
     [[nodiscard]] std::size_t bytes_sent() const;
-    /// Bytes that the system has not taken yet.
-    [[nodiscard]] std::size_t unsent_bytes() const;
     [[nodiscard]] std::size_t bytes_received() const;
 
     /// Above this many unsent bytes, `send` rejects further messages, so that a slow peer cannot
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -124,15 +124,6 @@
                 CHECK(rejected->body.find("requests[0].scorerUrl.host") != std::string::npos);
             }
         }
-        // Guards against stores that end, one after the other, by an item that is queued twice.
-        WHEN("a job lists an item twice") {
-            const auto rejected =
-                test_deployment.call(test_fleet.submit_job_request("s6", {"v", "w", "v"}, 1));
-            THEN("it is rejected, and the error names the entry") {
-                CHECK(rejected->head.status == 400);
-                CHECK(rejected->body.find("requests[2].id") != std::string::npos);
-            }
-        }
     }
 
     GIVEN("a caller that disconnected before its response") {
